--- /dev/null
+++ b/crates/galenapath-dev/examples/codegen.rs
@@ -0,0 +1,65 @@
+//! Generates the Rust types of the JSON schemas under `schema/`.
+//!
+//! `cargo run -p galenapath-dev --example codegen` writes them; with `--check` it only compares,
+//! and exits 1 when a committed file is not current.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A schema and the file generated from it, both relative to the root of the workspace.
+struct Target {
+    schema: &'static str,
+    output: &'static str,
+    /// Derives beyond those that the generator always adds.
+    derives: &'static [&'static str],
+}
+
+const TARGETS: &[Target] = &[Target {
+    schema: "schema/settings.schema.json",
+    output: "crates/galenapath-settings/src/generated.rs",
+    derives: &["PartialEq"],
+}];
+
+type AnyError = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|arg| arg == "--check");
+    match TARGETS.iter().try_for_each(|target| run(target, check)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("codegen: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(target: &Target, check: bool) -> Result<(), AnyError> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let code = generate(&root.join(target.schema), target)?;
+    let output: PathBuf = root.join(target.output);
+    if !check {
+        return Ok(std::fs::write(output, code)?);
+    }
+    if std::fs::read_to_string(&output)? == code {
+        return Ok(());
+    }
+    Err(format!("{} is not current: run the codegen example", target.output).into())
+}
+
+fn generate(schema: &Path, target: &Target) -> Result<String, AnyError> {
+    let text = std::fs::read_to_string(schema)?;
+    let schema: schemars::schema::RootSchema = serde_json::from_str(&text)?;
+    let mut settings = typify::TypeSpaceSettings::default();
+    settings.with_struct_builder(false);
+    for derive in target.derives {
+        settings.with_derive((*derive).to_owned());
+    }
+    let mut space = typify::TypeSpace::new(&settings);
+    space.add_root_schema(schema)?;
+    let file = syn::parse2::<syn::File>(space.to_stream())?;
+    Ok(format!(
+        "//! Generated from `{}` by the codegen example. Do not edit.\n\n{}",
+        target.schema,
+        prettyplease::unparse(&file)
+    ))
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/galenapath-protocol/src/lib.rs
@@ -0,0 +1,20 @@
+//! Shared vocabulary of galenapath's processes: identifiers, time, verdicts and wire types.
+//!
+//! This crate sits at the bottom of the workspace. It has no clock, no socket and no thread.
+
+mod collections;
+mod header;
+mod ident;
+mod report;
+mod time;
+mod verdict;
+
+pub use collections::{FastMap, FastSet};
+pub use header::{
+    BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, REPORT_HEADER,
+    REQUEST_ID_HEADER, VERDICT_HEADER, WORKSPACE_HEADER,
+};
+pub use ident::{BackendId, DomainId, Incarnation, InstanceId, ParseIdentError, hash64};
+pub use report::{LoadReport, ParseReportError};
+pub use time::Micros;
+pub use verdict::Verdict;
--- /dev/null
+++ b/src/bin/galenactl.rs
@@ -0,0 +1,3 @@
+//! The operators' command line of galenapath.
+
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry instance of galenapath.
+
+fn main() {}
