--- /dev/null
+++ b/crates/galenapath-policy/src/retry/budget.rs
@@ -0,0 +1,67 @@
+//! How many retries and hedges a service may send.
+//!
+//! Load pattern: a fault or an overload that makes a large part of the requests fail. Without a
+//! budget every failure is sent again, the load doubles or trebles just when capacity is missing,
+//! and stays there after the cause has gone.
+
+use galenapath_protocol::Micros;
+
+/// Thresholds of the retry budget.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryConfig {
+    /// Retries allowed for each first try, 0 to 1.
+    pub share: f64,
+    /// Retries per second allowed whatever the number of first tries.
+    pub floor_per_second: f64,
+    /// Most retries that may be saved up. At least one.
+    pub burst: f64,
+}
+
+impl Default for RetryConfig {
+    fn default() -> Self {
+        Self { share: 0.1, floor_per_second: 1.0, burst: 20.0 }
+    }
+}
+
+/// The retry budget of one service: a share of the first tries, and a small floor.
+pub struct RetryBudget {
+    cfg: RetryConfig,
+    /// Retries that may be sent now; from 0 to `cfg.burst`.
+    tokens: f64,
+    /// When the floor was last added.
+    filled_at: Micros,
+}
+
+impl RetryBudget {
+    /// A budget that starts with one second of its floor.
+    pub fn new(cfg: RetryConfig) -> Self {
+        let tokens = cfg.floor_per_second.min(cfg.burst);
+        Self { cfg, tokens, filled_at: Micros::ZERO }
+    }
+
+    /// A request was sent for the first time.
+    pub fn first_try(&mut self, now: Micros) {
+        self.add_floor(now);
+        self.add(self.cfg.share);
+    }
+
+    /// Whether a retry or hedge may be sent now; if so it is counted.
+    pub fn try_retry(&mut self, now: Micros) -> bool {
+        self.add_floor(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn add_floor(&mut self, now: Micros) {
+        let elapsed = now - self.filled_at;
+        self.filled_at = self.filled_at.max(now);
+        self.add(elapsed.0 as f64 / 1e6 * self.cfg.floor_per_second);
+    }
+
+    fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.cfg.burst);
+    }
+}
