Admission: oldest first; newest first while overloaded is dropped

Cause: newest first answered the rejected late: those pushed to the far end of the queue learn of it only when their time runs out. Oldest first stays.

--- a/crates/galenapath-policy/src/admission/config.rs
+++ b/crates/galenapath-policy/src/admission/config.rs
@@ -2,15 +2,6 @@
 
 use galenapath_protocol::Micros;
 
-/// Order in which a workspace's waiting requests are started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QueueOrder {
-    /// Oldest first, always.
-    OldestFirst,
-    /// Oldest first, and newest first while the service is overloaded.
-    NewestFirstWhenOverloaded,
-}
-
 /// How the limit on requests in flight is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitRule {
@@ -73,8 +64,6 @@
     pub overload_after: Micros,
     /// Part of the allowed wait that is left while the service is overloaded; 0 to 1.
     pub overload_wait_share: f64,
-    /// Order of the waiting requests of one workspace.
-    pub order: QueueOrder,
     /// Part of the limit that long work may not take where short work shares the service; 0 to 1.
     pub short_reserve: f64,
     /// Part of the limit up to which long work goes before short work, so that it is not starved;
@@ -99,7 +88,6 @@
             prediction_margin: 0.8,
             overload_after: Micros::from_millis(100),
             overload_wait_share: 0.25,
-            order: QueueOrder::NewestFirstWhenOverloaded,
             short_reserve: 0.5,
             long_floor: 0.25,
             min_retry_after: Micros::from_millis(20),
--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -8,9 +8,9 @@
 //! over goes on as a backlog.
 
 use super::classes::Classes;
-use super::config::{AdmissionConfig, QueueOrder};
+use super::config::AdmissionConfig;
 use super::decision::{Decision, RejectReason, Rejection, Step};
-use super::fair_queue::{End, Waiting};
+use super::fair_queue::Waiting;
 use super::lane::Lane;
 use super::limit::ConcurrencyLimit;
 use super::offer::{ClassPolicy, Offer, Ticket, WorkLength, WorkspaceIndex};
@@ -226,14 +226,6 @@
         if self.cfg.fair_shares { workspace } else { WorkspaceIndex(0) }
     }
 
-    /// Which end of a workspace's queue starts next.
-    fn starting_end(&mut self, now: Micros, length: WorkLength) -> End {
-        let after = self.cfg.overload_after;
-        let newest_first = self.cfg.order == QueueOrder::NewestFirstWhenOverloaded;
-        let overloaded = self.lane_mut(length).is_overloaded(now, after);
-        if overloaded && newest_first { End::Newest } else { End::Oldest }
-    }
-
     /// Part of the allowed wait that is left at the moment.
     fn wait_share(&mut self, now: Micros, length: WorkLength) -> f64 {
         let after = self.cfg.overload_after;
@@ -293,16 +285,12 @@
     }
 
     /// Rejects what waits beyond the bounds: of the workspace that has most waiting, the request
-    /// that would start last.
+    /// that came last.
     fn make_room(&mut self, now: Micros, length: WorkLength) {
         while self.is_overfull(now, length) {
             let Some(workspace) = self.lane(length).queue().heaviest() else { return };
             let shared = self.lane(length).queue().active() > 1;
-            let last = match self.starting_end(now, length) {
-                End::Oldest => End::Newest,
-                End::Newest => End::Oldest,
-            };
-            let Some(waiting) = self.lane_mut(length).take(now, workspace, last) else { return };
+            let Some(waiting) = self.lane_mut(length).take_newest(now, workspace) else { return };
             let reason =
                 if shared { RejectReason::OverShare } else { RejectReason::WontMeetTarget };
             self.forget_place(waiting.ticket);
@@ -322,9 +310,7 @@
             return false;
         }
         let allowed = self.classes.longest_wait(length, self.cfg.min_wait_share);
-        let share = self.wait_share(now, length);
-        let wait = self.lane(length).wait(now, len, self.slots(length));
-        wait.0 as f64 > allowed.0 as f64 * share
+        self.lane(length).wait(now, len, self.slots(length)) > allowed
     }
 
     fn give_up(&mut self, now: Micros) {
@@ -352,8 +338,7 @@
 
     fn dispatch(&mut self, now: Micros) {
         while let Some(length) = self.next_length() {
-            let end = self.starting_end(now, length);
-            let Some(waiting) = self.lane_mut(length).pop(now, end) else { return };
+            let Some(waiting) = self.lane_mut(length).pop(now) else { return };
             self.long_went_last = length == WorkLength::Long;
             self.forget_place(waiting.ticket);
             self.start(waiting.ticket, Running { class: waiting.class, length });
--- a/crates/galenapath-policy/src/admission/fair_queue.rs
+++ b/crates/galenapath-policy/src/admission/fair_queue.rs
@@ -19,13 +19,6 @@
     pub give_up_at: Micros,
 }
 
-/// Which end of a workspace's queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Oldest,
-    Newest,
-}
-
 /// Waiting requests of all workspaces.
 #[derive(Clone, Debug, Default)]
 pub struct FairQueue {
@@ -46,23 +39,6 @@
     deficit: u64,
 }
 
-impl WorkspaceQueue {
-    fn take(&mut self, end: End) -> Option<Waiting> {
-        match end {
-            End::Oldest => self.items.pop_front(),
-            End::Newest => self.items.pop_back(),
-        }
-    }
-
-    fn cost(&self, end: End) -> u64 {
-        let item = match end {
-            End::Oldest => self.items.front(),
-            End::Newest => self.items.back(),
-        };
-        item.map_or(0, |waiting| waiting.cost)
-    }
-}
-
 impl FairQueue {
     /// Requests waiting.
     pub fn len(&self) -> usize {
@@ -98,25 +74,27 @@
         self.len += 1;
     }
 
-    /// Takes out the next request whose turn it is, from the given end of its workspace's queue.
-    pub fn pop(&mut self, end: End) -> Option<Waiting> {
+    /// Takes out the oldest request of the workspace whose turn it is.
+    pub fn pop(&mut self) -> Option<Waiting> {
         loop {
             let workspace = *self.turns.front()?;
             let queue = &mut self.queues[workspace.0 as usize];
-            let cost = queue.cost(end);
+            let cost = queue.items.front()?.cost;
             if queue.deficit < cost {
                 queue.deficit += self.quantum.max(1);
                 self.turns.rotate_left(1);
                 continue;
             }
             queue.deficit -= cost;
-            return self.take(workspace, end);
+            let waiting = queue.items.pop_front()?;
+            self.removed(workspace);
+            return Some(waiting);
         }
     }
 
-    /// Takes out a request of `workspace` without counting it as a turn.
-    pub fn take(&mut self, workspace: WorkspaceIndex, end: End) -> Option<Waiting> {
-        let waiting = self.queues.get_mut(workspace.0 as usize)?.take(end)?;
+    /// Takes out the newest request of `workspace`, without counting it as a turn.
+    pub fn take_newest(&mut self, workspace: WorkspaceIndex) -> Option<Waiting> {
+        let waiting = self.queues.get_mut(workspace.0 as usize)?.items.pop_back()?;
         self.removed(workspace);
         Some(waiting)
     }
--- a/crates/galenapath-policy/src/admission/lane.rs
+++ b/crates/galenapath-policy/src/admission/lane.rs
@@ -1,7 +1,7 @@
 //! The requests of one work length: their queue, their drain rate and whether they are overloaded.
 
 use super::drain::DrainRate;
-use super::fair_queue::{End, FairQueue, Waiting};
+use super::fair_queue::{FairQueue, Waiting};
 use super::offer::{Ticket, WorkspaceIndex};
 use galenapath_protocol::Micros;
 
@@ -36,16 +36,16 @@
     }
 
     /// Takes out the request that starts next.
-    pub fn pop(&mut self, now: Micros, end: End) -> Option<Waiting> {
-        let waiting = self.queue.pop(end)?;
+    pub fn pop(&mut self, now: Micros) -> Option<Waiting> {
+        let waiting = self.queue.pop()?;
         self.drain.left(now);
         self.after_removal(now);
         Some(waiting)
     }
 
-    /// Takes out a request of `workspace` that will not start.
-    pub fn take(&mut self, now: Micros, workspace: WorkspaceIndex, end: End) -> Option<Waiting> {
-        let waiting = self.queue.take(workspace, end)?;
+    /// Takes out the newest request of `workspace`, which will not start.
+    pub fn take_newest(&mut self, now: Micros, workspace: WorkspaceIndex) -> Option<Waiting> {
+        let waiting = self.queue.take_newest(workspace)?;
         self.after_removal(now);
         Some(waiting)
     }
--- a/crates/galenapath-policy/src/admission/mod.rs
+++ b/crates/galenapath-policy/src/admission/mod.rs
@@ -13,7 +13,7 @@
 mod returns;
 mod workspaces;
 
-pub use config::{AdmissionConfig, LimitConfig, LimitRule, QueueOrder};
+pub use config::{AdmissionConfig, LimitConfig, LimitRule};
 pub use controller::Admission;
 pub use decision::{Decision, RejectReason, Rejection, Step};
 pub use offer::{ClassIndex, ClassPolicy, Offer, Ticket, WorkLength, WorkspaceIndex};
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use admission::{
     Admission, AdmissionConfig, ClassIndex, ClassPolicy, Decision, LimitConfig, LimitRule, Offer,
-    QueueOrder, RejectReason, Rejection, Step, Ticket, WorkLength, WorkspaceIndex,
+    RejectReason, Rejection, Step, Ticket, WorkLength, WorkspaceIndex,
 };
 pub use outcome::Outcome;
 pub use retry::{
