Admission: invariants tested under any order of calls; full queues counted by work length

Cause: property tests and reading showed: a queue full of long work closed the service to short work; the limit grew when long work waited for its own cap; a request displaced by its own arrival was told so only by the next poll; a cancelled one could still get a step. Change: the bound on waiting holds for each work length; only the limit itself counts as used up; offer returns the rejection itself; cancel withdraws undelivered steps. Property tests: one final step for each ticket, no start above the limit, queue bounded, nothing left behind by cancel or finish, the wakes alone end every wait.

--- a/crates/galenapath-policy/src/admission/config.rs
+++ b/crates/galenapath-policy/src/admission/config.rs
@@ -45,7 +45,7 @@
     pub initial_slots: u32,
     /// Thresholds of the limit on requests in flight.
     pub limit: LimitConfig,
-    /// Most requests that wait at once, over all workspaces. At least one.
+    /// Most requests of one work length that wait at once, over all workspaces. At least one.
     pub max_waiting: usize,
     /// Most workspaces told apart; the rest share one.
     pub max_workspaces: usize,
--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -113,13 +113,15 @@
             self.start(offer.ticket, Running { class: offer.class, length });
             return Decision::Start;
         }
-        self.limit.used_up();
+        if self.running.len() >= self.limit.get() as usize {
+            self.limit.used_up();
+        }
         match self.reason_to_reject(now, length, &offer) {
             Some(reason) => self.turn_away(now, length, reason),
             None => {
                 self.enqueue(now, length, &offer);
                 self.make_room(now, length);
-                Decision::Wait
+                self.decision_after_wait(offer.ticket)
             }
         }
     }
@@ -157,6 +159,7 @@
     pub fn cancel(&mut self, now: Micros, ticket: Ticket) {
         self.stop(ticket);
         self.withdraw(now, ticket);
+        self.pending.retain(|step| step.ticket() != ticket);
     }
 
     /// Requests in flight.
@@ -215,10 +218,8 @@
     }
 
     fn learn(&mut self, now: Micros, running: Running, latency: Micros) {
-        let class = self.classes.get(running.class);
-        let excess = class.latency.observe(now, latency);
-        let mean = class.latency.mean();
-        self.lane_mut(running.length).mean = mean;
+        let excess = self.classes.get(running.class).latency.observe(now, latency);
+        self.lane_mut(running.length).answered(latency);
         self.limit.answered(now, excess);
     }
 
@@ -240,13 +241,14 @@
         offer: &Offer,
     ) -> Option<RejectReason> {
         let workspace = self.shared(offer.workspace);
-        if self.places.len() >= self.cfg.max_waiting && self.is_over_share(length, workspace) {
+        let is_over_share = self.is_over_share(length, workspace);
+        let is_full = self.lane(length).queue().len() >= self.cfg.max_waiting;
+        if is_full && is_over_share {
             return Some(RejectReason::QueueFull);
         }
         if !self.cfg.early_rejection {
             return None;
         }
-        let is_over_share = self.is_over_share(length, workspace);
         let share = if is_over_share { self.wait_share(now, length) } else { 1.0 };
         let class = self.classes.get(offer.class);
         let mean = class.latency.mean();
@@ -287,6 +289,16 @@
         self.give_ups.insert((give_up_at, offer.ticket));
     }
 
+    /// The decision about a request that was just queued: it may have been the one that had to
+    /// make room.
+    fn decision_after_wait(&mut self, ticket: Ticket) -> Decision {
+        match self.pending.pop_if(|step| step.ticket() == ticket) {
+            Some(Step::Reject(_, rejection)) => Decision::Reject(rejection),
+            Some(Step::Start(_)) => Decision::Start,
+            None => Decision::Wait,
+        }
+    }
+
     /// Rejects what waits beyond the bounds: of the workspace that has most waiting, the request
     /// that came last.
     fn make_room(&mut self, now: Micros, length: WorkLength) {
@@ -306,7 +318,7 @@
         if len <= 1 {
             return false;
         }
-        if self.places.len() > self.cfg.max_waiting {
+        if len > self.cfg.max_waiting {
             return true;
         }
         if !self.cfg.early_rejection {
--- a/crates/galenapath-policy/src/admission/decision.rs
+++ b/crates/galenapath-policy/src/admission/decision.rs
@@ -46,3 +46,12 @@
     /// Answer the caller now; the request was not run.
     Reject(Ticket, Rejection),
 }
+
+impl Step {
+    /// The request that the step is about.
+    pub fn ticket(&self) -> Ticket {
+        match self {
+            Self::Start(ticket) | Self::Reject(ticket, _) => *ticket,
+        }
+    }
+}
--- a/crates/galenapath-policy/src/admission/lane.rs
+++ b/crates/galenapath-policy/src/admission/lane.rs
@@ -12,8 +12,8 @@
     drain: DrainRate,
     /// Requests of the lane in flight.
     pub in_flight: u32,
-    /// Mean latency of the lane's requests; zero while unknown.
-    pub mean: Micros,
+    /// Running mean of the lane's latencies, in microseconds; zero while unknown.
+    mean: f64,
     /// When the queue last became empty or non-empty.
     changed_at: Micros,
     /// Whether something has waited without a break for the configured time, and nothing has since
@@ -22,6 +22,9 @@
 }
 
 impl Lane {
+    /// Weight of one latency in the running mean.
+    const MEAN_WEIGHT: f64 = 1.0 / 32.0;
+
     /// The queue, to look at.
     pub fn queue(&self) -> &FairQueue {
         &self.queue
@@ -62,6 +65,13 @@
         Some(waiting)
     }
 
+    /// A request of the lane was answered.
+    pub fn answered(&mut self, latency: Micros) {
+        let x = latency.0 as f64;
+        let weight = if self.mean == 0.0 { 1.0 } else { Self::MEAN_WEIGHT };
+        self.mean += (x - self.mean) * weight;
+    }
+
     /// Whether the queue has stood for `after`; ends once it has been empty for as long.
     pub fn is_overloaded(&mut self, now: Micros, after: Micros) -> bool {
         if now - self.changed_at >= after {
@@ -72,7 +82,7 @@
 
     /// Requests per microsecond that leave the queue for `slots` slots.
     pub fn drain_rate(&self, now: Micros, slots: u32) -> f64 {
-        self.drain.per_micro(now, slots, self.mean)
+        self.drain.per_micro(now, slots, Micros(self.mean as u64))
     }
 
     /// Time until `position` requests have left the queue.
--- a/crates/galenapath-policy/src/admission/limit.rs
+++ b/crates/galenapath-policy/src/admission/limit.rs
@@ -73,7 +73,7 @@
         self.slots = slots;
     }
 
-    /// Notes that a request had to wait, or that one took the last place.
+    /// Notes that a request had to wait because of the limit.
     pub fn used_up(&mut self) {
         self.window.used_up = true;
     }
