Settings and HTTP framing; code generation in a package of its own

Cause: the generator depended on the crates whose code it generates, so a schema change that broke one of them could not be generated. Change: it moved to galenapath-codegen, which depends on none of them.

--- a/crates/galenapath-dev/examples/codegen.rs
+++ b/crates/galenapath-codegen/examples/codegen.rs
@@ -1,6 +1,6 @@
 //! Generates the Rust types of the JSON schemas under `schema/`.
 //!
-//! `cargo run -p galenapath-dev --example codegen` writes them; with `--check` it only compares,
+//! `cargo run -p galenapath-codegen --example codegen` writes them; with `--check` it only compares,
 //! and exits 1 when a committed file is not current.
 
 use std::path::{Path, PathBuf};
--- a/crates/galenapath-http/src/lib.rs
+++ b/crates/galenapath-http/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! HTTP/1.1 on one connection: strict heads, bodies in bounded pieces, cancellation.
+//!
+//! Heads are parsed by `monoio-http`. Its body decoders hold a whole body (or chunk) in memory and
+//! its head reader has no size limit, so the framing of bodies and the limits are done here.
+
+mod body;
+mod connection;
+mod error;
+mod framing;
+mod head;
+
+pub use body::BodyState;
+pub use connection::{Connection, HeadTimes};
+pub use error::HttpError;
+pub use framing::{Framing, request_framing, response_framing};
+pub use head::{MAX_HEADERS, check_head, put_request, put_response};
+pub use monoio_http::common::request::RequestHead;
+pub use monoio_http::common::response::ResponseHead;
--- a/crates/galenapath-settings/src/generated.rs
+++ b/crates/galenapath-settings/src/generated.rs
@@ -42,6 +42,9 @@
     pub operators: ::std::string::String,
     ///Address for other entry instances.
     pub peers: ::std::string::String,
+    ///Peers' addresses of other instances, for a start while the platform is down.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub seeds: ::std::vec::Vec<::std::string::String>,
 }
 ///Logging.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
