--- /dev/null
+++ b/crates/galenapath-membership/src/config.rs
@@ -0,0 +1,35 @@
+//! Thresholds of failure detection.
+
+use galenapath_protocol::Micros;
+
+/// Thresholds of failure detection and gossip.
+///
+/// An instance that fails is noticed by some peer within about one probe interval and, with every
+/// instance probing one peer per interval, told to all within a few more. Suspicion has to be
+/// longer than the pauses of a noisy neighbour, or instances would come and go all day.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct MembershipConfig {
+    /// Time between two probes that an instance sends. One probe a second keeps the cost of
+    /// control flat in the number of instances.
+    pub probe_interval: Micros,
+    /// How long a suspect may still answer before it counts as gone.
+    pub suspicion: Micros,
+    /// How long a member that is gone stays known, so that old rumors do not bring it back.
+    pub keep_gone: Micros,
+    /// Each rumor is sent this many times for each doubling of the number of members.
+    pub rumor_factor: u32,
+    /// Most rumors in one message; bounds its size.
+    pub rumors_per_message: usize,
+}
+
+impl Default for MembershipConfig {
+    fn default() -> Self {
+        Self {
+            probe_interval: Micros::from_millis(500),
+            suspicion: Micros::from_secs(3),
+            keep_gone: Micros::from_secs(600),
+            rumor_factor: 3,
+            rumors_per_message: 8,
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-membership/src/leaving.rs
@@ -0,0 +1,77 @@
+//! Which backend servers are leaving, whoever said so first.
+//!
+//! The platform's list lags, so it may show a server as live long after the server itself, or a
+//! peer, has said that it leaves. A mark is therefore never taken back by the list. It names one
+//! run of the server by its start time, so that a server which comes back is used again.
+
+use galenapath_protocol::{BackendId, FastMap, Micros};
+
+/// Most marks kept; the oldest go first. Far above the number of servers that leave within
+/// `KEEP` at the largest size designed for (440 replacements a day).
+const MOST_MARKS: usize = 4_096;
+
+/// How long a mark is kept; longer than any lag of the platform's list.
+const KEEP: Micros = Micros::from_secs(3_600);
+
+/// A run of a backend server that is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LeavingMark {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Start time of the run, in milliseconds since the Unix epoch, as the platform lists it.
+    pub started: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Marked {
+    started: u64,
+    at: Micros,
+}
+
+/// Marks of backend servers that are leaving.
+#[derive(Clone, Debug, Default)]
+pub struct LeavingMarks {
+    marks: FastMap<BackendId, Marked>,
+}
+
+impl LeavingMarks {
+    /// Takes in a mark; returns whether it was new, and so worth telling peers.
+    pub fn mark(&mut self, now: Micros, mark: &LeavingMark) -> bool {
+        if self.is_leaving(&mark.backend, mark.started) {
+            return false;
+        }
+        self.make_room(now);
+        self.marks.insert(mark.backend.clone(), Marked { started: mark.started, at: now });
+        true
+    }
+
+    /// Whether the run of `backend` that began at `started`, or a later one, was marked.
+    pub fn is_leaving(&self, backend: &BackendId, started: u64) -> bool {
+        self.marks.get(backend).is_some_and(|marked| marked.started >= started)
+    }
+
+    /// Marks younger than `age`, for messages to peers.
+    pub fn recent(&self, now: Micros, age: Micros) -> Vec<LeavingMark> {
+        let recent = self.marks.iter().filter(|(_, marked)| now < marked.at + age);
+        recent
+            .map(|(backend, marked)| LeavingMark {
+                backend: backend.clone(),
+                started: marked.started,
+            })
+            .collect()
+    }
+
+    fn make_room(&mut self, now: Micros) {
+        if self.marks.len() < MOST_MARKS {
+            return;
+        }
+        self.marks.retain(|_, marked| now < marked.at + KEEP);
+        if self.marks.len() < MOST_MARKS {
+            return;
+        }
+        let oldest = self.marks.iter().min_by_key(|(_, marked)| marked.at);
+        if let Some(backend) = oldest.map(|(backend, _)| backend.clone()) {
+            self.marks.remove(&backend);
+        }
+    }
+}
--- a/crates/galenapath-membership/src/lib.rs
+++ b/crates/galenapath-membership/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Who is there: entry instances, by probing and gossip, and backend servers, by the platform's
+//! list and by what they and the peers say of their leaving.
+//!
+//! Pure state machines: time, probe results and messages come in; probes and rumors go out.
+
+mod config;
+mod leaving;
+mod member;
+mod members;
+mod rumors;
+mod successors;
+
+pub use config::MembershipConfig;
+pub use leaving::{LeavingMark, LeavingMarks};
+pub use member::{Member, MemberStatus};
+pub use members::{Members, Probe};
+pub use successors::successors;
--- /dev/null
+++ b/crates/galenapath-membership/src/members.rs
@@ -0,0 +1,240 @@
+//! The table of entry instances, with probing and gossip.
+//!
+//! The platform's list lags, so an address answer built from it alone would send callers to
+//! instances that died a minute ago. Each instance therefore probes one peer per interval, in a
+//! shuffled order that visits everyone; a missed probe makes a suspect, which is told to the others
+//! on later probes, and a suspect that stays silent is gone. A member that hears it is suspected
+//! raises its beat and says so. This is the SWIM protocol without its indirect probes: a cut that
+//! hides a member from some peers only is answered by the member's own refutation through others.
+
+use crate::rumors::Rumors;
+use crate::{Member, MemberStatus, MembershipConfig};
+use galenapath_protocol::{FastMap, Incarnation, Micros, hash64};
+use std::net::SocketAddr;
+
+/// A probe to send to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Peers' address to probe.
+    pub to: SocketAddr,
+    /// Incarnation expected there.
+    pub incarnation: Incarnation,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Member,
+    /// When the status last changed.
+    since: Micros,
+}
+
+/// All incarnations of entry instances known to one of them.
+///
+/// Invariants: the own incarnation is in the table and never `Gone` or `Suspect`; an entry is only
+/// replaced by newer news (see `Member::is_newer_than`).
+#[derive(Clone, Debug)]
+pub struct Members {
+    cfg: MembershipConfig,
+    own: Incarnation,
+    entries: FastMap<Incarnation, Entry>,
+    rumors: Rumors,
+    /// Peers still to be probed in this round, last first.
+    round: Vec<Incarnation>,
+    round_number: u64,
+    next_probe: Micros,
+    version: u64,
+}
+
+impl Members {
+    /// A table that knows only the instance itself.
+    pub fn new(cfg: MembershipConfig, now: Micros, own: Member) -> Self {
+        let incarnation = own.incarnation;
+        let mut members = Self {
+            cfg,
+            own: incarnation,
+            entries: FastMap::default(),
+            rumors: Rumors::default(),
+            round: Vec::new(),
+            round_number: 0,
+            next_probe: now,
+            version: 0,
+        };
+        members.store(now, own);
+        members
+    }
+
+    /// The instance itself.
+    pub fn own(&self) -> Option<&Member> {
+        self.find(self.own)
+    }
+
+    /// Changes with every change of the table; lets readers skip what they have seen.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The member with this incarnation, whatever its status.
+    pub fn find(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.entries.get(&incarnation).map(|entry| &entry.member)
+    }
+
+    /// All members that requests may be sent to, in no particular order.
+    pub fn usable(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member).filter(|member| member.is_usable())
+    }
+
+    /// All known members.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// The probe that is due at `now`, if any; also ends suspicions and forgets the long gone.
+    pub fn tick(&mut self, now: Micros) -> Option<Probe> {
+        self.end_suspicions(now);
+        if now < self.next_probe {
+            return None;
+        }
+        self.next_probe = now + self.cfg.probe_interval;
+        let incarnation = self.next_in_round()?;
+        let member = self.find(incarnation)?;
+        Some(Probe { to: member.peers, incarnation })
+    }
+
+    /// When `tick` is due next.
+    pub fn next_tick(&self) -> Micros {
+        self.next_probe
+    }
+
+    /// News to put into the next message to the peer `to`. The own entry goes first, then what is
+    /// thought of the peer itself, so that it can speak against a suspicion.
+    pub fn news(&mut self, to: Incarnation) -> Vec<Member> {
+        let mut about = self.rumors.take(self.cfg.rumors_per_message);
+        about.retain(|&incarnation| incarnation != self.own && incarnation != to);
+        about.splice(0..0, [self.own, to]);
+        about.iter().filter_map(|&incarnation| self.find(incarnation).cloned()).collect()
+    }
+
+    /// Takes in news from a peer or from the platform's list.
+    pub fn merge(&mut self, now: Micros, news: &[Member]) {
+        for member in news {
+            self.merge_one(now, member);
+        }
+    }
+
+    /// A probe was answered by the incarnation it was sent to.
+    pub fn probe_answered(&mut self, now: Micros, incarnation: Incarnation) {
+        // Only the member itself may end a suspicion that others share, by raising its beat; its
+        // answer carries its own entry, which `merge` takes in.
+        let Some(entry) = self.entries.get_mut(&incarnation) else { return };
+        if entry.member.status == MemberStatus::Suspect {
+            entry.since = now;
+        }
+    }
+
+    /// A probe was not answered.
+    pub fn probe_failed(&mut self, now: Micros, incarnation: Incarnation) {
+        let Some(entry) = self.entries.get(&incarnation) else { return };
+        if entry.member.status == MemberStatus::Live {
+            self.set_status(now, incarnation, MemberStatus::Suspect);
+        }
+    }
+
+    /// Another incarnation answered at the member's address: the one asked for is gone.
+    pub fn replaced(&mut self, now: Micros, incarnation: Incarnation) {
+        if incarnation != self.own {
+            self.set_status(now, incarnation, MemberStatus::Gone);
+        }
+    }
+
+    /// The instance itself begins to leave.
+    pub fn leave(&mut self, now: Micros) {
+        self.speak(now, MemberStatus::Leaving, 0);
+    }
+
+    fn merge_one(&mut self, now: Micros, news: &Member) {
+        if news.incarnation == self.own {
+            self.refute(now, news);
+            return;
+        }
+        match self.entries.get(&news.incarnation) {
+            Some(known) if !news.is_newer_than(&known.member) => {}
+            Some(_) => self.store(now, news.clone()),
+            // News of a death that nobody here knew of as a life is not worth keeping.
+            None if news.status == MemberStatus::Gone => {}
+            None => self.store(now, news.clone()),
+        }
+    }
+
+    /// Speaks against news that calls the instance itself anything worse than it is.
+    fn refute(&mut self, now: Micros, news: &Member) {
+        let Some(own) = self.own() else { return };
+        if news.is_newer_than(own) {
+            let status = own.status;
+            self.speak(now, status, news.beat);
+        }
+    }
+
+    fn speak(&mut self, now: Micros, status: MemberStatus, above: u64) {
+        let Some(own) = self.own() else { return };
+        let mut member = own.clone();
+        member.beat = member.beat.max(above) + 1;
+        member.status = status;
+        self.store(now, member);
+    }
+
+    fn set_status(&mut self, now: Micros, incarnation: Incarnation, status: MemberStatus) {
+        let Some(entry) = self.entries.get(&incarnation) else { return };
+        if entry.member.status >= status {
+            return;
+        }
+        let member = Member { status, ..entry.member.clone() };
+        self.store(now, member);
+    }
+
+    fn store(&mut self, now: Micros, member: Member) {
+        let incarnation = member.incarnation;
+        self.entries.insert(incarnation, Entry { member, since: now });
+        self.version += 1;
+        let doublings = usize::BITS - self.entries.len().leading_zeros();
+        self.rumors.push(incarnation, self.cfg.rumor_factor * doublings.max(1));
+    }
+
+    fn end_suspicions(&mut self, now: Micros) {
+        let expired: Vec<Incarnation> = self
+            .entries
+            .values()
+            .filter(|entry| entry.member.status == MemberStatus::Suspect)
+            .filter(|entry| now >= entry.since + self.cfg.suspicion)
+            .map(|entry| entry.member.incarnation)
+            .collect();
+        for incarnation in expired {
+            self.set_status(now, incarnation, MemberStatus::Gone);
+        }
+        let keep = self.cfg.keep_gone;
+        self.entries.retain(|_, entry| {
+            entry.member.status != MemberStatus::Gone || now < entry.since + keep
+        });
+    }
+
+    fn next_in_round(&mut self) -> Option<Incarnation> {
+        loop {
+            if self.round.is_empty() {
+                self.start_round();
+            }
+            let incarnation = self.round.pop()?;
+            if self.find(incarnation).is_some_and(|member| member.status != MemberStatus::Gone) {
+                return Some(incarnation);
+            }
+        }
+    }
+
+    /// Shuffles the peers by a hash that differs per prober and round.
+    fn start_round(&mut self) {
+        self.round_number += 1;
+        let seed = self.own.0 ^ self.round_number;
+        let own = self.own;
+        let not_gone = self.entries.values().filter(|e| e.member.status != MemberStatus::Gone);
+        self.round = not_gone.map(|e| e.member.incarnation).filter(|&i| i != own).collect();
+        self.round.sort_by_key(|incarnation| hash64(seed, &incarnation.0.to_le_bytes()));
+    }
+}
--- a/crates/galenapath-settings/src/load.rs
+++ b/crates/galenapath-settings/src/load.rs
@@ -22,10 +22,8 @@
 ///
 /// The first fault found, with file, line and key.
 pub fn load(file: &Path) -> Result<Settings, SettingsError> {
-    let text = std::fs::read_to_string(file).map_err(|e| SettingsError::Unreadable {
-        file: file.to_owned(),
-        reason: e.to_string(),
-    })?;
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| SettingsError::Unreadable { file: file.to_owned(), reason: e.to_string() })?;
     parse(file, &text)
 }
 
@@ -51,9 +49,7 @@
                 DEFAULT_PLATFORM_TIMEOUT,
             )?,
         },
-        token_file: PathBuf::from(
-            at.filled("operators.token_file", &wire.operators.token_file)?,
-        ),
+        token_file: PathBuf::from(at.filled("operators.token_file", &wire.operators.token_file)?),
         limits: limits(&at, &wire.limits.unwrap_or_default())?,
         log_level: wire.log.and_then(|log| log.level).unwrap_or(LogLevel::Info),
     };
@@ -91,7 +87,11 @@
     let span = |key, text: &Option<String>, default| at.span(key, text.as_deref(), default);
     Ok(Limits {
         header_bytes: wire.header_bytes.unwrap_or(DEFAULT_HEADER_BYTES) as usize,
-        header_timeout: span("limits.header_timeout", &wire.header_timeout, DEFAULT_HEADER_TIMEOUT)?,
+        header_timeout: span(
+            "limits.header_timeout",
+            &wire.header_timeout,
+            DEFAULT_HEADER_TIMEOUT,
+        )?,
         idle_timeout: span("limits.idle_timeout", &wire.idle_timeout, DEFAULT_IDLE_TIMEOUT)?,
         caller_connections: wire
             .caller_connections
@@ -165,7 +165,9 @@
         match humantime::parse_duration(value) {
             Ok(span) if !span.is_zero() => Ok(span),
             Ok(_) => Err(self.bad(key, value, "must be longer than zero")),
-            Err(_) => Err(self.bad(key, value, "expected a number and a unit, such as 250ms or 5s")),
+            Err(_) => {
+                Err(self.bad(key, value, "expected a number and a unit, such as 250ms or 5s"))
+            }
         }
     }
 }
