--- /dev/null
+++ b/crates/galenapath-policy/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! Which entry instances dispatch for a service.
--- /dev/null
+++ b/crates/galenapath-policy/src/measure/mod.rs
@@ -0,0 +1,5 @@
+//! Measuring backend servers inside a hard budget.
+
+mod budget;
+
+pub use budget::ProbeBudget;
