--- a/crates/galenapath-policy/src/balance/mod.rs
+++ b/crates/galenapath-policy/src/balance/mod.rs
@@ -15,4 +15,4 @@
 pub use balancer::Balancer;
 pub use config::{BalancerConfig, ChoicePolicy};
 pub use slot::Slot;
-pub use spec::{BackendSpec, BackendState, Outcome};
+pub use spec::{BackendSpec, BackendState};
