--- a/crates/galenapath-codegen/examples/codegen.rs
+++ b/crates/galenapath-codegen/examples/codegen.rs
@@ -14,11 +14,18 @@
     derives: &'static [&'static str],
 }
 
-const TARGETS: &[Target] = &[Target {
-    schema: "schema/settings.schema.json",
-    output: "crates/galenapath-settings/src/generated.rs",
-    derives: &["PartialEq"],
-}];
+const TARGETS: &[Target] = &[
+    Target {
+        schema: "schema/settings.schema.json",
+        output: "crates/galenapath-settings/src/generated.rs",
+        derives: &["PartialEq"],
+    },
+    Target {
+        schema: "schema/peers.schema.json",
+        output: "crates/galenapath-peers/src/generated.rs",
+        derives: &["PartialEq"],
+    },
+];
 
 type AnyError = Box<dyn std::error::Error>;
 
--- a/crates/galenapath-peers/src/lib.rs
+++ b/crates/galenapath-peers/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! How entry instances talk to each other: `tarpc` over TCP on a thread of its own.
+//!
+//! `tarpc` needs a `tokio` runtime for its timers, so the plane has a thread with a current-thread
+//! runtime; the rest of the instance reaches it through channels and stays on `monoio`.
+
+mod call;
+mod convert;
+mod error;
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+mod generated;
+mod plane;
+mod pool;
+mod rpc;
+mod server;
+
+pub use call::{PeerCall, PeerRequest};
+pub use error::{BadNews, PeerError};
+pub use generated::{
+    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, MemberStatusWire, MemberWire,
+    OutcomeStateWire, OutcomeWire, SuspectWire,
+};
+pub use plane::{PeerPlane, start};
--- /dev/null
+++ b/crates/galenapath-peers/src/rpc.rs
@@ -0,0 +1,14 @@
+//! The calls between entry instances.
+
+use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+
+/// Calls that an entry instance answers to its peers. All are idempotent.
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Tells news and hears the peer's; also the probe of failure detection.
+    async fn exchange(news: ExchangeWire) -> ExchangeWire;
+    /// The configuration as the peer has it.
+    async fn config() -> ConfigWire;
+    /// Takes over the outcomes of an incarnation that stops; whether they were taken.
+    async fn hand_over(outcomes: HandOverWire) -> bool;
+}
--- a/crates/galenapath-platform/src/lib.rs
+++ b/crates/galenapath-platform/src/lib.rs
@@ -16,6 +16,9 @@
 pub use entry::{Entry, Read, StoreIndex};
 pub use error::{Cause, PlatformError};
 pub use lease::Lease;
-pub use listing::{Announcement, DOMAIN_META, LEAVING_META, ListedInstance, Listing};
+pub use listing::{
+    Announcement, DOMAIN_META, ListedInstance, Listing, SERVICE_META, STARTED_META, STATE_LEAVING,
+    STATE_META,
+};
 pub use platform::Platform;
 pub use swap::{Expected, Swap};
--- a/crates/galenapath-platform/src/listing.rs
+++ b/crates/galenapath-platform/src/listing.rs
@@ -6,8 +6,14 @@
 
 /// Metadata key that names the failure domain of an instance.
 pub const DOMAIN_META: &str = "domain";
-/// Metadata key that is `1` on an instance that is leaving.
-pub const LEAVING_META: &str = "leaving";
+/// Metadata key that is `live` or `leaving`.
+pub const STATE_META: &str = "state";
+/// Value of [`STATE_META`] on an instance that is leaving.
+pub const STATE_LEAVING: &str = "leaving";
+/// Metadata key of the service that a backend server belongs to.
+pub const SERVICE_META: &str = "service";
+/// Metadata key of the start time of this run, in milliseconds since the Unix epoch.
+pub const STARTED_META: &str = "started";
 
 /// An instance as the platform lists it. The list lags behind the truth.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,7 +34,17 @@
 
     /// Whether the list marks the instance as leaving.
     pub fn leaving(&self) -> bool {
-        self.meta.get(LEAVING_META).is_some_and(|value| value == "1")
+        self.meta.get(STATE_META).is_some_and(|value| value == STATE_LEAVING)
+    }
+
+    /// The service that a backend server belongs to, if it told.
+    pub fn service(&self) -> Option<&str> {
+        self.meta.get(SERVICE_META).map(String::as_str)
+    }
+
+    /// Start time of this run in milliseconds since the Unix epoch; 0 where none is told.
+    pub fn started(&self) -> u64 {
+        self.meta.get(STARTED_META).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 }
 
