--- /dev/null
+++ b/crates/galenapath-entry/src/fleet.rs
@@ -0,0 +1,72 @@
+//! The backend servers of every service, as the platform's list gives them.
+
+use galenapath_membership::LeavingMarks;
+use galenapath_platform::ListedInstance;
+use galenapath_protocol::{BackendId, DomainId, FastMap};
+use std::net::SocketAddr;
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetBackend {
+    /// Name in the platform's list.
+    pub id: BackendId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain; empty where the list does not tell.
+    pub domain: DomainId,
+    /// Start of this run, milliseconds since the Unix epoch.
+    pub started: u64,
+    /// Whether the list or a mark says that it leaves.
+    pub leaving: bool,
+}
+
+/// All backend servers, by service.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Counts up with each change that an instance sees.
+    pub version: u64,
+    services: FastMap<String, Vec<FleetBackend>>,
+}
+
+impl Fleet {
+    /// Groups the platform's list by service. Entries without a service are left out.
+    pub fn from_list(version: u64, list: &[ListedInstance], marks: &LeavingMarks) -> Self {
+        let mut services: FastMap<String, Vec<FleetBackend>> = FastMap::default();
+        for listed in list {
+            let Some(service) = listed.service() else { continue };
+            let backend = to_backend(listed, marks);
+            match services.get_mut(service) {
+                Some(backends) => backends.push(backend),
+                None => drop(services.insert(service.to_owned(), vec![backend])),
+            }
+        }
+        Self { version, services }
+    }
+
+    /// The backend servers of a service; empty for an unknown one.
+    pub fn backends(&self, service: &str) -> &[FleetBackend] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Number of backend servers.
+    pub fn len(&self) -> usize {
+        self.services.values().map(Vec::len).sum()
+    }
+
+    /// Whether no backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+}
+
+fn to_backend(listed: &ListedInstance, marks: &LeavingMarks) -> FleetBackend {
+    let id = BackendId(listed.id.clone());
+    let started = listed.started();
+    FleetBackend {
+        leaving: listed.leaving() || marks.is_leaving(&id, started),
+        id,
+        address: listed.address,
+        domain: DomainId(listed.domain().unwrap_or_default().to_owned()),
+        started,
+    }
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/shared.rs
@@ -0,0 +1,109 @@
+//! What the threads of an instance share.
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::metrics::Metrics;
+use arc_swap::ArcSwap;
+use galenapath_config::Config;
+use galenapath_membership::{LeavingMark, Member};
+use galenapath_protocol::{Incarnation, InstanceId};
+use galenapath_settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Usable entry instances at some moment.
+#[derive(Clone, Debug, Default)]
+pub struct MemberView {
+    /// Counts up with each change.
+    pub version: u64,
+    /// Usable members, this instance included unless it is leaving.
+    pub usable: Vec<Member>,
+    /// Every known member, also those that are leaving or gone.
+    pub known: Vec<Member>,
+}
+
+impl MemberView {
+    /// The usable member with `incarnation`, or one that is leaving and still answers.
+    pub fn reachable(&self, incarnation: Incarnation) -> Option<&Member> {
+        use galenapath_membership::MemberStatus::Gone;
+        self.known.iter().find(|m| m.incarnation == incarnation && m.status != Gone)
+    }
+}
+
+/// State that the data thread, the control thread and the metrics endpoint read. Views are
+/// replaced whole by the control thread, never changed in place.
+pub struct Shared {
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// This run of it.
+    pub incarnation: Incarnation,
+    /// Address that callers reach.
+    pub callers: SocketAddr,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// Configuration in force.
+    pub config: ArcSwap<Config>,
+    /// Backend servers.
+    pub fleet: ArcSwap<Fleet>,
+    /// Entry instances.
+    pub members: ArcSwap<MemberView>,
+    ready: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl Shared {
+    /// The state at the start: nothing known yet.
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        callers: SocketAddr,
+        metrics: Metrics,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            incarnation,
+            callers,
+            clock: Clock::start(),
+            metrics,
+            config: ArcSwap::default(),
+            fleet: ArcSwap::default(),
+            members: ArcSwap::default(),
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+        })
+    }
+
+    /// Name of the instance.
+    pub fn name(&self) -> &InstanceId {
+        &self.settings.instance.name
+    }
+
+    /// Whether the instance knows the configuration and the backend servers.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.is_draining()
+    }
+
+    /// Notes that the instance knows enough to serve.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
+    /// Whether the instance takes no new requests because it is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Notes that the instance is stopping.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+}
+
+/// What the data thread tells the control thread.
+pub enum ControlEvent {
+    /// A backend server said that it is leaving.
+    Leaving(LeavingMark),
+}
--- a/crates/galenapath-membership/src/lib.rs
+++ b/crates/galenapath-membership/src/lib.rs
@@ -8,10 +8,8 @@
 mod member;
 mod members;
 mod rumors;
-mod successors;
 
 pub use config::MembershipConfig;
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use member::{Member, MemberStatus};
 pub use members::{Members, Probe};
-pub use successors::successors;
