Filing table, keys, claims, hand-over and suspects: first working version

Cause: the entry instance needs the interface of at-most-once filings. Change: issued keys are bound to their incarnation, own keys by a claim in the store; the record comes before the dispatch; windows bound memory; outcomes are handed over on a planned stop. Not measured and not model checked yet.

--- /dev/null
+++ b/crates/galenapath-filings/src/adopted.rs
@@ -0,0 +1,116 @@
+//! Outcomes taken over from instances that stopped as planned.
+//!
+//! Dropping them early is safe: a key without an outcome is "may have run" and is never dispatched
+//! by a successor.
+
+use crate::store::RECORD_COST;
+use crate::{Admit, Answer, Fingerprint, KeyId};
+use galenapath_protocol::{Incarnation, Micros};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A known outcome of a key, as the stopping instance hands it over. Keys without a known outcome
+/// are not handed over: the successor answers "may have run" for them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct HandOver {
+    /// The key.
+    pub key: KeyId,
+    /// The request that the key is bound to.
+    pub fp: Fingerprint,
+    /// How it ended.
+    pub outcome: HandedOutcome,
+}
+
+/// An outcome that is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum HandedOutcome {
+    /// The whole answer.
+    Answered(Arc<Answer>),
+    /// Only the answer's status.
+    AnswerDropped {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+}
+
+impl HandOver {
+    fn bytes(&self) -> usize {
+        match &self.outcome {
+            HandedOutcome::Answered(answer) => RECORD_COST + answer.bytes(),
+            HandedOutcome::AnswerDropped { .. } => RECORD_COST,
+        }
+    }
+}
+
+/// What one stopped incarnation left.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Estate {
+    until: Micros,
+    records: BTreeMap<KeyId, (Fingerprint, HandedOutcome)>,
+    bytes: usize,
+}
+
+/// Outcomes taken over, by incarnation.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Adopted {
+    estates: BTreeMap<Incarnation, Estate>,
+    /// Invariant: the sum over `estates`, at most the limit of the settings.
+    bytes: usize,
+}
+
+impl Adopted {
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes over outcomes of `from`; those above `max_bytes` are left out.
+    pub(crate) fn add(
+        &mut self,
+        from: Incarnation,
+        until: Micros,
+        records: Vec<HandOver>,
+        max_bytes: usize,
+    ) {
+        let estate = self.estates.entry(from).or_default();
+        estate.until = estate.until.max(until);
+        for record in records {
+            let cost = record.bytes();
+            if self.bytes + cost > max_bytes || estate.records.contains_key(&record.key) {
+                continue;
+            }
+            estate.records.insert(record.key, (record.fp, record.outcome));
+            estate.bytes += cost;
+            self.bytes += cost;
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: Micros) {
+        if self.estates.values().all(|estate| estate.until > now) {
+            return;
+        }
+        self.estates.retain(|_, estate| estate.until > now);
+        self.bytes = self.estates.values().map(|estate| estate.bytes).sum();
+    }
+
+    /// The answer for a key of a stopped incarnation; `None` if it was not taken over.
+    pub(crate) fn admit(&self, from: Incarnation, key: KeyId, fp: Fingerprint) -> Option<Admit> {
+        let estate = self.estates.get(&from)?;
+        Some(estate.records.get(&key).map_or(Admit::MayHaveRun, |found| replay(found, fp)))
+    }
+
+    /// The answer for a caller's own key, whichever incarnation it was bound to.
+    pub(crate) fn admit_own(&self, key: KeyId, fp: Fingerprint) -> Option<Admit> {
+        let mut estates = self.estates.values();
+        estates.find_map(|estate| estate.records.get(&key)).map(|found| replay(found, fp))
+    }
+}
+
+fn replay((bound, outcome): &(Fingerprint, HandedOutcome), fp: Fingerprint) -> Admit {
+    if *bound != fp {
+        return Admit::Mismatch;
+    }
+    match outcome {
+        HandedOutcome::Answered(answer) => Admit::Replay(Arc::clone(answer)),
+        HandedOutcome::AnswerDropped { status } => Admit::AnsweredNotKept { status: *status },
+    }
+}
--- /dev/null
+++ b/crates/galenapath-filings/src/table/claims.rs
@@ -0,0 +1,128 @@
+//! Callers' own keys: bound to an incarnation by a claim in the store.
+
+use super::{FilingTable, Phase};
+use crate::record::State;
+use crate::{Admit, ClaimId, ClaimResult, Fingerprint, KeyId, RecordId};
+use galenapath_protocol::{Incarnation, Micros};
+
+impl FilingTable {
+    /// Lease that a claim is written with.
+    pub fn claim_lease(&self) -> Micros {
+        self.cfg.claim_lease
+    }
+
+    /// Takes the store's word on a claim. Called once for each [`Admit::Claim`].
+    pub fn claim_result(&mut self, now: Micros, claim: ClaimId, result: ClaimResult) -> Admit {
+        self.expire(now);
+        let Some(id) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
+        let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
+        let State::Claiming { first, .. } = record.state else { return Admit::MayHaveRun };
+        let fp = record.fp;
+        match result {
+            ClaimResult::Won => self.claimed(id),
+            ClaimResult::Lost { incarnation, claim } if incarnation == self.incarnation => {
+                match claim >= first || !self.guards.claim_age_checked {
+                    true => self.claimed(id),
+                    false => self.outlived(id),
+                }
+            }
+            ClaimResult::Lost { incarnation, .. } => self.lost(id, incarnation, fp),
+            ClaimResult::Unknown => self.unclaimed(id, first),
+            ClaimResult::StoreDown if claim == first => {
+                self.records.remove(id);
+                self.unclaimed(id, first)
+            }
+            ClaimResult::StoreDown => self.unclaimed(id, first),
+        }
+    }
+
+    pub(super) fn admit_own(&mut self, key: KeyId, fp: Fingerprint) -> Admit {
+        if let Some(id) = self.records.find_any(key) {
+            return self.admit_known(id, fp);
+        }
+        if let Some(admit) = self.adopted.admit_own(key, fp) {
+            return admit;
+        }
+        if !self.guards.own_key_claimed {
+            let id = self.open(self.window(), key, fp, State::Admitted, true);
+            return id.map_or(Admit::MayHaveRun, Admit::Run);
+        }
+        if let Err(retry_after) = self.may_claim() {
+            return self.cannot_claim(retry_after);
+        }
+        let claim = self.next_claim();
+        let state = State::Claiming { first: claim, latest: claim };
+        match self.open(self.window(), key, fp, state, true) {
+            Some(id) => self.ask(id, claim),
+            None => self.cannot_claim(self.room_after()),
+        }
+    }
+
+    /// Claims again where an earlier claim's fate is not known.
+    pub(super) fn reclaim(&mut self, id: RecordId, first: ClaimId, fp: Fingerprint) -> Admit {
+        if let Err(retry_after) = self.may_claim() {
+            return self.cannot_claim(retry_after);
+        }
+        let latest = self.next_claim();
+        if let Some(record) = self.records.get_mut(id) {
+            record.fp = fp;
+            record.state = State::Claiming { first, latest };
+        }
+        self.ask(id, latest)
+    }
+
+    fn ask(&mut self, id: RecordId, claim: ClaimId) -> Admit {
+        self.pending.insert(claim, id);
+        Admit::Claim(claim)
+    }
+
+    fn may_claim(&mut self) -> Result<(), Micros> {
+        if self.stopping() {
+            return Err(self.cfg.retry_after);
+        }
+        self.budget.take(self.now)
+    }
+
+    fn next_claim(&mut self) -> ClaimId {
+        self.next_claim += 1;
+        ClaimId(self.next_claim)
+    }
+
+    /// The store holds a claim of this record's life: the key is this incarnation's to dispatch.
+    fn claimed(&mut self, id: RecordId) -> Admit {
+        let ready = self.phase == Phase::HandedOver;
+        if let Some(record) = self.records.get_mut(id) {
+            record.state = if ready { State::Ready } else { State::Admitted };
+        }
+        match ready {
+            true => Admit::Full { retry_after: self.cfg.retry_after },
+            false => Admit::Run(id),
+        }
+    }
+
+    /// The store holds a claim from before this record: its own record has expired, and it may
+    /// have run. The new record goes too, since it knows no fingerprint.
+    fn outlived(&mut self, id: RecordId) -> Admit {
+        self.records.remove(id);
+        Admit::MayHaveRun
+    }
+
+    fn lost(&mut self, id: RecordId, to: Incarnation, fp: Fingerprint) -> Admit {
+        self.records.remove(id);
+        self.admit_elsewhere(to, id.key, fp)
+    }
+
+    fn unclaimed(&mut self, id: RecordId, first: ClaimId) -> Admit {
+        if let Some(record) = self.records.get_mut(id) {
+            record.state = State::Unclaimed { first };
+        }
+        self.cannot_claim(self.cfg.retry_after)
+    }
+
+    fn cannot_claim(&self, retry_after: Micros) -> Admit {
+        match self.guards.unclaimed_not_denied {
+            true => Admit::Unclaimed { retry_after },
+            false => Admit::Full { retry_after },
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-filings/tests/table.rs
@@ -0,0 +1,227 @@
+//! Tests of the filing table: single steps.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+use bytes::Bytes;
+use galenapath_filings::{
+    Admit, AfterAttempt, Answer, AttemptEnd, ClaimId, ClaimResult, End, FilingConfig, FilingKey,
+    FilingTable, Fingerprint, RecordGone, RecordId,
+};
+use galenapath_protocol::{Incarnation, Micros, Verdict};
+
+const ME: Incarnation = Incarnation(0xa);
+const PEER: Incarnation = Incarnation(0xb);
+const FP: Fingerprint = Fingerprint(1);
+const OTHER_FP: Fingerprint = Fingerprint(2);
+const T0: Micros = Micros::from_secs(1);
+
+fn table() -> FilingTable {
+    FilingTable::new(FilingConfig::default(), ME)
+}
+
+fn issued(table: &mut FilingTable, now: Micros, nonce: &str) -> FilingKey {
+    let text = table.prefix(now) + nonce;
+    FilingKey::try_from(text.as_str()).unwrap()
+}
+
+fn own(text: &str) -> FilingKey {
+    FilingKey::try_from(text).unwrap()
+}
+
+fn answer(len: usize) -> Answer {
+    Answer { status: 201, headers: Vec::new(), body: Bytes::from(vec![7; len]) }
+}
+
+fn run(admit: Admit) -> RecordId {
+    match admit {
+        Admit::Run(id) => id,
+        other => panic!("expected Run, got {other:?}"),
+    }
+}
+
+fn claim(admit: Admit) -> ClaimId {
+    match admit {
+        Admit::Claim(id) => id,
+        other => panic!("expected Claim, got {other:?}"),
+    }
+}
+
+fn answered(table: &mut FilingTable, now: Micros, key: &FilingKey, len: usize) {
+    let id = run(table.admit(now, key, FP));
+    table.sent(now, id).unwrap();
+    assert_eq!(table.resolve(now, id, End::Answered(answer(len))), Verdict::Answered);
+}
+
+#[test]
+fn admit_resend_replayed() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    answered(&mut t, T0, &key, 3);
+    assert!(matches!(t.admit(T0, &key, FP), Admit::Replay(a) if *a == answer(3)));
+}
+
+#[test]
+fn admit_in_progress_held() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    let id = run(t.admit(T0, &key, FP));
+    assert_eq!(t.admit(T0, &key, FP), Admit::InProgress(id));
+}
+
+#[test]
+fn admit_other_fingerprint_mismatch() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    answered(&mut t, T0, &key, 3);
+    assert_eq!(t.admit(T0, &key, OTHER_FP), Admit::Mismatch);
+}
+
+#[test]
+fn admit_foreign_key_forwarded() {
+    let mut t = table();
+    let key = issued(&mut FilingTable::new(FilingConfig::default(), PEER), T0, "a");
+    assert_eq!(t.admit(T0, &key, FP), Admit::Forward(PEER));
+}
+
+#[test]
+fn admit_future_window_expired() {
+    let mut t = table();
+    assert_eq!(t.admit(T0, &own("000000000000000a-7-x"), FP), Admit::Expired);
+}
+
+#[test]
+fn admit_expired_window_refused() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    answered(&mut t, T0, &key, 3);
+    let late = Micros::from_secs(600 + 3_600);
+    assert_eq!(t.admit(late, &key, FP), Admit::Expired);
+    assert_eq!((t.len(), t.bytes()), (0, 0));
+}
+
+#[test]
+fn resolve_not_run_runs_again() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    let id = run(t.admit(T0, &key, FP));
+    assert_eq!(t.resolve(T0, id, End::NotRun), Verdict::NotRun);
+    run(t.admit(T0, &key, FP));
+}
+
+#[test]
+fn resolve_not_run_after_bytes_may_have_run() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    let id = run(t.admit(T0, &key, FP));
+    t.sent(T0, id).unwrap();
+    assert_eq!(t.resolve(T0, id, End::NotRun), Verdict::MayHaveRun);
+    assert_eq!(t.admit(T0, &key, FP), Admit::MayHaveRun);
+}
+
+#[test]
+fn resolve_late_answer_kept() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    let id = run(t.admit(T0, &key, FP));
+    t.sent(T0, id).unwrap();
+    t.resolve(T0, id, End::MayHaveRun);
+    t.resolve(T0, id, End::Answered(answer(1)));
+    assert!(matches!(t.admit(T0, &key, FP), Admit::Replay(_)));
+}
+
+#[test]
+fn resolve_large_answer_status_kept() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    answered(&mut t, T0, &key, 1 << 20);
+    assert_eq!(t.admit(T0, &key, FP), Admit::AnsweredNotKept { status: 201 });
+}
+
+#[test]
+fn attempt_ended_refused_sent_again() {
+    let mut t = table();
+    let key = issued(&mut t, T0, "a");
+    let id = run(t.admit(T0, &key, FP));
+    t.sent(T0, id).unwrap();
+    assert_eq!(t.attempt_ended(T0, id, AttemptEnd::Refused), AfterAttempt::NotRun);
+    assert_eq!(t.sent(T0, id), Ok(()));
+    assert_eq!(t.attempt_ended(T0, id, AttemptEnd::Lost), AfterAttempt::MayHaveRun);
+    assert_eq!(t.sent(T0, id), Err(RecordGone));
+}
+
+#[test]
+fn admit_full_refused_and_answers_make_room() {
+    let cfg = FilingConfig { max_bytes: 1_000, ..FilingConfig::default() };
+    let mut t = FilingTable::new(cfg, ME);
+    let key = issued(&mut t, T0, "a");
+    answered(&mut t, T0, &key, 300);
+    let mut refused = 0;
+    for n in 0..20 {
+        let fresh = issued(&mut t, T0, &n.to_string());
+        refused += usize::from(matches!(t.admit(T0, &fresh, FP), Admit::Full { .. }));
+    }
+    assert!(refused > 0, "the table never filled");
+    assert_eq!(t.admit(T0, &key, FP), Admit::AnsweredNotKept { status: 201 });
+}
+
+#[test]
+fn claim_won_runs() {
+    let mut t = table();
+    let id = claim(t.admit(T0, &own("booking-1"), FP));
+    run(t.claim_result(T0, id, ClaimResult::Won));
+}
+
+#[test]
+fn claim_lost_forwarded() {
+    let mut t = table();
+    let id = claim(t.admit(T0, &own("booking-1"), FP));
+    let lost = ClaimResult::Lost { incarnation: PEER, claim: ClaimId(1) };
+    assert_eq!(t.claim_result(T0, id, lost), Admit::Forward(PEER));
+}
+
+#[test]
+fn claim_unknown_resolved_by_resend() {
+    let mut t = table();
+    let first = claim(t.admit(T0, &own("booking-1"), FP));
+    assert!(matches!(t.claim_result(T0, first, ClaimResult::Unknown), Admit::Unclaimed { .. }));
+    let second = claim(t.admit(T0, &own("booking-1"), FP));
+    let held = ClaimResult::Lost { incarnation: ME, claim: first };
+    run(t.claim_result(T0, second, held));
+}
+
+#[test]
+fn claim_of_earlier_life_may_have_run() {
+    let mut t = table();
+    let key = own("booking-1");
+    let first = claim(t.admit(T0, &key, FP));
+    let id = run(t.claim_result(T0, first, ClaimResult::Won));
+    t.sent(T0, id).unwrap();
+    t.resolve(T0, id, End::MayHaveRun);
+    let late = Micros::from_secs(2 * 3_600);
+    let second = claim(t.admit(late, &key, FP));
+    let held = ClaimResult::Lost { incarnation: ME, claim: first };
+    assert_eq!(t.claim_result(late, second, held), Admit::MayHaveRun);
+}
+
+#[test]
+fn claim_burst_limited() {
+    let mut t = table();
+    let admits = (0..100).map(|n| t.admit(T0, &own(&format!("k{n}")), FP));
+    let claims = admits.filter(|a| matches!(a, Admit::Claim(_))).count();
+    assert_eq!(claims, FilingConfig::default().claims_per_sec as usize);
+}
+
+#[test]
+fn hand_over_answers_replayed_by_successor() {
+    let (mut a, mut b) = (table(), FilingTable::new(FilingConfig::default(), PEER));
+    let known = issued(&mut a, T0, "known");
+    let open = issued(&mut a, T0, "open");
+    answered(&mut a, T0, &known, 3);
+    let id = run(a.admit(T0, &open, FP));
+    a.begin_stop();
+    b.adopt(T0, ME, a.hand_over());
+    assert!(matches!(b.admit(T0, &known, FP), Admit::Replay(_)));
+    assert_eq!(b.admit(T0, &known, OTHER_FP), Admit::Mismatch);
+    assert_eq!(b.admit(T0, &open, FP), Admit::MayHaveRun);
+    assert_eq!(a.sent(T0, id), Err(RecordGone));
+}
