Backend stand-in: slots, shedding, faults and counters, many servers in one process

The thin path needs 36 backend servers on one machine, and the proofs need counts taken where requests run. One process serves any number of servers on the epoll driver; each has its own slots, bounded waiting room, 240 connections, cold start, leaving and faults. Executions are counted per idempotency key.

--- /dev/null
+++ b/crates/galenapath-dev/src/backend/connection.rs
@@ -0,0 +1,168 @@
+//! One caller's connection: reads requests, runs them in slots, answers.
+
+use super::answer::{self, After};
+use super::server::Server;
+use super::slots::{Full, SlotGuard};
+use crate::wire::{Conn, Framing, WireError};
+use futures::future::{Either, select};
+use galenapath_protocol::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, hash64};
+use monoio::time::sleep;
+use monoio_http::common::request::RequestHead;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Answers with the load report alone; takes no slot.
+pub const PROBE_PATH: &str = "/.well-known/load";
+
+/// Largest body of a request.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// Deadline of a request that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
+
+/// A request as the stand-in sees it.
+pub struct Job {
+    /// Its head.
+    pub head: RequestHead,
+    /// Path with query.
+    pub path: String,
+    /// Idempotency key, empty where there is none.
+    pub key: String,
+    /// Hash of its body.
+    pub body_hash: u64,
+    deadline: Instant,
+}
+
+impl Job {
+    async fn read(conn: &mut Conn) -> Result<Self, WireError> {
+        let head = conn.read_request().await?;
+        let began = Instant::now();
+        let body = conn.read_body(&mut Framing::of_request(&head.headers), BODY_LIMIT).await?;
+        let text = |name| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+        let limit = text(DEADLINE_HEADER).parse().map_or(DEFAULT_DEADLINE, Duration::from_millis);
+        Ok(Self {
+            path: head.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned(),
+            key: text(IDEMPOTENCY_KEY_HEADER).to_owned(),
+            body_hash: hash64(0, &body),
+            deadline: began + limit,
+            head,
+        })
+    }
+
+    /// A number in the query, such as `bytes=65536` or `work_ms=20`.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        let query = self.head.uri.query()?;
+        let field = query.split('&').find_map(|field| field.strip_prefix(name));
+        field?.strip_prefix('=')?.parse().ok()
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// How a step of a request ended.
+enum Step<T> {
+    Done(T),
+    /// The caller closed its connection.
+    Cancelled,
+    /// The deadline passed.
+    Expired,
+}
+
+/// Serves `conn` until either side closes it.
+pub async fn serve(mut conn: Conn, server: &Rc<Server>) -> Result<(), WireError> {
+    server.open_connection().await;
+    loop {
+        let job = Job::read(&mut conn).await?;
+        server.thaw().await;
+        sleep(server.delay).await;
+        let after = if job.head.uri.path() == PROBE_PATH {
+            server.counters.borrow_mut().probes += 1;
+            answer::report_only(&mut conn, server).await?
+        } else {
+            run(&mut conn, server, &job).await?
+        };
+        match after {
+            After::Close => return Ok(()),
+            After::KeepAlive => {}
+        }
+    }
+}
+
+async fn run(conn: &mut Conn, server: &Rc<Server>, job: &Job) -> Result<After, WireError> {
+    count_request(server);
+    if server.faults.borrow().fail_fast {
+        return answer::failed(conn, server).await;
+    }
+    let guard = match bounded(conn, job, server.slots.acquire()).await {
+        Step::Done(Ok(guard)) => guard,
+        Step::Done(Err(Full)) => {
+            server.counters.borrow_mut().shed += 1;
+            return answer::shed(conn, server).await;
+        }
+        Step::Cancelled => return Ok(cancelled(server)),
+        Step::Expired => {
+            server.counters.borrow_mut().expired += 1;
+            return answer::expired(conn, server, true).await;
+        }
+    };
+    work(conn, server, job, guard).await
+}
+
+async fn work(
+    conn: &mut Conn,
+    server: &Rc<Server>,
+    job: &Job,
+    guard: SlotGuard,
+) -> Result<After, WireError> {
+    server.counters.borrow_mut().executions += 1;
+    if !job.key.is_empty() {
+        server.keys.borrow_mut().record(&job.key);
+    }
+    let time = server.work_time(job.number("work_ms"));
+    if is_marked(server, job) {
+        sleep(time).await;
+        server.crash_now();
+        return Ok(After::Close);
+    }
+    match bounded(conn, job, sleep(time)).await {
+        Step::Done(()) => {}
+        Step::Cancelled => return Ok(cancelled(server)),
+        Step::Expired => {
+            server.counters.borrow_mut().expired += 1;
+            return answer::expired(conn, server, false).await;
+        }
+    }
+    server.thaw().await;
+    answer::whole(conn, server, job, guard).await
+}
+
+/// Runs `step` until it is done, the caller goes away or the deadline passes.
+async fn bounded<T>(conn: &mut Conn, job: &Job, step: impl Future<Output = T>) -> Step<T> {
+    let step = pin!(step);
+    let closed = pin!(conn.closed());
+    let expired = pin!(sleep(job.time_left()));
+    match select(step, select(closed, expired)).await {
+        Either::Left((value, _)) => Step::Done(value),
+        Either::Right((Either::Left(_), _)) => Step::Cancelled,
+        Either::Right((Either::Right(_), _)) => Step::Expired,
+    }
+}
+
+fn count_request(server: &Server) {
+    let mut counters = server.counters.borrow_mut();
+    counters.requests += 1;
+    if let Some(since) = server.leaving.get() {
+        counters.last_request_after_leaving_ms = Some(since.elapsed().as_millis() as u64);
+    }
+}
+
+fn cancelled(server: &Server) -> After {
+    server.counters.borrow_mut().cancelled += 1;
+    After::Close
+}
+
+fn is_marked(server: &Server, job: &Job) -> bool {
+    server.faults.borrow().crash_on.as_ref().is_some_and(|marker| job.path.contains(marker))
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/backend/mod.rs
@@ -0,0 +1,27 @@
+//! Stand-in of a backend server.
+//!
+//! One process serves any number of them, each with its own address, slots, connections and
+//! faults. It counts what it ran, so that a test can compare that with what callers were told.
+
+mod admin;
+mod answer;
+mod body;
+mod connection;
+mod counters;
+mod faults;
+mod options;
+mod process;
+mod registration;
+mod server;
+mod slots;
+mod work;
+
+pub use answer::NOT_RUN_HEADER;
+pub use body::{pattern_byte, pattern_seed};
+pub use connection::PROBE_PATH;
+pub use counters::{Counters, KeyCounts};
+pub use faults::{Faults, FaultsChange, ReportFault};
+pub use options::{Options, ParseSpecError, ServerSpec};
+pub use process::Process;
+pub use slots::{Full, SlotGuard, Slots};
+pub use work::{ParseWorkError, Work};
--- /dev/null
+++ b/crates/galenapath-dev/src/backend/options.rs
@@ -0,0 +1,122 @@
+//! Command line of the backend stand-in.
+
+use super::work::Work;
+use clap::Parser;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Serves stand-ins of backend servers, many in one process.
+#[derive(Clone, Debug, Parser)]
+pub struct Options {
+    /// A server: `name=…,service=…,domain=…[,listen=ADDR][,work=…][,delay=…]`; repeat for more.
+    #[arg(long = "server", required = true)]
+    pub servers: Vec<ServerSpec>,
+    /// Address of the platform's service to register with.
+    #[arg(long)]
+    pub store: Option<SocketAddr>,
+    /// Address for counters and faults.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub admin: SocketAddr,
+    /// Work time of a request unless the server or the request's `work_ms` says otherwise.
+    #[arg(long, default_value = "constant:5")]
+    pub work: Work,
+    /// Requests that a server runs at once.
+    #[arg(long, default_value_t = 6)]
+    pub slots: usize,
+    /// Requests that may wait for a slot before a server sheds.
+    #[arg(long, default_value_t = 12)]
+    pub room: usize,
+    /// Connections that a server takes; more are closed at once.
+    #[arg(long, default_value_t = 240)]
+    pub connections: u64,
+    /// Time that a new connection takes before its first request is read.
+    #[arg(long, default_value = "1ms", value_parser = humantime::parse_duration)]
+    pub accept_time: Duration,
+    /// Simulated one-way delay between callers and a server.
+    #[arg(long, default_value = "0ms", value_parser = humantime::parse_duration)]
+    pub delay: Duration,
+    /// Time after a start during which work is slower.
+    #[arg(long, default_value = "0ms", value_parser = humantime::parse_duration)]
+    pub cold_start: Duration,
+    /// Time that a crashed server stays away.
+    #[arg(long, default_value = "2s", value_parser = humantime::parse_duration)]
+    pub restart_after: Duration,
+    /// Least time between the announcement that a server leaves and its end.
+    #[arg(long, default_value = "4s", value_parser = humantime::parse_duration)]
+    pub leave_after: Duration,
+    /// Seed of the work times.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+/// One server of the process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerSpec {
+    /// Name in the platform's list.
+    pub name: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Failure domain that it runs in.
+    pub domain: String,
+    /// Address that it listens on; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Its own work time.
+    pub work: Option<Work>,
+    /// Its own one-way delay.
+    pub delay: Option<Duration>,
+}
+
+/// Why a text describes no server.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum ParseSpecError {
+    /// A field is missing.
+    #[error("server has no `{0}`")]
+    Missing(&'static str),
+    /// A field is unknown or its value cannot be read.
+    #[error("server has a bad field `{0}`")]
+    BadField(String),
+}
+
+impl FromStr for ServerSpec {
+    type Err = ParseSpecError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut spec = Self {
+            name: String::new(),
+            service: String::new(),
+            domain: String::new(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            work: None,
+            delay: None,
+        };
+        for field in text.split(',') {
+            spec.set(field).ok_or_else(|| ParseSpecError::BadField(field.to_owned()))?;
+        }
+        for (name, value) in
+            [("name", &spec.name), ("service", &spec.service), ("domain", &spec.domain)]
+        {
+            if value.is_empty() {
+                return Err(ParseSpecError::Missing(name));
+            }
+        }
+        Ok(spec)
+    }
+}
+
+impl ServerSpec {
+    fn set(&mut self, field: &str) -> Option<()> {
+        let (name, value) = field.split_once('=')?;
+        match name {
+            "name" => self.name = value.to_owned(),
+            "service" => self.service = value.to_owned(),
+            "domain" => self.domain = value.to_owned(),
+            "listen" => self.listen = value.parse().ok()?,
+            "work" => self.work = Some(value.parse().ok()?),
+            "delay" => self.delay = Some(humantime::parse_duration(value).ok()?),
+            _ => return None,
+        }
+        Some(())
+    }
+}
