--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -1,6 +1,5 @@
-//! Stand-ins for the platform, backend servers and callers, and the scenarios that use them.
-//!
-//! Nothing here ships: the programs are examples of this package.
+//! Development package: stand-ins for the systems around galenapath, and the load generator.
 
 pub mod backend;
+pub mod store;
 pub mod wire;
