Load generator: open loop, follows the entries' order, checks each body

Figures must be measured from the moment a request was due, and a caller must resend as the interface for callers says: after Retry-After on a not-run verdict, with the same key through another instance on a broken connection.

--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -3,4 +3,5 @@
 //! Nothing here ships: the programs are examples of this package.
 
 pub mod backend;
+pub mod load;
 pub mod wire;
--- /dev/null
+++ b/crates/galenapath-dev/src/load/attempt.rs
@@ -0,0 +1,117 @@
+//! One attempt: a request on one connection and its answer.
+
+use super::check::BodyCheck;
+use super::pool::Pool;
+use crate::wire::{Conn, Framing, WireError, request_head};
+use galenapath_protocol::{IDEMPOTENCY_KEY_HEADER, VERDICT_HEADER, Verdict};
+use http::{HeaderMap, Method, StatusCode};
+use monoio_http::common::response::ResponseHead;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How one attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Attempt {
+    /// Success, and the body is the expected one.
+    Answered,
+    /// Told that it did not run, and perhaps when to come back.
+    NotRun(Option<Duration>),
+    /// Told that it may have run.
+    MayHaveRun,
+    /// A backend server answered with a status of failure.
+    Failed(StatusCode),
+    /// No whole answer.
+    Broken,
+    /// The body is not the expected one.
+    Wrong,
+}
+
+/// A request ready to be sent, any number of times.
+pub struct Request {
+    method: Method,
+    path: String,
+    key: String,
+    bytes: Option<u64>,
+    /// Head and body as they go out.
+    message: Vec<u8>,
+}
+
+impl Request {
+    /// A request to `service`; an empty `key` sends none.
+    pub fn new(
+        service: &str,
+        method: &str,
+        path: String,
+        key: String,
+        bytes: Option<u64>,
+        body: &[u8],
+    ) -> Self {
+        let len = body.len().to_string();
+        let mut headers = vec![("host", service), ("content-length", &len)];
+        if !key.is_empty() {
+            headers.push((IDEMPOTENCY_KEY_HEADER, &key));
+        }
+        let mut message = request_head(method, &path, &headers).into_bytes();
+        message.extend_from_slice(body);
+        let method = Method::from_bytes(method.as_bytes()).unwrap_or_default();
+        Self { method, path, key, bytes, message }
+    }
+
+    /// Sends the request to `addr` and reads the answer.
+    pub async fn send(&self, pool: &Pool, addr: SocketAddr) -> Attempt {
+        let Ok(mut conn) = pool.take(addr).await else {
+            return Attempt::Broken;
+        };
+        match self.exchange(&mut conn).await {
+            Ok((attempt, reusable)) => {
+                if reusable {
+                    pool.put(addr, conn);
+                }
+                attempt
+            }
+            Err(_) => Attempt::Broken,
+        }
+    }
+
+    async fn exchange(&self, conn: &mut Conn) -> Result<(Attempt, bool), WireError> {
+        conn.write(self.message.clone()).await?;
+        let head = conn.read_answer().await?;
+        let mut framing = Framing::of_answer(&self.method, head.status, &head.headers);
+        let reusable = !matches!(framing, Framing::UntilClose) && !says_close(&head.headers);
+        let mut check = BodyCheck::new(&self.path, &self.key, self.bytes);
+        while let Some(part) = conn.read_part(&mut framing).await? {
+            if head.status.is_success() {
+                check.update(&part);
+            }
+        }
+        Ok((judge(&head, &check), reusable))
+    }
+}
+
+fn judge(head: &ResponseHead, check: &BodyCheck) -> Attempt {
+    let verdict = text(&head.headers, VERDICT_HEADER);
+    if verdict == Verdict::NotRun.as_str() {
+        return Attempt::NotRun(retry_after(&head.headers));
+    }
+    if verdict == Verdict::MayHaveRun.as_str() {
+        return Attempt::MayHaveRun;
+    }
+    match (head.status.is_success(), check.is_right()) {
+        (false, _) => Attempt::Failed(head.status),
+        (true, true) => Attempt::Answered,
+        (true, false) => Attempt::Wrong,
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    text(headers, "connection").eq_ignore_ascii_case("close")
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = text(headers, "retry-after").parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/load/caller.rs
@@ -0,0 +1,80 @@
+//! A caller: sends a request, comes back when told to, goes elsewhere when a connection breaks.
+
+use super::attempt::{Attempt, Request};
+use super::entries::{Entries, Route};
+use super::options::{ClassLoad, Options};
+use super::pool::Pool;
+use super::tally::Outcome;
+use monoio::time::{sleep, timeout};
+use std::time::Duration;
+
+/// What the callers of one class share.
+pub struct Callers {
+    pub(super) class: ClassLoad,
+    pub(super) opts: Options,
+    pub(super) entries: Entries,
+    pub(super) pool: Pool,
+    /// Keeps keys and paths of different runs apart.
+    pub(super) run: u64,
+}
+
+impl Callers {
+    /// Sends request number `index`; gives its outcome and the number of attempts.
+    pub async fn call(&self, index: u64) -> (Outcome, u32) {
+        let route = self.entries.route().await;
+        let req = self.request(index, &route);
+        let mut next = 0;
+        let mut outcome = Outcome::Broken;
+        for attempt in 1..=self.opts.attempts {
+            // The key stays bound to the first route; only the order of addresses moves on.
+            let addr = route.addresses[next % route.addresses.len()];
+            match self.attempt(&req, addr).await {
+                Attempt::Answered => return (Outcome::Answered, attempt),
+                Attempt::MayHaveRun => return (Outcome::MayHaveRun, attempt),
+                Attempt::Failed(_) => return (Outcome::Failed, attempt),
+                Attempt::Wrong => return (Outcome::Wrong, attempt),
+                Attempt::NotRun(None) => return (Outcome::NotRun, attempt),
+                Attempt::NotRun(Some(after)) => {
+                    outcome = Outcome::NotRun;
+                    if attempt < self.opts.attempts {
+                        sleep(after).await;
+                    }
+                }
+                Attempt::Broken => {
+                    outcome = Outcome::Broken;
+                    next += 1;
+                }
+            }
+        }
+        (outcome, self.opts.attempts)
+    }
+
+    async fn attempt(&self, req: &Request, addr: std::net::SocketAddr) -> Attempt {
+        delay(self.opts.delay).await;
+        let sent = timeout(self.opts.patience, req.send(&self.pool, addr)).await;
+        delay(self.opts.delay).await;
+        sent.unwrap_or(Attempt::Broken)
+    }
+
+    fn request(&self, index: u64, route: &Route) -> Request {
+        let class = &self.class;
+        let joint = if class.path.contains('?') { '&' } else { '?' };
+        let mut path = format!("{}{joint}nonce={:x}-{index}", class.path, self.run);
+        if let Some(bytes) = class.bytes {
+            path.push_str(&format!("&bytes={bytes}"));
+        }
+        let key = match class.filing {
+            true => format!("{}{:x}-{}-{index}", route.key_prefix, self.run, class.name),
+            false => String::new(),
+        };
+        let body = vec![b'x'; class.body];
+        Request::new(&class.service, &class.method, path, key, class.bytes, &body)
+    }
+}
+
+/// Sleeps, unless there is nothing to sleep: a timer costs up to a millisecond.
+async fn delay(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/load/check.rs
@@ -0,0 +1,62 @@
+//! Whether a body belongs to its request.
+
+use crate::backend::{pattern_byte, pattern_seed};
+
+/// Longest body without a declared pattern that is kept for the check.
+const SUMMARY_LIMIT: usize = 64 * 1024;
+
+/// Checks an answer's body part by part, in bounded memory.
+pub struct BodyCheck {
+    path: String,
+    key: String,
+    /// Length of the pattern that was asked for; `None` means a summary in JSON.
+    bytes: Option<u64>,
+    seed: u64,
+    offset: u64,
+    summary: Vec<u8>,
+    wrong: bool,
+}
+
+impl BodyCheck {
+    /// Expects the answer to a request for `path` with `key`, which may be empty.
+    pub fn new(path: &str, key: &str, bytes: Option<u64>) -> Self {
+        Self {
+            path: path.to_owned(),
+            key: key.to_owned(),
+            bytes,
+            seed: pattern_seed(path),
+            offset: 0,
+            summary: Vec::new(),
+            wrong: false,
+        }
+    }
+
+    /// Takes the next part.
+    pub fn update(&mut self, part: &[u8]) {
+        if self.bytes.is_some() {
+            let expected = (self.offset..).map(|offset| pattern_byte(self.seed, offset));
+            self.wrong |= part.iter().zip(expected).any(|(got, want)| *got != want);
+            self.offset += part.len() as u64;
+        } else if self.summary.len() + part.len() > SUMMARY_LIMIT {
+            self.wrong = true;
+        } else {
+            self.summary.extend_from_slice(part);
+        }
+    }
+
+    /// Whether the whole body is the expected one.
+    pub fn is_right(&self) -> bool {
+        match self.bytes {
+            Some(len) => !self.wrong && self.offset == len,
+            None => !self.wrong && self.summary_matches(),
+        }
+    }
+
+    fn summary_matches(&self) -> bool {
+        let summary: serde_json::Value = match serde_json::from_slice(&self.summary) {
+            Ok(summary) => summary,
+            Err(_) => return false,
+        };
+        summary["path"] == self.path.as_str() && summary["key"] == self.key.as_str()
+    }
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/load/run.rs
@@ -0,0 +1,72 @@
+//! Sends all requests when they are due and waits for their ends.
+
+use super::arrivals::Arrivals;
+use super::caller::Callers;
+use super::entries::Entries;
+use super::options::{ClassLoad, Options};
+use super::pool::Pool;
+use super::tally::{Outcome, Row, Tally};
+use futures::future::join_all;
+use galenapath_protocol::hash64;
+use monoio::time::sleep;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often the end of the last requests is looked for.
+const END_POLL: Duration = Duration::from_millis(5);
+
+/// Runs the load of every class side by side; one row for each.
+pub async fn run(opts: &Options) -> Vec<Row> {
+    let classes = opts.classes.iter().enumerate();
+    join_all(classes.map(|(number, class)| run_class(opts, class, number))).await
+}
+
+/// Requests of a class in progress and their results.
+struct Progress {
+    tally: RefCell<Tally>,
+    outstanding: Cell<usize>,
+}
+
+async fn run_class(opts: &Options, class: &ClassLoad, number: usize) -> Row {
+    let seed = hash64(opts.seed, class.name.as_bytes());
+    let callers = Rc::new(callers(opts, class, number));
+    // Asking for addresses once is a caller's first step, not part of a request's time.
+    callers.entries.route().await;
+    let tally = Tally::new(Duration::from_millis(class.target_ms));
+    let progress = Rc::new(Progress { tally: RefCell::new(tally), outstanding: Cell::new(0) });
+    let began = Instant::now();
+    let arrivals = Arrivals::new(seed, class.rate, opts.duration);
+    for (index, at) in (0..opts.most).zip(arrivals) {
+        let due = began + at;
+        let wait = due.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+        if progress.outstanding.get() >= opts.outstanding {
+            progress.tally.borrow_mut().record(Outcome::Broken, Duration::ZERO, 0);
+            continue;
+        }
+        progress.outstanding.set(progress.outstanding.get() + 1);
+        monoio::spawn(send(Rc::clone(&callers), Rc::clone(&progress), index, due));
+    }
+    while progress.outstanding.get() > 0 {
+        sleep(END_POLL).await;
+    }
+    progress.tally.borrow().row(&class.name, class.reliability)
+}
+
+fn callers(opts: &Options, class: &ClassLoad, number: usize) -> Callers {
+    let entries = match opts.direct.is_empty() {
+        true => Entries::asking(&class.service, &opts.entries, number),
+        false => Entries::fixed(&class.service, &opts.direct),
+    };
+    let run = rand::random();
+    Callers { class: class.clone(), opts: opts.clone(), entries, pool: Pool::default(), run }
+}
+
+async fn send(callers: Rc<Callers>, progress: Rc<Progress>, index: u64, due: Instant) {
+    let (outcome, attempts) = callers.call(index).await;
+    progress.tally.borrow_mut().record(outcome, due.elapsed(), attempts);
+    progress.outstanding.set(progress.outstanding.get() - 1);
+}
