--- /dev/null
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -0,0 +1,128 @@
+//! The platform's lists of entry instances and backend servers.
+
+use super::plane::ControlPlane;
+use galenapath_membership::{Member, MemberStatus};
+use galenapath_platform::{
+    Announcement, DOMAIN_META, ListedInstance, Platform, STARTED_META, STATE_META, StoreIndex,
+};
+use galenapath_protocol::{DomainId, FastMap, Incarnation, InstanceId};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Name under which the platform lists entry instances.
+const ENTRY_LIST: &str = "entry";
+
+/// Name under which the platform lists backend servers.
+const BACKEND_LIST: &str = "backend";
+
+/// Metadata key of an entry instance's incarnation.
+const INCARNATION_META: &str = "incarnation";
+
+/// Metadata key of an entry instance's address for peers.
+const PEERS_META: &str = "peers";
+
+/// Longest wait of a watch. A waiting watch counts as a call, so longer waits cost less.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+
+/// Pause after a failed call, so that a store that is down is not hammered.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Least time between two reads of a list; bounds the calls when a list changes all the time.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Puts the instance on the platform's list, trying until that succeeds.
+pub(super) async fn announce(plane: Rc<ControlPlane>) {
+    let announcement = announcement(&plane, "live");
+    loop {
+        let result = plane.platform.announce(&announcement).await;
+        plane.count_call("announce", &result);
+        if result.is_ok() || plane.shared.is_draining() {
+            return;
+        }
+        monoio::time::sleep(FAILURE_PAUSE).await;
+    }
+}
+
+/// Marks the instance as leaving on the platform's list.
+pub(super) async fn announce_leaving(plane: &ControlPlane) {
+    let result = plane.platform.announce(&announcement(plane, "leaving")).await;
+    plane.count_call("announce", &result);
+}
+
+/// Takes the instance off the platform's list.
+pub(super) async fn withdraw(plane: &ControlPlane) {
+    let result = plane.platform.withdraw(&plane.shared.name().0).await;
+    plane.count_call("withdraw", &result);
+}
+
+fn announcement(plane: &ControlPlane, state: &str) -> Announcement {
+    let mut meta: FastMap<String, String> = FastMap::default();
+    let domain = &plane.shared.settings.instance.domain;
+    let mut set = |key: &str, value: String| meta.insert(key.to_owned(), value);
+    set(DOMAIN_META, domain.0.clone());
+    set(STATE_META, state.to_owned());
+    set(STARTED_META, crate::clock::unix_millis().to_string());
+    set(INCARNATION_META, plane.shared.incarnation.to_string());
+    set(PEERS_META, plane.wiring.peers.to_string());
+    Announcement {
+        id: plane.shared.name().0.clone(),
+        service: ENTRY_LIST.to_owned(),
+        address: plane.shared.callers,
+        meta,
+    }
+}
+
+/// Follows the list of entry instances.
+pub(super) async fn follow_entries(plane: Rc<ControlPlane>) {
+    follow(plane, ENTRY_LIST, |plane, listed| {
+        let news: Vec<Member> = listed.iter().filter_map(to_member).collect();
+        plane.members.borrow_mut().merge(plane.now(), &news);
+        plane.publish_members();
+    })
+    .await;
+}
+
+/// Follows the list of backend servers.
+pub(super) async fn follow_backends(plane: Rc<ControlPlane>) {
+    follow(plane, BACKEND_LIST, |plane, listed| {
+        *plane.backends.borrow_mut() = listed;
+        plane.publish_fleet();
+    })
+    .await;
+}
+
+async fn follow(
+    plane: Rc<ControlPlane>,
+    name: &str,
+    take: impl Fn(&ControlPlane, Vec<ListedInstance>),
+) {
+    let mut after: Option<StoreIndex> = None;
+    loop {
+        let result = plane.platform.list(name, after, WATCH_WAIT).await;
+        plane.count_call("list", &result);
+        match result {
+            Ok(listing) => {
+                if after != Some(listing.position) {
+                    take(&plane, listing.instances);
+                }
+                after = Some(listing.position);
+                monoio::time::sleep(LEAST_PAUSE).await;
+            }
+            Err(_) => monoio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+fn to_member(listed: &ListedInstance) -> Option<Member> {
+    let incarnation: Incarnation = listed.meta.get(INCARNATION_META)?.parse().ok()?;
+    let status = if listed.leaving() { MemberStatus::Leaving } else { MemberStatus::Live };
+    Some(Member {
+        id: InstanceId(listed.id.clone()),
+        incarnation,
+        domain: DomainId(listed.domain().unwrap_or_default().to_owned()),
+        callers: listed.address,
+        peers: listed.meta.get(PEERS_META)?.parse().ok()?,
+        beat: 0,
+        status,
+    })
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/control/plane.rs
@@ -0,0 +1,97 @@
+//! The state of the control side.
+
+use crate::data::DataCommand;
+use crate::shared::{ControlEvent, Shared};
+use flume::{Receiver, Sender};
+use galenapath_config::Replica;
+use galenapath_membership::{LeavingMarks, Member, MemberStatus, Members, MembershipConfig};
+use galenapath_peers::{PeerCall, PeerRequest};
+use galenapath_platform::{ConsulPlatform, ListedInstance};
+use galenapath_protocol::Micros;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Channels between the control thread and the others.
+pub struct Wiring {
+    /// Events from the data thread.
+    pub events: Receiver<ControlEvent>,
+    /// Commands to the data thread.
+    pub commands: Sender<DataCommand>,
+    /// Calls to peers.
+    pub calls: Sender<PeerCall>,
+    /// Calls from peers.
+    pub requests: Receiver<PeerRequest>,
+    /// A message for each signal to stop.
+    pub stops: Receiver<()>,
+    /// Address that peers reach.
+    pub peers: SocketAddr,
+    /// The operators' token.
+    pub token: String,
+}
+
+/// Everything that the tasks of the control thread share.
+pub struct ControlPlane {
+    /// State shared with the other threads.
+    pub shared: Arc<Shared>,
+    /// Channels to the other threads.
+    pub wiring: Wiring,
+    /// The platform.
+    pub platform: ConsulPlatform,
+    /// The configuration as this instance knows it.
+    pub replica: RefCell<Replica>,
+    /// Entry instances.
+    pub(super) members: RefCell<Members>,
+    /// Backend servers that are leaving.
+    pub(super) marks: RefCell<LeavingMarks>,
+    /// Backend servers as last listed.
+    pub(super) backends: RefCell<Vec<ListedInstance>>,
+}
+
+impl ControlPlane {
+    /// The state at the start: the instance knows only itself.
+    pub fn new(shared: Arc<Shared>, wiring: Wiring) -> Rc<Self> {
+        let settings = &shared.settings;
+        let own = Member {
+            id: settings.instance.name.clone(),
+            incarnation: shared.incarnation,
+            domain: settings.instance.domain.clone(),
+            callers: shared.callers,
+            peers: wiring.peers,
+            beat: 0,
+            status: MemberStatus::Live,
+        };
+        let members = Members::new(MembershipConfig::default(), shared.clock.now(), own);
+        let platform = ConsulPlatform::new(settings.platform.address, settings.platform.timeout);
+        let plane = Rc::new(Self {
+            shared,
+            wiring,
+            platform,
+            replica: RefCell::default(),
+            members: RefCell::new(members),
+            marks: RefCell::default(),
+            backends: RefCell::default(),
+        });
+        plane.publish_members();
+        plane
+    }
+
+    /// Time now.
+    pub fn now(&self) -> Micros {
+        self.shared.clock.now()
+    }
+
+    /// Counts a call on the platform and logs its failure.
+    pub(super) fn count_call<T>(
+        &self,
+        call: &str,
+        result: &Result<T, galenapath_platform::PlatformError>,
+    ) {
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        self.shared.metrics.platform_calls.with_label_values(&[call, label]).inc();
+        if let Err(e) = result {
+            log::warn!(call, error:% = e; "the platform did not answer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/control/start.rs
@@ -0,0 +1,20 @@
+//! The tasks of the control thread.
+
+use super::plane::ControlPlane;
+use super::{claims, configuration, gossip, lists, operators, stop};
+use monoio::net::TcpListener;
+use std::rc::Rc;
+
+/// Runs the control side until the instance has stopped as planned.
+pub async fn run(plane: Rc<ControlPlane>, operators: TcpListener) {
+    monoio::spawn(lists::announce(Rc::clone(&plane)));
+    monoio::spawn(lists::follow_entries(Rc::clone(&plane)));
+    monoio::spawn(lists::follow_backends(Rc::clone(&plane)));
+    monoio::spawn(configuration::follow(Rc::clone(&plane)));
+    monoio::spawn(gossip::probe_peers(Rc::clone(&plane)));
+    monoio::spawn(gossip::ask_seeds(Rc::clone(&plane)));
+    monoio::spawn(gossip::answer_peers(Rc::clone(&plane)));
+    monoio::spawn(claims::serve_events(Rc::clone(&plane)));
+    monoio::spawn(operators::serve(Rc::clone(&plane), operators));
+    stop::wait_and_drain(&plane).await;
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/control/stop.rs
@@ -0,0 +1,59 @@
+//! A planned stop.
+//!
+//! The instance leaves the address answers first, then waits until its callers have moved and its
+//! requests have ended, hands the outcomes of its filings to its successors and goes.
+
+use super::plane::ControlPlane;
+use super::{gossip, lists};
+use crate::data::DataCommand;
+use galenapath_peers::HandOverWire;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time for which a leaving instance still takes new requests, so that callers that hold an
+/// address answer are not refused: an answer is kept for five seconds, and gossip takes one more.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Time between two looks at the requests in progress.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits for a signal to stop and carries out the stop. A second signal ends the waits.
+pub(super) async fn wait_and_drain(plane: &Rc<ControlPlane>) {
+    let _ = plane.wiring.stops.recv_async().await;
+    let limit = plane.shared.settings.limits.drain_timeout;
+    log::info!(limit:? = limit; "stopping");
+    let end = Instant::now() + limit;
+    plane.members.borrow_mut().leave(plane.now());
+    plane.publish_members();
+    gossip::tell_all(plane).await;
+    lists::announce_leaving(plane).await;
+    wait(plane, GRACE.min(limit / 2)).await;
+    plane.shared.set_draining();
+    let _ = plane.wiring.commands.send_async(DataCommand::BeginStop).await;
+    while Instant::now() < end && in_progress(plane).await > 0 {
+        wait(plane, POLL).await;
+    }
+    hand_over(plane).await;
+    lists::withdraw(plane).await;
+    log::info!(in_progress = in_progress(plane).await; "stopped");
+}
+
+/// Sleeps, but not past a second signal.
+async fn wait(plane: &ControlPlane, time: Duration) {
+    let _ = monoio::time::timeout(time, plane.wiring.stops.recv_async()).await;
+}
+
+async fn in_progress(plane: &ControlPlane) -> usize {
+    let (reply, rx) = flume::bounded(1);
+    if plane.wiring.commands.send_async(DataCommand::InProgress { reply }).await.is_err() {
+        return 0;
+    }
+    rx.recv_async().await.unwrap_or(0)
+}
+
+async fn hand_over(_plane: &ControlPlane) {}
+
+/// Takes over the outcomes of an incarnation that stops.
+pub(super) fn adopt(_plane: &ControlPlane, _outcomes: &HandOverWire) -> bool {
+    false
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/answer.rs
@@ -0,0 +1,101 @@
+//! Answers that the instance gives itself.
+
+use super::caller::Caller;
+use super::headers::set;
+use bytes::BytesMut;
+use galenapath_http::{Framing, HttpError, put_response};
+use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::{Method, StatusCode};
+use std::fmt::Display;
+
+/// Header with the exact time after which a caller may come back, in milliseconds; `Retry-After`
+/// has whole seconds only.
+const RETRY_AFTER_MS: &str = "galenapath-retry-after-ms";
+
+/// Standard header with a text that explains an answer to a person.
+const PLAIN_TEXT: HeaderValue = HeaderValue::from_static("text/plain; charset=utf-8");
+
+/// An answer of the instance itself.
+#[derive(Clone, Debug)]
+pub(super) struct OwnAnswer {
+    pub(super) status: StatusCode,
+    pub(super) verdict: Verdict,
+    /// When the caller may come back.
+    pub(super) retry_after: Option<Micros>,
+    /// Label of the reason, for metrics and `explain`.
+    pub(super) reason: &'static str,
+    /// What happened and what to do, for a person.
+    pub(super) text: String,
+}
+
+impl OwnAnswer {
+    /// An answer to a request that was not run.
+    pub(super) fn not_run(status: StatusCode, reason: &'static str, text: &str) -> Self {
+        Self {
+            status,
+            verdict: Verdict::NotRun,
+            retry_after: None,
+            reason,
+            text: text.to_owned(),
+        }
+    }
+
+    /// An answer to a request that may have run.
+    pub(super) fn may_have_run(status: StatusCode, reason: &'static str, text: &str) -> Self {
+        Self { verdict: Verdict::MayHaveRun, ..Self::not_run(status, reason, text) }
+    }
+
+    /// Tells when to come back.
+    pub(super) fn retry_after(mut self, after: Micros) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Sends the answer.
+    pub(super) async fn send(
+        &self,
+        caller: &mut Caller,
+        id: Option<&dyn Display>,
+    ) -> Result<(), HttpError> {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, PLAIN_TEXT);
+        set(&mut headers, VERDICT_HEADER, self.verdict.as_str());
+        if let Some(id) = id {
+            set(&mut headers, REQUEST_ID_HEADER, &id.to_string());
+        }
+        if let Some(after) = self.retry_after {
+            let seconds = after.0.div_ceil(1_000_000).max(1);
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+            set(&mut headers, RETRY_AFTER_MS, &after.0.div_ceil(1_000).to_string());
+        }
+        let body = format!("{}\n", self.text);
+        send_whole(caller, self.status, headers, body.as_bytes()).await
+    }
+}
+
+/// Sends a whole answer whose body is at hand.
+pub(super) async fn send_whole(
+    caller: &mut Caller,
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: &[u8],
+) -> Result<(), HttpError> {
+    if !caller.keep_alive {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let framing =
+        if body.is_empty() { Framing::None } else { Framing::Length(body.len() as u64) };
+    let is_head = caller.method == Method::HEAD;
+    let out: &mut BytesMut = caller.connection.output();
+    put_response(out, status, &headers, framing, !has_no_body(status));
+    if !is_head && !has_no_body(status) {
+        out.extend_from_slice(body);
+    }
+    caller.connection.flush().await
+}
+
+/// Whether an answer with this status has neither a body nor a length.
+pub(super) fn has_no_body(status: StatusCode) -> bool {
+    status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -0,0 +1,240 @@
+//! One caller's connection.
+
+use super::answer::OwnAnswer;
+use super::plane::DataPlane;
+use super::request::{RequestId, RequestMeta, text};
+use super::{entries, filing, lookup, stream};
+use bytes::{Bytes, BytesMut};
+use galenapath_config::{Class, ClassKind, Config};
+use galenapath_http::{
+    BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, request_framing,
+};
+use http::header::{CONNECTION, EXPECT, HOST};
+use http::{HeaderMap, Method, StatusCode, Version};
+use monoio::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bodies of lookups and transfers up to this many bytes are read before the request is let in, so
+/// that it can be sent again; larger ones are streamed.
+const BUFFERED_BODY: u64 = 64 * 1024;
+
+/// A connection from a caller and the request that is being served on it.
+pub(super) struct Caller {
+    pub(super) connection: Connection,
+    /// Method of the request; an answer to `HEAD` has no body.
+    pub(super) method: Method,
+    /// Whether the connection stays open after the answer.
+    pub(super) keep_alive: bool,
+}
+
+/// Serves requests on a connection until either side closes it.
+pub(super) async fn serve(plane: Rc<DataPlane>, io: TcpStream) {
+    let limits = &plane.shared.settings.limits;
+    let times = HeadTimes { idle: limits.idle_timeout, head: limits.header_timeout };
+    let mut caller = Caller {
+        connection: Connection::new(io, limits.header_bytes),
+        method: Method::GET,
+        keep_alive: true,
+    };
+    loop {
+        let head = match caller.connection.read_request(times).await {
+            Ok(head) => head,
+            Err(e) => {
+                refuse(&plane, &mut caller, &e).await;
+                return;
+            }
+        };
+        let result = serve_one(&plane, &mut caller, head).await;
+        if result.is_err() || !caller.keep_alive {
+            caller.connection.shutdown().await;
+            return;
+        }
+    }
+}
+
+/// Answers a request whose head cannot be used, where an answer makes sense, and closes.
+async fn refuse(plane: &DataPlane, caller: &mut Caller, e: &HttpError) {
+    let (status, reason) = match e {
+        HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => return,
+        HttpError::HeadTooLarge { .. } => {
+            (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
+        }
+        HttpError::HeadTimeout => (StatusCode::REQUEST_TIMEOUT, "head_timeout"),
+        HttpError::BadHead(_) | HttpError::BadFraming(_) => {
+            (StatusCode::BAD_REQUEST, "bad_request")
+        }
+    };
+    plane.shared.metrics.fault(reason);
+    caller.keep_alive = false;
+    let answer = OwnAnswer::not_run(status, reason, &e.to_string());
+    if answer.send(caller, None).await.is_ok() {
+        caller.connection.shutdown().await;
+    }
+}
+
+async fn serve_one(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    head: RequestHead,
+) -> Result<(), HttpError> {
+    let _guard = plane.begin();
+    caller.method = head.method.clone();
+    caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_draining();
+    let framing = match request_framing(head.version, &head.headers) {
+        Ok(framing) => framing,
+        Err(e) => {
+            refuse(plane, caller, &e).await;
+            return Err(e);
+        }
+    };
+    let config = plane.shared.config.load_full();
+    let route = route(&config, &head);
+    match route {
+        Route::Entries { service } => {
+            skip_body(caller, framing);
+            entries::answer(plane, caller, service.as_deref(), &config).await
+        }
+        Route::Unknown(answer) => {
+            skip_body(caller, framing);
+            answer.send(caller, None).await
+        }
+        Route::Class(class) => {
+            let number = plane.next_request();
+            let id = RequestId { incarnation: plane.shared.incarnation, number };
+            let meta = RequestMeta::new(id, class, plane.now(), &head, framing);
+            serve_class(plane, caller, meta, head, &config).await
+        }
+    }
+}
+
+async fn serve_class(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    meta: RequestMeta,
+    head: RequestHead,
+    config: &Config,
+) -> Result<(), HttpError> {
+    let service = plane.service(&meta.class.service, config);
+    expect_continue(caller, &head.headers);
+    let is_filing = meta.class.kind == ClassKind::Filing;
+    let limit = if is_filing {
+        plane.shared.settings.limits.filing_bytes as u64
+    } else {
+        BUFFERED_BODY
+    };
+    let pause = plane.shared.settings.limits.idle_timeout;
+    match read_body(caller, meta.framing, limit, pause).await? {
+        BodyRead::Whole(body) if is_filing => {
+            filing::serve(plane, caller, &service, &meta, head, body).await
+        }
+        BodyRead::Whole(body) => {
+            lookup::serve(plane, caller, &service, &meta, head, body).await
+        }
+        BodyRead::TooLarge { .. } if is_filing => {
+            caller.keep_alive = false;
+            let text = format!("the body of a filing may have {limit} bytes at most");
+            OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "filing_too_large", &text)
+                .send(caller, Some(&meta.id))
+                .await
+        }
+        BodyRead::TooLarge { start, state } => {
+            stream::serve(plane, caller, &service, &meta, head, start, state).await
+        }
+    }
+}
+
+enum Route {
+    Entries { service: Option<String> },
+    Class(Class),
+    Unknown(OwnAnswer),
+}
+
+fn route(config: &Config, head: &RequestHead) -> Route {
+    let service = service_name(head);
+    let path = head.uri.path();
+    if let Some(class) = config.classify(service, head.method.as_str(), path) {
+        return Route::Class(class.clone());
+    }
+    if path == entries::PATH {
+        return Route::Entries { service: entries::service_asked_for(&head.uri) };
+    }
+    let (reason, text) = if config.classes().any(|class| class.service == service) {
+        ("unknown_class", format!("no class of service `{service}` takes this method and path"))
+    } else {
+        ("unknown_service", format!("no service is called `{service}` (the Host header names it)"))
+    };
+    Route::Unknown(OwnAnswer::not_run(StatusCode::NOT_FOUND, reason, &text))
+}
+
+/// The service that a request names: its host without the port.
+fn service_name(head: &RequestHead) -> &str {
+    let host = head.uri.host().or_else(|| text(&head.headers, HOST.as_str())).unwrap_or("");
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+fn wants_keep_alive(head: &RequestHead) -> bool {
+    let connection = text(&head.headers, CONNECTION.as_str()).unwrap_or("");
+    let has = |token: &str| connection.split(',').any(|t| t.trim().eq_ignore_ascii_case(token));
+    match head.version {
+        Version::HTTP_11 => !has("close"),
+        _ => has("keep-alive"),
+    }
+}
+
+/// An answer that comes before the body was read closes the connection, unless there is no body.
+fn skip_body(caller: &mut Caller, framing: Framing) {
+    if framing != Framing::None {
+        caller.keep_alive = false;
+    }
+}
+
+fn expect_continue(caller: &mut Caller, headers: &HeaderMap) {
+    let expects = text(headers, EXPECT.as_str())
+        .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
+    if expects {
+        caller.connection.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+/// The body of a request, as far as it was read.
+enum BodyRead {
+    Whole(Bytes),
+    /// More than the limit: what was read, and where the rest stands.
+    TooLarge { start: Bytes, state: BodyState },
+}
+
+async fn read_body(
+    caller: &mut Caller,
+    framing: Framing,
+    limit: u64,
+    pause: Duration,
+) -> Result<BodyRead, HttpError> {
+    let mut state = BodyState::new(framing);
+    if matches!(framing, Framing::Length(n) if n > limit) {
+        return Ok(BodyRead::TooLarge { start: Bytes::new(), state });
+    }
+    caller.connection.flush().await?;
+    let mut body = BytesMut::new();
+    while let Some(piece) = read_piece(&mut caller.connection, &mut state, pause).await? {
+        body.extend_from_slice(&piece);
+        if body.len() as u64 > limit {
+            return Ok(BodyRead::TooLarge { start: body.freeze(), state });
+        }
+    }
+    Ok(BodyRead::Whole(body.freeze()))
+}
+
+/// Reads the next piece of a body; a sender that pauses for longer than `pause` is cut off.
+pub(super) async fn read_piece(
+    connection: &mut Connection,
+    state: &mut BodyState,
+    pause: Duration,
+) -> Result<Option<Bytes>, HttpError> {
+    monoio::time::timeout(pause, connection.read_body(state))
+        .await
+        .unwrap_or_else(|_| Err(HttpError::Io(std::io::ErrorKind::TimedOut.into())))
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -0,0 +1,88 @@
+//! Which requests were running on a backend server when it crashed.
+
+use super::backend::Backend;
+use super::plane::DataPlane;
+use galenapath_filings::{Fingerprint, SuspectVerdict};
+use galenapath_protocol::hash64;
+use std::cell::RefCell;
+
+/// Seed of the hash that names a backend server among suspects; the same on every instance.
+const BACKEND_SEED: u64 = 0;
+
+/// Fingerprints of the requests of this instance that run on one backend server.
+#[derive(Default)]
+pub(super) struct RunningSet {
+    running: RefCell<Vec<Fingerprint>>,
+}
+
+impl RunningSet {
+    /// Counts a request as running until the guard is dropped.
+    pub(super) fn enter(&self, fp: Fingerprint) -> Running<'_> {
+        self.running.borrow_mut().push(fp);
+        Running { set: self, fp }
+    }
+
+    /// Whether nothing runs there.
+    pub(super) fn is_empty(&self) -> bool {
+        self.running.borrow().is_empty()
+    }
+}
+
+/// A request that runs on a backend server.
+pub(super) struct Running<'a> {
+    set: &'a RunningSet,
+    fp: Fingerprint,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut running = self.set.running.borrow_mut();
+        if let Some(at) = running.iter().position(|fp| *fp == self.fp) {
+            running.swap_remove(at);
+        }
+    }
+}
+
+/// Notes that a connection was lost with a request on it: everything that runs on the server is
+/// suspected.
+pub(super) fn note_loss(plane: &DataPlane, backend: &Backend) {
+    plane.shared.metrics.fault("connection_lost");
+    let name = hash64(BACKEND_SEED, backend.id.0.as_bytes());
+    let running = backend.running.running.borrow();
+    plane.suspects.borrow_mut().crashed(plane.now(), name, &running);
+}
+
+/// How a request may run, in view of the crashes known.
+pub(super) enum Clearance<'a> {
+    /// Like any other.
+    Free,
+    /// On a backend server on which nothing else of this instance runs.
+    Alone(Trial<'a>),
+    /// Not at all for now.
+    Refused(SuspectVerdict),
+}
+
+/// A suspect that runs alone. Dropping it ends the trial.
+pub(super) struct Trial<'a> {
+    plane: &'a DataPlane,
+    fp: Fingerprint,
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        self.plane.suspects.borrow_mut().trial_ended(self.fp);
+    }
+}
+
+/// Judges a request.
+pub(super) fn clearance(plane: &DataPlane, fp: Fingerprint) -> Clearance<'_> {
+    let mut suspects = plane.suspects.borrow_mut();
+    match suspects.judge(plane.now(), fp) {
+        SuspectVerdict::Clear => Clearance::Free,
+        SuspectVerdict::RunAlone => {
+            suspects.trial_started(fp);
+            Clearance::Alone(Trial { plane, fp })
+        }
+        refuse @ SuspectVerdict::Refuse { .. } => Clearance::Refused(refuse),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -0,0 +1,323 @@
+//! Filings: requests that run at most once.
+
+use super::answer::{OwnAnswer, send_whole};
+use super::attempt::{Fault, Reply};
+use super::caller::Caller;
+use super::dispatch::{Dispatch, Served};
+use super::ending::{observe_latency, outcome_of, refuse, remember};
+use super::explain::Trace;
+use super::permit::Permit;
+use super::plane::DataPlane;
+use super::prepare::Prepared;
+use super::request::RequestMeta;
+use super::service::Service;
+use super::{filing_wait, forward, headers, refusal, relay};
+use bytes::Bytes;
+use galenapath_filings::{
+    Admit, AfterAttempt, Answer, AttemptEnd, End, FilingKey, RecordId,
+};
+use galenapath_http::{HttpError, RequestHead};
+use galenapath_policy::{Outcome, may_retry};
+use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use std::rc::Rc;
+
+/// When a caller whose filing may have run should ask again with the same key.
+const ASK_AGAIN: Micros = Micros::from_secs(2);
+
+/// Serves a filing.
+pub(super) async fn serve(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    service: &Rc<Service>,
+    meta: &RequestMeta,
+    head: RequestHead,
+    body: Bytes,
+) -> Result<(), HttpError> {
+    let mut trace = Trace::new(meta.id);
+    let key = match key_of(meta) {
+        Ok(key) => key,
+        Err(answer) => return refuse(plane, caller, meta, trace, &answer).await,
+    };
+    let req = Prepared::new(plane, meta, head, body);
+    let admit = filing_wait::admit(plane, meta, &key, &req).await;
+    count(plane, &admit);
+    match admit {
+        Admit::Run(id) => {
+            // Once dispatched, a filing runs to its end even when the caller goes away: its
+            // outcome is what a resend asks for.
+            let ended = run(plane, service, meta, &req, id, &mut trace).await;
+            finish(plane, caller, meta, trace, ended).await
+        }
+        Admit::Replay(answer) => replay(plane, caller, meta, trace, &answer).await,
+        Admit::Forward(incarnation) => {
+            forward::serve(plane, caller, meta, trace, &req, incarnation).await
+        }
+        other => refuse(plane, caller, meta, trace, &refusal_of(&other)).await,
+    }
+}
+
+fn key_of(meta: &RequestMeta) -> Result<FilingKey, OwnAnswer> {
+    let bad = |text: &str| OwnAnswer::not_run(StatusCode::BAD_REQUEST, "bad_key", text);
+    let Some(text) = &meta.key else {
+        return Err(bad("a filing needs an Idempotency-Key header: the key_prefix of /v1/entries \
+                        and a part of your own"));
+    };
+    FilingKey::parse(&meta.workspace, text).map_err(|e| bad(&e.to_string()))
+}
+
+fn count(plane: &DataPlane, admit: &Admit) {
+    let decision = match admit {
+        Admit::Run(_) => "run",
+        Admit::InProgress(_) => "in_progress",
+        Admit::Replay(_) => "replayed",
+        Admit::AnsweredNotKept { .. } => "answer_not_kept",
+        Admit::MayHaveRun => "may_have_run",
+        Admit::Mismatch => "mismatch",
+        Admit::Full { .. } => "full",
+        Admit::Forward(_) => "forwarded",
+        Admit::Claim(_) => "claim",
+        Admit::Unclaimed { .. } => "unclaimed",
+        Admit::Expired => "expired",
+    };
+    plane.shared.metrics.filings.with_label_values(&[decision]).inc();
+    let records = i64::try_from(plane.filings.borrow().len()).unwrap_or(i64::MAX);
+    plane.shared.metrics.filing_records.set(records);
+}
+
+/// The answer to a filing that is not dispatched.
+fn refusal_of(admit: &Admit) -> OwnAnswer {
+    let may_have = |reason, text| {
+        OwnAnswer::may_have_run(StatusCode::CONFLICT, reason, text).retry_after(ASK_AGAIN)
+    };
+    match admit {
+        Admit::Mismatch => OwnAnswer::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_mismatch",
+            "the idempotency key was used for another request; use a new key",
+        ),
+        Admit::Full { retry_after } => OwnAnswer::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "filings_full",
+            "no new filings are taken now",
+        )
+        .retry_after(*retry_after),
+        Admit::AnsweredNotKept { status } => OwnAnswer {
+            verdict: Verdict::Answered,
+            ..OwnAnswer::not_run(
+                StatusCode::CONFLICT,
+                "answer_not_kept",
+                &format!("the filing ran and was answered with status {status}; the answer itself \
+                          was not kept"),
+            )
+        },
+        Admit::Unclaimed { retry_after } => may_have(
+            "unclaimed",
+            "the key cannot be checked now; send the filing again with the same key",
+        )
+        .retry_after(*retry_after),
+        Admit::InProgress(_) => may_have(
+            "in_progress",
+            "the filing is still running; send it again with the same key for its answer",
+        ),
+        Admit::Expired => may_have(
+            "key_expired",
+            "nothing is known of this key any more; the filing may have run",
+        ),
+        _ => may_have("may_have_run", "the filing may have run; look before you file anew"),
+    }
+}
+
+/// How a filing that was admitted ended.
+enum Ended {
+    Answered { served: Box<Served>, permit: Permit },
+    Unanswered(OwnAnswer),
+}
+
+async fn run(
+    plane: &Rc<DataPlane>,
+    service: &Rc<Service>,
+    meta: &RequestMeta,
+    req: &Prepared,
+    id: RecordId,
+    trace: &mut Trace,
+) -> Ended {
+    let open = OpenRecord { plane, id, is_resolved: false };
+    let mut dispatch = match Dispatch::new(plane, service, meta, req) {
+        Ok(dispatch) => dispatch,
+        Err(answer) => return Ended::Unanswered(open.not_run(answer)),
+    };
+    let permit = match Permit::acquire(plane, service, meta).await {
+        Ok(permit) => permit,
+        Err(rejection) => {
+            return Ended::Unanswered(open.not_run(refusal::turn_away(&rejection)));
+        }
+    };
+    trace.waited = permit.waited;
+    service.state.borrow_mut().retries.first_try(plane.now());
+    match try_until_final(&mut dispatch, id, trace).await {
+        Tried::Answered(served) => {
+            open.answered(&served.reply);
+            Ended::Answered { served, permit }
+        }
+        Tried::NotRun(fault) => {
+            let answer = match &fault {
+                Some(fault) => refusal::failed(fault, Verdict::NotRun),
+                None => refusal::no_backend(Verdict::NotRun),
+            };
+            permit.finish(fault.map_or(Outcome::Shed, |fault| fault.outcome()));
+            Ended::Unanswered(open.not_run(answer))
+        }
+        Tried::MayHaveRun(fault) => {
+            permit.finish(fault.outcome());
+            let answer = refusal::failed(&fault, Verdict::MayHaveRun).retry_after(ASK_AGAIN);
+            Ended::Unanswered(open.may_have_run(answer))
+        }
+    }
+}
+
+enum Tried {
+    Answered(Box<Served>),
+    NotRun(Option<Fault>),
+    MayHaveRun(Fault),
+}
+
+/// Tries backend servers for as long as the attempts before certainly did not run the filing.
+async fn try_until_final(dispatch: &mut Dispatch<'_>, id: RecordId, trace: &mut Trace) -> Tried {
+    let plane = dispatch.plane;
+    for attempt in 1.. {
+        let Some(slot) = dispatch.choose() else { return Tried::NotRun(None) };
+        let mut was_sent = false;
+        let before_send = || {
+            was_sent = plane.filings.borrow_mut().sent(plane.now(), id).is_ok();
+            was_sent
+        };
+        let result = dispatch.attempt(slot, trace, before_send).await;
+        let fault = match result {
+            Ok(served) => return Tried::Answered(Box::new(served)),
+            Err(Fault::Withdrawn) => return Tried::MayHaveRun(Fault::Withdrawn),
+            Err(fault) => fault,
+        };
+        let end = match &fault {
+            Fault::Shed => AttemptEnd::Refused,
+            _ if !was_sent => AttemptEnd::NothingSent,
+            _ => AttemptEnd::Lost,
+        };
+        match plane.filings.borrow_mut().attempt_ended(plane.now(), id, end) {
+            AfterAttempt::NotRun => {}
+            AfterAttempt::MayHaveRun | AfterAttempt::Answered => {
+                return Tried::MayHaveRun(fault);
+            }
+        }
+        if !may_go_on(dispatch, attempt) {
+            return Tried::NotRun(Some(fault));
+        }
+        plane.shared.metrics.retries.inc();
+    }
+    Tried::NotRun(None)
+}
+
+fn may_go_on(dispatch: &Dispatch<'_>, attempt: u32) -> bool {
+    let now = dispatch.plane.now();
+    let kind = refusal::kind_of(dispatch.meta.class.kind);
+    may_retry(kind, Verdict::NotRun, attempt, dispatch.meta.deadline - now)
+        && dispatch.service.state.borrow_mut().retries.try_retry(now)
+}
+
+/// A record that has to be resolved. Dropping it unresolved counts as "may have run".
+struct OpenRecord<'a> {
+    plane: &'a DataPlane,
+    id: RecordId,
+    is_resolved: bool,
+}
+
+impl OpenRecord<'_> {
+    /// Resolves as not run and returns the answer with the verdict that may be told.
+    fn not_run(mut self, answer: OwnAnswer) -> OwnAnswer {
+        let verdict = self.resolve(End::NotRun);
+        OwnAnswer { verdict, ..answer }
+    }
+
+    fn may_have_run(mut self, answer: OwnAnswer) -> OwnAnswer {
+        let verdict = self.resolve(End::MayHaveRun);
+        OwnAnswer { verdict, ..answer }
+    }
+
+    fn answered(mut self, reply: &Reply) {
+        let mut headers = reply.headers.clone();
+        headers::strip(&mut headers);
+        let kept = headers
+            .iter()
+            .filter_map(|(name, value)| {
+                Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+            })
+            .collect();
+        // An answer too large to be read first is too large to be kept: its length tells so.
+        let body = if reply.rest.is_some() {
+            Bytes::from(vec![0; super::attempt::BUFFERED_ANSWER])
+        } else {
+            reply.start.clone()
+        };
+        self.resolve(End::Answered(Answer { status: reply.status.as_u16(), headers: kept, body }));
+    }
+
+    fn resolve(&mut self, end: End) -> Verdict {
+        self.is_resolved = true;
+        let verdict = self.plane.filings.borrow_mut().resolve(self.plane.now(), self.id, end);
+        filing_wait::wake(self.plane, self.id);
+        verdict
+    }
+}
+
+impl Drop for OpenRecord<'_> {
+    fn drop(&mut self) {
+        if !self.is_resolved {
+            self.resolve(End::NotRun);
+        }
+    }
+}
+
+async fn finish(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    meta: &RequestMeta,
+    trace: Trace,
+    ended: Ended,
+) -> Result<(), HttpError> {
+    let (served, permit) = match ended {
+        Ended::Unanswered(answer) => return refuse(plane, caller, meta, trace, &answer).await,
+        Ended::Answered { served, permit } => (*served, permit),
+    };
+    observe_latency(plane, meta);
+    let status = served.reply.status;
+    let outcome = outcome_of(status);
+    let sent =
+        relay::send(caller, &meta.id, &served.backend, Verdict::Answered, served.reply).await;
+    served.in_flight.finish(outcome);
+    permit.finish(outcome);
+    remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
+    sent
+}
+
+/// Gives a resend the answer that the filing had.
+async fn replay(
+    plane: &DataPlane,
+    caller: &mut Caller,
+    meta: &RequestMeta,
+    trace: Trace,
+    answer: &Answer,
+) -> Result<(), HttpError> {
+    let mut head = HeaderMap::new();
+    for (name, value) in &answer.headers {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::try_from(name.as_str()), HeaderValue::from_str(value))
+        {
+            head.append(name, value);
+        }
+    }
+    headers::set(&mut head, VERDICT_HEADER, Verdict::Answered.as_str());
+    headers::set(&mut head, REQUEST_ID_HEADER, &meta.id.to_string());
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    remember(plane, meta, trace, answer.status, Verdict::Answered, "replayed");
+    send_whole(caller, status, head, &answer.body).await
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -0,0 +1,146 @@
+//! Passing a filing to the instance that may dispatch it.
+//!
+//! Only the incarnation that a key names runs it. Any other instance passes the filing on; where
+//! that incarnation is gone, its successors are asked for the outcome, which they took over at a
+//! planned stop. A filing is passed on once: the instance that gets it answers what it knows.
+
+use super::attempt::read_final_head;
+use super::answer::OwnAnswer;
+use super::attempt::{BUFFERED_ANSWER, Reply};
+use super::caller::Caller;
+use super::ending::{refuse, remember};
+use super::explain::Trace;
+use super::plane::DataPlane;
+use super::prepare::Prepared;
+use super::request::{RequestMeta, text};
+use super::{headers, relay};
+use bytes::BytesMut;
+use galenapath_filings::successors;
+use galenapath_http::{BodyState, Connection, Framing, HttpError, put_request, response_framing};
+use galenapath_membership::Member;
+use galenapath_protocol::{
+    BackendId, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, Incarnation, Micros, VERDICT_HEADER, Verdict,
+    WORKSPACE_HEADER,
+};
+use http::StatusCode;
+use monoio::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Successors that are asked for an outcome; as many as get it at a planned stop.
+pub(crate) const SUCCESSORS: usize = 2;
+
+/// Longest time to connect to another instance.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Largest head of another instance's answer, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+
+/// When a caller whose filing may have run should ask again with the same key.
+const ASK_AGAIN: Micros = Micros::from_secs(2);
+
+/// Passes a filing on and its answer back.
+pub(super) async fn serve(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    meta: &RequestMeta,
+    mut trace: Trace,
+    req: &Prepared,
+    incarnation: Incarnation,
+) -> Result<(), HttpError> {
+    if meta.hops == 0 {
+        for member in holders(plane, incarnation) {
+            let name = BackendId(format!("instance {}", member.id));
+            match pass_on(plane, meta, req, &member).await {
+                Ok(reply) => {
+                    trace.tried(&name, reply.status);
+                    let (status, verdict) = (reply.status, verdict_of(&reply));
+                    remember(plane, meta, trace, status.as_u16(), verdict, "passed on");
+                    return relay::send(caller, &meta.id, &name, verdict, reply).await;
+                }
+                Err(e) => trace.tried(&name, e),
+            }
+        }
+    }
+    let answer = OwnAnswer::may_have_run(
+        StatusCode::GATEWAY_TIMEOUT,
+        "owner_gone",
+        "the instance that may run this key cannot be reached; the filing may have run",
+    );
+    refuse(plane, caller, meta, trace, &answer.retry_after(ASK_AGAIN)).await
+}
+
+/// The instances to ask: the incarnation itself, or its successors where it is gone.
+fn holders(plane: &DataPlane, incarnation: Incarnation) -> Vec<Member> {
+    let view = plane.shared.members.load();
+    if let Some(member) = view.reachable(incarnation) {
+        return vec![member.clone()];
+    }
+    let usable: Vec<Incarnation> = view.usable.iter().map(|m| m.incarnation).collect();
+    successors(incarnation, &usable, SUCCESSORS)
+        .into_iter()
+        .filter(|successor| *successor != plane.shared.incarnation)
+        .filter_map(|successor| view.reachable(successor).cloned())
+        .collect()
+}
+
+fn verdict_of(reply: &Reply) -> Verdict {
+    match text(&reply.headers, VERDICT_HEADER) {
+        Some("answered") => Verdict::Answered,
+        Some("not-run") => Verdict::NotRun,
+        _ => Verdict::MayHaveRun,
+    }
+}
+
+async fn pass_on(
+    plane: &DataPlane,
+    meta: &RequestMeta,
+    req: &Prepared,
+    member: &Member,
+) -> Result<Reply, HttpError> {
+    let timed_out = |_| HttpError::Io(std::io::ErrorKind::TimedOut.into());
+    let connect = TcpStream::connect(member.callers);
+    let io = monoio::time::timeout(CONNECT_LIMIT, connect).await.map_err(timed_out)??;
+    let mut connection = Connection::new(io, HEAD_LIMIT);
+    let left = Duration::from(meta.deadline - plane.now());
+    let exchange = exchange(&mut connection, plane, meta, req);
+    monoio::time::timeout(left, exchange).await.map_err(timed_out)?
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    plane: &DataPlane,
+    meta: &RequestMeta,
+    req: &Prepared,
+) -> Result<Reply, HttpError> {
+    let mut head = req.headers.clone();
+    headers::set_deadline(&mut head, meta.deadline - plane.now());
+    headers::set(&mut head, "host", &meta.class.service);
+    headers::set(&mut head, HOPS_HEADER, &(meta.hops + 1).to_string());
+    headers::set(&mut head, WORKSPACE_HEADER, &meta.workspace);
+    headers::set(&mut head, IDEMPOTENCY_KEY_HEADER, meta.key.as_deref().unwrap_or_default());
+    let framing = req.framing();
+    put_request(connection.output(), &req.method, &req.path, &head, framing);
+    connection.write_body(framing, &req.body).await?;
+    connection.finish_body(framing).await?;
+    let answer = read_final_head(connection).await?;
+    let framing = response_framing(&req.method, answer.status, &answer.headers)?;
+    let mut state = BodyState::new(framing);
+    let mut start = BytesMut::new();
+    while let Some(piece) = connection.read_body(&mut state).await? {
+        start.extend_from_slice(&piece);
+        if start.len() > MOST_PASSED {
+            return Err(HttpError::BadFraming("the answer is too large to be passed on"));
+        }
+    }
+    Ok(Reply {
+        status: answer.status,
+        headers: answer.headers,
+        framing: Framing::None,
+        start: start.freeze(),
+        rest: None,
+    })
+}
+
+/// Largest answer that is passed on between instances, in bytes.
+const MOST_PASSED: usize = 16 * BUFFERED_ANSWER;
--- /dev/null
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -0,0 +1,181 @@
+//! One service on the data path: its backend servers and the decisions about them.
+
+use super::backend::Backend;
+use super::plane::DataPlane;
+use crate::fleet::FleetBackend;
+use crate::shared::Shared;
+use futures::channel::oneshot;
+use galenapath_config::{ClassKind, Config};
+use galenapath_policy::{
+    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ClassIndex,
+    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket, WorkLength,
+};
+use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Connections that a backend server takes, shared by all instances that dispatch to it.
+pub(super) const BACKEND_CONNECTIONS: u32 = 240;
+
+/// One service.
+pub(super) struct Service {
+    /// Its name, as callers give it in `Host`.
+    pub(super) name: String,
+    /// Decisions; borrowed only between two awaits.
+    pub(super) state: RefCell<State>,
+}
+
+/// The decisions of a service and what they are about.
+///
+/// Invariant: `waiters` holds exactly the tickets that wait in `admission`.
+pub(super) struct State {
+    pub(super) balancer: Balancer,
+    pub(super) admission: Admission,
+    pub(super) retries: RetryBudget,
+    pub(super) hedges: HedgePolicy,
+    pub(super) waiters: FastMap<Ticket, oneshot::Sender<Step>>,
+    backends: FastMap<BackendId, Rc<Backend>>,
+    classes: FastMap<String, ClassIndex>,
+    fleet_version: Option<u64>,
+    config_version: Option<u64>,
+    members_version: Option<u64>,
+}
+
+impl Service {
+    pub(super) fn new(name: &str, shared: &Shared) -> Rc<Self> {
+        let seed = hash64(shared.incarnation.0, name.as_bytes());
+        let domain = shared.settings.instance.domain.clone();
+        let state = State {
+            balancer: Balancer::new(BalancerConfig::default(), domain, seed),
+            admission: Admission::new(AdmissionConfig::default(), seed),
+            retries: RetryBudget::new(RetryConfig::default()),
+            hedges: HedgePolicy::new(HedgeConfig::default()),
+            waiters: FastMap::default(),
+            backends: FastMap::default(),
+            classes: FastMap::default(),
+            fleet_version: None,
+            config_version: None,
+            members_version: None,
+        };
+        Rc::new(Self { name: name.to_owned(), state: RefCell::new(state) })
+    }
+
+    /// Takes in views that are newer than what the service has seen.
+    pub(super) fn refresh(&self, plane: &DataPlane, config: &Config) {
+        let now = plane.now();
+        let mut state = self.state.borrow_mut();
+        if state.config_version != Some(config.version().0) {
+            state.set_classes(&self.name, config);
+        }
+        let fleet = plane.shared.fleet.load();
+        let members = plane.shared.members.load();
+        let is_current = state.fleet_version == Some(fleet.version)
+            && state.members_version == Some(members.version);
+        if is_current {
+            return;
+        }
+        state.fleet_version = Some(fleet.version);
+        state.members_version = Some(members.version);
+        let share = connection_share(members.usable.len());
+        state.set_backends(now, fleet.backends(&self.name), share);
+    }
+
+    /// Index of a class of this service.
+    pub(super) fn class_index(&self, class: &str) -> ClassIndex {
+        self.state.borrow().classes.get(class).copied().unwrap_or(ClassIndex(0))
+    }
+
+    /// Starts or turns away what waits, as far as it is time for that.
+    pub(super) fn poll(&self, now: Micros) {
+        let mut steps = Vec::new();
+        loop {
+            let mut state = self.state.borrow_mut();
+            let slots = state.balancer.free_slots(now);
+            let in_flight = u32::try_from(state.admission.in_flight()).unwrap_or(u32::MAX);
+            state.admission.set_capacity(now, in_flight.saturating_add(slots));
+            state.admission.poll(now, &mut steps);
+            if steps.is_empty() {
+                return;
+            }
+            for step in steps.drain(..) {
+                state.deliver(now, step);
+            }
+        }
+    }
+
+    /// Closes connections that have been idle for too long; returns how many stay open.
+    pub(super) fn sweep(&self) -> usize {
+        let state = self.state.borrow();
+        state.backends.values().for_each(|backend| backend.pool.sweep());
+        state.backends.values().map(|backend| backend.pool.open()).sum()
+    }
+
+    /// The backend server behind a slot.
+    pub(super) fn backend(&self, slot: Slot) -> Option<Rc<Backend>> {
+        let state = self.state.borrow();
+        let id = state.balancer.backend(slot)?;
+        state.backends.get(id).cloned()
+    }
+}
+
+impl State {
+    fn set_classes(&mut self, service: &str, config: &Config) {
+        self.config_version = Some(config.version().0);
+        let of_service = config.classes().filter(|class| class.service == service);
+        let mut policies = Vec::new();
+        self.classes.clear();
+        for (index, class) in (0..).zip(of_service) {
+            let index = ClassIndex(index);
+            self.classes.insert(class.name.clone(), index);
+            policies.push(ClassPolicy {
+                class: index,
+                length: match class.kind {
+                    ClassKind::Lookup | ClassKind::Filing => WorkLength::Short,
+                    ClassKind::Transfer => WorkLength::Long,
+                },
+                target: Micros::from_millis(u64::from(class.target.latency_ms)),
+            });
+        }
+        self.admission.set_classes(&policies);
+    }
+
+    fn set_backends(&mut self, now: Micros, listed: &[FleetBackend], share: u32) {
+        let specs: Vec<BackendSpec> = listed.iter().map(|b| to_spec(b, share)).collect();
+        self.balancer.set_backends(now, &specs);
+        let mut backends = FastMap::default();
+        for entry in listed {
+            let known = self.backends.remove(&entry.id).filter(|b| b.is_same_run(entry));
+            let backend = known.unwrap_or_else(|| Rc::new(Backend::new(entry)));
+            backend.set_share(share);
+            if entry.leaving {
+                backend.pool.close_idle();
+            }
+            backends.insert(entry.id.clone(), backend);
+        }
+        self.backends = backends;
+    }
+
+    fn deliver(&mut self, now: Micros, step: Step) {
+        let (Step::Start(ticket) | Step::Reject(ticket, _)) = step;
+        let is_taken = self.waiters.remove(&ticket).is_some_and(|tx| tx.send(step).is_ok());
+        if !is_taken && matches!(step, Step::Start(_)) {
+            self.admission.cancel(now, ticket);
+        }
+    }
+}
+
+fn to_spec(entry: &FleetBackend, share: u32) -> BackendSpec {
+    BackendSpec {
+        id: entry.id.clone(),
+        domain: entry.domain.clone(),
+        state: if entry.leaving { BackendState::Leaving } else { BackendState::Live },
+        connection_share: share,
+    }
+}
+
+/// Connections to one backend server that one of `instances` may hold. Half of the server's
+/// connections are kept back, so that instances that come while others go do not exceed them.
+fn connection_share(instances: usize) -> u32 {
+    let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    (BACKEND_CONNECTIONS / 2 / instances).max(1)
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -0,0 +1,115 @@
+//! Requests with large bodies, which are streamed to the backend server as they come.
+//!
+//! Such a request is sent once: its body cannot be had a second time.
+
+use super::answer::OwnAnswer;
+use super::attempt::{Fault, Reply, Rest, Target, can_reuse, read_final_head, take_report, time_left};
+use super::caller::{Caller, read_piece};
+use super::ending::{observe_latency, outcome_of, refuse, remember};
+use super::explain::Trace;
+use super::permit::{InFlight, Permit};
+use super::plane::DataPlane;
+use super::prepare::Prepared;
+use super::relay::{self, within_pause};
+use super::request::RequestMeta;
+use super::service::Service;
+use super::refusal;
+use bytes::Bytes;
+use galenapath_http::{BodyState, HttpError, RequestHead, put_request, response_framing};
+use galenapath_policy::Outcome;
+use galenapath_protocol::Verdict;
+use std::rc::Rc;
+
+/// Longest time to connect to a backend server.
+const CONNECT_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_200);
+
+/// Serves a request whose body is streamed; `start` has been read of it already.
+pub(super) async fn serve(
+    plane: &Rc<DataPlane>,
+    caller: &mut Caller,
+    service: &Rc<Service>,
+    meta: &RequestMeta,
+    head: RequestHead,
+    start: Bytes,
+    state: BodyState,
+) -> Result<(), HttpError> {
+    // After a refusal the rest of the body is not read.
+    let keep_alive = std::mem::replace(&mut caller.keep_alive, false);
+    let mut trace = Trace::new(meta.id);
+    let req = Prepared::new(plane, meta, head, Bytes::new());
+    let permit = match Permit::acquire(plane, service, meta).await {
+        Ok(permit) => permit,
+        Err(rejection) => {
+            let answer = refusal::turn_away(&rejection);
+            return refuse(plane, caller, meta, trace, &answer).await;
+        }
+    };
+    let chosen = service.state.borrow_mut().balancer.choose(plane.now(), &[]);
+    let Some((slot, backend)) = chosen.and_then(|s| Some((s, service.backend(s)?))) else {
+        permit.finish(Outcome::Shed);
+        let answer = refusal::no_backend(Verdict::NotRun);
+        return refuse(plane, caller, meta, trace, &answer).await;
+    };
+    let in_flight = InFlight::start(plane, service, slot);
+    let target = Target { plane, service, slot, backend: &backend, deadline: meta.deadline };
+    match send(&target, caller, meta, &req, start, state).await {
+        Ok(reply) => {
+            caller.keep_alive = keep_alive;
+            trace.tried(&backend.id, reply.status);
+            observe_latency(plane, meta);
+            let (status, outcome) = (reply.status, outcome_of(reply.status));
+            let sent =
+                relay::send(caller, &meta.id, &backend.id, Verdict::Answered, reply).await;
+            in_flight.finish(outcome);
+            permit.finish(outcome);
+            remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
+            sent
+        }
+        Err(fault) => {
+            trace.tried(&backend.id, &fault);
+            in_flight.finish(fault.outcome());
+            permit.finish(fault.outcome());
+            let answer: OwnAnswer = refusal::failed(&fault, Verdict::NotRun);
+            refuse(plane, caller, meta, trace, &answer).await
+        }
+    }
+}
+
+async fn send(
+    target: &Target<'_>,
+    caller: &mut Caller,
+    meta: &RequestMeta,
+    req: &Prepared,
+    start: Bytes,
+    mut state: BodyState,
+) -> Result<Reply, Fault> {
+    let limit = time_left(target).min(CONNECT_LIMIT);
+    let mut connection = target.backend.pool.checkout(limit).await.map_err(Fault::Connect)?;
+    let framing = meta.framing;
+    put_request(connection.output(), &req.method, &req.path, &req.headers, framing);
+    within_pause(connection.write_body(framing, &start)).await.map_err(Fault::Http)?;
+    let pause = target.plane.shared.settings.limits.idle_timeout;
+    loop {
+        let piece = read_piece(&mut caller.connection, &mut state, pause);
+        let Some(piece) = piece.await.map_err(Fault::Http)? else { break };
+        within_pause(connection.write_body(framing, &piece)).await.map_err(Fault::Http)?;
+    }
+    within_pause(connection.finish_body(framing)).await.map_err(Fault::Http)?;
+    let head = monoio::time::timeout(time_left(target), read_final_head(&mut connection))
+        .await
+        .map_err(|_| Fault::TimedOut)?
+        .map_err(Fault::Http)?;
+    take_report(target, &head.headers);
+    let framing =
+        response_framing(&req.method, head.status, &head.headers).map_err(Fault::Http)?;
+    let state = BodyState::new(framing);
+    let rest = if state.is_complete() {
+        if can_reuse(framing, head.version, &head.headers) {
+            connection.give_back();
+        }
+        None
+    } else {
+        Some(Rest { connection, state })
+    };
+    Ok(Reply { status: head.status, headers: head.headers, framing, start: Bytes::new(), rest })
+}
--- a/crates/galenapath-entry/src/lib.rs
+++ b/crates/galenapath-entry/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! The entry instance: takes callers' requests and gets each to a backend server.
+
+mod clock;
+mod control;
+mod data;
+mod error;
+mod fleet;
+mod logging;
+mod metrics;
+mod run;
+mod shared;
+mod signals;
+
+pub use error::EntryError;
+pub use logging::start as start_logging;
+pub use run::run;
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -6,7 +6,8 @@
 use arc_swap::ArcSwap;
 use galenapath_config::Config;
 use galenapath_membership::{LeavingMark, Member};
-use galenapath_protocol::{Incarnation, InstanceId};
+use galenapath_filings::{ClaimId, ClaimResult};
+use galenapath_protocol::{Incarnation, InstanceId, Micros};
 use galenapath_settings::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -102,8 +103,22 @@
     }
 }
 
-/// What the data thread tells the control thread.
+/// What the data thread tells or asks the control thread.
 pub enum ControlEvent {
     /// A backend server said that it is leaving.
     Leaving(LeavingMark),
+    /// A caller's own key has to be claimed in the store.
+    Claim(ClaimRequest),
+}
+
+/// A claim of a caller's own key.
+pub struct ClaimRequest {
+    /// Key in the store.
+    pub path: String,
+    /// Number of the claim within this incarnation.
+    pub claim: ClaimId,
+    /// Least time for which the claim has to stand.
+    pub lease: Micros,
+    /// Where the store's word goes.
+    pub reply: flume::Sender<ClaimResult>,
 }
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -204,8 +204,8 @@
         !self.input.is_empty()
     }
 
-    /// Resolves when the peer has closed, failed, or sent more than it may ahead of its turn.
-    /// Bytes that arrive meanwhile are kept for the next message.
+    /// Resolves when the peer has closed or failed. Bytes that arrive meanwhile are kept for the
+    /// next message; a peer that sends too much ahead of its turn is not watched any longer.
     pub async fn closed(&mut self) {
         while self.input.len() < MAX_READ_AHEAD {
             match self.fill().await {
@@ -213,6 +213,18 @@
                 Ok(_) => {}
             }
         }
+        std::future::pending().await
+    }
+
+    /// Whether an idle connection has been closed by the peer, or holds bytes that nobody asked
+    /// for. Does not wait.
+    pub async fn is_stale(&mut self) -> bool {
+        let is_ready = {
+            let mut fill = std::pin::pin!(self.fill());
+            std::future::poll_fn(|cx| std::task::Poll::Ready(fill.as_mut().poll(cx).is_ready()))
+                .await
+        };
+        is_ready || self.has_unread()
     }
 
     /// Closes the sending side, so that the peer sees the end of the last message.
--- a/crates/galenapath-peers/src/convert.rs
+++ b/crates/galenapath-peers/src/convert.rs
@@ -1,10 +1,15 @@
 //! Conversions between wire types and the types of the pure crates.
 
 use crate::BadNews;
-use crate::generated::{LeavingWire, MemberStatusWire, MemberWire};
+use crate::generated::{
+    ClearedWire, CrashWire, HandOverWire, HeaderWire, LeavingWire, MemberStatusWire, MemberWire,
+    OutcomeWire,
+};
+use galenapath_filings::{Answer, Fingerprint, HandOver, HandedOutcome, KeyId, SuspectWire};
 use galenapath_membership::{LeavingMark, Member, MemberStatus};
 use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 impl From<MemberStatus> for MemberStatusWire {
     fn from(status: MemberStatus) -> Self {
@@ -73,3 +78,113 @@
 fn address(text: &str) -> Result<SocketAddr, BadNews> {
     text.parse().map_err(|_| BadNews::Address(text.to_owned()))
 }
+
+/// Splits what is known of suspects into the two lists of a message.
+pub fn crashes_and_cleared(facts: &[SuspectWire]) -> (Vec<CrashWire>, Vec<ClearedWire>) {
+    let mut crashes = Vec::new();
+    let mut cleared = Vec::new();
+    for fact in facts {
+        match fact {
+            SuspectWire::Crash { backend, age_ms, members } => crashes.push(CrashWire {
+                backend: *backend,
+                age_ms: *age_ms,
+                fingerprints: members.iter().map(|fp| hex(fp.0)).collect(),
+            }),
+            SuspectWire::Answered { fp, age_ms } => {
+                cleared.push(ClearedWire { fingerprint: hex(fp.0), age_ms: *age_ms });
+            }
+        }
+    }
+    (crashes, cleared)
+}
+
+/// Joins the two lists of a message again; entries that make no sense are left out.
+pub fn suspects(crashes: &[CrashWire], cleared: &[ClearedWire]) -> Vec<SuspectWire> {
+    let crashes = crashes.iter().map(|wire| SuspectWire::Crash {
+        backend: wire.backend,
+        age_ms: wire.age_ms,
+        members: wire.fingerprints.iter().filter_map(|fp| unhex(fp).ok().map(Fingerprint)).collect(),
+    });
+    let cleared = cleared.iter().filter_map(|wire| {
+        let fp = Fingerprint(unhex(&wire.fingerprint).ok()?);
+        Some(SuspectWire::Answered { fp, age_ms: wire.age_ms })
+    });
+    crashes.chain(cleared).collect()
+}
+
+/// The message that hands over the outcomes of `incarnation`.
+pub fn hand_over(incarnation: Incarnation, outcomes: &[HandOver]) -> HandOverWire {
+    let outcomes = outcomes.iter().map(OutcomeWire::from).collect();
+    HandOverWire { incarnation: incarnation.0, outcomes }
+}
+
+/// The outcomes that a message hands over.
+///
+/// # Errors
+///
+/// When any of them makes no sense; none is taken over then.
+pub fn outcomes(wire: &HandOverWire) -> Result<Vec<HandOver>, BadNews> {
+    wire.outcomes.iter().map(HandOver::try_from).collect()
+}
+
+impl From<&HandOver> for OutcomeWire {
+    fn from(outcome: &HandOver) -> Self {
+        let (status, headers, body) = match &outcome.outcome {
+            HandedOutcome::Answered(answer) => {
+                let headers = answer.headers.iter();
+                let headers = headers
+                    .map(|(name, value)| HeaderWire { name: name.clone(), value: value.clone() })
+                    .collect();
+                (answer.status, headers, Some(hex_bytes(&answer.body)))
+            }
+            HandedOutcome::AnswerDropped { status } => (*status, Vec::new(), None),
+        };
+        Self { key: hex(outcome.key.0), fingerprint: hex(outcome.fp.0), status, headers, body }
+    }
+}
+
+impl TryFrom<&OutcomeWire> for HandOver {
+    type Error = BadNews;
+
+    fn try_from(wire: &OutcomeWire) -> Result<Self, Self::Error> {
+        let status = wire.status;
+        let outcome = match &wire.body {
+            Some(body) => HandedOutcome::Answered(Arc::new(Answer {
+                status,
+                headers: wire.headers.iter().map(|h| (h.name.clone(), h.value.clone())).collect(),
+                body: unhex_bytes(body)?.into(),
+            })),
+            None => HandedOutcome::AnswerDropped { status },
+        };
+        Ok(Self {
+            key: KeyId(unhex(&wire.key)?),
+            fp: Fingerprint(unhex(&wire.fingerprint)?),
+            outcome,
+        })
+    }
+}
+
+fn hex(number: u128) -> String {
+    format!("{number:032x}")
+}
+
+fn unhex(text: &str) -> Result<u128, BadNews> {
+    u128::from_str_radix(text, 16).map_err(|_| BadNews::Hex(text.to_owned()))
+}
+
+fn hex_bytes(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex_bytes(text: &str) -> Result<Vec<u8>, BadNews> {
+    let bad = || BadNews::Hex(text.to_owned());
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return Err(bad());
+    }
+    digits
+        .chunks(2)
+        .map(|pair| std::str::from_utf8(pair).ok().and_then(|p| u8::from_str_radix(p, 16).ok()))
+        .collect::<Option<Vec<u8>>>()
+        .ok_or_else(bad)
+}
--- a/crates/galenapath-peers/src/error.rs
+++ b/crates/galenapath-peers/src/error.rs
@@ -44,4 +44,7 @@
     /// An address is not IP and port.
     #[error("peer sent `{0}` where an address was expected")]
     Address(String),
+    /// A number or body is not hexadecimal.
+    #[error("peer sent `{0}` where hexadecimal digits were expected")]
+    Hex(String),
 }
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -1,24 +1,44 @@
 //! Generated from `schema/peers.schema.json` by the codegen example. Do not edit.
 
+///A suspected request that was answered completely.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClearedWire {
+    ///Time since the answer, in milliseconds.
+    pub age_ms: u64,
+    ///Fingerprint of the request, in hexadecimal.
+    pub fingerprint: ::std::string::String,
+}
 ///The configuration as the sender has it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigWire {
-    ///JSON document of the configuration schema.
-    pub document: ::std::string::String,
-    ///Version of the configuration.
-    pub version: u64,
+    ///JSON document of the head of the chain of changes.
+    pub head: ::std::string::String,
+    ///JSON document of the configuration at that head.
+    pub snapshot: ::std::string::String,
+}
+///A backend server that crashed and the requests that it was running.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashWire {
+    ///Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    ///Hash of the name of the backend server.
+    pub backend: u64,
+    ///Fingerprints of the requests, in hexadecimal.
+    pub fingerprints: ::std::vec::Vec<::std::string::String>,
 }
 ///News that two entry instances tell each other on every probe, in both directions.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ExchangeWire {
+    ///Suspected requests that were answered since.
+    pub cleared: ::std::vec::Vec<ClearedWire>,
     ///Version of the configuration that the sender has.
     pub config_version: u64,
+    ///Crashes of backend servers.
+    pub crashes: ::std::vec::Vec<CrashWire>,
     ///Backend servers newly known to be leaving.
     pub leaving: ::std::vec::Vec<LeavingWire>,
     ///News of entry instances; the sender first.
     pub members: ::std::vec::Vec<MemberWire>,
-    ///Requests suspected of crashing backend servers.
-    pub suspects: ::std::vec::Vec<SuspectWire>,
 }
 ///Outcomes of the filings of an incarnation that stops.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -28,6 +48,14 @@
     ///Its filings.
     pub outcomes: ::std::vec::Vec<OutcomeWire>,
 }
+///A header of an answer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HeaderWire {
+    ///Name.
+    pub name: ::std::string::String,
+    ///Value.
+    pub value: ::std::string::String,
+}
 ///A run of a backend server that is leaving.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LeavingWire {
@@ -116,92 +144,21 @@
     pub peers: ::std::string::String,
     pub status: MemberStatusWire,
 }
-///How a filing stands.
-#[derive(
-    ::serde::Deserialize,
-    ::serde::Serialize,
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd
-)]
-pub enum OutcomeStateWire {
-    #[serde(rename = "may_have_run")]
-    MayHaveRun,
-    #[serde(rename = "answered")]
-    Answered,
-    #[serde(rename = "answered_not_kept")]
-    AnsweredNotKept,
-}
-impl ::std::fmt::Display for OutcomeStateWire {
-    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
-        match *self {
-            Self::MayHaveRun => f.write_str("may_have_run"),
-            Self::Answered => f.write_str("answered"),
-            Self::AnsweredNotKept => f.write_str("answered_not_kept"),
-        }
-    }
-}
-impl ::std::str::FromStr for OutcomeStateWire {
-    type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        match value {
-            "may_have_run" => Ok(Self::MayHaveRun),
-            "answered" => Ok(Self::Answered),
-            "answered_not_kept" => Ok(Self::AnsweredNotKept),
-            _ => Err("invalid value".into()),
-        }
-    }
-}
-impl ::std::convert::TryFrom<&str> for OutcomeStateWire {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
-    }
-}
-impl ::std::convert::TryFrom<::std::string::String> for OutcomeStateWire {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: ::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
-    }
-}
-///What is known of one filing.
+///The known outcome of one filing.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OutcomeWire {
-    ///Body of a kept answer, in base64.
+    ///Body of a kept answer, in hexadecimal; absent where only the status is known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub body: ::std::option::Option<::std::string::String>,
-    ///Content type of a kept answer.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub content_type: ::std::option::Option<::std::string::String>,
-    ///Hash of method, path and body.
-    pub fingerprint: u64,
-    ///Idempotency key.
+    ///Fingerprint of the request, in hexadecimal.
+    pub fingerprint: ::std::string::String,
+    ///Headers of a kept answer.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub headers: ::std::vec::Vec<HeaderWire>,
+    ///Identity of the idempotency key, in hexadecimal.
     pub key: ::std::string::String,
-    pub state: OutcomeStateWire,
-    ///Status of the answer, where there is one.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub status: ::std::option::Option<u16>,
-}
-///A request suspected of crashing the backend servers that run it.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct SuspectWire {
-    ///Time since the last crash, in milliseconds.
-    pub age_ms: u64,
-    ///Crashes seen with it in flight.
-    pub crashes: u32,
-    ///Hash of method, path and body.
-    pub fingerprint: u64,
+    ///Status of the answer.
+    pub status: u16,
 }
 /// Error types.
 pub mod error {
--- a/crates/galenapath-peers/src/lib.rs
+++ b/crates/galenapath-peers/src/lib.rs
@@ -16,8 +16,9 @@
 
 pub use call::{PeerCall, PeerRequest};
 pub use error::{BadNews, PeerError};
+pub use convert::{crashes_and_cleared, hand_over, outcomes, suspects};
 pub use generated::{
-    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, MemberStatusWire, MemberWire,
-    OutcomeStateWire, OutcomeWire, SuspectWire,
+    ClearedWire, ConfigWire, CrashWire, ExchangeWire, HandOverWire, HeaderWire, LeavingWire,
+    MemberStatusWire, MemberWire, OutcomeWire,
 };
 pub use plane::{PeerPlane, start};
