--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -2,8 +2,13 @@
 
 use super::plane::ControlPlane;
 use super::{configuration, stop};
+use crate::data::DataCommand;
+use galenapath_filings::SuspectWire;
 use galenapath_membership::{LeavingMark, Member, Probe};
-use galenapath_peers::{ExchangeWire, LeavingWire, MemberWire, PeerCall, PeerError, PeerRequest};
+use galenapath_peers::{
+    ExchangeWire, LeavingWire, MemberWire, PeerCall, PeerError, PeerRequest, crashes_and_cleared,
+    suspects,
+};
 use galenapath_protocol::{Incarnation, Micros};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -78,10 +83,13 @@
 fn news(plane: &ControlPlane, incarnation: Incarnation) -> ExchangeWire {
     let members = plane.members.borrow_mut().news(incarnation);
     let leaving = plane.marks.borrow().recent(plane.now(), TELL_LEAVING);
+    let facts = plane.suspects.borrow().export(plane.now());
+    let (crashes, cleared) = crashes_and_cleared(&facts);
     ExchangeWire {
         members: members.iter().map(MemberWire::from).collect(),
         leaving: leaving.iter().map(LeavingWire::from).collect(),
-        suspects: Vec::new(),
+        crashes,
+        cleared,
         config_version: plane.replica.borrow().version().0,
     }
 }
@@ -96,6 +104,11 @@
     for wire in &news.leaving {
         note_leaving(plane, &LeavingMark::from(wire));
     }
+    let facts = suspects(&news.crashes, &news.cleared);
+    if !facts.is_empty() {
+        plane.suspects.borrow_mut().merge(plane.now(), &facts);
+        let _ = plane.wiring.commands.try_send(DataCommand::Suspects(facts));
+    }
     if news.config_version > plane.replica.borrow().version().0 {
         monoio::spawn(configuration::pull(Rc::clone(plane), from));
     }
@@ -110,6 +123,13 @@
     }
 }
 
+/// Takes in crashes that the data thread saw and tells every peer at once: a request that crashes
+/// backend servers may be on its way to other instances already.
+pub(super) async fn note_crash(plane: &Rc<ControlPlane>, facts: &[SuspectWire]) {
+    plane.suspects.borrow_mut().merge(plane.now(), facts);
+    tell_all(plane).await;
+}
+
 /// Answers what peers ask.
 pub(super) async fn answer_peers(plane: Rc<ControlPlane>) {
     while let Ok(request) = plane.wiring.requests.recv_async().await {
--- a/crates/galenapath-entry/src/control/plane.rs
+++ b/crates/galenapath-entry/src/control/plane.rs
@@ -4,6 +4,7 @@
 use crate::shared::{ControlEvent, Shared};
 use flume::{Receiver, Sender};
 use galenapath_config::Replica;
+use galenapath_filings::Suspects;
 use galenapath_membership::{LeavingMarks, Member, MemberStatus, Members, MembershipConfig};
 use galenapath_peers::{PeerCall, PeerRequest};
 use galenapath_platform::{ConsulPlatform, ListedInstance};
@@ -45,6 +46,8 @@
     pub(super) members: RefCell<Members>,
     /// Backend servers that are leaving.
     pub(super) marks: RefCell<LeavingMarks>,
+    /// Requests suspected of crashing backend servers, as told by the data thread and peers.
+    pub(super) suspects: RefCell<Suspects>,
     /// Backend servers as last listed.
     pub(super) backends: RefCell<Vec<ListedInstance>>,
 }
@@ -71,6 +74,7 @@
             replica: RefCell::default(),
             members: RefCell::new(members),
             marks: RefCell::default(),
+            suspects: RefCell::default(),
             backends: RefCell::default(),
         });
         plane.publish_members();
--- a/crates/galenapath-entry/src/control/stop.rs
+++ b/crates/galenapath-entry/src/control/stop.rs
@@ -5,8 +5,10 @@
 
 use super::plane::ControlPlane;
 use super::{gossip, lists};
-use crate::data::DataCommand;
-use galenapath_peers::HandOverWire;
+use crate::data::{DataCommand, SUCCESSORS};
+use galenapath_filings::successors;
+use galenapath_peers::{HandOverWire, PeerCall};
+use galenapath_protocol::Incarnation;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -51,9 +53,33 @@
     rx.recv_async().await.unwrap_or(0)
 }
 
-async fn hand_over(_plane: &ControlPlane) {}
+/// Gives the outcomes of the own filings to the successors.
+async fn hand_over(plane: &ControlPlane) {
+    let (reply, rx) = flume::bounded(1);
+    if plane.wiring.commands.send_async(DataCommand::HandOver { reply }).await.is_err() {
+        return;
+    }
+    let Ok(outcomes) = rx.recv_async().await else { return };
+    let own = plane.shared.incarnation;
+    let usable: Vec<_> = plane.members.borrow().usable().map(|m| m.incarnation).collect();
+    for successor in successors(own, &usable, SUCCESSORS) {
+        let to = plane.members.borrow().find(successor).map(|member| member.peers);
+        let Some(to) = to else { continue };
+        let wire = galenapath_peers::hand_over(own, &outcomes);
+        let (reply, answer) = flume::bounded(1);
+        let call = PeerCall::HandOver { to, outcomes: wire, reply };
+        let sent = plane.wiring.calls.send_async(call).await.is_ok();
+        let taken = sent && matches!(answer.recv_async().await, Ok(Ok(true)));
+        log::info!(to:% = to, outcomes = outcomes.len(), taken; "outcomes handed over");
+    }
+}
 
 /// Takes over the outcomes of an incarnation that stops.
-pub(super) fn adopt(_plane: &ControlPlane, _outcomes: &HandOverWire) -> bool {
-    false
+pub(super) fn adopt(plane: &ControlPlane, wire: &HandOverWire) -> bool {
+    let Ok(outcomes) = galenapath_peers::outcomes(wire) else {
+        plane.shared.metrics.fault("bad_hand_over");
+        return false;
+    };
+    let from = Incarnation(wire.incarnation);
+    plane.wiring.commands.try_send(DataCommand::Adopt { from, outcomes }).is_ok()
 }
--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -2,6 +2,7 @@
 
 use super::backend::Backend;
 use super::plane::DataPlane;
+use crate::shared::ControlEvent;
 use galenapath_filings::{Fingerprint, SuspectVerdict};
 use galenapath_protocol::hash64;
 use std::cell::RefCell;
@@ -49,7 +50,10 @@
     plane.shared.metrics.fault("connection_lost");
     let name = hash64(BACKEND_SEED, backend.id.0.as_bytes());
     let running = backend.running.running.borrow();
-    plane.suspects.borrow_mut().crashed(plane.now(), name, &running);
+    let now = plane.now();
+    let mut suspects = plane.suspects.borrow_mut();
+    suspects.crashed(now, name, &running);
+    let _ = plane.events.try_send(ControlEvent::Crash(suspects.export(now)));
 }
 
 /// How a request may run, in view of the crashes known.
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -14,8 +14,8 @@
 mod filing_wait;
 mod forward;
 mod headers;
-mod lookup;
 mod listener;
+mod lookup;
 mod permit;
 mod plane;
 mod pool;
@@ -28,6 +28,7 @@
 mod stream;
 
 pub use commands::DataCommand;
-pub use explain::{Explanation, Tried};
+pub use explain::Explanation;
+pub use forward::SUCCESSORS;
 pub use listener::serve;
 pub use plane::DataPlane;
--- a/crates/galenapath-entry/src/logging.rs
+++ b/crates/galenapath-entry/src/logging.rs
@@ -4,7 +4,7 @@
 use error_stack::{Report, ResultExt};
 use fern::{Dispatch, FormatCallback};
 use galenapath_settings::LogLevel;
-use log::kv::{Error, Key, Source, Value, VisitSource};
+use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use std::fmt::{Arguments, Write};
 
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -5,8 +5,8 @@
 use crate::metrics::Metrics;
 use arc_swap::ArcSwap;
 use galenapath_config::Config;
+use galenapath_filings::{ClaimId, ClaimResult, SuspectWire};
 use galenapath_membership::{LeavingMark, Member};
-use galenapath_filings::{ClaimId, ClaimResult};
 use galenapath_protocol::{Incarnation, InstanceId, Micros};
 use galenapath_settings::Settings;
 use std::net::SocketAddr;
@@ -107,6 +107,8 @@
 pub enum ControlEvent {
     /// A backend server said that it is leaving.
     Leaving(LeavingMark),
+    /// A backend server seems to have crashed.
+    Crash(Vec<SuspectWire>),
     /// A caller's own key has to be claimed in the store.
     Claim(ClaimRequest),
 }
