--- a/crates/galenapath-policy/src/outcome.rs
+++ b/crates/galenapath-policy/src/outcome.rs
@@ -5,14 +5,14 @@
 pub enum Outcome {
     /// A complete answer came back.
     Answered,
-    /// The backend server turned the request away because of its own load.
+    /// The backend server refused the request without running it.
     Shed,
-    /// A failure that came sooner than work takes; says nothing about spare capacity.
+    /// An error, or a close, faster than work can be done; says nothing about spare capacity.
     FastFailure,
-    /// Any other failure.
+    /// The connection or the answer broke off.
     Failure,
     /// No answer within the time allowed.
     TimedOut,
-    /// The caller went away first.
+    /// The caller went away, or another try answered first.
     Cancelled,
 }
