Admission: the limit follows the balancer's free slots, around a level found by latency

Cause: the entry instance tells admission its requests in flight plus the slots that look free, a number that moves with each request. Multiplied by a headroom it feeds itself: what was started beyond it counts as told the next time. Without headroom each slot idles for a round trip. Change: an own level that rises while latency is near the baseline, falls to what was fine in the last minutes when it is not, and without floor when requests are shed. Between it and twice it, the balancer decides.

--- a/crates/galenapath-policy/src/admission/config.rs
+++ b/crates/galenapath-policy/src/admission/config.rs
@@ -7,7 +7,7 @@
 pub enum LimitRule {
     /// What the balancer says, as it is.
     Fixed,
-    /// Moves around what the balancer says.
+    /// What the balancer says, within bounds that the instance's own measurements set.
     Adaptive,
 }
 
@@ -16,32 +16,24 @@
 pub struct LimitConfig {
     /// How the limit is found.
     pub rule: LimitRule,
-    /// Largest limit, as a multiple of the slots that the balancer says. At least one.
-    pub headroom: f64,
     /// Latency over baseline that is not yet taken for a queue at the backend servers. Above one.
     pub tolerated_inflation: f64,
-    /// Factor on the limit when latency is inflated; 0 to 1.
+    /// Factor on the level when latency is inflated; 0 to 1.
     pub decrease: f64,
-    /// Part of the limit added when it is used up and latency is not inflated; above 0.
+    /// Part of the level added when it is used up and latency is not inflated; above 0.
     pub increase: f64,
 }
 
 impl Default for LimitConfig {
     fn default() -> Self {
-        Self {
-            rule: LimitRule::Adaptive,
-            headroom: 1.5,
-            tolerated_inflation: 2.0,
-            decrease: 0.9,
-            increase: 0.1,
-        }
+        Self { rule: LimitRule::Adaptive, tolerated_inflation: 1.3, decrease: 0.9, increase: 0.2 }
     }
 }
 
 /// Thresholds of admission; the defaults are the ones measured.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionConfig {
-    /// Slots assumed before the first `set_capacity`.
+    /// Slots assumed at the start. At least one.
     pub initial_slots: u32,
     /// Thresholds of the limit on requests in flight.
     pub limit: LimitConfig,
@@ -65,7 +57,7 @@
     /// The short allowance: the part of the allowed wait that is left to workspaces over their
     /// share while the service is overloaded; 0 to 1.
     pub overload_wait_share: f64,
-    /// Part of the told slots that long work may not take where short work shares the service;
+    /// Part of the known slots that long work may not take where short work shares the service;
     /// 0 to 1.
     pub short_reserve: f64,
     /// Part of the limit up to which long work goes before short work, so that it is not starved;
--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -88,10 +88,12 @@
         self.workspaces.index(name)
     }
 
-    /// Sets how many requests this instance may have in flight for the service: its share of the
-    /// backend servers' slots, as the balancer knows them.
+    /// Sets how many requests this instance may have in flight for the service now, as the balancer
+    /// knows it: those that the balancer counts as its own in flight, and its free slots. Both have
+    /// to come from the balancer: a request that was started here and is not sent yet would otherwise
+    /// count as in flight while its slot still counts as free.
     pub fn set_capacity(&mut self, _now: Micros, slots: u32) {
-        self.limit.set_slots(slots);
+        self.limit.set_told(slots);
     }
 
     /// Turns new requests away (`true`) or takes them again; what waits is still served.
@@ -113,9 +115,6 @@
             self.start(offer.ticket, Running { class: offer.class, length });
             return Decision::Start;
         }
-        if self.running.len() >= self.limit.get() as usize {
-            self.limit.used_up();
-        }
         self.note_wait(now, length);
         match self.reason_to_reject(now, length, &offer) {
             Some(reason) => self.turn_away(now, length, reason),
@@ -148,10 +147,15 @@
 
     /// A request that was started has ended; `latency` counts from its start.
     pub fn finish(&mut self, now: Micros, ticket: Ticket, outcome: Outcome, latency: Micros) {
+        let in_flight = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let Some(running) = self.stop(ticket) else { return };
         match outcome {
-            Outcome::Answered => self.learn(now, running, latency),
-            Outcome::Shed | Outcome::TimedOut => self.limit.refused(now),
+            Outcome::Answered => {
+                let excess = self.classes.get(running.class).latency.observe(now, latency);
+                self.lane_mut(running.length).answered(latency);
+                self.limit.answered(now, excess, in_flight);
+            }
+            Outcome::Shed | Outcome::TimedOut => self.limit.refused(now, in_flight),
             Outcome::FastFailure | Outcome::Failure | Outcome::Cancelled => {}
         }
     }
@@ -197,7 +201,7 @@
         if length == WorkLength::Short || !self.classes.are_mixed() {
             return self.limit.get();
         }
-        let slots = self.limit.slots();
+        let slots = self.limit.known_slots();
         let reserved = (f64::from(slots) * self.cfg.short_reserve).ceil() as u32;
         slots.saturating_sub(reserved).max(1)
     }
@@ -218,12 +222,6 @@
         Some(running)
     }
 
-    fn learn(&mut self, now: Micros, running: Running, latency: Micros) {
-        let excess = self.classes.get(running.class).latency.observe(now, latency);
-        self.lane_mut(running.length).answered(latency);
-        self.limit.answered(now, excess);
-    }
-
     fn shared(&self, workspace: WorkspaceIndex) -> WorkspaceIndex {
         if self.cfg.fair_shares { workspace } else { WorkspaceIndex(0) }
     }
--- a/crates/galenapath-policy/src/admission/latency.rs
+++ b/crates/galenapath-policy/src/admission/latency.rs
@@ -1,5 +1,6 @@
 //! What a class's requests take once started.
 
+use super::recent::RecentExtreme;
 use crate::quantile::QuantileEstimate;
 use galenapath_protocol::Micros;
 
@@ -19,17 +20,17 @@
 impl ClassLatency {
     /// No latencies yet.
     pub fn new() -> Self {
-        Self { mean: 0.0, tail: QuantileEstimate::new(TAIL), baseline: Baseline::default() }
+        Self { mean: 0.0, tail: QuantileEstimate::new(TAIL), baseline: Baseline::new() }
     }
 
     /// Takes in a latency and returns by how much it exceeds the baseline, as the logarithm of the
-    /// ratio; zero while there is no baseline.
-    pub fn observe(&mut self, now: Micros, latency: Micros) -> f64 {
+    /// ratio; none while there is no baseline.
+    pub fn observe(&mut self, now: Micros, latency: Micros) -> Option<f64> {
         let x = latency.0.max(1) as f64;
         let weight = if self.tail.samples() == 0 { 1.0 } else { MEAN_WEIGHT };
         self.mean += (x - self.mean) * weight;
         self.tail.observe(x);
-        let excess = self.baseline.ln().map_or(0.0, |base| x.ln() - base);
+        let excess = self.baseline.ln().map(|base| x.ln() - base);
         self.baseline.observe(now, x.ln());
         excess
     }
@@ -46,18 +47,13 @@
 }
 
 /// Mean logarithm of the latency when the service was last unloaded: the least over windows of the
-/// last ten to twenty seconds.
+/// last minutes.
 ///
-/// The logarithm, because one work item of a heavy tail would otherwise decide a window. The least
-/// is forgotten, so that a service whose work has become longer for good gets a new baseline.
-#[derive(Clone, Debug, Default)]
+/// The logarithm, because one work item of a heavy tail would otherwise decide a window.
+#[derive(Clone, Debug)]
 struct Baseline {
     window: Window,
-    /// Least of the current span of [`Baseline::SPAN`].
-    current: Option<f64>,
-    /// Least of the span before.
-    previous: Option<f64>,
-    span_started: Micros,
+    least: RecentExtreme,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -68,34 +64,26 @@
 }
 
 impl Baseline {
-    const SPAN: Micros = Micros::from_secs(10);
     const MIN_WINDOW: Micros = Micros::from_millis(50);
     /// Values per window: with exponential work the mean of so many logarithms is within 13%.
     const MIN_COUNT: u32 = 100;
 
+    fn new() -> Self {
+        Self { window: Window::default(), least: RecentExtreme::least() }
+    }
+
     fn observe(&mut self, now: Micros, ln: f64) {
         self.window.sum += ln;
         self.window.count += 1;
         let full = self.window.count >= Self::MIN_COUNT;
         if full && now - self.window.started >= Self::MIN_WINDOW {
-            self.close_window(now);
+            let mean = self.window.sum / f64::from(self.window.count);
+            self.window = Window { started: now, ..Window::default() };
+            self.least.note(now, mean);
         }
     }
 
-    fn close_window(&mut self, now: Micros) {
-        let mean = self.window.sum / f64::from(self.window.count);
-        self.window = Window { started: now, ..Window::default() };
-        if now - self.span_started >= Self::SPAN {
-            self.previous = self.current.take();
-            self.span_started = now;
-        }
-        self.current = Some(self.current.map_or(mean, |least| least.min(mean)));
-    }
-
     fn ln(&self) -> Option<f64> {
-        match (self.current, self.previous) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        self.least.get()
     }
 }
--- a/crates/galenapath-policy/src/admission/limit.rs
+++ b/crates/galenapath-policy/src/admission/limit.rs
@@ -1,18 +1,22 @@
 //! How many requests the instance may have in flight for the service.
 //!
-//! Load pattern: load near or above capacity, and capacity that differs from what the instance was
-//! told. The slots it was told are stale and it sees a sixteenth of the traffic. With the bare
-//! number as the limit, rounding and uneven arrivals leave slots idle while requests wait; with no
-//! limit, the queue builds up at the backend servers, where nothing can be taken back.
+//! Load pattern: load near or above capacity. What the balancer says is the instance's own requests
+//! in flight and the slots that look free. That alone leaves slots idle, each for the round trip
+//! between the end of one request and the start of the next, and it builds up a queue at the
+//! backend servers, where nothing can be taken back, when reports are late or lie.
 //!
-//! The limit therefore moves around the told slots by two signals:
-//! - Latency above the class's baseline means a queue at the backend servers. It moves the limit
-//!   between the told slots and [`LimitConfig::headroom`] times as many, never below: a slow slot
-//!   is still a slot, and cutting below would leave it idle.
-//! - Requests shed or timed out mean that the told slots do not exist. These move the limit below,
-//!   down to one.
+//! The limit is what the balancer says, but at least a level that the instance finds by itself,
+//! and at most twice that level once anything has spoken against what the balancer says:
+//! - The level rises while it is used up and latency is near the class's baseline. Before there is a
+//!   baseline it stays at one, so that the baseline is taken without a queue.
+//! - Latency well above the baseline means a queue at the backend servers, or slower work. It lowers
+//!   the level, but not below a number in flight that was fine in the last minutes: slower work
+//!   does not get faster with fewer requests, and would otherwise drive the level down to one.
+//! - Requests shed or timed out mean that slots do not exist. They lower the level without a
+//!   floor, and what was fine before is forgotten.
 
 use super::config::{LimitConfig, LimitRule};
+use super::recent::RecentExtreme;
 use galenapath_protocol::Micros;
 
 /// The adaptive limit on requests in flight.
@@ -20,23 +24,29 @@
 pub struct ConcurrencyLimit {
     cfg: LimitConfig,
     /// What the balancer says the instance may use. At least one.
-    slots: f64,
-    /// From one to `slots * cfg.headroom`.
-    limit: f64,
+    told: f64,
+    /// What the instance found. At least one.
+    level: f64,
+    /// Whether latency or refusals have spoken against what the balancer says.
+    has_doubt: bool,
+    /// Most requests in flight of the windows with latency near the baseline.
+    proven: RecentExtreme,
     window: Window,
 }
 
-/// What was seen since the limit last moved.
+/// What was seen since the level last moved.
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
     started: Micros,
     /// Sum of the logarithms of latency over baseline.
     excess: f64,
+    /// Latencies in `excess`; those without a baseline are not.
+    compared: u32,
     answered: u32,
     /// Requests shed or timed out.
     refused: u32,
-    /// Whether the limit was reached.
-    used_up: bool,
+    /// Most requests in flight.
+    peak: u32,
 }
 
 impl ConcurrencyLimit {
@@ -47,87 +57,104 @@
     /// Spread of the logarithm of exponential work; one window's mean strays by it over the root
     /// of the count.
     const LN_SPREAD: f64 = 1.28;
-    /// Share of refused requests that is taken for one bad server rather than lacking capacity.
+    /// Share of refused requests that is let pass. With a tenth, what backend servers with short
+    /// queues shed by chance is retried within the retry budget; with a fiftieth, a quarter of
+    /// their slots stayed empty.
     const REFUSED_TOLERATED: f64 = 0.1;
+    /// Part of the level from which it counts as used up.
+    const USED_UP: f64 = 0.9;
+    /// How far what the balancer says may exceed the level, as a multiple of it: room for a burst
+    /// into slots that are known to be free.
+    const TOLD_BEYOND: f64 = 2.0;
 
     /// A limit that starts at the given number of slots.
     pub fn new(cfg: LimitConfig, slots: u32) -> Self {
-        let slots = f64::from(slots.max(1));
-        Self { cfg, slots, limit: slots, window: Window::default() }
+        Self {
+            cfg,
+            told: f64::from(slots.max(1)),
+            level: 1.0,
+            has_doubt: false,
+            proven: RecentExtreme::greatest(),
+            window: Window::default(),
+        }
     }
 
     /// The limit; at least one.
     pub fn get(&self) -> u32 {
-        (self.limit as u32).max(1)
+        match self.cfg.rule {
+            LimitRule::Fixed => self.told as u32,
+            LimitRule::Adaptive => self.told.clamp(self.level, self.most()) as u32,
+        }
     }
 
-    /// The slots that the balancer says, or the limit if that is lower; at least one.
-    pub fn slots(&self) -> u32 {
-        self.slots.min(self.limit) as u32
+    fn most(&self) -> f64 {
+        if self.has_doubt { self.level * Self::TOLD_BEYOND } else { f64::INFINITY }
     }
 
-    /// Takes over what the balancer says; the limit keeps its ratio to it.
-    pub fn set_slots(&mut self, slots: u32) {
-        let slots = f64::from(slots.max(1));
-        self.limit = (self.limit * slots / self.slots).clamp(1.0, self.ceiling(slots));
-        self.slots = slots;
+    /// The part of the limit that stands for slots the balancer knows of; at least one.
+    pub fn known_slots(&self) -> u32 {
+        self.told.min(f64::from(self.get())) as u32
     }
 
-    /// Notes that a request had to wait because of the limit.
-    pub fn used_up(&mut self) {
-        self.window.used_up = true;
+    /// Takes over what the balancer says.
+    pub fn set_told(&mut self, slots: u32) {
+        self.told = f64::from(slots.max(1));
     }
 
-    /// A request was answered; `excess` is the logarithm of its latency over the baseline.
-    pub fn answered(&mut self, now: Micros, excess: f64) {
+    /// A request was answered; `excess` is the logarithm of its latency over the baseline if there
+    /// is one, `in_flight` counts it as well.
+    pub fn answered(&mut self, now: Micros, excess: Option<f64>, in_flight: u32) {
         self.window.answered += 1;
-        self.window.excess += excess;
-        self.move_if_due(now);
+        self.window.compared += u32::from(excess.is_some());
+        self.window.excess += excess.unwrap_or(0.0);
+        self.ended(now, in_flight);
     }
 
-    /// A request was shed or timed out.
-    pub fn refused(&mut self, now: Micros) {
+    /// A request was shed or timed out; `in_flight` counts it as well.
+    pub fn refused(&mut self, now: Micros, in_flight: u32) {
         self.window.refused += 1;
-        self.move_if_due(now);
+        self.ended(now, in_flight);
     }
 
-    fn move_if_due(&mut self, now: Micros) {
+    fn ended(&mut self, now: Micros, in_flight: u32) {
+        self.window.peak = self.window.peak.max(in_flight);
         let ended = self.window.answered + self.window.refused;
         if now - self.window.started < Self::WINDOW || ended < Self::MIN_ENDED {
             return;
         }
         let window = self.window;
         self.window = Window { started: now, ..Window::default() };
-        if self.cfg.rule == LimitRule::Adaptive {
-            self.limit = self.moved(&window);
-        }
+        self.move_level(now, &window);
     }
 
-    fn moved(&self, window: &Window) -> f64 {
-        let ended = f64::from(window.answered + window.refused);
-        let refused = f64::from(window.refused) / ended;
+    fn move_level(&mut self, now: Micros, window: &Window) {
+        let peak = f64::from(window.peak);
+        let refused = f64::from(window.refused) / f64::from(window.answered + window.refused);
         if refused > Self::REFUSED_TOLERATED {
-            return (self.limit * (1.0 - refused / 2.0)).max(1.0);
-        }
-        if self.is_inflated(window) {
-            let reduced = (self.limit * self.cfg.decrease).max(self.slots);
-            return reduced.min(self.limit);
+            self.proven.clear();
+            self.has_doubt = true;
+            self.level = (self.level.min(peak) * (1.0 - refused / 2.0)).max(1.0);
+        } else if self.is_inflated(window) {
+            self.has_doubt = true;
+            let floor = self.proven.get().unwrap_or(1.0);
+            self.level = (self.level * self.cfg.decrease).max(floor);
+        } else if window.compared > 0 {
+            self.proven.note(now, peak);
+            self.grow(peak);
         }
-        if !window.used_up {
-            return self.limit;
+    }
+
+    fn grow(&mut self, peak: f64) {
+        if peak >= self.level * Self::USED_UP {
+            self.level = self.level.max(peak);
+            self.level += (self.level * self.cfg.increase).max(1.0);
         }
-        let step = (self.limit * self.cfg.increase).max(1.0);
-        (self.limit + step).min(self.ceiling(self.slots))
     }
 
     fn is_inflated(&self, window: &Window) -> bool {
-        let count = f64::from(window.answered.max(1));
+        let count = f64::from(window.compared.max(1));
         let mean = window.excess / count;
         let noise = Self::LN_SPREAD / count.sqrt();
         mean > self.cfg.tolerated_inflation.ln() + noise
     }
-
-    fn ceiling(&self, slots: f64) -> f64 {
-        slots * self.cfg.headroom
-    }
 }
--- a/crates/galenapath-policy/src/admission/mod.rs
+++ b/crates/galenapath-policy/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod offer;
 mod overload;
+mod recent;
 mod returns;
 mod workspaces;
 
