--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -9,7 +9,7 @@
 
 use super::classes::Classes;
 use super::config::AdmissionConfig;
-use super::decision::{Decision, RejectReason, Rejection, Step};
+use super::decision::{Decision, RejectReason, Step};
 use super::fair_queue::Waiting;
 use super::lane::Lane;
 use super::limit::ConcurrencyLimit;
@@ -25,21 +25,21 @@
 /// Every offered ticket gets exactly one final step: a `Start` or `Reject` decision, or a
 /// [`Step`] after `Wait`; a cancelled one gets none after the cancellation.
 pub struct Admission {
-    cfg: AdmissionConfig,
-    classes: Classes,
+    pub(super) cfg: AdmissionConfig,
+    pub(super) classes: Classes,
     workspaces: WorkspaceTable,
-    limit: ConcurrencyLimit,
+    pub(super) limit: ConcurrencyLimit,
     short: Lane,
     long: Lane,
     /// Started and not yet finished or cancelled; as many as the lanes' `in_flight` together.
     running: FastMap<Ticket, Running>,
     /// Where each waiting ticket is.
-    places: FastMap<Ticket, Place>,
+    pub(super) places: FastMap<Ticket, Place>,
     /// When each waiting ticket is given up on.
-    give_ups: BTreeSet<(Micros, Ticket)>,
+    pub(super) give_ups: BTreeSet<(Micros, Ticket)>,
     /// Steps decided since the last `poll`.
-    pending: Vec<Step>,
-    returns: ReturnSchedule,
+    pub(super) pending: Vec<Step>,
+    pub(super) returns: ReturnSchedule,
     /// Whether long work was started last, while both lengths waited.
     long_went_last: bool,
     draining: bool,
@@ -52,7 +52,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Place {
+pub(super) struct Place {
     length: WorkLength,
     workspace: WorkspaceIndex,
     give_up_at: Micros,
@@ -177,19 +177,25 @@
         self.places.len()
     }
 
+    /// Whether a request may start without waiting: something to ask before a hedge, which takes a
+    /// slot from nobody then.
+    pub fn has_room(&self) -> bool {
+        self.places.is_empty() && self.running.len() < self.limit.get() as usize
+    }
+
     /// The current limit on requests in flight.
     pub fn limit(&self) -> u32 {
         self.limit.get()
     }
 
-    fn lane(&self, length: WorkLength) -> &Lane {
+    pub(super) fn lane(&self, length: WorkLength) -> &Lane {
         match length {
             WorkLength::Short => &self.short,
             WorkLength::Long => &self.long,
         }
     }
 
-    fn lane_mut(&mut self, length: WorkLength) -> &mut Lane {
+    pub(super) fn lane_mut(&mut self, length: WorkLength) -> &mut Lane {
         match length {
             WorkLength::Short => &mut self.short,
             WorkLength::Long => &mut self.long,
@@ -197,7 +203,7 @@
     }
 
     /// Slots that requests of the length may take; at least one.
-    fn slots(&self, length: WorkLength) -> u32 {
+    pub(super) fn slots(&self, length: WorkLength) -> u32 {
         if length == WorkLength::Short || !self.classes.are_mixed() {
             return self.limit.get();
         }
@@ -222,63 +228,10 @@
         Some(running)
     }
 
-    fn shared(&self, workspace: WorkspaceIndex) -> WorkspaceIndex {
+    pub(super) fn shared(&self, workspace: WorkspaceIndex) -> WorkspaceIndex {
         if self.cfg.fair_shares { workspace } else { WorkspaceIndex(0) }
     }
 
-    /// Tells the lane whether its queue waits longer than the short allowance.
-    fn note_wait(&mut self, now: Micros, length: WorkLength) {
-        let allowed = self.classes.longest_wait(length, self.cfg.min_wait_share);
-        let short = allowed.0 as f64 * self.cfg.overload_wait_share * self.cfg.prediction_margin;
-        let lane = self.lane(length);
-        let wait = lane.wait(now, lane.queue().len() + 1, self.slots(length));
-        let is_long = !lane.queue().is_empty() && wait.0 as f64 > short;
-        let after = self.cfg.overload_after;
-        self.lane_mut(length).note_wait(now, is_long, after);
-    }
-
-    fn reason_to_reject(
-        &mut self,
-        now: Micros,
-        length: WorkLength,
-        offer: &Offer,
-    ) -> Option<RejectReason> {
-        let workspace = self.shared(offer.workspace);
-        let is_over_share = self.is_over_share(length, workspace);
-        let is_full = self.lane(length).queue().len() >= self.cfg.max_waiting;
-        if is_full && is_over_share {
-            return Some(RejectReason::QueueFull);
-        }
-        if !self.cfg.early_rejection {
-            return None;
-        }
-        let is_short = is_over_share && self.lane(length).is_overloaded();
-        let share = if is_short { self.cfg.overload_wait_share } else { 1.0 };
-        let class = self.classes.get(offer.class);
-        let mean = class.latency.mean();
-        let allowed = class.allowed_wait(self.cfg.min_wait_share);
-        let lane = self.lane(length);
-        let wait = lane.wait(now, lane.queue().position_of_new(workspace), self.slots(length));
-        if now + wait + mean > offer.deadline {
-            return Some(RejectReason::WontMeetTarget);
-        }
-        let is_late = wait.0 as f64 > allowed.0 as f64 * share * self.cfg.prediction_margin;
-        if !is_late || lane.queue().is_empty() {
-            return None;
-        }
-        let over = is_over_share && lane.queue().active() > 1;
-        Some(if over { RejectReason::OverShare } else { RejectReason::WontMeetTarget })
-    }
-
-    /// Whether the workspace has at least an even share of what waits. One request is never too
-    /// much: in a short queue it would be an even share.
-    fn is_over_share(&self, length: WorkLength, workspace: WorkspaceIndex) -> bool {
-        let queue = self.lane(length).queue();
-        let own = queue.len_of(workspace);
-        let alone = queue.active() <= 1 && own == queue.len();
-        alone || (own > 1 && own * queue.active() >= queue.len())
-    }
-
     fn enqueue(&mut self, now: Micros, length: WorkLength, offer: &Offer) {
         let class = self.classes.get(offer.class);
         let mean = class.latency.mean();
@@ -303,53 +256,14 @@
         }
     }
 
-    /// Rejects what waits beyond the bounds: of the workspace that has most waiting, the request
-    /// that came last.
-    fn make_room(&mut self, now: Micros, length: WorkLength) {
-        while self.is_overfull(now, length) {
-            let Some(workspace) = self.lane(length).queue().heaviest() else { return };
-            let shared = self.lane(length).queue().active() > 1;
-            let Some(waiting) = self.lane_mut(length).take_newest(now, workspace) else { return };
-            let reason =
-                if shared { RejectReason::OverShare } else { RejectReason::WontMeetTarget };
-            self.forget_place(waiting.ticket);
-            self.push_rejection(now, length, waiting.ticket, reason);
-        }
-    }
-
-    fn is_overfull(&mut self, now: Micros, length: WorkLength) -> bool {
-        let len = self.lane(length).queue().len();
-        if len <= 1 {
-            return false;
-        }
-        if len > self.cfg.max_waiting {
-            return true;
-        }
-        if !self.cfg.early_rejection {
-            return false;
-        }
-        let allowed = self.classes.longest_wait(length, self.cfg.min_wait_share);
-        self.lane(length).wait(now, len, self.slots(length)) > allowed
-    }
-
-    fn give_up(&mut self, now: Micros) {
-        while let Some((at, ticket)) = self.give_ups.first().copied() {
-            if at > now {
-                return;
-            }
-            let length = self.withdraw(now, ticket).unwrap_or(WorkLength::Short);
-            self.push_rejection(now, length, ticket, RejectReason::WontMeetTarget);
-        }
-    }
-
     /// Takes a waiting ticket out of everything; its lane if it waited.
-    fn withdraw(&mut self, now: Micros, ticket: Ticket) -> Option<WorkLength> {
+    pub(super) fn withdraw(&mut self, now: Micros, ticket: Ticket) -> Option<WorkLength> {
         let place = self.forget_place(ticket)?;
         self.lane_mut(place.length).remove(now, place.workspace, ticket);
         Some(place.length)
     }
 
-    fn forget_place(&mut self, ticket: Ticket) -> Option<Place> {
+    pub(super) fn forget_place(&mut self, ticket: Ticket) -> Option<Place> {
         let place = self.places.remove(&ticket)?;
         self.give_ups.remove(&(place.give_up_at, ticket));
         Some(place)
@@ -379,24 +293,4 @@
             (false, false) => None,
         }
     }
-
-    fn rejection(&mut self, now: Micros, length: WorkLength, reason: RejectReason) -> Rejection {
-        let rate = self.lane(length).drain_rate(now, self.slots(length));
-        Rejection { reason, retry_after: self.returns.book(now, rate) }
-    }
-
-    fn turn_away(&mut self, now: Micros, length: WorkLength, reason: RejectReason) -> Decision {
-        Decision::Reject(self.rejection(now, length, reason))
-    }
-
-    fn push_rejection(
-        &mut self,
-        now: Micros,
-        length: WorkLength,
-        ticket: Ticket,
-        reason: RejectReason,
-    ) {
-        let rejection = self.rejection(now, length, reason);
-        self.pending.push(Step::Reject(ticket, rejection));
-    }
 }
--- a/crates/galenapath-policy/src/admission/mod.rs
+++ b/crates/galenapath-policy/src/admission/mod.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod recent;
 mod returns;
+mod turn_away;
 mod workspaces;
 
 pub use config::{AdmissionConfig, LimitConfig, LimitRule};
--- a/crates/galenapath-policy/src/retry/attempts.rs
+++ b/crates/galenapath-policy/src/retry/attempts.rs
@@ -1,4 +1,5 @@
-//! The count of attempts that travels with a call and back with its answer.
+//! The count of attempts that travels with a call and back with its answer, in
+//! [`ATTEMPT_HEADER`](galenapath_protocol::ATTEMPT_HEADER).
 
 /// Attempts made on one call, as one instance in the chain knows them.
 ///
--- a/crates/galenapath-policy/src/retry/hedge.rs
+++ b/crates/galenapath-policy/src/retry/hedge.rs
@@ -2,7 +2,12 @@
 //!
 //! Load pattern: a straggler among healthy backend servers. Without hedging each lookup that was
 //! sent there before the balancer noticed waits for it. Hedges come out of the retry budget, so
-//! that a slow service is not made slower by them.
+//! that a slow service is not made slower by them; and they are only sent while admission has room
+//! ([`Admission::has_room`](crate::Admission::has_room)), because in an overload each of them would
+//! take the place of a first try.
+//!
+//! The delay is the 95th percentile of the latency: one lookup in twenty is then sent twice, half of
+//! what the retry budget yields, and the other half is left for retries.
 
 use super::budget::RetryBudget;
 use super::rule::RequestKind;
--- a/crates/galenapath-policy/tests/retry.rs
+++ b/crates/galenapath-policy/tests/retry.rs
@@ -5,6 +5,8 @@
     may_retry,
 };
 use galenapath_protocol::{Micros, Verdict};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const PLENTY: Micros = Micros::from_secs(1);
 const KINDS: [RequestKind; 3] = [RequestKind::Lookup, RequestKind::Filing, RequestKind::Transfer];
@@ -116,3 +118,49 @@
     let hedge = HedgePolicy::new(HedgeConfig::default());
     assert_eq!(hedge.delay(RequestKind::Lookup), None);
 }
+
+/// Latencies in ms of lookups of which one in twenty meets a straggler ten times as slow, and the
+/// share that was sent twice.
+fn straggler_latencies(hedged: bool) -> (Vec<f64>, f64) {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut draw = || {
+        let mean = if rng.random_range(0..20) == 0 { 50.0 } else { 5.0 };
+        -rng.random_range(f64::EPSILON..1.0_f64).ln() * mean
+    };
+    let mut policy = HedgePolicy::new(HedgeConfig::default());
+    let mut budget = RetryBudget::new(RetryConfig::default());
+    let mut sent_twice = 0;
+    let mut latencies = Vec::new();
+    for i in 0..100_000_u64 {
+        let started = Micros(i * 100);
+        budget.first_try(started);
+        let (first, second) = (draw(), draw());
+        let delay = policy.delay(RequestKind::Lookup).filter(|_| hedged).unwrap_or(PLENTY);
+        let at = started + delay;
+        let slow = first > delay.as_millis_f64();
+        let is_sent = slow
+            && policy.try_hedge(at, started, started + PLENTY, RequestKind::Lookup, &mut budget);
+        sent_twice += u32::from(is_sent);
+        let other = if is_sent { delay.as_millis_f64() + second } else { f64::MAX };
+        latencies.push(first.min(other));
+        policy.observe(Micros((first.min(other) * 1_000.0) as u64));
+    }
+    latencies.sort_unstable_by(f64::total_cmp);
+    (latencies, f64::from(sent_twice) / 100_000.0)
+}
+
+#[test]
+fn hedge_cuts_the_tail_of_a_straggler() {
+    let (plain, _) = straggler_latencies(false);
+    let (hedged, share) = straggler_latencies(true);
+    println!(
+        "p99 {:.1} -> {:.1} ms, p99.9 {:.1} -> {:.1} ms, sent twice {:.1}%",
+        plain[99_000],
+        hedged[99_000],
+        plain[99_900],
+        hedged[99_900],
+        share * 100.0
+    );
+    assert!(hedged[99_900] < 0.5 * plain[99_900]);
+    assert!(share <= 0.1);
+}
--- a/crates/galenapath-protocol/src/header.rs
+++ b/crates/galenapath-protocol/src/header.rs
@@ -10,6 +10,9 @@
 pub const WORKSPACE_HEADER: &str = "galenapath-workspace";
 /// Time left for the request in milliseconds, carried along call chains.
 pub const DEADLINE_HEADER: &str = "galenapath-deadline-ms";
+/// Attempts made on the call so far, over the whole call chain: on a request the running one
+/// included, on an answer the most that any level below has reached. Absent means one.
+pub const ATTEMPT_HEADER: &str = "galenapath-attempt";
 /// Number of entry instances that the request has passed; bounds forwarding between them.
 pub const HOPS_HEADER: &str = "galenapath-hops";
 /// Load report that a backend server attaches to its answers; never passed to callers.
--- a/crates/galenapath-protocol/src/lib.rs
+++ b/crates/galenapath-protocol/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub use collections::{FastMap, FastSet};
 pub use header::{
-    BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, REPORT_HEADER,
-    REQUEST_ID_HEADER, VERDICT_HEADER, WORKSPACE_HEADER,
+    ATTEMPT_HEADER, BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER,
+    REPORT_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER, WORKSPACE_HEADER,
 };
 pub use ident::{BackendId, DomainId, Incarnation, InstanceId, ParseIdentError, hash64};
 pub use report::{LoadReport, ParseReportError};
