--- a/crates/galenapath-policy/tests/overload.rs
+++ b/crates/galenapath-policy/tests/overload.rs
@@ -192,7 +192,8 @@
     world.cfg.limit.rule = rule;
     world.streams = vec![lookups("a", vec![(ms(0), 0.25 * CAPACITY), (ms(500), 0.5 * CAPACITY)])];
     let sim = world.run();
-    let name = format!("overstated slots, {rule:?} limit, server queue {server_queue}");
+    let bound = if server_queue == usize::MAX { "endless" } else { "short" };
+    let name = format!("overstated slots, {rule:?} limit, {bound} server queues");
     let report = row(&sim, &name, &[0], ms(1_000), ms(2_000));
     (report, sim.records.iter().filter(|r| r.end == End::Shed).count())
 }
