Admission: the loss of backend servers is told to the limit

Cause: when 12 of 20 backend servers leave at 90% load, latency rises as if the work had become slower, and the limit keeps to what was fine with 20: a queue at the 8 that are left for up to ten minutes. Ruled out: scaling the level alone (median 20 ms: the window that was running, and those after it until the latency shows the loss, put the old number back). Change: set_service_slots scales the level and what was fine, and nothing is learned for 100 ms. The first doubt takes the requests in flight as the level, which could be one before.

--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -96,6 +96,13 @@
         self.limit.set_told(slots);
     }
 
+    /// Sets how many slots the service has on all backend servers that take requests. Call it when
+    /// the list of servers changes: the loss of servers is known then, while from latency alone it
+    /// looks like work that has become slower, which does not lower the limit.
+    pub fn set_service_slots(&mut self, now: Micros, slots: u32) {
+        self.limit.set_service_slots(now, slots);
+    }
+
     /// Turns new requests away (`true`) or takes them again; what waits is still served.
     pub fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
--- a/crates/galenapath-policy/src/admission/limit.rs
+++ b/crates/galenapath-policy/src/admission/limit.rs
@@ -25,6 +25,8 @@
     cfg: LimitConfig,
     /// What the balancer says the instance may use. At least one.
     told: f64,
+    /// All slots of the service, once known. At least one.
+    service_slots: Option<f64>,
     /// What the instance found. At least one.
     level: f64,
     /// Whether latency or refusals have spoken against what the balancer says.
@@ -52,6 +54,8 @@
 impl ConcurrencyLimit {
     /// Shortest time between two moves: several round trips, so that a move shows its effect.
     const WINDOW: Micros = Micros::from_millis(50);
+    /// Time after a loss of slots in which nothing is learned: the latency does not show it yet.
+    const SETTLE: Micros = Micros::from_millis(100);
     /// Fewest ended requests between two moves.
     const MIN_ENDED: u32 = 10;
     /// Spread of the logarithm of exponential work; one window's mean strays by it over the root
@@ -72,6 +76,7 @@
         Self {
             cfg,
             told: f64::from(slots.max(1)),
+            service_slots: None,
             level: 1.0,
             has_doubt: false,
             proven: RecentExtreme::greatest(),
@@ -101,6 +106,19 @@
         self.told = f64::from(slots.max(1));
     }
 
+    /// Takes over how many slots the service has altogether. When they become fewer, so does what
+    /// was fine before.
+    pub fn set_service_slots(&mut self, now: Micros, slots: u32) {
+        let slots = f64::from(slots.max(1));
+        let part = self.service_slots.map_or(1.0, |before| slots / before);
+        self.service_slots = Some(slots);
+        if part < 1.0 {
+            self.level = (self.level * part).max(1.0);
+            self.proven.scale(part);
+            self.window = Window { started: now + Self::SETTLE, ..Window::default() };
+        }
+    }
+
     /// A request was answered; `excess` is the logarithm of its latency over the baseline if there
     /// is one, `in_flight` counts it as well.
     pub fn answered(&mut self, now: Micros, excess: Option<f64>, in_flight: u32) {
@@ -117,6 +135,10 @@
     }
 
     fn ended(&mut self, now: Micros, in_flight: u32) {
+        if now < self.window.started {
+            self.window = Window { started: self.window.started, ..Window::default() };
+            return;
+        }
         self.window.peak = self.window.peak.max(in_flight);
         let ended = self.window.answered + self.window.refused;
         if now - self.window.started < Self::WINDOW || ended < Self::MIN_ENDED {
@@ -132,10 +154,10 @@
         let refused = f64::from(window.refused) / f64::from(window.answered + window.refused);
         if refused > Self::REFUSED_TOLERATED {
             self.proven.clear();
-            self.has_doubt = true;
+            self.doubt(peak);
             self.level = (self.level.min(peak) * (1.0 - refused / 2.0)).max(1.0);
         } else if self.is_inflated(window) {
-            self.has_doubt = true;
+            self.doubt(peak);
             let floor = self.proven.get().unwrap_or(1.0);
             self.level = (self.level * self.cfg.decrease).max(floor);
         } else if window.compared > 0 {
@@ -144,6 +166,14 @@
         }
     }
 
+    /// The first doubt ends the time in which the level did not count.
+    fn doubt(&mut self, peak: f64) {
+        if !self.has_doubt {
+            self.level = self.level.max(peak);
+        }
+        self.has_doubt = true;
+    }
+
     fn grow(&mut self, peak: f64) {
         if peak >= self.level * Self::USED_UP {
             self.level = self.level.max(peak);
--- a/crates/galenapath-policy/src/admission/recent.rs
+++ b/crates/galenapath-policy/src/admission/recent.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Multiplies all values.
+    pub fn scale(&mut self, factor: f64) {
+        self.current = self.current.map(|x| x * factor);
+        self.previous = self.previous.map(|x| x * factor);
+    }
+
     /// Forgets all values.
     pub fn clear(&mut self) {
         (self.current, self.previous) = (None, None);
--- a/crates/galenapath-policy/tests/overload.rs
+++ b/crates/galenapath-policy/tests/overload.rs
@@ -161,6 +161,20 @@
     assert!(back.goodput >= 0.95 * 0.8 * CAPACITY);
 }
 
+/// Twelve of twenty backend servers leave for good at 90% load, with what is left at 225%.
+#[test]
+fn servers_lost_latency_kept() {
+    let mut world = World::new(7);
+    world.until = ms(4_000);
+    world.streams = vec![lookups("a", vec![(ms(0), 0.9 * CAPACITY)])];
+    world.changes = vec![Change { at: ms(2_000), servers: 12, factor: f64::INFINITY }];
+    let sim = world.run();
+    row(&sim, "12 of 20 servers lost, first 500 ms", &[0], ms(2_000), ms(2_500));
+    let report = row(&sim, "12 of 20 servers lost, then", &[0], ms(2_500), ms(4_000));
+    assert!(report.goodput >= 0.95 * 0.4 * CAPACITY);
+    assert!(report.latency(0.5) <= 15.0, "no queue at the servers that are left");
+}
+
 /// Two backend servers behind four instances, with the same load from the start.
 fn small_service(load: f64) -> Report {
     let mut world = World::new(7);
--- a/crates/galenapath-policy/tests/support/sim.rs
+++ b/crates/galenapath-policy/tests/support/sim.rs
@@ -28,7 +28,8 @@
     pub returns: u32,
 }
 
-/// From `at` on, `servers` of the backend servers take `factor` times as long.
+/// From `at` on, the first `servers` backend servers take `factor` times as long, or get no more
+/// requests if it is infinite.
 #[derive(Clone, Copy)]
 pub struct Change {
     pub at: Micros,
@@ -114,6 +115,8 @@
     seq: u64,
     now: Micros,
     servers: Vec<Server>,
+    /// Number of the first servers that get no more requests.
+    left: usize,
     instances: Vec<Instance>,
     pub records: Vec<Record>,
     /// Slot time used, over all backend servers.
@@ -165,6 +168,7 @@
             seq: 0,
             now: Micros::ZERO,
             servers: (0..world.servers).map(|_| server()).collect(),
+            left: 0,
             instances: (0..world.instances).map(instance).collect(),
             records: Vec::new(),
             busy: Micros::ZERO,
@@ -179,6 +183,7 @@
     }
 
     fn run(&mut self) {
+        self.leave(0);
         for stream in 0..self.world.streams.len() {
             self.schedule_arrival(stream, Micros::ZERO);
         }
@@ -239,6 +244,9 @@
             }
             Event::Change(i) => {
                 let change = self.world.changes[i];
+                if change.factor.is_infinite() {
+                    return self.leave(change.servers);
+                }
                 for server in self.servers.iter_mut().take(change.servers) {
                     server.factor = change.factor;
                 }
@@ -246,6 +254,15 @@
         }
     }
 
+    /// The first servers get no more requests, and the instances are told.
+    fn leave(&mut self, servers: usize) {
+        self.left = servers;
+        let slots = self.world.slots * (self.servers.len() - servers);
+        for instance in &mut self.instances {
+            instance.admission.set_service_slots(self.now, slots as u32);
+        }
+    }
+
     fn arrive(&mut self, stream: usize, returns_left: u32) {
         let i = self.rng.random_range(0..self.instances.len());
         let ticket = self.records.len();
@@ -316,7 +333,8 @@
     fn set_capacity(&mut self, i: usize) {
         let instance = &mut self.instances[i];
         let slots = self.world.slots;
-        let free: usize = self.servers.iter().map(|s| slots.saturating_sub(s.assigned)).sum();
+        let free: usize =
+            self.servers[self.left..].iter().map(|s| slots.saturating_sub(s.assigned)).sum();
         let free = if self.world.blind { slots * self.servers.len() } else { free };
         instance.admission.set_capacity(self.now, instance.in_flight + free as u32);
     }
@@ -324,8 +342,8 @@
     /// Sends a request to a backend server with the fewest assigned, or blindly to any.
     fn start(&mut self, ticket: usize) {
         assert!(self.records[ticket].started.is_none(), "started once");
-        let any = self.rng.random_range(0..self.servers.len());
-        let order = (0..self.servers.len()).map(|i| (any + i) % self.servers.len());
+        let any = self.rng.random_range(self.left..self.servers.len());
+        let order = (any..self.servers.len()).chain(self.left..any);
         let least = order.min_by_key(|s| self.servers[*s].assigned).unwrap_or(any);
         let server = if self.world.blind { any } else { least };
         self.servers[server].assigned += 1;
