Admission: what the balancer says is doubted on clear signs only, and for a second

Cause: when half of the instances are replaced, a new one gets all callers of an old one at once. Chance alone raised the first doubt within a few windows, and from then on the limit was twice a level that had hardly been learned. Ruled out: the rejections themselves (0.02%); they follow from the wait for the level. Change: doubt needs a latency of twice the baseline beyond what chance explains, or refusals, and lasts a second.

--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -92,8 +92,8 @@
     /// knows it: those that the balancer counts as its own in flight, and its free slots. Both have
     /// to come from the balancer: a request that was started here and is not sent yet would otherwise
     /// count as in flight while its slot still counts as free.
-    pub fn set_capacity(&mut self, _now: Micros, slots: u32) {
-        self.limit.set_told(slots);
+    pub fn set_capacity(&mut self, now: Micros, slots: u32) {
+        self.limit.set_told(now, slots);
     }
 
     /// Sets how many slots the service has on all backend servers that take requests. Call it when
--- a/crates/galenapath-policy/src/admission/limit.rs
+++ b/crates/galenapath-policy/src/admission/limit.rs
@@ -6,7 +6,7 @@
 //! backend servers, where nothing can be taken back, when reports are late or lie.
 //!
 //! The limit is what the balancer says, but at least a level that the instance finds by itself,
-//! and at most twice that level once anything has spoken against what the balancer says:
+//! and at most twice that level while latency or refusals speak against what the balancer says:
 //! - The level rises while it is used up and latency is near the class's baseline. Before there is a
 //!   baseline it stays at one, so that the baseline is taken without a queue.
 //! - Latency well above the baseline means a queue at the backend servers, or slower work. It lowers
@@ -29,8 +29,10 @@
     service_slots: Option<f64>,
     /// What the instance found. At least one.
     level: f64,
-    /// Whether latency or refusals have spoken against what the balancer says.
-    has_doubt: bool,
+    /// Until when what the balancer says is doubted, because latency or refusals speak against it.
+    doubted_until: Micros,
+    /// The time of the last call.
+    now: Micros,
     /// Most requests in flight of the windows with latency near the baseline.
     proven: RecentExtreme,
     window: Window,
@@ -51,6 +53,18 @@
     peak: u32,
 }
 
+impl Window {
+    /// Spread of the logarithm of exponential work; one window's mean strays by it over the root
+    /// of the count.
+    const LN_SPREAD: f64 = 1.28;
+
+    /// Mean latency over baseline, less what chance explains. One without latencies.
+    fn inflation(&self) -> f64 {
+        let count = f64::from(self.compared.max(1));
+        (self.excess / count - Self::LN_SPREAD / count.sqrt()).exp()
+    }
+}
+
 impl ConcurrencyLimit {
     /// Shortest time between two moves: several round trips, so that a move shows its effect.
     const WINDOW: Micros = Micros::from_millis(50);
@@ -58,9 +72,6 @@
     const SETTLE: Micros = Micros::from_millis(100);
     /// Fewest ended requests between two moves.
     const MIN_ENDED: u32 = 10;
-    /// Spread of the logarithm of exponential work; one window's mean strays by it over the root
-    /// of the count.
-    const LN_SPREAD: f64 = 1.28;
     /// Share of refused requests that is let pass. With a tenth, what backend servers with short
     /// queues shed by chance is retried within the retry budget; with a fiftieth, a quarter of
     /// their slots stayed empty.
@@ -70,6 +81,11 @@
     /// How far what the balancer says may exceed the level, as a multiple of it: room for a burst
     /// into slots that are known to be free.
     const TOLD_BEYOND: f64 = 2.0;
+    /// Latency over baseline that speaks against what the balancer says. More than what moves the
+    /// level, because a wrong doubt holds back an instance whose load has just grown.
+    const DOUBTED_INFLATION: f64 = 2.0;
+    /// How long a doubt lasts.
+    const DOUBT_LASTS: Micros = Micros::from_secs(1);
 
     /// A limit that starts at the given number of slots.
     pub fn new(cfg: LimitConfig, slots: u32) -> Self {
@@ -78,7 +94,8 @@
             told: f64::from(slots.max(1)),
             service_slots: None,
             level: 1.0,
-            has_doubt: false,
+            doubted_until: Micros::ZERO,
+            now: Micros::ZERO,
             proven: RecentExtreme::greatest(),
             window: Window::default(),
         }
@@ -93,7 +110,11 @@
     }
 
     fn most(&self) -> f64 {
-        if self.has_doubt { self.level * Self::TOLD_BEYOND } else { f64::INFINITY }
+        if self.has_doubt(self.now) { self.level * Self::TOLD_BEYOND } else { f64::INFINITY }
+    }
+
+    fn has_doubt(&self, now: Micros) -> bool {
+        now < self.doubted_until
     }
 
     /// The part of the limit that stands for slots the balancer knows of; at least one.
@@ -102,7 +123,8 @@
     }
 
     /// Takes over what the balancer says.
-    pub fn set_told(&mut self, slots: u32) {
+    pub fn set_told(&mut self, now: Micros, slots: u32) {
+        self.now = now;
         self.told = f64::from(slots.max(1));
     }
 
@@ -152,12 +174,15 @@
     fn move_level(&mut self, now: Micros, window: &Window) {
         let peak = f64::from(window.peak);
         let refused = f64::from(window.refused) / f64::from(window.answered + window.refused);
+        let inflation = window.inflation();
         if refused > Self::REFUSED_TOLERATED {
             self.proven.clear();
-            self.doubt(peak);
+            self.doubt(now, peak);
             self.level = (self.level.min(peak) * (1.0 - refused / 2.0)).max(1.0);
-        } else if self.is_inflated(window) {
-            self.doubt(peak);
+        } else if inflation > self.cfg.tolerated_inflation {
+            if inflation > Self::DOUBTED_INFLATION {
+                self.doubt(now, peak);
+            }
             let floor = self.proven.get().unwrap_or(1.0);
             self.level = (self.level * self.cfg.decrease).max(floor);
         } else if window.compared > 0 {
@@ -166,12 +191,12 @@
         }
     }
 
-    /// The first doubt ends the time in which the level did not count.
-    fn doubt(&mut self, peak: f64) {
-        if !self.has_doubt {
+    /// From the first doubt on, the level counts; until then it may not have been learned.
+    fn doubt(&mut self, now: Micros, peak: f64) {
+        if !self.has_doubt(now) {
             self.level = self.level.max(peak);
         }
-        self.has_doubt = true;
+        self.doubted_until = now + Self::DOUBT_LASTS;
     }
 
     fn grow(&mut self, peak: f64) {
@@ -180,11 +205,4 @@
             self.level += (self.level * self.cfg.increase).max(1.0);
         }
     }
-
-    fn is_inflated(&self, window: &Window) -> bool {
-        let count = f64::from(window.compared.max(1));
-        let mean = window.excess / count;
-        let noise = Self::LN_SPREAD / count.sqrt();
-        mean > self.cfg.tolerated_inflation.ln() + noise
-    }
 }
