Admission: long work leaves free slots for short work instead of keeping to a cap

With 16 dispatchers it did not protect either, since a share of few slots is coarse and moves with the requests in flight. Change: long work starts if a tenth of the known slots stays free after it, up to 70% of them; below a quarter of the limit it needs no free slots.

--- a/crates/galenapath-policy/src/admission/config.rs
+++ b/crates/galenapath-policy/src/admission/config.rs
@@ -57,11 +57,13 @@
     /// The short allowance: the part of the allowed wait that is left to workspaces over their
     /// share while the service is overloaded; 0 to 1.
     pub overload_wait_share: f64,
-    /// Part of the known slots that long work may not take where short work shares the service;
-    /// 0 to 1.
+    /// Part of the known slots that stays free when long work starts, at least one slot, where short
+    /// work shares the service; 0 to 1. Zero lets long work start like short work.
     pub short_reserve: f64,
-    /// Part of the limit up to which long work goes before short work, so that it is not starved;
-    /// 0 to 1.
+    /// Most of the known slots that long work may take then; 0 to 1.
+    pub long_share: f64,
+    /// Part of the limit up to which long work needs no free slots beside it and alternates with
+    /// short work, so that it is not starved; 0 to 1.
     pub long_floor: f64,
     /// Shortest time that a rejected caller is told to stay away.
     pub min_retry_after: Micros,
@@ -82,7 +84,8 @@
             prediction_margin: 0.8,
             overload_after: Micros::from_millis(100),
             overload_wait_share: 0.25,
-            short_reserve: 0.6,
+            short_reserve: 0.1,
+            long_share: 0.7,
             long_floor: 0.25,
             min_retry_after: Micros::from_millis(20),
             max_retry_after: Micros::from_secs(10),
--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -211,17 +211,36 @@
 
     /// Slots that requests of the length may take; at least one.
     pub(super) fn slots(&self, length: WorkLength) -> u32 {
-        if length == WorkLength::Short || !self.classes.are_mixed() {
-            return self.limit.get();
+        match length {
+            WorkLength::Long if self.classes.are_mixed() => self.known_share(self.cfg.long_share),
+            WorkLength::Long | WorkLength::Short => self.limit.get(),
         }
-        let slots = self.limit.known_slots();
-        let reserved = (f64::from(slots) * self.cfg.short_reserve).ceil() as u32;
-        slots.saturating_sub(reserved).max(1)
+    }
+
+    /// A part of the slots that the balancer knows of; at least one.
+    fn known_share(&self, share: f64) -> u32 {
+        ((f64::from(self.limit.known_slots()) * share) as u32).max(1)
     }
 
     fn has_slot(&self, length: WorkLength) -> bool {
-        let all = self.running.len() < self.limit.get() as usize;
-        all && self.lane(length).in_flight < self.slots(length)
+        let is_free = self.running.len() < self.limit.get() as usize;
+        let is_within = self.lane(length).in_flight < self.slots(length);
+        is_free && is_within && (length == WorkLength::Short || self.leaves_reserve())
+    }
+
+    /// Whether long work may start without taking the slots that are kept free for short work.
+    fn leaves_reserve(&self) -> bool {
+        let is_off = self.cfg.short_reserve == 0.0 || !self.classes.are_mixed();
+        if is_off || self.long.in_flight < self.long_floor() {
+            return true;
+        }
+        let reserved = self.known_share(self.cfg.short_reserve) as usize;
+        self.running.len() + reserved < self.limit.known_slots() as usize
+    }
+
+    /// Requests of long work that may be in flight whatever short work needs; at least one.
+    fn long_floor(&self) -> u32 {
+        (f64::from(self.limit.get()) * self.cfg.long_floor).ceil() as u32
     }
 
     fn start(&mut self, ticket: Ticket, running: Running) {
@@ -291,8 +310,7 @@
     /// up to which the two alternate.
     fn next_length(&self) -> Option<WorkLength> {
         let can_start = |length| !self.lane(length).queue().is_empty() && self.has_slot(length);
-        let floor = (f64::from(self.limit.get()) * self.cfg.long_floor).ceil() as u32;
-        let long_is_due = self.long.in_flight < floor && !self.long_went_last;
+        let long_is_due = self.long.in_flight < self.long_floor() && !self.long_went_last;
         match (can_start(WorkLength::Short), can_start(WorkLength::Long)) {
             (true, true) if long_is_due => Some(WorkLength::Long),
             (true, _) => Some(WorkLength::Short),
--- a/crates/galenapath-policy/tests/overload.rs
+++ b/crates/galenapath-policy/tests/overload.rs
@@ -228,9 +228,10 @@
 }
 
 /// Lookups for 40% of the slots and transfers for all of them.
-fn long_among_short(short_reserve: f64) -> Sim {
+fn long_among_short(instances: usize, short_reserve: f64, long_share: f64) -> Sim {
     let mut world = World::new(3);
-    world.cfg.short_reserve = short_reserve;
+    world.instances = instances;
+    (world.cfg.short_reserve, world.cfg.long_share) = (short_reserve, long_share);
     world.caller_patience = ms(3_000);
     world.until = ms(4_000);
     let short = lookups("a", vec![(ms(0), 0.4 * CAPACITY)]);
@@ -240,7 +241,7 @@
 
 #[test]
 fn long_work_short_unharmed() {
-    let sim = long_among_short(0.6);
+    let sim = long_among_short(4, 0.1, 0.7);
     let short = row(&sim, "long among short: short", &[0], ms(1_000), ms(4_000));
     let long = Report::of(&sim, &[1], TRANSFER.target, ms(1_000), ms(4_000));
     println!("{}", long.row("long among short: long"));
@@ -249,9 +250,17 @@
     assert!(long.goodput >= 0.3 * CAPACITY / 40.0, "long work still gets its part");
 }
 
+#[test]
+fn long_work_sixteen_dispatchers() {
+    let sim = long_among_short(16, 0.1, 0.7);
+    let short = row(&sim, "long among short: short, 16 dispatchers", &[0], ms(1_000), ms(4_000));
+    assert!(short.goodput >= 0.95 * 0.4 * CAPACITY);
+    assert!(short.latency(0.99) <= TARGET_MS);
+}
+
 #[test]
 fn long_work_without_reserve() {
-    let sim = long_among_short(0.0);
+    let sim = long_among_short(4, 0.0, 1.0);
     let short = row(&sim, "short, nothing reserved", &[0], ms(1_000), ms(4_000));
     assert!(short.goodput < 0.5 * 0.4 * CAPACITY);
 }
