--- /dev/null
+++ b/crates/galenapath-policy/benches/decisions/main.rs
@@ -0,0 +1,157 @@
+//! Plays patterns of load in virtual time through the code that ships, beside baselines and the
+//! limit, and prints the tables of `docs/MEASUREMENTS.md`.
+//!
+//! `cargo bench --bench decisions [-- WORD]` plays the rows whose name contains `WORD`.
+
+mod fleet;
+mod limit;
+mod scenario;
+mod sim;
+mod stats;
+
+use galenapath_policy::ChoicePolicy;
+use scenario::{DOMAINS, Deployment, HSINCHU, INSTANCES, LAGOS, Pattern, Scenario, Work};
+use sim::Player;
+use stats::Figures;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+
+const THREADS: usize = 4;
+const SEED: u64 = 20;
+const FEW: usize = 3;
+
+const PLAYERS: [Player; 6] = [
+    player("galenapath", ChoicePolicy::Galenapath, FEW),
+    player("random", ChoicePolicy::Random, INSTANCES),
+    player("round robin", ChoicePolicy::RoundRobin, INSTANCES),
+    player("least in flight", ChoicePolicy::LeastInFlight, INSTANCES),
+    player("power of two", ChoicePolicy::PowerOfTwo, INSTANCES),
+    player("power of two, 3 disp.", ChoicePolicy::PowerOfTwo, FEW),
+];
+
+const fn player(name: &'static str, policy: ChoicePolicy, dispatchers: usize) -> Player {
+    Player { name, policy, dispatchers }
+}
+
+const PATTERNS: [Pattern; 10] = [
+    Pattern::Steady,
+    Pattern::Burst,
+    Pattern::HeavyCallers,
+    Pattern::Straggler,
+    Pattern::FastFailure,
+    Pattern::LongAmongShort,
+    Pattern::Saturation,
+    Pattern::RollingServers,
+    Pattern::HalfInstances,
+    Pattern::BadReports,
+];
+
+/// One run: a scenario and a player, or the limit.
+#[derive(Clone, Copy)]
+struct Job {
+    scenario: Scenario,
+    player: Option<Player>,
+}
+
+fn main() {
+    let filter = std::env::args().skip(1).find(|a| !a.starts_with("--")).unwrap_or_default();
+    let jobs: Vec<Job> = jobs().into_iter().filter(|j| j.title().contains(&filter)).collect();
+    let figures = run(&jobs);
+    let mut title = String::new();
+    for (job, figures) in jobs.iter().zip(&figures) {
+        if job.title() != title {
+            title = job.title();
+            print_head(&title);
+        }
+        print_row(job, figures);
+    }
+}
+
+fn jobs() -> Vec<Job> {
+    let mut jobs = Vec::new();
+    let mut add = |deployment: Deployment, pattern: Pattern, work: Work| {
+        let scenario = Scenario { deployment, work, pattern, seed: SEED };
+        jobs.extend(PLAYERS.iter().map(|p| Job { scenario, player: Some(*p) }));
+        jobs.push(Job { scenario, player: None });
+    };
+    for deployment in [HSINCHU, LAGOS] {
+        for pattern in PATTERNS {
+            add(deployment, pattern, Work::Exponential);
+        }
+    }
+    for work in [Work::HeavyTailed, Work::Constant] {
+        for pattern in [Pattern::Steady, Pattern::Burst, Pattern::Straggler, Pattern::BadReports] {
+            add(HSINCHU, pattern, work);
+        }
+    }
+    jobs
+}
+
+impl Job {
+    fn title(&self) -> String {
+        let Scenario { deployment, work, pattern, seed } = self.scenario;
+        format!("{}, {work:?} work, {}, seed {seed}", pattern.name(), deployment.name)
+    }
+
+    fn play(&self) -> Figures {
+        match &self.player {
+            Some(player) => sim::play(&self.scenario, player),
+            None => limit::play(&self.scenario, DOMAINS),
+        }
+    }
+}
+
+/// Plays all jobs, a few at a time; the order of the results is that of the jobs.
+fn run(jobs: &[Job]) -> Vec<Figures> {
+    let next = AtomicUsize::new(0);
+    let (tx, rx) = mpsc::channel();
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            let tx = tx.clone();
+            let next = &next;
+            scope.spawn(move || {
+                loop {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(job) = jobs.get(i) else { return };
+                    if tx.send((i, job.play())).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    drop(tx);
+    let mut figures = vec![Figures::default(); jobs.len()];
+    for (i, f) in rx {
+        figures[i] = f;
+    }
+    figures
+}
+
+fn print_head(title: &str) {
+    println!("\n{title}\n");
+    println!(
+        "| policy | p50 | p99 | p99.9 | wait p99 | wait p99.9 | goodput | rejected | Jain | \
+         measuring | share <50 ms | 50-250 | later | to leaving |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+}
+
+fn print_row(job: &Job, f: &Figures) {
+    let name = job.player.map_or("limit", |p| p.name);
+    let [early, middle, late] = f.first_share;
+    println!(
+        "| {name} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2}% | {:.2}% | {:.4} | {:.3}% | \
+         {early:.2} | {middle:.3} | {late:.3} | {} |",
+        f.p50,
+        f.p99,
+        f.p999,
+        f.wait99,
+        f.wait999,
+        f.goodput * 100.0,
+        f.rejected * 100.0,
+        f.jain,
+        f.measuring * 100.0,
+        f.to_leaving
+    );
+}
--- /dev/null
+++ b/crates/galenapath-policy/benches/decisions/scenario.rs
@@ -0,0 +1,165 @@
+//! What is played: deployments, distributions of work and patterns of load.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Moments and spans are in microseconds of virtual time.
+pub type Time = u64;
+
+pub const MS: Time = 1_000;
+pub const SECOND: Time = 1_000_000;
+/// Start of the measured part; the pattern's event happens here.
+pub const MEASURED_FROM: Time = SECOND;
+/// Last arrival.
+pub const END: Time = 4 * SECOND;
+pub const SERVERS: usize = 20;
+pub const SLOTS: u32 = 6;
+pub const INSTANCES: usize = 16;
+pub const DOMAINS: usize = 3;
+pub const CALLERS: usize = 200;
+/// Mean work of a request.
+pub const MEAN_WORK: f64 = 5_000.0;
+/// A request answered later than this misses its class's target.
+pub const TARGET: Time = 100 * MS;
+const HEAVY_CALLERS: usize = 4;
+const HEAVY_SHARE: f64 = 0.7;
+const BURST_EVERY: Time = 500 * MS;
+const BURST_LENGTH: Time = 5 * MS;
+const LONG_SHARE: f64 = 0.05;
+
+/// Delays of one user's deployment, one way.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    pub name: &'static str,
+    pub crossing: Time,
+    pub client: Time,
+}
+
+pub const HSINCHU: Deployment = Deployment { name: "Hsinchu", crossing: 1_500, client: 1_000 };
+pub const LAGOS: Deployment = Deployment { name: "Lagos", crossing: 500, client: 3_000 };
+
+/// Distribution of work, each with the mean `MEAN_WORK`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    Exponential,
+    /// Pareto with shape 1.5, cut at 500 ms.
+    HeavyTailed,
+    Constant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pattern {
+    Steady,
+    Burst,
+    HeavyCallers,
+    Straggler,
+    FastFailure,
+    LongAmongShort,
+    Saturation,
+    RollingServers,
+    HalfInstances,
+    BadReports,
+}
+
+impl Pattern {
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "0 steady",
+            Self::Burst => "1 burst x5 in 5 ms",
+            Self::HeavyCallers => "2 few heavy callers",
+            Self::Straggler => "3a straggler x10",
+            Self::FastFailure => "3b fast failure",
+            Self::LongAmongShort => "4 long among short",
+            Self::Saturation => "5 saturation 150%",
+            Self::RollingServers => "6 rolling servers",
+            Self::HalfInstances => "7 half of instances",
+            Self::BadReports => "8 late, lying reports",
+        }
+    }
+
+    /// Load as a share of the capacity of all servers at full speed.
+    fn load(self, at: Time) -> f64 {
+        match self {
+            Self::Burst => {
+                let since = at % BURST_EVERY;
+                if at >= MEASURED_FROM && since < BURST_LENGTH { 3.0 } else { 0.6 }
+            }
+            Self::Saturation => {
+                let overloaded = (MEASURED_FROM..2 * SECOND).contains(&at);
+                if overloaded { 1.5 } else { 0.7 }
+            }
+            Self::LongAmongShort | Self::RollingServers => 0.7,
+            _ => 0.85,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub deployment: Deployment,
+    pub work: Work,
+    pub pattern: Pattern,
+    pub seed: u64,
+}
+
+/// A request as its caller sends it.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Moment it reaches an instance.
+    pub at: Time,
+    pub caller: usize,
+    /// Work on a server at full speed.
+    pub work: Time,
+}
+
+impl Scenario {
+    /// All requests of the run, the same for every policy.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let capacity = (SERVERS as f64) * f64::from(SLOTS) / MEAN_WORK;
+        let highest = 3.0 * capacity;
+        let mut arrivals = Vec::new();
+        let mut at = 0.0;
+        loop {
+            at += exponential(&mut rng, 1.0 / highest);
+            if at as Time >= END {
+                return arrivals;
+            }
+            let rate = self.pattern.load(at as Time) * capacity;
+            if rng.random::<f64>() * highest < rate {
+                let caller = self.caller(&mut rng);
+                let work = self.work(&mut rng).max(1.0) as Time;
+                arrivals.push(Arrival { at: at as Time, caller, work });
+            }
+        }
+    }
+
+    fn caller(&self, rng: &mut SmallRng) -> usize {
+        let is_heavy = self.pattern == Pattern::HeavyCallers && rng.random::<f64>() < HEAVY_SHARE;
+        rng.random_range(0..if is_heavy { HEAVY_CALLERS } else { CALLERS })
+    }
+
+    fn work(&self, rng: &mut SmallRng) -> f64 {
+        if self.pattern == Pattern::LongAmongShort {
+            let is_long = rng.random::<f64>() < LONG_SHARE;
+            return if is_long { 10.0 * MEAN_WORK } else { exponential(rng, MEAN_WORK / 2.0) };
+        }
+        match self.work {
+            Work::Exponential => exponential(rng, MEAN_WORK),
+            Work::HeavyTailed => pareto(rng),
+            Work::Constant => MEAN_WORK,
+        }
+    }
+}
+
+pub fn exponential(rng: &mut SmallRng, mean: f64) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln() * mean
+}
+
+/// Shape 1.5 from 1.84 ms, cut at 500 ms: mean 5 ms.
+fn pareto(rng: &mut SmallRng) -> f64 {
+    const LEAST: f64 = 1_773.0;
+    const MOST: f64 = 500_000.0;
+    let u = 1.0 - rng.random::<f64>();
+    (LEAST * u.powf(-1.0 / 1.5)).min(MOST)
+}
--- /dev/null
+++ b/crates/galenapath-policy/benches/decisions/stats.rs
@@ -0,0 +1,144 @@
+//! What a run measures.
+
+use super::scenario::{CALLERS, MEASURED_FROM, MS, SERVERS, SLOTS, TARGET, Time};
+
+/// Windows after the event in which the share of server 0 is counted: end of each.
+const SHARE_WINDOWS: [Time; 3] = [50 * MS, 250 * MS, Time::MAX];
+
+#[derive(Debug)]
+pub struct Stats {
+    latencies: Vec<Time>,
+    waits: Vec<Time>,
+    offered: usize,
+    rejected: usize,
+    within_target: usize,
+    caller_offered: Vec<u32>,
+    caller_good: Vec<u32>,
+    sent: [u64; 3],
+    sent_to_first: [u64; 3],
+    pub probes: u64,
+    probe_time: Time,
+    pub to_leaving: u64,
+    ended_at: Time,
+}
+
+/// Figures of one run; times in milliseconds, the rest as shares.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub p50: f64,
+    pub p99: f64,
+    pub p999: f64,
+    pub wait99: f64,
+    pub wait999: f64,
+    pub goodput: f64,
+    pub rejected: f64,
+    pub jain: f64,
+    pub measuring: f64,
+    /// Share of server 0 in the windows after the event, relative to an even share.
+    pub first_share: [f64; 3],
+    pub to_leaving: u64,
+}
+
+impl Stats {
+    pub fn new() -> Self {
+        Self {
+            latencies: Vec::new(),
+            waits: Vec::new(),
+            offered: 0,
+            rejected: 0,
+            within_target: 0,
+            caller_offered: vec![0; CALLERS],
+            caller_good: vec![0; CALLERS],
+            sent: [0; 3],
+            sent_to_first: [0; 3],
+            probes: 0,
+            probe_time: 0,
+            to_leaving: 0,
+            ended_at: 0,
+        }
+    }
+
+    pub fn offer(&mut self, arrived: Time, caller: usize) {
+        if arrived >= MEASURED_FROM {
+            self.offered += 1;
+            self.caller_offered[caller] += 1;
+        }
+    }
+
+    /// A request was answered: `latency` as the caller sees it, `wait` without work and the way
+    /// between caller and instance.
+    pub fn answer(&mut self, arrived: Time, caller: usize, latency: Time, wait: Time) {
+        self.ended_at = self.ended_at.max(arrived);
+        if arrived < MEASURED_FROM {
+            return;
+        }
+        self.latencies.push(latency);
+        self.waits.push(wait);
+        if latency <= TARGET {
+            self.within_target += 1;
+            self.caller_good[caller] += 1;
+        }
+    }
+
+    pub fn reject(&mut self, arrived: Time) {
+        self.rejected += usize::from(arrived >= MEASURED_FROM);
+    }
+
+    pub fn send(&mut self, at: Time, server: usize) {
+        let Some(since) = at.checked_sub(MEASURED_FROM) else { return };
+        let window = SHARE_WINDOWS.iter().position(|&end| since < end).unwrap_or(2);
+        self.sent[window] += 1;
+        self.sent_to_first[window] += u64::from(server == 0);
+    }
+
+    pub fn probe(&mut self, cost: Time) {
+        self.probes += 1;
+        self.probe_time += cost;
+    }
+
+    pub fn figures(mut self) -> Figures {
+        self.latencies.sort_unstable();
+        self.waits.sort_unstable();
+        let capacity = (SERVERS as u64 * u64::from(SLOTS) * self.ended_at.max(1)) as f64;
+        let offered = self.offered.max(1) as f64;
+        let mut first_share = [0.0; 3];
+        for (share, (first, all)) in
+            first_share.iter_mut().zip(self.sent_to_first.iter().zip(&self.sent))
+        {
+            *share = *first as f64 * SERVERS as f64 / (*all).max(1) as f64;
+        }
+        Figures {
+            p50: quantile(&self.latencies, 0.5),
+            p99: quantile(&self.latencies, 0.99),
+            p999: quantile(&self.latencies, 0.999),
+            wait99: quantile(&self.waits, 0.99),
+            wait999: quantile(&self.waits, 0.999),
+            goodput: self.within_target as f64 / offered,
+            rejected: self.rejected as f64 / offered,
+            jain: self.jain(),
+            measuring: self.probe_time as f64 / capacity,
+            first_share,
+            to_leaving: self.to_leaving,
+        }
+    }
+
+    /// Jain's index of the share of each caller's requests that were answered within target.
+    fn jain(&self) -> f64 {
+        let shares: Vec<f64> = self
+            .caller_offered
+            .iter()
+            .zip(&self.caller_good)
+            .filter(|(offered, _)| **offered > 0)
+            .map(|(offered, good)| f64::from(*good) / f64::from(*offered))
+            .collect();
+        let sum: f64 = shares.iter().sum();
+        let squares: f64 = shares.iter().map(|x| x * x).sum();
+        if squares == 0.0 { 0.0 } else { sum * sum / (shares.len() as f64 * squares) }
+    }
+}
+
+/// In milliseconds.
+fn quantile(sorted: &[Time], q: f64) -> f64 {
+    let Some(last) = sorted.len().checked_sub(1) else { return 0.0 };
+    sorted[(last as f64 * q) as usize] as f64 / MS as f64
+}
--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -1,44 +1,49 @@
-//! The choice of the backend server.
-//!
-//! Load pattern: many requests in the same few milliseconds, arriving at several dispatchers that
-//! cannot see each other's. What goes wrong without it: they herd onto the server that looked idle
-//! last, while a straggler keeps its share of the work.
-//!
-//! A request goes to the server with the least cost: the crossing to another failure domain, plus
-//! the wait for a slot there. Suspect servers come last, ejected ones get single trials.
-
-use super::baseline::{self, Candidate};
-use super::config::{BalancerConfig, ChoicePolicy};
-use super::health::{Sign, Standing};
-use super::latency::ServiceLatency;
-use super::server::Server;
+//! The balancer of one service: the list of its backend servers and what is learned about them.
+
+use super::baseline::Candidate;
+use super::config::BalancerConfig;
+use super::health::Sign;
+use super::latency::{Lateness, ServiceLatency};
+use super::path::Paths;
+use super::server::{Ended, Server};
 use super::slot::Slot;
 use super::spec::{BackendSpec, BackendState, Outcome};
 use crate::measure::ProbeBudget;
 use galenapath_protocol::{BackendId, DomainId, FastMap, FastSet, LoadReport, Micros};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 
-/// Cost of a suspect server beside healthy ones, in microseconds: more than any wait.
-const SUSPECT_COST: f32 = 1e9;
+/// Weight of one report in the typical load.
+const TYPICAL_WEIGHT: f32 = 1.0 / 64.0;
+
+/// Average requests of other dispatchers on a server, over the servers whose reports are believed.
+#[derive(Debug, Default)]
+pub(super) struct TypicalOthers {
+    pub home: f32,
+    pub foreign: f32,
+}
 
 /// Chooses a backend server of one service for each request of one instance.
 #[derive(Debug)]
 pub struct Balancer {
-    cfg: BalancerConfig,
+    pub(super) cfg: BalancerConfig,
     domain: DomainId,
-    rng: SmallRng,
+    pub(super) rng: SmallRng,
     /// Places of servers; a place that is `None` is free.
-    servers: Vec<Option<Server>>,
+    pub(super) servers: Vec<Option<Server>>,
     /// Generation that the next server in each place gets.
     generations: Vec<u32>,
     by_id: FastMap<BackendId, usize>,
-    latency: ServiceLatency,
+    pub(super) latency: ServiceLatency,
+    pub(super) paths: Paths,
+    pub(super) typical: TypicalOthers,
+    /// Requests that wait at this instance; `None` when the instance does not tell.
+    pub(super) waiting: Option<u32>,
     /// Whether `set_backends` was called: later servers are new and ramp up.
     listed: bool,
-    turn: usize,
+    pub(super) turn: usize,
     probe_turn: usize,
-    candidates: Vec<Candidate>,
+    pub(super) candidates: Vec<Candidate>,
 }
 
 impl Balancer {
@@ -52,6 +57,9 @@
             generations: Vec::new(),
             by_id: FastMap::default(),
             latency: ServiceLatency::default(),
+            paths: Paths::default(),
+            typical: TypicalOthers::default(),
+            waiting: None,
             listed: false,
             turn: 0,
             probe_turn: 0,
@@ -116,67 +124,10 @@
         }
     }
 
-    /// Chooses a server for one request, or `None` when no server may be given work now. Servers
-    /// in `exclude` (those that the request has tried) and leaving ones are never chosen.
-    pub fn choose(&mut self, now: Micros, exclude: &[Slot]) -> Option<Slot> {
-        self.note_late(now);
-        let index = match self.cfg.policy {
-            ChoicePolicy::Galenapath => self.choose_least_cost(now, exclude),
-            _ => self.choose_baseline(exclude),
-        }?;
-        self.slot(index)
-    }
-
-    fn choose_baseline(&mut self, exclude: &[Slot]) -> Option<usize> {
-        let mut candidates = std::mem::take(&mut self.candidates);
-        candidates.clear();
-        for (index, server) in self.servers.iter().enumerate() {
-            let Some(server) = server else { continue };
-            if server.is_open() && !exclude.contains(&Slot::new(index, server.generation)) {
-                candidates.push(Candidate { index, in_flight: server.in_flight() });
-            }
-        }
-        let chosen = match self.cfg.policy {
-            ChoicePolicy::RoundRobin => baseline::round_robin(&candidates, &mut self.turn),
-            ChoicePolicy::LeastInFlight => baseline::least_in_flight(&candidates, &mut self.rng),
-            ChoicePolicy::PowerOfTwo => baseline::power_of_two(&candidates, &mut self.rng),
-            ChoicePolicy::Random | ChoicePolicy::Galenapath => {
-                baseline::random(&candidates, &mut self.rng)
-            }
-        };
-        self.candidates = candidates;
-        chosen
-    }
-
-    fn choose_least_cost(&mut self, now: Micros, exclude: &[Slot]) -> Option<usize> {
-        let mut best = None;
-        let mut least = f32::INFINITY;
-        for (index, server) in self.servers.iter().enumerate() {
-            let Some(server) = server else { continue };
-            if !server.is_open() || exclude.contains(&Slot::new(index, server.generation)) {
-                continue;
-            }
-            let cost = match server.health.standing(now) {
-                Standing::Ejected => SUSPECT_COST * 2.0,
-                Standing::TrialDue => return Some(index),
-                Standing::Suspect => SUSPECT_COST + self.wait(now, server),
-                Standing::Healthy => self.wait(now, server),
-            };
-            let cost = cost + self.rng.random::<f32>();
-            if cost < least {
-                least = cost;
-                best = Some(index);
-            }
-        }
-        best
-    }
-
-    /// Expected wait for a slot in microseconds; among servers with free slots, lower for those
-    /// with more of them.
-    fn wait(&self, now: Micros, server: &Server) -> f32 {
-        let slots = server.usable_slots(now, self.cfg.ramp);
-        let load = server.in_flight() as f32 + server.others(now);
-        self.latency.mean().max(1.0) * load / slots
+    /// Tells how many requests wait at this instance. With it, requests wait for a server of the
+    /// own failure domain as long as that is expected to cost less than crossing to another.
+    pub fn set_waiting(&mut self, waiting: u32) {
+        self.waiting = Some(waiting);
     }
 
     /// The name of a server, `None` when the handle is out of date.
@@ -189,39 +140,48 @@
     pub fn start(&mut self, now: Micros, slot: Slot) {
         if let Some(server) = self.server_mut(slot) {
             server.start(now);
-            server.health.started(now);
         }
     }
 
     /// A request ended, `latency` after it started.
     pub fn finish(&mut self, now: Micros, slot: Slot, outcome: Outcome, latency: Micros) {
-        let limit = self.latency.slow_limit();
+        let limits = self.latency.limits();
+        let mean = self.latency.mean();
         let Some(server) = self.server_mut(slot) else { return };
-        let Some(was_late) = server.finish(now - latency) else { return };
-        let is_late = limit.is_some_and(|limit| latency > limit);
-        let sign = match outcome {
-            Outcome::Answered if is_late => Some(Sign::Slow),
-            Outcome::Answered => Some(Sign::InTime),
-            Outcome::FastFailure | Outcome::Failure => Some(Sign::Failed),
-            Outcome::TimedOut => Some(Sign::Slow),
-            Outcome::Shed | Outcome::Cancelled => None,
-        };
-        let counted = was_late && sign == Some(Sign::Slow);
-        if let Some(sign) = sign.filter(|_| !counted) {
-            server.health.note(now, sign);
-        }
-        if outcome == Outcome::Answered {
-            server.fresh_at = now;
-            if !was_late {
-                self.latency.add(latency);
+        let Some(Ended { started, counted }) = server.finish(now - latency) else { return };
+        match outcome {
+            Outcome::Answered => {
+                let lateness = limits.map_or(Lateness::InTime, |l| l.lateness(latency));
+                server.health.note(now, started, Sign::Ended { counted, lateness });
+                server.others.answered(latency, mean, server.slots);
+                server.answered(now);
+                let home = server.home;
+                self.paths.add(home, latency);
+                self.latency.add(latency, counted);
+            }
+            Outcome::Shed => server.refused(now),
+            Outcome::FastFailure | Outcome::Failure => {
+                server.health.note(now, started, Sign::Failed);
             }
+            Outcome::TimedOut => {
+                let lateness = Lateness::VeryLate;
+                server.health.note(now, started, Sign::Ended { counted, lateness });
+            }
+            Outcome::Cancelled => {}
         }
     }
 
-    /// Takes the load report that came with an answer or a probe.
+    /// Takes the load report that came with an answer or a probe. For an answer, call
+    /// [`Self::finish`] first: the report no longer counts its request.
     pub fn report(&mut self, now: Micros, slot: Slot, report: LoadReport) {
-        if let Some(server) = self.server_mut(slot) {
-            server.take_report(now, report);
+        let Some(home) = self.server_mut(slot).map(|s| s.home) else { return };
+        let written = now - self.paths.round_trip(home);
+        let Some(server) = self.server_mut(slot) else { return };
+        server.report(now, written, report);
+        if server.others.is_believed() {
+            let average = server.others.average();
+            let typical = if home { &mut self.typical.home } else { &mut self.typical.foreign };
+            *typical += TYPICAL_WEIGHT * (average - *typical);
         }
     }
 
@@ -249,28 +209,17 @@
         None
     }
 
-    /// Estimate of the slots that are free for this instance. The caller queues when it is zero.
-    pub fn free_slots(&self, now: Micros) -> u32 {
-        let free = |server: &Server| {
-            let used = server.in_flight() as f32 + server.others(now);
-            (server.usable_slots(now, self.cfg.ramp) - used).max(0.0).round() as u32
-        };
-        let is_usable = |s: &&Server| s.is_open() && s.health.standing(now) == Standing::Healthy;
-        self.servers.iter().flatten().filter(is_usable).map(free).sum()
-    }
-
     /// Counts requests in flight that have become late.
-    fn note_late(&mut self, now: Micros) {
-        let Some(limit) = self.latency.slow_limit() else { return };
+    pub(super) fn note_late(&mut self, now: Micros) {
+        let Some(limits) = self.latency.limits() else { return };
         for server in self.servers.iter_mut().flatten() {
-            for _ in 0..server.newly_late(now, limit) {
-                server.health.note(now, Sign::Slow);
-                self.latency.add_beyond();
+            while let Some(lateness) = server.next_late(now, &limits) {
+                self.latency.add_late(lateness);
             }
         }
     }
 
-    fn slot(&self, index: usize) -> Option<Slot> {
+    pub(super) fn slot(&self, index: usize) -> Option<Slot> {
         let server = self.servers.get(index)?.as_ref()?;
         Some(Slot::new(index, server.generation))
     }
--- /dev/null
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -0,0 +1,163 @@
+//! The choice of the backend server.
+//!
+//! Load pattern: many requests in the same few milliseconds, arriving at several dispatchers that
+//! cannot see each other's. What goes wrong without it: they herd onto the server that looked idle
+//! last, while a straggler keeps its share of the work.
+//!
+//! A request goes to the server with the least cost: the crossing to another failure domain, plus
+//! the wait for a slot there. Suspect servers come last, ejected ones get single trials. When most
+//! servers look bad, the measure is bad and none is passed over.
+
+use super::balancer::Balancer;
+use super::baseline::{self, Candidate};
+use super::config::ChoicePolicy;
+use super::health::Standing;
+use super::server::Server;
+use super::slot::Slot;
+use galenapath_protocol::Micros;
+use rand::RngExt;
+
+/// Cost of a suspect server beside healthy ones, in microseconds: more than any wait.
+const SUSPECT_COST: f32 = 1e9;
+const EJECTED_COST: f32 = 2e9;
+/// Part of the mean latency by which an empty server is better than one with all but one slot
+/// taken. Small, so that it orders servers of equal cost and outweighs no crossing.
+const SPREAD: f32 = 0.1;
+/// Part of the mean latency within which servers count as equal and chance decides.
+const JITTER: f32 = 0.01;
+
+/// The best of the servers seen so far.
+#[derive(Clone, Copy, Debug)]
+struct Best {
+    index: Option<usize>,
+    cost: f32,
+}
+
+impl Best {
+    const NONE: Self = Self { index: None, cost: f32::INFINITY };
+
+    fn offer(&mut self, index: usize, cost: f32) {
+        if cost < self.cost {
+            *self = Self { index: Some(index), cost };
+        }
+    }
+}
+
+impl Balancer {
+    /// Chooses a server for one request, or `None` when no server may be given work now. Servers
+    /// in `exclude` (those that the request has tried) and leaving ones are never chosen.
+    pub fn choose(&mut self, now: Micros, exclude: &[Slot]) -> Option<Slot> {
+        self.note_late(now);
+        let index = match self.cfg.policy {
+            ChoicePolicy::Galenapath => self.choose_least_cost(now, exclude),
+            _ => self.choose_baseline(exclude),
+        }?;
+        self.slot(index)
+    }
+
+    fn choose_baseline(&mut self, exclude: &[Slot]) -> Option<usize> {
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.clear();
+        for (index, server) in self.servers.iter().enumerate() {
+            let Some(server) = server else { continue };
+            if server.is_open() && !exclude.contains(&Slot::new(index, server.generation)) {
+                candidates.push(Candidate { index, in_flight: server.in_flight() });
+            }
+        }
+        let chosen = match self.cfg.policy {
+            ChoicePolicy::RoundRobin => baseline::round_robin(&candidates, &mut self.turn),
+            ChoicePolicy::LeastInFlight => baseline::least_in_flight(&candidates, &mut self.rng),
+            ChoicePolicy::PowerOfTwo => baseline::power_of_two(&candidates, &mut self.rng),
+            ChoicePolicy::Random | ChoicePolicy::Galenapath => {
+                baseline::random(&candidates, &mut self.rng)
+            }
+        };
+        self.candidates = candidates;
+        chosen
+    }
+
+    fn choose_least_cost(&mut self, now: Micros, exclude: &[Slot]) -> Option<usize> {
+        let heed = self.heeds_health(now);
+        let jitter = JITTER * self.latency.mean();
+        let mut best = Best::NONE;
+        for (index, server) in self.servers.iter().enumerate() {
+            let Some(server) = server else { continue };
+            if !server.is_open() || exclude.contains(&Slot::new(index, server.generation)) {
+                continue;
+            }
+            let standing = server.health.standing(now, server.in_flight() == 0);
+            if standing == Standing::TrialDue {
+                return Some(index);
+            }
+            let penalty = match standing {
+                Standing::Ejected if heed => EJECTED_COST,
+                Standing::Suspect if heed => SUSPECT_COST,
+                _ if server.is_paused(now) => EJECTED_COST,
+                _ => 0.0,
+            };
+            let chance = jitter * self.rng.random::<f32>();
+            best.offer(index, self.cost(now, server) + penalty + chance);
+        }
+        best.index
+    }
+
+    /// Whether slow and failing servers are passed over: only while fewer than half are.
+    fn heeds_health(&self, now: Micros) -> bool {
+        let open = self.servers.iter().flatten().filter(|s| !s.leaving);
+        let is_bad = |s: &&Server| s.health.standing(now, s.in_flight() == 0) != Standing::Healthy;
+        open.clone().filter(is_bad).count() * 2 < open.count().max(1)
+    }
+
+    /// Expected cost of a request in microseconds, beside its work.
+    fn cost(&self, now: Micros, server: &Server) -> f32 {
+        let mean = self.latency.mean().max(1.0);
+        let slots = server.usable_slots(now, self.cfg.ramp);
+        let load = self.load(now, server);
+        let waiting = (load + 1.0 - slots).max(0.0);
+        let crossing = if server.home { 0.0 } else { self.paths.crossing() };
+        crossing + mean / slots * (waiting + SPREAD * load)
+    }
+
+    /// Requests on a server: the own ones and an estimate of the others'.
+    fn load(&self, now: Micros, server: &Server) -> f32 {
+        let typical = if server.home { self.typical.home } else { self.typical.foreign };
+        server.in_flight() as f32 + server.others.estimate(now, typical)
+    }
+
+    /// Estimate of the slots that are free for this instance. The caller queues when it is zero.
+    pub fn free_slots(&self, now: Micros) -> u32 {
+        let heed = self.heeds_health(now);
+        let mut home = 0;
+        let mut foreign = 0;
+        let mut home_slots = 0;
+        let mut in_flight = 0;
+        for server in self.servers.iter().flatten() {
+            in_flight += server.in_flight();
+            let standing = server.health.standing(now, server.in_flight() == 0);
+            let is_bad = heed && standing != Standing::Healthy;
+            if is_bad || !server.is_open() || server.is_paused(now) {
+                continue;
+            }
+            let slots = server.usable_slots(now, self.cfg.ramp);
+            let free = (slots - self.load(now, server)).max(0.0).round() as u32;
+            if server.home {
+                home += free;
+                home_slots += server.slots;
+            } else {
+                foreign += free;
+            }
+        }
+        let free = if self.waits_for_home(home_slots) { home } else { home + foreign };
+        if in_flight == 0 { free.max(1) } else { free }
+    }
+
+    /// Whether the requests that wait are better off with the next free slots of the own failure
+    /// domain than with a crossing.
+    fn waits_for_home(&self, home_slots: u32) -> bool {
+        let Some(waiting) = self.waiting.filter(|_| home_slots > 0) else {
+            return false;
+        };
+        let wait = (waiting + 1) as f32 * self.latency.mean() / home_slots as f32;
+        wait < self.paths.crossing()
+    }
+}
--- a/crates/galenapath-policy/src/balance/health.rs
+++ b/crates/galenapath-policy/src/balance/health.rs
@@ -6,25 +6,33 @@
 //! it is *older* than most requests of the service take, and a fast failure counts as a fault and
 //! never as low latency.
 //!
-//! The test is a CUSUM: each request moves a score up when it is slow and down when it is not. The
-//! steps are the log-likelihood ratios of "as the service" (a tenth of the requests is beyond the
-//! service's 90th percentile) against "straggler" (eight tenths are, which is what work of random
-//! length and ten times the mean gives).
+//! The test is a CUSUM of log-likelihood ratios, "ten times slower" against "as the service", for
+//! work of exponential length: 0.8 of a straggler's requests pass the service's 90th percentile and
+//! 0.63 the 99th, 0.16 end between them, 0.2 end before. A request that passed the 90th percentile
+//! and then ends takes back most of what it had added, which keeps long requests from condemning
+//! their server.
 
+use super::latency::Lateness;
 use galenapath_protocol::Micros;
 
-/// Step for a slow request: ln(0.8 / 0.1).
-const SLOW_STEP: f32 = 2.08;
-/// Step for a request in time: ln(0.2 / 0.9).
-const IN_TIME_STEP: f32 = -1.50;
-/// Step for a failure.
-const FAILURE_STEP: f32 = 3.0;
-/// Score from which a server gets work only when no other has a free slot.
+/// ln(0.2 / 0.9)
+const IN_TIME: f32 = -1.50;
+/// ln(0.8 / 0.1)
+const LATE: f32 = 2.08;
+/// ln(0.16 / 0.09)
+const ENDED_LATE: f32 = 0.58;
+/// ln(0.63 / 0.01)
+const VERY_LATE: f32 = 4.14;
+/// A failure; three in a row eject.
+const FAILED: f32 = 3.0;
+/// Score from which a server gets work only when no other has a free slot: two late requests.
 const SUSPECT_SCORE: f32 = 4.0;
-/// Score from which a server is ejected.
-const EJECT_SCORE: f32 = 9.0;
+/// Score from which a server is ejected: two very late requests.
+const EJECT_SCORE: f32 = 8.0;
+/// Half-life of the score of a server that has nothing in flight to move it.
+const IDLE_HALF_LIFE: Micros = Micros::from_millis(50);
 /// Time to the first trial of an ejected server; doubles with each that goes wrong.
-const FIRST_TRIAL: Micros = Micros::from_millis(200);
+const FIRST_TRIAL: Micros = Micros::from_millis(100);
 const LONGEST_TRIAL_WAIT: Micros = Micros::from_secs(5);
 /// Trials in time, one after the other, that bring a server back.
 const TRIALS_TO_RETURN: u32 = 3;
@@ -41,19 +49,61 @@
     TrialDue,
 }
 
-/// One observation.
+/// What became of a request, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Sign {
-    InTime,
-    Slow,
+    /// In flight, and has just become this late.
+    Became(Lateness),
+    /// Answered; the lateness is what was counted while it was in flight.
+    Ended {
+        counted: Lateness,
+        lateness: Lateness,
+    },
     Failed,
 }
 
+impl Sign {
+    /// Change of the score.
+    fn step(self) -> f32 {
+        match self {
+            Self::Became(lateness) => in_flight(lateness) - in_flight(before(lateness)),
+            Self::Ended { counted, lateness } => ended(lateness) - in_flight(counted),
+            Self::Failed => FAILED,
+        }
+    }
+
+    fn is_good(self) -> bool {
+        matches!(self, Self::Ended { lateness: Lateness::InTime, .. })
+    }
+}
+
+fn before(lateness: Lateness) -> Lateness {
+    if lateness == Lateness::VeryLate { Lateness::Late } else { Lateness::InTime }
+}
+
+fn in_flight(lateness: Lateness) -> f32 {
+    match lateness {
+        Lateness::InTime => 0.0,
+        Lateness::Late => LATE,
+        Lateness::VeryLate => VERY_LATE,
+    }
+}
+
+fn ended(lateness: Lateness) -> f32 {
+    match lateness {
+        Lateness::InTime => IN_TIME,
+        Lateness::Late => ENDED_LATE,
+        Lateness::VeryLate => VERY_LATE,
+    }
+}
+
 /// Score of one server.
 #[derive(Debug, Default)]
 pub(super) struct Health {
     /// Never below zero, never above `EJECT_SCORE`.
     score: f32,
+    /// When the score last changed.
+    changed_at: Micros,
     ejection: Option<Ejection>,
 }
 
@@ -62,14 +112,17 @@
     next_trial: Micros,
     wait: Micros,
     good_trials: u32,
+    /// The trial in flight started then; signs of older requests say nothing new.
+    trial_from: Option<Micros>,
 }
 
 impl Health {
-    pub fn note(&mut self, now: Micros, sign: Sign) {
+    /// Takes a sign of a request that started at `started`.
+    pub fn note(&mut self, now: Micros, started: Micros, sign: Sign) {
         match &mut self.ejection {
             None => self.note_score(now, sign),
             Some(ejection) => {
-                if ejection.note_trial(now, sign) {
+                if ejection.note_trial(now, started, sign) {
                     self.ejection = None;
                     self.score = 0.0;
                 }
@@ -78,39 +131,57 @@
     }
 
     fn note_score(&mut self, now: Micros, sign: Sign) {
-        let step = match sign {
-            Sign::InTime => IN_TIME_STEP,
-            Sign::Slow => SLOW_STEP,
-            Sign::Failed => FAILURE_STEP,
-        };
-        self.score = (self.score + step).clamp(0.0, EJECT_SCORE);
+        self.score = (self.score + sign.step()).clamp(0.0, EJECT_SCORE);
+        self.changed_at = now;
         if self.score >= EJECT_SCORE {
-            let next_trial = now + FIRST_TRIAL;
-            self.ejection = Some(Ejection { next_trial, wait: FIRST_TRIAL, good_trials: 0 });
+            self.ejection = Some(Ejection {
+                next_trial: now + FIRST_TRIAL,
+                wait: FIRST_TRIAL,
+                good_trials: 0,
+                trial_from: None,
+            });
         }
     }
 
-    pub fn standing(&self, now: Micros) -> Standing {
+    /// `idle` tells that no request of this instance is in flight on the server.
+    pub fn standing(&self, now: Micros, idle: bool) -> Standing {
         match &self.ejection {
-            Some(ejection) if now >= ejection.next_trial => Standing::TrialDue,
+            Some(ejection) if ejection.trial_from.is_none() && now >= ejection.next_trial => {
+                Standing::TrialDue
+            }
             Some(_) => Standing::Ejected,
-            None if self.score >= SUSPECT_SCORE => Standing::Suspect,
+            None if self.score_at(now, idle) >= SUSPECT_SCORE => Standing::Suspect,
             None => Standing::Healthy,
         }
     }
 
-    /// A request was sent to the server; when it is a trial, the next one waits.
+    fn score_at(&self, now: Micros, idle: bool) -> f32 {
+        if !idle || self.score < SUSPECT_SCORE {
+            return self.score;
+        }
+        let half_lives = (now - self.changed_at).0 as f32 / IDLE_HALF_LIFE.0 as f32;
+        self.score * (-half_lives).exp2()
+    }
+
+    /// A request was sent to the server; when its next trial was due, this is it.
     pub fn started(&mut self, now: Micros) {
-        if let Some(ejection) = &mut self.ejection {
-            ejection.next_trial = now + ejection.wait;
+        if let Some(ejection) = &mut self.ejection
+            && ejection.trial_from.is_none()
+            && now >= ejection.next_trial
+        {
+            ejection.trial_from = Some(now);
         }
     }
 }
 
 impl Ejection {
     /// Returns whether the server has earned its return.
-    fn note_trial(&mut self, now: Micros, sign: Sign) -> bool {
-        if sign == Sign::InTime {
+    fn note_trial(&mut self, now: Micros, started: Micros, sign: Sign) -> bool {
+        if self.trial_from.is_none_or(|from| started < from) {
+            return false;
+        }
+        self.trial_from = None;
+        if sign.is_good() {
             self.good_trials += 1;
             self.next_trial = now;
             return self.good_trials >= TRIALS_TO_RETURN;
--- a/crates/galenapath-policy/src/balance/latency.rs
+++ b/crates/galenapath-policy/src/balance/latency.rs
@@ -2,51 +2,113 @@
 
 use galenapath_protocol::Micros;
 
-/// Share of requests that are beyond the estimated percentile.
-const BEYOND: f32 = 0.1;
-/// Relative move of the percentile for one sample.
+/// Relative move of a percentile for one sample.
 const PERCENTILE_STEP: f32 = 0.05;
 const MEAN_WEIGHT: f32 = 1.0 / 64.0;
+/// Least limits as multiples of the mean. With work of constant length the percentiles lie so close
+/// to the mean that the way through the network alone would cross them.
+const LEAST_LATE: f32 = 2.0;
+const LEAST_VERY_LATE: f32 = 4.0;
 
-/// Mean and 90th percentile of the latency of all requests of a service.
-///
-/// The percentile moves up by a fixed part of itself for each sample beyond it and down for each
-/// one within, so that one enormous sample cannot move it further than a slightly late one.
+/// How long a request took, or has been taking, beside the others of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Lateness {
+    InTime,
+    /// Beyond the 90th percentile.
+    Late,
+    /// Beyond the 99th percentile.
+    VeryLate,
+}
+
+/// Ages at which a request in flight becomes late and very late.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LateLimits {
+    pub late: Micros,
+    pub very_late: Micros,
+}
+
+impl LateLimits {
+    pub fn lateness(&self, latency: Micros) -> Lateness {
+        if latency > self.very_late {
+            Lateness::VeryLate
+        } else if latency > self.late {
+            Lateness::Late
+        } else {
+            Lateness::InTime
+        }
+    }
+}
+
+/// Mean, 90th and 99th percentile of the latency of all requests of a service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceLatency {
     mean: f32,
-    percentile: f32,
+    p90: Percentile<10>,
+    p99: Percentile<1>,
 }
 
 impl ServiceLatency {
-    /// Limit beyond which a request counts as slow; `None` before the first sample.
-    pub fn slow_limit(&self) -> Option<Micros> {
-        (self.percentile > 0.0).then_some(Micros(self.percentile as u64))
+    /// `None` before the first sample.
+    pub fn limits(&self) -> Option<LateLimits> {
+        let late = self.p90.value.max(LEAST_LATE * self.mean);
+        let very_late = self.p99.value.max(LEAST_VERY_LATE * self.mean);
+        (self.mean > 0.0).then_some(LateLimits {
+            late: Micros(late as u64),
+            very_late: Micros(very_late as u64),
+        })
     }
 
-    /// Mean latency in microseconds.
+    /// Mean latency in microseconds; zero before the first sample.
     pub fn mean(&self) -> f32 {
         self.mean
     }
 
-    /// Takes the latency of a request that ended.
-    pub fn add(&mut self, latency: Micros) {
-        let x = latency.0 as f32;
-        if self.percentile <= 0.0 {
+    /// Takes the latency of a request that ended. `counted` is the lateness for which
+    /// [`Self::add_late`] was called while it was in flight.
+    pub fn add(&mut self, latency: Micros, counted: Lateness) {
+        let x = latency.0.max(1) as f32;
+        if self.mean <= 0.0 {
             self.mean = x;
-            self.percentile = (x * 2.0).max(1.0);
+            self.p90.value = x * LEAST_LATE;
+            self.p99.value = x * LEAST_VERY_LATE;
             return;
         }
         self.mean += MEAN_WEIGHT * (x - self.mean);
-        if x > self.percentile {
-            self.add_beyond();
-        } else {
-            self.percentile *= 1.0 - PERCENTILE_STEP * BEYOND;
+        if counted < Lateness::Late {
+            self.p90.add(x);
+        }
+        if counted < Lateness::VeryLate {
+            self.p99.add(x);
+        }
+    }
+
+    /// Takes a request in flight that has become `lateness`. Without these samples a service whose
+    /// servers all turn slow at once would look unchanged until the first answers arrive.
+    pub fn add_late(&mut self, lateness: Lateness) {
+        match lateness {
+            Lateness::InTime => {}
+            Lateness::Late => self.p90.add(f32::INFINITY),
+            Lateness::VeryLate => self.p99.add(f32::INFINITY),
         }
     }
+}
 
-    /// Takes a request that is still in flight and beyond the percentile.
-    pub fn add_beyond(&mut self) {
-        self.percentile *= 1.0 + PERCENTILE_STEP * (1.0 - BEYOND);
+/// A value that `BEYOND` of a hundred samples exceed.
+///
+/// It moves up by a fixed part of itself for each sample beyond it and down for each one within,
+/// so that one enormous sample cannot move it further than a slightly late one.
+#[derive(Debug, Default)]
+struct Percentile<const BEYOND: u32> {
+    value: f32,
+}
+
+impl<const BEYOND: u32> Percentile<BEYOND> {
+    fn add(&mut self, x: f32) {
+        let beyond = BEYOND as f32 / 100.0;
+        if x > self.value {
+            self.value *= 1.0 + PERCENTILE_STEP * (1.0 - beyond);
+        } else {
+            self.value *= 1.0 - PERCENTILE_STEP * beyond;
+        }
     }
 }
--- a/crates/galenapath-policy/src/balance/server.rs
+++ b/crates/galenapath-policy/src/balance/server.rs
@@ -1,24 +1,32 @@
 //! What a balancer knows about one backend server.
-//!
-//! Load pattern: several dispatchers share a server's few slots, and every report is out of date.
-//! With the report alone, all dispatchers send to the server that looked idle last; with the own
-//! requests alone, a dispatcher cannot see that the others have filled the slots. So a server's
-//! load is the own requests in flight, which are exact, plus an estimate of the others' that fades
-//! from the last report to their average.
-
-use super::health::Health;
+
+use super::health::{Health, Sign};
+use super::latency::{LateLimits, Lateness};
+use super::load::OthersLoad;
 use crate::measure::ProbeBudget;
 use galenapath_protocol::{BackendId, LoadReport, Micros};
 use std::collections::VecDeque;
 
-/// Weight of one report in the average of the others' requests.
-const OTHERS_WEIGHT: f32 = 1.0 / 16.0;
-/// Age at which a report says no more than the average. Service time of a lookup: by then most of
-/// the requests that the report counted have ended.
-const REPORT_FADES_IN: Micros = Micros::from_millis(10);
+/// First pause after a refusal; doubles with each one that follows.
+const FIRST_PAUSE: Micros = Micros::from_millis(10);
+const MOST_DOUBLINGS: u32 = 6;
+
+/// A request of this instance in flight.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    started: Micros,
+    /// Lateness that `health` has already counted.
+    counted: Lateness,
+}
+
+/// A request that has just ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended {
+    pub started: Micros,
+    pub counted: Lateness,
+}
 
-/// State of one backend server. Invariant: `starts.len()` is the number of requests in flight and
-/// `late <= starts.len()`.
+/// State of one backend server.
 #[derive(Debug)]
 pub(super) struct Server {
     pub id: BackendId,
@@ -28,19 +36,17 @@
     /// Never goes back to false.
     pub leaving: bool,
     pub connection_share: u32,
-    /// Start of each request in flight, oldest first.
-    starts: VecDeque<Micros>,
-    /// Oldest requests in flight that `health` has already counted as slow.
-    pub late: usize,
     pub slots: u32,
-    /// Requests of other dispatchers at the last report, and their average.
-    others_last: f32,
-    others_average: f32,
-    reported_at: Option<Micros>,
+    /// Requests in flight, oldest first.
+    flights: VecDeque<InFlight>,
+    pub others: OthersLoad,
     /// Last sign of life: a report or an answer.
     pub fresh_at: Micros,
     /// When a server that joined later was first listed; its share ramps up from there.
     pub ramp_from: Option<Micros>,
+    paused_until: Micros,
+    /// Refusals since the last answer.
+    refusals: u32,
     pub health: Health,
     pub probes: ProbeBudget,
 }
@@ -53,14 +59,13 @@
             home: false,
             leaving: false,
             connection_share: 0,
-            starts: VecDeque::new(),
-            late: 0,
             slots,
-            others_last: 0.0,
-            others_average: 0.0,
-            reported_at: None,
+            flights: VecDeque::new(),
+            others: OthersLoad::default(),
             fresh_at: Micros::ZERO,
             ramp_from: None,
+            paused_until: Micros::ZERO,
+            refusals: 0,
             health: Health::default(),
             probes,
         }
@@ -68,7 +73,7 @@
 
     /// Requests of this instance in flight.
     pub fn in_flight(&self) -> u32 {
-        self.starts.len() as u32
+        self.flights.len() as u32
     }
 
     /// Whether the server may be given another request at all.
@@ -76,53 +81,68 @@
         !self.leaving && self.in_flight() < self.connection_share
     }
 
+    /// Whether the server refused requests a moment ago.
+    pub fn is_paused(&self, now: Micros) -> bool {
+        now < self.paused_until
+    }
+
     pub fn start(&mut self, now: Micros) {
-        self.starts.push_back(now);
+        self.flights.push_back(InFlight { started: now, counted: Lateness::InTime });
+        self.health.started(now);
     }
 
-    /// Removes the request in flight that started nearest to `started`. Returns whether it had
-    /// been counted as slow; `None` when nothing is in flight.
-    pub fn finish(&mut self, started: Micros) -> Option<bool> {
-        let distance = |at: Micros| at.0.abs_diff(started.0);
-        let index = (0..self.starts.len()).min_by_key(|&i| distance(self.starts[i]))?;
-        self.starts.remove(index);
-        let was_late = index < self.late;
-        if was_late {
-            self.late -= 1;
-        }
-        Some(was_late)
+    /// Removes the request in flight that started nearest to `started`; `None` when nothing is in
+    /// flight.
+    pub fn finish(&mut self, started: Micros) -> Option<Ended> {
+        let distance = |f: &InFlight| f.started.0.abs_diff(started.0);
+        let index = (0..self.flights.len()).min_by_key(|&i| distance(&self.flights[i]))?;
+        let InFlight { started, counted } = self.flights.remove(index)?;
+        Some(Ended { started, counted })
     }
 
-    /// Counts the requests that have become older than `limit` since the last call.
-    pub fn newly_late(&mut self, now: Micros, limit: Micros) -> usize {
-        let before = self.late;
-        while self.starts.get(self.late).is_some_and(|&at| now - at > limit) {
-            self.late += 1;
+    /// The server answered.
+    pub fn answered(&mut self, now: Micros) {
+        self.fresh_at = now;
+        self.refusals = 0;
+    }
+
+    /// The server refused a request.
+    pub fn refused(&mut self, now: Micros) {
+        self.others.refused(now, self.slots);
+        let pause = Micros(FIRST_PAUSE.0 << self.refusals.min(MOST_DOUBLINGS));
+        self.paused_until = now + pause;
+        self.refusals += 1;
+    }
+
+    /// Counts requests in flight that have become late; returns the lateness of the next one, or
+    /// `None` when all are counted. Requests are in order of age, so the first that is in time
+    /// ends the search.
+    pub fn next_late(&mut self, now: Micros, limits: &LateLimits) -> Option<Lateness> {
+        for flight in &mut self.flights {
+            let lateness = limits.lateness(now - flight.started);
+            if lateness == Lateness::InTime {
+                return None;
+            }
+            if lateness > flight.counted {
+                let step =
+                    if flight.counted == Lateness::InTime { Lateness::Late } else { lateness };
+                flight.counted = step;
+                self.health.note(now, flight.started, Sign::Became(step));
+                return Some(step);
+            }
         }
-        self.late - before
+        None
     }
 
-    pub fn take_report(&mut self, now: Micros, report: LoadReport) {
+    /// Takes a report that was written at `written`: requests that started later were not there.
+    pub fn report(&mut self, now: Micros, written: Micros, report: LoadReport) {
         self.slots = report.slots.max(1);
         self.leaving |= report.leaving;
-        let total = report.in_flight.saturating_add(report.waiting);
-        let others = total.saturating_sub(self.in_flight()) as f32;
-        self.others_last = others;
-        self.others_average += OTHERS_WEIGHT * (others - self.others_average);
-        self.reported_at = Some(now);
+        let own = self.flights.iter().filter(|f| f.started <= written).count() as u32;
+        self.others.report(now, report, own);
         self.fresh_at = now;
     }
 
-    /// Estimate of the requests of other dispatchers on the server.
-    pub fn others(&self, now: Micros) -> f32 {
-        let Some(at) = self.reported_at else {
-            return 0.0;
-        };
-        let age = (now - at).0 as f32 / REPORT_FADES_IN.0 as f32;
-        let weight = (1.0 - age).max(0.0);
-        self.others_average + weight * (self.others_last - self.others_average)
-    }
-
     /// Slots that may be used now: all of them, or fewer while a new server warms up.
     pub fn usable_slots(&self, now: Micros, ramp: Micros) -> f32 {
         let slots = self.slots as f32;
