--- a/crates/galenapath-policy/benches/decisions/sim.rs
+++ b/crates/galenapath-policy/benches/decisions/sim.rs
@@ -353,6 +353,31 @@
         }
         self.at(self.now + TICK, Event::Tick { instance });
         self.drain(instance);
+        if self.now % 100_000 < 1000
+            && self.player.policy == ChoicePolicy::Galenapath
+            && std::env::var("DBG").is_ok()
+        {
+            let e = &self.entries[instance];
+            let infl = self
+                .reqs
+                .iter()
+                .filter(|r| {
+                    r.instance == instance && r.sent_at + 200_000 > self.now && r.slot.is_some()
+                })
+                .count();
+            if infl > 0 {
+                eprintln!(
+                    "t={} inst={} dom={} q={} sent200ms={} disp={:?} {}",
+                    self.now / 1000,
+                    instance,
+                    e.domain,
+                    e.queue.len(),
+                    infl,
+                    self.dispatching,
+                    e.balancer.debug(Micros(self.now))
+                );
+            }
+        }
         if self.player.policy == ChoicePolicy::Galenapath && self.dispatching.contains(&instance) {
             self.probe(instance);
         }
--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -36,6 +36,8 @@
     by_id: FastMap<BackendId, usize>,
     pub(super) latency: ServiceLatency,
     pub(super) paths: Paths,
+    /// Failure domains that hold servers.
+    pub(super) domains: usize,
     pub(super) typical: TypicalOthers,
     /// Requests that wait at this instance; `None` when the instance does not tell.
     pub(super) waiting: Option<u32>,
@@ -58,6 +60,7 @@
             by_id: FastMap::default(),
             latency: ServiceLatency::default(),
             paths: Paths::default(),
+            domains: 0,
             typical: TypicalOthers::default(),
             waiting: None,
             listed: false,
@@ -80,6 +83,7 @@
             self.set_backend(now, spec);
         }
         self.listed |= !specs.is_empty();
+        self.domains = specs.iter().map(|s| &s.domain).collect::<FastSet<_>>().len();
     }
 
     fn set_backend(&mut self, now: Micros, spec: &BackendSpec) {
--- a/crates/galenapath-policy/src/balance/choice.rs
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -17,6 +17,9 @@
 use galenapath_protocol::Micros;
 use rand::RngExt;
 
+/// Cost of a server without a free slot beside those with one. A request that waits at the instance
+/// goes to the slot that comes free first; one that waits at a server waits for that server.
+const FULL_COST: f32 = 1e6;
 /// Cost of a suspect server beside healthy ones, in microseconds: more than any wait.
 const SUSPECT_COST: f32 = 1e9;
 const EJECTED_COST: f32 = 2e9;
@@ -26,6 +29,11 @@
 /// Part of the mean latency within which servers count as equal and chance decides.
 const JITTER: f32 = 0.01;
 
+/// Part of the slots of its own failure domain that the dispatchers there may use whatever the
+/// estimate of the others says. Without it, a dispatcher that holds few slots gets few answers, so
+/// few reports, and never learns that slots have come free.
+const GUARANTEED: f32 = 0.67;
+
 /// The best of the servers seen so far.
 #[derive(Clone, Copy, Debug)]
 struct Best {
@@ -113,9 +121,10 @@
         let mean = self.latency.mean().max(1.0);
         let slots = server.usable_slots(now, self.cfg.ramp);
         let load = self.load(now, server);
+        let full = if self.free(now, server) == 0 { FULL_COST } else { 0.0 };
         let waiting = (load + 1.0 - slots).max(0.0);
         let crossing = if server.home { 0.0 } else { self.paths.crossing() };
-        crossing + mean / slots * (waiting + SPREAD * load)
+        full + crossing + mean / slots * (waiting + SPREAD * load)
     }
 
     /// Requests on a server: the own ones and an estimate of the others'.
@@ -129,7 +138,7 @@
         let heed = self.heeds_health(now);
         let mut home = 0;
         let mut foreign = 0;
-        let mut home_slots = 0;
+        let mut home_in_flight = 0;
         let mut in_flight = 0;
         for server in self.servers.iter().flatten() {
             in_flight += server.in_flight();
@@ -138,26 +147,65 @@
             if is_bad || !server.is_open() || server.is_paused(now) {
                 continue;
             }
-            let slots = server.usable_slots(now, self.cfg.ramp);
-            let free = (slots - self.load(now, server)).max(0.0).round() as u32;
+            let free = self.free(now, server);
             if server.home {
                 home += free;
-                home_slots += server.slots;
+                home_in_flight += server.in_flight();
             } else {
                 foreign += free;
             }
         }
-        let free = if self.waits_for_home(home_slots) { home } else { home + foreign };
+        let free = if self.waits_for_home(home_in_flight) { home } else { home + foreign };
         if in_flight == 0 { free.max(1) } else { free }
     }
 
+    fn free(&self, now: Micros, server: &Server) -> u32 {
+        let slots = server.usable_slots(now, self.cfg.ramp);
+        let estimated = (slots - self.load(now, server)).max(0.0).round() as u32;
+        estimated.max(self.guaranteed(server).saturating_sub(server.in_flight()))
+    }
+
+    /// Slots of the server that this instance may use whatever the others do.
+    fn guaranteed(&self, server: &Server) -> u32 {
+        if !server.home {
+            return 0;
+        }
+        let sharers = self.cfg.dispatchers.max(1) as f32 / self.domains.max(1) as f32;
+        (GUARANTEED * server.slots as f32 / sharers.max(1.0)).round() as u32
+    }
+
     /// Whether the requests that wait are better off with the next free slots of the own failure
-    /// domain than with a crossing.
-    fn waits_for_home(&self, home_slots: u32) -> bool {
-        let Some(waiting) = self.waiting.filter(|_| home_slots > 0) else {
+    /// domain than with a crossing. The own requests there tell how fast slots come free.
+    fn waits_for_home(&self, home_in_flight: u32) -> bool {
+        let Some(waiting) = self.waiting.filter(|_| home_in_flight > 0) else {
             return false;
         };
-        let wait = (waiting + 1) as f32 * self.latency.mean() / home_slots as f32;
+        let wait = (waiting + 1) as f32 * self.latency.mean() / home_in_flight as f32;
         wait < self.paths.crossing()
     }
 }
+impl Balancer {
+    /// dbg
+    pub fn debug(&self, now: Micros) -> String {
+        let mut t = String::new();
+        for s in self.servers.iter().flatten() {
+            t += &format!(
+                "{}{}+{:.1}{} ",
+                if s.home { "H" } else { "" },
+                s.in_flight(),
+                self.load(now, s) - s.in_flight() as f32,
+                match s.health.standing(now, s.in_flight() == 0) {
+                    Standing::Healthy => "",
+                    Standing::Suspect => "s",
+                    _ => "E",
+                }
+            );
+        }
+        format!(
+            "mean={:.0} lim={:?} cross={:.0} {t}",
+            self.latency.mean(),
+            self.latency.limits().map(|l| (l.late.0, l.very_late.0)),
+            self.paths.crossing()
+        )
+    }
+}
--- a/crates/galenapath-policy/src/balance/health.rs
+++ b/crates/galenapath-policy/src/balance/health.rs
@@ -33,7 +33,7 @@
 const IDLE_HALF_LIFE: Micros = Micros::from_millis(50);
 /// Time to the first trial of an ejected server; doubles with each that goes wrong.
 const FIRST_TRIAL: Micros = Micros::from_millis(100);
-const LONGEST_TRIAL_WAIT: Micros = Micros::from_secs(5);
+const LONGEST_TRIAL_WAIT: Micros = Micros::from_secs(1);
 /// Trials in time, one after the other, that bring a server back.
 const TRIALS_TO_RETURN: u32 = 3;
 
--- a/crates/galenapath-policy/src/balance/latency.rs
+++ b/crates/galenapath-policy/src/balance/latency.rs
@@ -4,7 +4,12 @@
 
 /// Relative move of a percentile for one sample.
 const PERCENTILE_STEP: f32 = 0.05;
-const MEAN_WEIGHT: f32 = 1.0 / 64.0;
+const MEAN_SAMPLES: f32 = 64.0;
+/// Samples before requests are judged; the percentiles start from the mean of these, as for work of
+/// exponential length.
+const LEAST_SAMPLES: f32 = 32.0;
+const FIRST_P90: f32 = 2.3;
+const FIRST_P99: f32 = 4.6;
 /// Least limits as multiples of the mean. With work of constant length the percentiles lie so close
 /// to the mean that the way through the network alone would cross them.
 const LEAST_LATE: f32 = 2.0;
@@ -43,12 +48,14 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceLatency {
     mean: f32,
+    /// Counts up to `MEAN_SAMPLES`.
+    samples: f32,
     p90: Percentile<10>,
     p99: Percentile<1>,
 }
 
 impl ServiceLatency {
-    /// `None` before the first sample.
+    /// `None` while there are too few samples.
     pub fn limits(&self) -> Option<LateLimits> {
         let late = self.p90.value.max(LEAST_LATE * self.mean);
         let very_late = self.p99.value.max(LEAST_VERY_LATE * self.mean);
@@ -67,13 +74,13 @@
     /// [`Self::add_late`] was called while it was in flight.
     pub fn add(&mut self, latency: Micros, counted: Lateness) {
         let x = latency.0.max(1) as f32;
-        if self.mean <= 0.0 {
-            self.mean = x;
-            self.p90.value = x * LEAST_LATE;
-            self.p99.value = x * LEAST_VERY_LATE;
+        self.samples = (self.samples + 1.0).min(MEAN_SAMPLES);
+        self.mean += (x - self.mean) / self.samples;
+        if self.samples <= LEAST_SAMPLES {
+            self.p90.value = FIRST_P90 * self.mean;
+            self.p99.value = FIRST_P99 * self.mean;
             return;
         }
-        self.mean += MEAN_WEIGHT * (x - self.mean);
         if counted < Lateness::Late {
             self.p90.add(x);
         }
--- a/crates/galenapath-policy/src/dispatch/connections.rs
+++ b/crates/galenapath-policy/src/dispatch/connections.rs
@@ -4,17 +4,19 @@
 //! hold connections at the same time, by lists that differ. Without a split that allows for both,
 //! the server's limit is passed just then and it refuses connections.
 //!
-//! The split needs no messages. One half of what is left of the limit goes to the dispatchers, the
-//! other to all instances, so that any of them can serve a request that came to it. Each view
-//! (a list of instances and dispatchers) hands out at most half of the limit, which leaves room for
-//! the instances that still follow the view before.
+//! The split needs no messages. Each view (a list of instances and dispatchers) hands out at most
+//! half of the limit, which leaves room for the instances that still follow the view before. Of
+//! that half, most goes to all instances alike: one that has just ceased to dispatch still has the
+//! callers that were sent to it, and any instance can serve a request that came to it.
 
 use galenapath_protocol::Micros;
 
 /// Views that may be followed at the same time: the old one and the new one.
 const OVERLAPPING_VIEWS: u32 = 2;
-/// Pools of a view: dispatchers, and all instances.
-const POOLS: u32 = 2;
+/// Part of a view's connections that all instances share alike, in fifths; the rest is for the
+/// dispatchers. With 16 instances and 240 connections every instance may hold six, as many as a
+/// server has slots.
+const COMMON_FIFTHS: u32 = 4;
 
 /// Split of one backend server's connections among instances.
 #[derive(Clone, Copy, Debug)]
@@ -30,9 +32,10 @@
     ///
     /// Invariant: over all instances of one view the shares sum up to at most half of `limit`.
     pub fn share(&self, instances: u32, dispatchers: u32, is_dispatcher: bool) -> u32 {
-        let pool = self.limit / OVERLAPPING_VIEWS / POOLS;
+        let view = self.limit / OVERLAPPING_VIEWS;
+        let pool = view * COMMON_FIFTHS / 5;
         let common = pool / instances.max(1);
-        if is_dispatcher { common + pool / dispatchers.max(1) } else { common }
+        if is_dispatcher { common + (view - pool) / dispatchers.max(1) } else { common }
     }
 }
 
