--- a/crates/galenapath-policy/benches/decisions/sim.rs
+++ b/crates/galenapath-policy/benches/decisions/sim.rs
@@ -5,10 +5,10 @@
 
 use super::fleet::{self, Reception, Server};
 use super::scenario::{
-    Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, Scenario, Time,
+    Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, SLOTS, Scenario, Time,
 };
 use super::stats::{Figures, Stats};
-use galenapath_policy::dispatch::{ConnectionSplit, Instance, dispatchers};
+use galenapath_policy::dispatch::{ConnectionSplit, DispatcherLoad, Instance, answer, dispatchers};
 use galenapath_policy::{
     BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot,
 };
@@ -25,6 +25,8 @@
 const FAST_FAILURE: Time = 200;
 const PROBE_COST: Time = 50;
 const TICK: Time = MS;
+/// Instances tell their peers how many requests they received in each window.
+const LOAD_WINDOW: Time = 100 * MS;
 const MOST_TRIES: u8 = 3;
 const CONNECTIONS: u32 = 240;
 /// Longest lag of the list of servers; each instance has its own.
@@ -73,6 +75,9 @@
     balancer: Balancer,
     queue: VecDeque<usize>,
     lag: Time,
+    /// Requests that arrived in this window and in the one before.
+    arrived: u64,
+    arrived_before: u64,
     live: bool,
 }
 
@@ -185,6 +190,8 @@
             id: InstanceId(id),
             balancer: Balancer::new(cfg, domain_id(domain), seed),
             queue: VecDeque::new(),
+            arrived: 0,
+            arrived_before: 0,
             lag: self.rng.random_range(0..LIST_LAG),
             live: true,
         });
@@ -234,6 +241,7 @@
     fn arrive(&mut self, arrival: Arrival) {
         self.stats.offer(arrival.at, arrival.caller);
         let instance = self.pins[arrival.caller];
+        self.entries[instance].arrived += 1;
         let req = self.reqs.len();
         self.reqs.push(Req {
             arrival,
@@ -246,6 +254,20 @@
         });
         self.entries[instance].queue.push_back(req);
         self.drain(instance);
+        self.cross(instance, req);
+    }
+
+    /// Sends a request that has just come past the queue when it had better cross than wait.
+    fn cross(&mut self, instance: usize, req: usize) {
+        let entry = &mut self.entries[instance];
+        if entry.queue.back() != Some(&req) {
+            return;
+        }
+        entry.balancer.set_waiting(entry.queue.len() as u32 - 1);
+        if let Some(slot) = entry.balancer.choose_crossing(Micros(self.now)) {
+            entry.queue.pop_back();
+            self.send(req, slot);
+        }
     }
 
     /// Sends waiting requests while the balancer sees free slots; baselines send at once.
@@ -351,33 +373,12 @@
         if !entry.live && entry.queue.is_empty() {
             return;
         }
+        if self.now % LOAD_WINDOW < TICK {
+            let entry = &mut self.entries[instance];
+            entry.arrived_before = std::mem::take(&mut entry.arrived);
+        }
         self.at(self.now + TICK, Event::Tick { instance });
         self.drain(instance);
-        if self.now % 100_000 < 1000
-            && self.player.policy == ChoicePolicy::Galenapath
-            && std::env::var("DBG").is_ok()
-        {
-            let e = &self.entries[instance];
-            let infl = self
-                .reqs
-                .iter()
-                .filter(|r| {
-                    r.instance == instance && r.sent_at + 200_000 > self.now && r.slot.is_some()
-                })
-                .count();
-            if infl > 0 {
-                eprintln!(
-                    "t={} inst={} dom={} q={} sent200ms={} disp={:?} {}",
-                    self.now / 1000,
-                    instance,
-                    e.domain,
-                    e.queue.len(),
-                    infl,
-                    self.dispatching,
-                    e.balancer.debug(Micros(self.now))
-                );
-            }
-        }
         if self.player.policy == ChoicePolicy::Galenapath && self.dispatching.contains(&instance) {
             self.probe(instance);
         }
@@ -441,8 +442,25 @@
         self.dispatching = chosen.into_iter().map(|i| live[i]).collect();
     }
 
+    /// Gives a caller an address: a random one for baselines, by known load for galenapath.
     fn pin(&mut self, caller: usize) {
-        self.pins[caller] = self.dispatching[self.rng.random_range(0..self.dispatching.len())];
+        let place = if self.player.policy == ChoicePolicy::Galenapath {
+            let loads: Vec<_> = self.dispatching.iter().map(|&i| self.known_load(i)).collect();
+            answer(&loads, &mut self.rng).unwrap_or(0)
+        } else {
+            self.rng.random_range(0..self.dispatching.len())
+        };
+        self.pins[caller] = self.dispatching[place];
+    }
+
+    /// Load of an instance as its peers know it: of the last whole `LOAD_WINDOW`.
+    fn known_load(&self, instance: usize) -> DispatcherLoad {
+        let entry = &self.entries[instance];
+        let sharers = self.dispatching.iter().filter(|&&i| self.entries[i].domain == entry.domain);
+        let home = self.servers.iter().filter(|s| s.domain == entry.domain);
+        let up = home.filter(|s| s.listed_from <= self.now && self.now < s.leaving_from);
+        let slots = up.count() as f64 * f64::from(SLOTS) / sharers.count().max(1) as f64;
+        DispatcherLoad { rate: entry.arrived_before as f64, slots }
     }
 
     fn delay(&mut self, instance: usize, server: usize) -> Time {
--- a/crates/galenapath-policy/src/balance/choice.rs
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -29,10 +29,12 @@
 /// Part of the mean latency within which servers count as equal and chance decides.
 const JITTER: f32 = 0.01;
 
-/// Part of the slots of its own failure domain that the dispatchers there may use whatever the
-/// estimate of the others says. Without it, a dispatcher that holds few slots gets few answers, so
-/// few reports, and never learns that slots have come free.
-const GUARANTEED: f32 = 0.67;
+/// Requests beyond a server's slots that may wait there after a crossing: the slot then has work
+/// at once, instead of standing empty for a round trip.
+const WAITING_AFTER_CROSSING: f32 = 1.0;
+/// Crossings that a request would have to wait for its own failure domain before those that wait
+/// longest cross too. Below that, only new ones do: one that has waited pays twice.
+const LONG_WAIT: f32 = 4.0;
 
 /// The best of the servers seen so far.
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +99,7 @@
             if standing == Standing::TrialDue {
                 return Some(index);
             }
+            let full = if self.free(now, server) == 0 { FULL_COST } else { 0.0 };
             let penalty = match standing {
                 Standing::Ejected if heed => EJECTED_COST,
                 Standing::Suspect if heed => SUSPECT_COST,
@@ -104,7 +107,7 @@
                 _ => 0.0,
             };
             let chance = jitter * self.rng.random::<f32>();
-            best.offer(index, self.cost(now, server) + penalty + chance);
+            best.offer(index, self.cost(now, server) + full + penalty + chance);
         }
         best.index
     }
@@ -121,10 +124,9 @@
         let mean = self.latency.mean().max(1.0);
         let slots = server.usable_slots(now, self.cfg.ramp);
         let load = self.load(now, server);
-        let full = if self.free(now, server) == 0 { FULL_COST } else { 0.0 };
         let waiting = (load + 1.0 - slots).max(0.0);
         let crossing = if server.home { 0.0 } else { self.paths.crossing() };
-        full + crossing + mean / slots * (waiting + SPREAD * load)
+        crossing + mean / slots * (waiting + SPREAD * load)
     }
 
     /// Requests on a server: the own ones and an estimate of the others'.
@@ -142,9 +144,7 @@
         let mut in_flight = 0;
         for server in self.servers.iter().flatten() {
             in_flight += server.in_flight();
-            let standing = server.health.standing(now, server.in_flight() == 0);
-            let is_bad = heed && standing != Standing::Healthy;
-            if is_bad || !server.is_open() || server.is_paused(now) {
+            if !self.is_usable(now, server, heed) {
                 continue;
             }
             let free = self.free(now, server);
@@ -165,47 +165,62 @@
         estimated.max(self.guaranteed(server).saturating_sub(server.in_flight()))
     }
 
-    /// Slots of the server that this instance may use whatever the others do.
+    /// Slots of the server that this instance may use whatever the estimate of the others says: in
+    /// its own failure domain, its part of all of them. Without that, a dispatcher that holds few
+    /// slots gets few answers, so few reports, and never learns that slots have come free.
     fn guaranteed(&self, server: &Server) -> u32 {
         if !server.home {
             return 0;
         }
         let sharers = self.cfg.dispatchers.max(1) as f32 / self.domains.max(1) as f32;
-        (GUARANTEED * server.slots as f32 / sharers.max(1.0)).round() as u32
+        (server.slots as f32 / sharers.max(1.0)).round() as u32
+    }
+
+    /// Chooses a server in another failure domain for a request that has just come and would wait
+    /// longer for a slot of its own domain than the crossing takes. `None` when it had better wait.
+    pub fn choose_crossing(&mut self, now: Micros) -> Option<Slot> {
+        let home_wait = self.home_wait();
+        if self.cfg.policy != ChoicePolicy::Galenapath || home_wait <= self.paths.crossing() {
+            return None;
+        }
+        self.note_late(now);
+        let heed = self.heeds_health(now);
+        let mut best = Best::NONE;
+        for (index, server) in self.servers.iter().enumerate() {
+            let Some(server) = server else { continue };
+            if server.home || !self.is_usable(now, server, heed) {
+                continue;
+            }
+            let cost = self.cost(now, server);
+            let room = server.usable_slots(now, self.cfg.ramp) + WAITING_AFTER_CROSSING;
+            if self.load(now, server) < room && cost < home_wait {
+                best.offer(index, cost);
+            }
+        }
+        self.slot(best.index?)
+    }
+
+    /// Expected wait of one more request for a slot of the own failure domain, in microseconds;
+    /// zero when the instance does not tell how many wait. The own requests in flight there tell
+    /// how fast slots come free.
+    fn home_wait(&self) -> f32 {
+        let Some(waiting) = self.waiting else { return 0.0 };
+        let home = self.servers.iter().flatten().filter(|s| s.home);
+        let in_flight: u32 = home.map(Server::in_flight).sum();
+        (waiting + 1) as f32 * self.latency.mean() / in_flight.max(1) as f32
     }
 
     /// Whether the requests that wait are better off with the next free slots of the own failure
-    /// domain than with a crossing. The own requests there tell how fast slots come free.
+    /// domain than with a crossing.
     fn waits_for_home(&self, home_in_flight: u32) -> bool {
-        let Some(waiting) = self.waiting.filter(|_| home_in_flight > 0) else {
-            return false;
-        };
-        let wait = (waiting + 1) as f32 * self.latency.mean() / home_in_flight as f32;
-        wait < self.paths.crossing()
+        let is_told = self.waiting.is_some() && home_in_flight > 0;
+        is_told && self.home_wait() < self.paths.crossing() * LONG_WAIT
     }
-}
-impl Balancer {
-    /// dbg
-    pub fn debug(&self, now: Micros) -> String {
-        let mut t = String::new();
-        for s in self.servers.iter().flatten() {
-            t += &format!(
-                "{}{}+{:.1}{} ",
-                if s.home { "H" } else { "" },
-                s.in_flight(),
-                self.load(now, s) - s.in_flight() as f32,
-                match s.health.standing(now, s.in_flight() == 0) {
-                    Standing::Healthy => "",
-                    Standing::Suspect => "s",
-                    _ => "E",
-                }
-            );
-        }
-        format!(
-            "mean={:.0} lim={:?} cross={:.0} {t}",
-            self.latency.mean(),
-            self.latency.limits().map(|l| (l.late.0, l.very_late.0)),
-            self.paths.crossing()
-        )
+
+    /// Whether the server counts for the free slots; `heed` as [`Self::heeds_health`] tells.
+    fn is_usable(&self, now: Micros, server: &Server, heed: bool) -> bool {
+        let standing = server.health.standing(now, server.in_flight() == 0);
+        let is_bad = heed && standing != Standing::Healthy;
+        !is_bad && server.is_open() && !server.is_paused(now)
     }
 }
