--- /dev/null
+++ b/crates/galenapath-peers/src/generated.rs
@@ -0,0 +1,194 @@
+//! Generated from `schema/peers.schema.json` by the codegen example. Do not edit.
+
+///A suspected request that was answered completely.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClearedWire {
+    ///Time since the answer, in milliseconds.
+    pub age_ms: u64,
+    ///Fingerprint of the request, in hexadecimal.
+    pub fingerprint: ::std::string::String,
+}
+///The configuration as the sender has it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigWire {
+    ///JSON document of the head of the chain of changes.
+    pub head: ::std::string::String,
+    ///JSON document of the configuration at that head.
+    pub snapshot: ::std::string::String,
+}
+///A backend server that crashed and the requests that it was running.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashWire {
+    ///Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    ///Hash of the name of the backend server.
+    pub backend: u64,
+    ///Fingerprints of the requests, in hexadecimal.
+    pub fingerprints: ::std::vec::Vec<::std::string::String>,
+}
+///News that two entry instances tell each other on every probe, in both directions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ExchangeWire {
+    ///Suspected requests that were answered since.
+    pub cleared: ::std::vec::Vec<ClearedWire>,
+    ///Version of the configuration that the sender has.
+    pub config_version: u64,
+    ///Crashes of backend servers.
+    pub crashes: ::std::vec::Vec<CrashWire>,
+    ///Backend servers newly known to be leaving.
+    pub leaving: ::std::vec::Vec<LeavingWire>,
+    ///News of entry instances; the sender first.
+    pub members: ::std::vec::Vec<MemberWire>,
+}
+///Outcomes of the filings of an incarnation that stops.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HandOverWire {
+    ///The incarnation that stops.
+    pub incarnation: u64,
+    ///Its filings.
+    pub outcomes: ::std::vec::Vec<OutcomeWire>,
+}
+///A header of an answer.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HeaderWire {
+    ///Name.
+    pub name: ::std::string::String,
+    ///Value.
+    pub value: ::std::string::String,
+}
+///A run of a backend server that is leaving.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LeavingWire {
+    ///Name of the backend server.
+    pub backend: ::std::string::String,
+    ///Start of the run, milliseconds since the Unix epoch.
+    pub started: u64,
+}
+///Status of a member.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MemberStatusWire {
+    #[serde(rename = "live")]
+    Live,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "leaving")]
+    Leaving,
+    #[serde(rename = "gone")]
+    Gone,
+}
+impl ::std::fmt::Display for MemberStatusWire {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Live => f.write_str("live"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Leaving => f.write_str("leaving"),
+            Self::Gone => f.write_str("gone"),
+        }
+    }
+}
+impl ::std::str::FromStr for MemberStatusWire {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "live" => Ok(Self::Live),
+            "suspect" => Ok(Self::Suspect),
+            "leaving" => Ok(Self::Leaving),
+            "gone" => Ok(Self::Gone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MemberStatusWire {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MemberStatusWire {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///One incarnation of an entry instance.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MemberWire {
+    ///Raised by the member itself when it speaks.
+    pub beat: u64,
+    ///Address for callers, IP and port.
+    pub callers: ::std::string::String,
+    ///Failure domain.
+    pub domain: ::std::string::String,
+    ///Name of the instance.
+    pub id: ::std::string::String,
+    ///This run of it.
+    pub incarnation: u64,
+    ///Address for peers, IP and port.
+    pub peers: ::std::string::String,
+    pub status: MemberStatusWire,
+}
+///The known outcome of one filing.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OutcomeWire {
+    ///Body of a kept answer, in hexadecimal; absent where only the status is known.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub body: ::std::option::Option<::std::string::String>,
+    ///Fingerprint of the request, in hexadecimal.
+    pub fingerprint: ::std::string::String,
+    ///Headers of a kept answer.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub headers: ::std::vec::Vec<HeaderWire>,
+    ///Identity of the idempotency key, in hexadecimal.
+    pub key: ::std::string::String,
+    ///Status of the answer.
+    pub status: u16,
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- a/crates/galenapath-policy/src/balance/spec.rs
+++ b/crates/galenapath-policy/src/balance/spec.rs
@@ -24,20 +24,3 @@
     /// It finishes what it has and takes nothing new.
     Leaving,
 }
-
-/// How a request ended, as the instance saw it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A complete answer arrived.
-    Answered,
-    /// The server refused the request without running it.
-    Shed,
-    /// The server answered an error, or closed, faster than work can be done.
-    FastFailure,
-    /// The connection or the answer broke off.
-    Failure,
-    /// The deadline passed without an answer.
-    TimedOut,
-    /// The caller went away, or another try answered first.
-    Cancelled,
-}
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -1,13 +1,28 @@
-//! Decisions under load, without clock, socket or thread.
+//! Decisions under load, as code without a clock, a socket, a thread or global randomness.
 //!
+//! Time comes in as [`Micros`](galenapath_protocol::Micros) and randomness as seeds, so that every
+//! decision can be replayed.
+//!
+//! - [`admission`]: what is let in, what waits and what is turned away.
 //! - [`balance`]: which backend server a request goes to.
 //! - [`dispatch`]: which entry instances dispatch for a service, and how connections are shared.
 //! - [`measure`]: when a backend server may be probed, inside a hard budget.
+//! - [`retry`]: when a request may be sent again, and when a second copy may go out.
 
+pub mod admission;
 pub mod balance;
 pub mod dispatch;
 pub mod measure;
+mod outcome;
+pub mod retry;
 
-pub use balance::{
-    BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot,
+pub use admission::{
+    Admission, AdmissionConfig, ClassIndex, ClassPolicy, Decision, Offer, QueueOrder, RejectReason,
+    Rejection, Step, Ticket, WorkLength, WorkspaceIndex,
+};
+pub use balance::{BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy, Slot};
+pub use outcome::Outcome;
+pub use retry::{
+    AttemptCount, HedgeConfig, HedgePolicy, MAX_ATTEMPTS, RequestKind, RetryBudget, RetryConfig,
+    may_retry,
 };
