Tests of choice, dispatch and measuring; a trial that told nothing no longer blocks the next

A trial request that was cancelled or refused left its server ejected for good: found by choose_trial_refused_is_tried_again. Bench: rows for 6 and 16 dispatchers, table of aims, cost of a decision.

Each mechanism switched off once, with the test that then fails: failure counts: choose_fast_failure_avoided; floor of ejection: choose_most_failing_none_passed_over; single trials, doubled wait: choose_ejected_single_trial; return after trials: choose_ejected_returns_after_good_trials; reports: choose_reported_load_avoided; fading: free_slots_report_fades_to_average; requests on the way: free_slots_request_on_the_way_not_taken_for_others; doubt by own requests: free_slots_report_below_own_requests_not_believed; doubt by answers: free_slots_claimed_queue_disproved_by_answers; home first: choose_home_first; measured crossing: choose_crossing_measured_crossing_counts; waiting for home: free_slots_home_only_while_wait_is_short; guaranteed slots: free_slots_guaranteed_at_home; ramp: free_slots_new_server_ramps_up; pause after refusal: choose_refusing_paused; leaving not unlearned: mark_leaving_not_unlearned_by_old_list; generation of handles: backend_removed_handle_is_dead; no probe where fresh: next_probe_only_stale_servers; probe budget: take_sum_within_budget; spread over domains: dispatchers_one_per_domain; gap of thresholds: update_small_swings_do_not_flap; room for two views: share_sum_of_two_views_within_limit; settling: set_lower_at_once_higher_after_settling; answer by load: answer_fullest_not_given.

--- /dev/null
+++ b/crates/galenapath-policy/benches/decisions/cost.rs
@@ -0,0 +1,150 @@
+//! What a decision costs, in time and memory, and how that grows with the fleet.
+
+use galenapath_policy::dispatch::{Instance, dispatchers};
+use galenapath_policy::{BackendSpec, BackendState, Balancer, BalancerConfig, Outcome};
+use galenapath_protocol::{BackendId, DomainId, InstanceId, LoadReport, Micros};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+const ROUNDS: u64 = 200_000;
+const DOMAINS: usize = 3;
+const IN_FLIGHT: usize = 60;
+const CHOOSE_AIM: Duration = Duration::from_micros(2);
+
+/// One size of fleet.
+#[derive(Clone, Copy)]
+struct Size {
+    services: usize,
+    backends: usize,
+    instances: usize,
+}
+
+const SIZES: [Size; 5] = [
+    Size { services: 3, backends: 36, instances: 16 },
+    Size { services: 35, backends: 200, instances: 16 },
+    Size { services: 175, backends: 1_000, instances: 50 },
+    Size { services: 700, backends: 4_000, instances: 200 },
+    Size { services: 1_400, backends: 8_000, instances: 400 },
+];
+
+/// Prints the cost of a decision by servers per service, then by size of the fleet.
+pub fn print() {
+    println!("\nDecision cost by backend servers of the service (60 requests in flight)\n");
+    println!("| backend servers | choose, ns | whole request, ns | aim: choose < 2 us |");
+    println!("|---|---|---|---|");
+    for servers in [6, 10, 20, 40, 80] {
+        let (choose, request) = time_requests(servers);
+        let met = if choose < CHOOSE_AIM { "met" } else { "not met" };
+        println!("| {servers} | {} | {} | {met} |", choose.as_nanos(), request.as_nanos());
+    }
+    println!("\nOne instance that holds every service of the fleet\n");
+    println!(
+        "| services | backend servers | instances | memory, KiB | whole request, ns | list taken, us \
+         per service | dispatchers, us per service |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for size in SIZES {
+        print_fleet(size);
+    }
+}
+
+/// Time of `choose` alone, and of all calls that one request makes.
+fn time_requests(servers: usize) -> (Duration, Duration) {
+    let mut balancer = balancer(0, servers);
+    let started = Instant::now();
+    let last = run(&mut balancer, ROUNDS);
+    let request = started.elapsed() / ROUNDS as u32;
+    let started = Instant::now();
+    for i in 0..ROUNDS {
+        black_box(balancer.choose(last + Micros(i / 100), &[]));
+    }
+    (started.elapsed() / ROUNDS as u32, request)
+}
+
+/// Requests one after the other with `IN_FLIGHT` of them in flight; returns the time reached.
+fn run(balancer: &mut Balancer, rounds: u64) -> Micros {
+    let report = LoadReport { in_flight: 4, waiting: 0, slots: 6, leaving: false };
+    let mut flights = std::collections::VecDeque::new();
+    let mut now = Micros::ZERO;
+    for i in 0..rounds {
+        now = now + Micros(80 + i % 7);
+        black_box(balancer.free_slots(now));
+        if let Some(slot) = balancer.choose(now, &[]) {
+            balancer.start(now, slot);
+            flights.push_back((slot, now));
+        }
+        if flights.len() > IN_FLIGHT
+            && let Some((slot, started)) = flights.pop_front()
+        {
+            balancer.finish(now, slot, Outcome::Answered, now - started);
+            balancer.report(now, slot, report);
+        }
+    }
+    now
+}
+
+fn print_fleet(size: Size) {
+    let before = resident_kib();
+    let per_service = size.backends / size.services;
+    let mut balancers: Vec<_> = (0..size.services).map(|s| balancer(s, per_service)).collect();
+    let memory = resident_kib().saturating_sub(before);
+    let started = Instant::now();
+    for balancer in &mut balancers {
+        run(balancer, 100);
+    }
+    let request = started.elapsed() / (size.services as u32 * 100);
+    let lists: Vec<_> = (0..size.services).map(|s| specs(s, per_service)).collect();
+    let started = Instant::now();
+    for (balancer, list) in balancers.iter_mut().zip(&lists) {
+        balancer.set_backends(Micros::from_secs(60), list);
+    }
+    let list = started.elapsed() / size.services as u32;
+    let instances: Vec<_> = (0..size.instances).map(instance).collect();
+    let started = Instant::now();
+    for service in 0..size.services {
+        black_box(dispatchers(&format!("service-{service}"), &instances, DOMAINS));
+    }
+    let choice = started.elapsed() / size.services as u32;
+    println!(
+        "| {} | {} | {} | {memory} | {} | {:.2} | {:.2} |",
+        size.services,
+        size.backends,
+        size.instances,
+        request.as_nanos(),
+        list.as_nanos() as f64 / 1_000.0,
+        choice.as_nanos() as f64 / 1_000.0
+    );
+}
+
+fn balancer(service: usize, servers: usize) -> Balancer {
+    let mut balancer = Balancer::new(BalancerConfig::default(), domain(0), service as u64);
+    balancer.set_backends(Micros::ZERO, &specs(service, servers));
+    balancer
+}
+
+fn specs(service: usize, servers: usize) -> Vec<BackendSpec> {
+    (0..servers)
+        .map(|i| BackendSpec {
+            id: BackendId(format!("service-{service}-backend-{i}")),
+            domain: domain(i),
+            state: BackendState::Live,
+            connection_share: 20,
+        })
+        .collect()
+}
+
+fn instance(i: usize) -> Instance {
+    Instance { id: InstanceId(format!("entry-{i}")), domain: domain(i) }
+}
+
+fn domain(i: usize) -> DomainId {
+    DomainId(format!("domain-{}", i % DOMAINS))
+}
+
+/// Resident memory of the process; zero where the system does not tell.
+fn resident_kib() -> u64 {
+    const PAGE_KIB: u64 = 4;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|p| p.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_KIB
+}
--- a/crates/galenapath-policy/benches/decisions/main.rs
+++ b/crates/galenapath-policy/benches/decisions/main.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo bench --bench decisions [-- WORD]` plays the rows whose name contains `WORD`.
 
+mod aims;
+mod cost;
 mod fleet;
 mod limit;
 mod scenario;
@@ -20,13 +22,15 @@
 const SEED: u64 = 20;
 const FEW: usize = 3;
 
-const PLAYERS: [Player; 6] = [
+const PLAYERS: [Player; 8] = [
     player("galenapath", ChoicePolicy::Galenapath, FEW),
     player("random", ChoicePolicy::Random, INSTANCES),
     player("round robin", ChoicePolicy::RoundRobin, INSTANCES),
     player("least in flight", ChoicePolicy::LeastInFlight, INSTANCES),
     player("power of two", ChoicePolicy::PowerOfTwo, INSTANCES),
     player("power of two, 3 disp.", ChoicePolicy::PowerOfTwo, FEW),
+    player("galenapath, 6 disp.", ChoicePolicy::Galenapath, 2 * FEW),
+    player("galenapath, 16 disp.", ChoicePolicy::Galenapath, INSTANCES),
 ];
 
 const fn player(name: &'static str, policy: ChoicePolicy, dispatchers: usize) -> Player {
@@ -65,6 +69,10 @@
         }
         print_row(job, figures);
     }
+    aims::print(&jobs, &figures);
+    if filter.is_empty() {
+        cost::print();
+    }
 }
 
 fn jobs() -> Vec<Job> {
--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -164,7 +164,10 @@
                 self.paths.add(home, latency);
                 self.latency.add(latency, counted);
             }
-            Outcome::Shed => server.refused(now),
+            Outcome::Shed => {
+                server.refused(now);
+                server.health.note_nothing(now, started);
+            }
             Outcome::FastFailure | Outcome::Failure => {
                 server.health.note(now, started, Sign::Failed);
             }
@@ -172,7 +175,7 @@
                 let lateness = Lateness::VeryLate;
                 server.health.note(now, started, Sign::Ended { counted, lateness });
             }
-            Outcome::Cancelled => {}
+            Outcome::Cancelled => server.health.note_nothing(now, started),
         }
     }
 
--- a/crates/galenapath-policy/src/balance/health.rs
+++ b/crates/galenapath-policy/src/balance/health.rs
@@ -117,6 +117,17 @@
 }
 
 impl Health {
+    /// A request that started at `started` ended without telling anything: when it was a trial,
+    /// the next one is due after the same wait.
+    pub fn note_nothing(&mut self, now: Micros, started: Micros) {
+        if let Some(ejection) = &mut self.ejection
+            && ejection.trial_from.is_some_and(|from| started >= from)
+        {
+            ejection.trial_from = None;
+            ejection.next_trial = now + ejection.wait;
+        }
+    }
+
     /// Takes a sign of a request that started at `started`.
     pub fn note(&mut self, now: Micros, started: Micros, sign: Sign) {
         match &mut self.ejection {
--- /dev/null
+++ b/crates/galenapath-policy/tests/dispatch/count.rs
@@ -0,0 +1,28 @@
+use galenapath_policy::dispatch::{CountConfig, DispatcherCount};
+
+fn update(count: &mut DispatcherCount, rate: f64) -> usize {
+    count.update(&CountConfig::default(), rate, 3, 16)
+}
+
+#[test]
+fn update_one_per_domain_at_least_all_at_most() {
+    let mut count = DispatcherCount::default();
+    assert_eq!(update(&mut count, 0.0), 3);
+    assert_eq!(update(&mut count, 1e9), 16);
+}
+
+#[test]
+fn update_grows_with_load() {
+    let mut count = DispatcherCount::default();
+    assert_eq!(update(&mut count, 24_000.0), 3);
+    assert_eq!(update(&mut count, 40_000.0), 5);
+}
+
+#[test]
+fn update_small_swings_do_not_flap() {
+    let mut count = DispatcherCount::default();
+    let high = update(&mut count, 50_000.0);
+    assert_eq!(update(&mut count, 40_000.0), high);
+    assert_eq!(update(&mut count, 50_000.0), high);
+    assert!(update(&mut count, 20_000.0) < high);
+}
--- /dev/null
+++ b/crates/galenapath-policy/tests/measure/main.rs
@@ -0,0 +1,3 @@
+//! Tests of measuring.
+
+mod budget;
