--- a/crates/galenapath-policy/benches/decisions/sim.rs
+++ b/crates/galenapath-policy/benches/decisions/sim.rs
@@ -5,7 +5,7 @@
 
 use super::fleet::{self, Reception, Server};
 use super::scenario::{
-    Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, SLOTS, Scenario, Time,
+    Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, Scenario, Time,
 };
 use super::stats::{Figures, Stats};
 use galenapath_policy::dispatch::{ConnectionSplit, DispatcherLoad, Instance, answer, dispatchers};
@@ -78,6 +78,8 @@
     /// Requests that arrived in this window and in the one before.
     arrived: u64,
     arrived_before: u64,
+    /// Slots of its failure domain that it could use at the end of that window.
+    slots_before: f32,
     live: bool,
 }
 
@@ -192,6 +194,7 @@
             queue: VecDeque::new(),
             arrived: 0,
             arrived_before: 0,
+            slots_before: 0.0,
             lag: self.rng.random_range(0..LIST_LAG),
             live: true,
         });
@@ -376,6 +379,7 @@
         if self.now % LOAD_WINDOW < TICK {
             let entry = &mut self.entries[instance];
             entry.arrived_before = std::mem::take(&mut entry.arrived);
+            entry.slots_before = entry.balancer.home_slots(Micros(self.now));
         }
         self.at(self.now + TICK, Event::Tick { instance });
         self.drain(instance);
@@ -457,9 +461,7 @@
     fn known_load(&self, instance: usize) -> DispatcherLoad {
         let entry = &self.entries[instance];
         let sharers = self.dispatching.iter().filter(|&&i| self.entries[i].domain == entry.domain);
-        let home = self.servers.iter().filter(|s| s.domain == entry.domain);
-        let up = home.filter(|s| s.listed_from <= self.now && self.now < s.leaving_from);
-        let slots = up.count() as f64 * f64::from(SLOTS) / sharers.count().max(1) as f64;
+        let slots = f64::from(entry.slots_before) / sharers.count().max(1) as f64;
         DispatcherLoad { rate: entry.arrived_before as f64, slots }
     }
 
--- a/crates/galenapath-policy/src/balance/choice.rs
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -200,6 +200,15 @@
         self.slot(best.index?)
     }
 
+    /// Slots of the own failure domain that can be used now: those of slow, failing or leaving
+    /// servers do not count. Peers weigh the addresses that they give to callers by it.
+    pub fn home_slots(&self, now: Micros) -> f32 {
+        let heed = self.heeds_health(now);
+        let home = self.servers.iter().flatten().filter(|s| s.home);
+        let usable = home.filter(|s| self.is_usable(now, s, heed));
+        usable.map(|s| s.usable_slots(now, self.cfg.ramp)).sum()
+    }
+
     /// Expected wait of one more request for a slot of the own failure domain, in microseconds;
     /// zero when the instance does not tell how many wait. The own requests in flight there tell
     /// how fast slots come free.
