Balancer: one bad server of two is passed over; choose_proven never makes a trial

Cause: with two servers the floor of ejection held as soon as one was bad, so a straggler kept its work. Half of the servers may now be passed over. choose_one_of_two_failing_avoided fails with the old comparison.

A trial may break, and a filing that breaks may have run: choose_proven is for requests that must not be sent again.

--- a/crates/galenapath-policy/src/balance/choice.rs
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -36,6 +36,13 @@
 /// longest cross too. Below that, only new ones do: one that has waited pays twice.
 const LONG_WAIT: f32 = 4.0;
 
+/// Whether a request may be the trial of an ejected server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trials {
+    Allowed,
+    Refused,
+}
+
 /// The best of the servers seen so far.
 #[derive(Clone, Copy, Debug)]
 struct Best {
@@ -57,9 +64,19 @@
     /// Chooses a server for one request, or `None` when no server may be given work now. Servers
     /// in `exclude` (those that the request has tried) and leaving ones are never chosen.
     pub fn choose(&mut self, now: Micros, exclude: &[Slot]) -> Option<Slot> {
+        self.choose_with(now, exclude, Trials::Allowed)
+    }
+
+    /// Chooses as [`Self::choose`], but never an ejected server for a trial: for a request that
+    /// must not be sent again when it fails.
+    pub fn choose_proven(&mut self, now: Micros, exclude: &[Slot]) -> Option<Slot> {
+        self.choose_with(now, exclude, Trials::Refused)
+    }
+
+    fn choose_with(&mut self, now: Micros, exclude: &[Slot], trials: Trials) -> Option<Slot> {
         self.note_late(now);
         let index = match self.cfg.policy {
-            ChoicePolicy::Galenapath => self.choose_least_cost(now, exclude),
+            ChoicePolicy::Galenapath => self.choose_least_cost(now, exclude, trials),
             _ => self.choose_baseline(exclude),
         }?;
         self.slot(index)
@@ -86,7 +103,12 @@
         chosen
     }
 
-    fn choose_least_cost(&mut self, now: Micros, exclude: &[Slot]) -> Option<usize> {
+    fn choose_least_cost(
+        &mut self,
+        now: Micros,
+        exclude: &[Slot],
+        trials: Trials,
+    ) -> Option<usize> {
         let heed = self.heeds_health(now);
         let jitter = JITTER * self.latency.mean();
         let mut best = Best::NONE;
@@ -96,12 +118,12 @@
                 continue;
             }
             let standing = server.health.standing(now, server.in_flight() == 0);
-            if standing == Standing::TrialDue {
+            if standing == Standing::TrialDue && trials == Trials::Allowed {
                 return Some(index);
             }
             let full = if self.free(now, server) == 0 { FULL_COST } else { 0.0 };
             let penalty = match standing {
-                Standing::Ejected if heed => EJECTED_COST,
+                Standing::Ejected | Standing::TrialDue if heed => EJECTED_COST,
                 Standing::Suspect if heed => SUSPECT_COST,
                 _ if server.is_paused(now) => EJECTED_COST,
                 _ => 0.0,
@@ -112,11 +134,11 @@
         best.index
     }
 
-    /// Whether slow and failing servers are passed over: only while fewer than half are.
+    /// Whether slow and failing servers are passed over: only while at most half are.
     fn heeds_health(&self, now: Micros) -> bool {
         let open = self.servers.iter().flatten().filter(|s| !s.leaving);
         let is_bad = |s: &&Server| s.health.standing(now, s.in_flight() == 0) != Standing::Healthy;
-        open.clone().filter(is_bad).count() * 2 < open.count().max(1)
+        open.clone().filter(is_bad).count() * 2 <= open.count()
     }
 
     /// Expected cost of a request in microseconds, beside its work.
--- a/crates/galenapath-policy/tests/balance/health.rs
+++ b/crates/galenapath-policy/tests/balance/health.rs
@@ -62,6 +62,26 @@
     assert_eq!(chosen(&mut balancer, now, healthy, 100), 0);
 }
 
+#[test]
+fn choose_one_of_two_failing_avoided() {
+    let (mut balancer, now) = warm(2, 0);
+    let failing = slot(&mut balancer, now, "h0");
+    let other = slot(&mut balancer, now, "h1");
+    fail(&mut balancer, now, failing, 3);
+    (0..4).for_each(|_| balancer.start(now, other));
+    assert_eq!(chosen(&mut balancer, now, failing, 100), 0);
+}
+
+#[test]
+fn choose_proven_no_trial() {
+    let (mut balancer, now) = warm(SERVERS, 0);
+    let failing = slot(&mut balancer, now, "h0");
+    fail(&mut balancer, now, failing, 3);
+    let now = now + Micros(100 * MS);
+    assert_ne!(balancer.choose_proven(now, &[]), Some(failing));
+    assert_eq!(balancer.choose(now, &[]), Some(failing));
+}
+
 #[test]
 fn choose_ejected_single_trial() {
     let (mut balancer, now) = warm(SERVERS, 0);
