--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -28,6 +28,9 @@
 /// is sent again after a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Longer than any deadline: the attempt's own timeout ends the wait for the head of an answer.
+const HEAD_WAIT: Duration = Duration::from_secs(2 * 3_600);
+
 /// Why an attempt gave no answer.
 #[derive(Debug, Error)]
 pub(super) enum Fault {
@@ -145,8 +148,7 @@
 pub(super) async fn read_final_head(
     connection: &mut Connection,
 ) -> Result<ResponseHead, HttpError> {
-    // The attempt's own timeout ends the wait.
-    let times = HeadTimes { idle: Duration::MAX / 4, head: Duration::MAX / 4 };
+    let times = HeadTimes { idle: HEAD_WAIT, head: HEAD_WAIT };
     loop {
         let head = connection.read_response(times).await?;
         if !head.status.is_informational() {
--- a/crates/galenapath-entry/src/run.rs
+++ b/crates/galenapath-entry/src/run.rs
@@ -23,6 +23,7 @@
 /// When an address, the token file, a thread or a runtime cannot be had. Nothing has been served
 /// then.
 pub fn run(settings: Settings) -> Result<(), Report<EntryError>> {
+    abort_on_panic();
     let token = read_token(&settings.token_file)?;
     let callers = listen("callers", settings.listen.callers)?;
     let peers = listen("peers", settings.listen.peers)?;
@@ -55,6 +56,16 @@
     run_control(shared, operators, wiring)
 }
 
+/// Ends the process when any thread panics. An instance that lost one of its threads would go on
+/// answering probes while it serves nobody; callers and peers notice a dead one within seconds.
+fn abort_on_panic() {
+    let default = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        default(info);
+        std::process::abort();
+    }));
+}
+
 /// Starts the data thread. It ends with the process.
 fn start_data(
     shared: Arc<Shared>,
--- a/crates/galenapath-settings/src/load.rs
+++ b/crates/galenapath-settings/src/load.rs
@@ -8,6 +8,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Longest duration that a setting may have; the runtime's timers end not far beyond it.
+const LONGEST_SPAN: Duration = Duration::from_secs(24 * 3_600);
+
 const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 const DEFAULT_HEADER_BYTES: u32 = 16 * 1024;
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -163,8 +166,9 @@
     ) -> Result<Duration, SettingsError> {
         let Some(value) = value else { return Ok(default) };
         match humantime::parse_duration(value) {
-            Ok(span) if !span.is_zero() => Ok(span),
-            Ok(_) => Err(self.bad(key, value, "must be longer than zero")),
+            Ok(span) if span.is_zero() => Err(self.bad(key, value, "must be longer than zero")),
+            Ok(span) if span > LONGEST_SPAN => Err(self.bad(key, value, "must be a day at most")),
+            Ok(span) => Ok(span),
             Err(_) => {
                 Err(self.bad(key, value, "expected a number and a unit, such as 250ms or 5s"))
             }
