--- a/crates/galenapath-policy/benches/decisions/main.rs
+++ b/crates/galenapath-policy/benches/decisions/main.rs
@@ -5,6 +5,7 @@
 
 mod aims;
 mod cost;
+mod event;
 mod fleet;
 mod limit;
 mod scenario;
--- a/crates/galenapath-policy/benches/decisions/sim.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/mod.rs
@@ -3,20 +3,19 @@
 //! An instance knows what its balancer was told: its own requests, the reports on the answers it
 //! got, and a list of servers that lags.
 
+mod members;
+
+use super::event::{Event, Events};
 use super::fleet::{self, Reception, Server};
 use super::scenario::{
     Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, Scenario, Time,
 };
 use super::stats::{Figures, Stats};
-use galenapath_policy::dispatch::{ConnectionSplit, DispatcherLoad, Instance, answer, dispatchers};
-use galenapath_policy::{
-    BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot,
-};
+use galenapath_policy::{Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot};
 use galenapath_protocol::{BackendId, DomainId, InstanceId, LoadReport, Micros};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 
 /// One way between an instance and a server of its failure domain.
 pub const LOCAL_DELAY: Time = 100;
@@ -28,7 +27,6 @@
 /// Instances tell their peers how many requests they received in each window.
 const LOAD_WINDOW: Time = 100 * MS;
 const MOST_TRIES: u8 = 3;
-const CONNECTIONS: u32 = 240;
 /// Longest lag of the list of servers; each instance has its own.
 const LIST_LAG: Time = SECOND;
 /// How long a caller keeps the address it was given.
@@ -46,19 +44,6 @@
     pub dispatchers: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Reach { server: usize, req: usize },
-    Work { server: usize, req: usize },
-    Answer { req: usize, outcome: Outcome, report: LoadReport },
-    ReachProbe { instance: usize, server: usize, slot: Slot },
-    AnswerProbe { instance: usize, slot: Slot, report: LoadReport },
-    Tick { instance: usize },
-    List { instance: usize },
-    Replace { instance: usize },
-    Repin { caller: usize },
-}
-
 struct Req {
     arrival: Arrival,
     instance: usize,
@@ -104,8 +89,7 @@
     player: Player,
     rng: SmallRng,
     now: Time,
-    sequence: u64,
-    events: BinaryHeap<Reverse<Timed>>,
+    events: Events,
     servers: Vec<Server>,
     names: Vec<BackendId>,
     entries: Vec<Entry>,
@@ -116,29 +100,6 @@
     stats: Stats,
 }
 
-struct Timed {
-    at: Time,
-    sequence: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.sequence) == (other.at, other.sequence)
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.sequence).cmp(&(other.at, other.sequence))
-    }
-}
-
 impl Sim {
     fn new(scenario: Scenario, player: Player) -> Self {
         let servers = fleet::servers(scenario.pattern, DOMAINS);
@@ -147,8 +108,7 @@
             player,
             rng: SmallRng::seed_from_u64(scenario.seed ^ 0x5eed),
             now: 0,
-            sequence: 0,
-            events: BinaryHeap::new(),
+            events: Events::default(),
             names: (0..servers.len()).map(|i| BackendId(format!("b{i}"))).collect(),
             servers,
             entries: Vec::new(),
@@ -203,15 +163,13 @@
     }
 
     fn at(&mut self, at: Time, event: Event) {
-        self.sequence += 1;
-        self.events.push(Reverse(Timed { at, sequence: self.sequence, event }));
+        self.events.add(at, event);
     }
 
     fn run_until(&mut self, until: Time) {
-        while self.events.peek().is_some_and(|Reverse(t)| t.at <= until) {
-            let Some(Reverse(timed)) = self.events.pop() else { return };
-            self.now = timed.at;
-            self.handle(timed.event);
+        while let Some((at, event)) = self.events.next_until(until) {
+            self.now = at;
+            self.handle(event);
         }
         self.now = until;
     }
@@ -397,74 +355,6 @@
         }
     }
 
-    /// The list of servers as this instance sees it, and again later while servers change.
-    fn list(&mut self, instance: usize) {
-        let seen = self.now.saturating_sub(self.entries[instance].lag);
-        let split = ConnectionSplit { limit: CONNECTIONS };
-        let is_dispatcher = self.dispatching.contains(&instance);
-        let share =
-            split.share(INSTANCES as u32, self.player.dispatchers as u32, is_dispatcher).max(1);
-        let specs: Vec<BackendSpec> = (0..self.servers.len())
-            .filter(|&i| {
-                self.servers[i].listed_from <= seen && self.servers[i].takes_requests(seen)
-            })
-            .map(|i| BackendSpec {
-                id: self.names[i].clone(),
-                domain: domain_id(self.servers[i].domain),
-                state: state(&self.servers[i], seen),
-                connection_share: share,
-            })
-            .collect();
-        self.entries[instance].balancer.set_backends(Micros(self.now), &specs);
-        if self.entries[instance].live {
-            self.at(self.now + 50 * MS, Event::List { instance });
-        }
-    }
-
-    fn replace(&mut self, instance: usize) {
-        let domain = self.entries[instance].domain;
-        self.entries[instance].live = false;
-        self.add_entry(domain, format!("i{instance}-new"));
-        self.choose_dispatchers();
-        for caller in 0..CALLERS {
-            if !self.entries[self.pins[caller]].live {
-                self.pin(caller);
-            }
-        }
-    }
-
-    fn choose_dispatchers(&mut self) {
-        let live: Vec<usize> = (0..self.entries.len()).filter(|&i| self.entries[i].live).collect();
-        let instances: Vec<Instance> = live
-            .iter()
-            .map(|&i| Instance {
-                id: self.entries[i].id.clone(),
-                domain: domain_id(self.entries[i].domain),
-            })
-            .collect();
-        let chosen = dispatchers("lookup", &instances, self.player.dispatchers);
-        self.dispatching = chosen.into_iter().map(|i| live[i]).collect();
-    }
-
-    /// Gives a caller an address: a random one for baselines, by known load for galenapath.
-    fn pin(&mut self, caller: usize) {
-        let place = if self.player.policy == ChoicePolicy::Galenapath {
-            let loads: Vec<_> = self.dispatching.iter().map(|&i| self.known_load(i)).collect();
-            answer(&loads, &mut self.rng).unwrap_or(0)
-        } else {
-            self.rng.random_range(0..self.dispatching.len())
-        };
-        self.pins[caller] = self.dispatching[place];
-    }
-
-    /// Load of an instance as its peers know it: of the last whole `LOAD_WINDOW`.
-    fn known_load(&self, instance: usize) -> DispatcherLoad {
-        let entry = &self.entries[instance];
-        let sharers = self.dispatching.iter().filter(|&&i| self.entries[i].domain == entry.domain);
-        let slots = f64::from(entry.slots_before) / sharers.count().max(1) as f64;
-        DispatcherLoad { rate: entry.arrived_before as f64, slots }
-    }
-
     fn delay(&mut self, instance: usize, server: usize) -> Time {
         let is_local = self.entries[instance].domain == self.servers[server].domain;
         let base = if is_local { LOCAL_DELAY } else { self.scenario.deployment.crossing };
@@ -472,10 +362,6 @@
     }
 }
 
-fn state(server: &Server, seen: Time) -> BackendState {
-    if seen >= server.leaving_from { BackendState::Leaving } else { BackendState::Live }
-}
-
 fn domain_id(domain: usize) -> DomainId {
     DomainId(format!("d{domain}"))
 }
