--- a/crates/galenapath-policy/src/balance/choice.rs
+++ b/crates/galenapath-policy/src/balance/choice.rs
@@ -121,7 +121,7 @@
             if standing == Standing::TrialDue && trials == Trials::Allowed {
                 return Some(index);
             }
-            let full = if self.free(now, server) <= 0.0 { FULL_COST } else { 0.0 };
+            let full = if self.free(now, server) == 0 { FULL_COST } else { 0.0 };
             let penalty = match standing {
                 Standing::Ejected | Standing::TrialDue if heed => EJECTED_COST,
                 Standing::Suspect if heed => SUSPECT_COST,
@@ -151,26 +151,17 @@
         crossing + mean / slots * (waiting + SPREAD * load)
     }
 
-    /// Part of the own requests in flight that are between instance and server, and take no slot.
-    fn part_on_the_way(&self, server: &Server) -> f32 {
-        let round_trip = self.paths.round_trip(server.home).0 as f32;
-        let crossing = if server.home { 0.0 } else { self.paths.crossing() };
-        let latency = (self.latency.mean() + crossing).max(round_trip * 2.0);
-        round_trip / latency.max(1.0)
-    }
-
     /// Requests on a server: the own ones and an estimate of the others'.
     fn load(&self, now: Micros, server: &Server) -> f32 {
         let typical = if server.home { self.typical.home } else { self.typical.foreign };
-        let own = server.in_flight() as f32 * (1.0 - self.part_on_the_way(server));
-        own + server.others.estimate(now, typical)
+        server.in_flight() as f32 + server.others.estimate(now, typical)
     }
 
     /// Estimate of the slots that are free for this instance. The caller queues when it is zero.
     pub fn free_slots(&self, now: Micros) -> u32 {
         let heed = self.heeds_health(now);
-        let mut home = 0.0;
-        let mut foreign = 0.0;
+        let mut home = 0;
+        let mut foreign = 0;
         let mut home_in_flight = 0;
         let mut in_flight = 0;
         for server in self.servers.iter().flatten() {
@@ -186,17 +177,14 @@
                 foreign += free;
             }
         }
-        let free: f32 = if self.waits_for_home(home_in_flight) { home } else { home + foreign };
-        let free = free.round() as u32;
+        let free = if self.waits_for_home(home_in_flight) { home } else { home + foreign };
         if in_flight == 0 { free.max(1) } else { free }
     }
 
-    /// Free slots of one server, with their fraction.
-    fn free(&self, now: Micros, server: &Server) -> f32 {
+    fn free(&self, now: Micros, server: &Server) -> u32 {
         let slots = server.usable_slots(now, self.cfg.ramp);
-        let estimated = (slots - self.load(now, server)).max(0.0);
-        let guaranteed = self.guaranteed(server).saturating_sub(server.in_flight());
-        estimated.max(guaranteed as f32)
+        let estimated = (slots - self.load(now, server)).max(0.0).round() as u32;
+        estimated.max(self.guaranteed(server).saturating_sub(server.in_flight()))
     }
 
     /// Slots of the server that this instance may use whatever the estimate of the others says: in
