--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -14,11 +14,12 @@
 pub mod dispatch;
 pub mod measure;
 mod outcome;
+mod quantile;
 pub mod retry;
 
 pub use admission::{
-    Admission, AdmissionConfig, ClassIndex, ClassPolicy, Decision, Offer, QueueOrder, RejectReason,
-    Rejection, Step, Ticket, WorkLength, WorkspaceIndex,
+    Admission, AdmissionConfig, ClassIndex, ClassPolicy, Decision, LimitConfig, LimitRule, Offer,
+    RejectReason, Rejection, Step, Ticket, WorkLength, WorkspaceIndex,
 };
 pub use balance::{BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy, Slot};
 pub use outcome::Outcome;
