Model checking of the filing protocol, with a mutation for each guard

Cause: the promises of at-most-once filings were argued, not checked. Found by the model and mended: the store's word on a claim that waited until an earlier claim's lease lapsed ran a key again (now refused when older than claim_patience); an own key passed on without a bound on passes went round for ever (one pass only, in the specification); "not run" for an own key with the store down was false when another instance had run it (now Unclaimed, told as "may have run"). Ruled out by the model: refusing dispatch after a hand-over protects no promise, so a stopping instance may end what it has begun.

--- a/crates/galenapath-filings/src/claim.rs
+++ b/crates/galenapath-filings/src/claim.rs
@@ -1,5 +1,6 @@
 //! Claims in the platform's store, which bind a caller's own key to an incarnation.
 
+use crate::RecordId;
 use galenapath_protocol::{Incarnation, Micros};
 
 /// Number of a claim within its incarnation, written into the store next to the incarnation.
@@ -28,6 +29,13 @@
     StoreDown,
 }
 
+/// A claim that is with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PendingClaim {
+    pub(crate) record: RecordId,
+    pub(crate) asked: Micros,
+}
+
 /// Token bucket over the claims of one instance, in whole claims.
 ///
 /// Load pattern: a burst of filings with keys of their callers' own choosing, each costing the
--- a/crates/galenapath-filings/src/config.rs
+++ b/crates/galenapath-filings/src/config.rs
@@ -12,6 +12,10 @@
     /// Lease of a claim in the store. Invariant: at least twice `window + lifetime`, so that no
     /// record outlives its claim.
     pub claim_lease: Micros,
+    /// Age at which the store's word on a claim is too old to act on. A resend of an own key is
+    /// recognised for `claim_lease - claim_patience` after the claim; without the limit a claim
+    /// that waits in front of the store until an earlier one has lapsed would run the key again.
+    pub claim_patience: Micros,
     /// Claims that one instance may write per second.
     pub claims_per_sec: u32,
     /// Most bytes that records and answers may take.
@@ -30,6 +34,7 @@
             window: Micros::from_secs(600),
             lifetime: Micros::from_secs(3_600),
             claim_lease: Micros::from_secs(24 * 3_600),
+            claim_patience: Micros::from_secs(10),
             claims_per_sec: 20,
             max_bytes: 64 << 20,
             max_answer_bytes: 16 << 10,
--- a/crates/galenapath-filings/src/guards.rs
+++ b/crates/galenapath-filings/src/guards.rs
@@ -9,7 +9,8 @@
     pub incarnation_binds: bool,
     /// A caller's own key is claimed in the store before it is dispatched.
     pub own_key_claimed: bool,
-    /// The record is made when the key is admitted, before the dispatch.
+    /// The record is made when the key is admitted, before the dispatch; off, it counts only once
+    /// the filing has ended.
     pub record_first: bool,
     /// A lost attempt is "may have run" and is not dispatched again.
     pub lost_is_final: bool,
@@ -19,33 +20,41 @@
     pub full_refuses: bool,
     /// A held claim of the same incarnation counts as won only if it is not older than the record.
     pub claim_age_checked: bool,
+    /// The store's word on a claim that was asked for long ago is not acted on.
+    pub stale_claim_refused: bool,
     /// A record that is gone when the first byte is about to leave stops the dispatch.
     pub sent_checked: bool,
     /// A key comes with the fingerprint that it first came with.
     pub fingerprint_checked: bool,
+    /// A key that is not claimed yet is not bound to a fingerprint.
+    pub unclaimed_unbound: bool,
     /// A successor never dispatches keys of the incarnation it took over from.
     pub successor_replays_only: bool,
     /// An own key that cannot be claimed is not said to be "not run".
     pub unclaimed_not_denied: bool,
-    /// After a hand-over nothing is dispatched.
-    pub handed_over_stops: bool,
+}
+
+impl Guards {
+    /// All guards on.
+    pub const ON: Self = Self {
+        incarnation_binds: true,
+        own_key_claimed: true,
+        record_first: true,
+        lost_is_final: true,
+        expired_refused: true,
+        full_refuses: true,
+        claim_age_checked: true,
+        stale_claim_refused: true,
+        sent_checked: true,
+        fingerprint_checked: true,
+        unclaimed_unbound: true,
+        successor_replays_only: true,
+        unclaimed_not_denied: true,
+    };
 }
 
 impl Default for Guards {
     fn default() -> Self {
-        Self {
-            incarnation_binds: true,
-            own_key_claimed: true,
-            record_first: true,
-            lost_is_final: true,
-            expired_refused: true,
-            full_refuses: true,
-            claim_age_checked: true,
-            sent_checked: true,
-            fingerprint_checked: true,
-            successor_replays_only: true,
-            unclaimed_not_denied: true,
-            handed_over_stops: true,
-        }
+        Self::ON
     }
 }
--- a/crates/galenapath-filings/src/table.rs
+++ b/crates/galenapath-filings/src/table.rs
@@ -9,7 +9,7 @@
 mod claims;
 
 use crate::adopted::Adopted;
-use crate::claim::ClaimBudget;
+use crate::claim::{ClaimBudget, PendingClaim};
 use crate::key::prefix_text;
 use crate::record::{AfterAttempt, AttemptEnd, End, Record, RecordGone, State};
 use crate::store::Records;
@@ -19,16 +19,6 @@
 
 pub use admit::Admit;
 
-/// How far a planned stop has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Phase {
-    Serving,
-    /// New keys are refused; those in progress end.
-    Stopping,
-    /// Outcomes are with the successors; nothing is dispatched any more.
-    HandedOver,
-}
-
 /// The filing table of one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct FilingTable {
@@ -37,13 +27,14 @@
     incarnation: Incarnation,
     /// Latest time seen. Invariant: never falls.
     now: Micros,
-    phase: Phase,
+    /// A planned stop has begun: new keys are refused, those in progress end.
+    stopping: bool,
     records: Records,
     adopted: Adopted,
     budget: ClaimBudget,
     next_claim: u64,
     /// Claims that are with the store. At most one for each record in state `Claiming`.
-    pending: BTreeMap<ClaimId, RecordId>,
+    pending: BTreeMap<ClaimId, PendingClaim>,
 }
 
 impl FilingTable {
@@ -61,7 +52,7 @@
             guards,
             incarnation,
             now: Micros::ZERO,
-            phase: Phase::Serving,
+            stopping: false,
             records: Records::default(),
             adopted: Adopted::default(),
             budget,
@@ -84,9 +75,6 @@
         if !self.guards.sent_checked {
             return Ok(());
         }
-        if self.handed_over() {
-            return Err(RecordGone);
-        }
         let record = self.records.get_mut(id).ok_or(RecordGone)?;
         if record.state != State::Admitted {
             return Err(RecordGone);
@@ -138,13 +126,14 @@
 
     /// Begins a planned stop: new keys are refused from now on.
     pub fn begin_stop(&mut self) {
-        self.phase = self.phase.max(Phase::Stopping);
+        self.stopping = true;
     }
 
-    /// Ends a planned stop: returns all known outcomes for the successors. Nothing is dispatched
-    /// afterwards.
+    /// All known outcomes, for the successors; begins a planned stop if none has begun. Best called
+    /// when the last filing has ended, since a successor answers "may have run" for the others. It
+    /// may be called again for those that ended since.
     pub fn hand_over(&mut self) -> Vec<HandOver> {
-        self.phase = Phase::HandedOver;
+        self.begin_stop();
         self.records
             .iter()
             .filter_map(|(key, record)| {
@@ -212,10 +201,6 @@
         }
     }
 
-    fn handed_over(&self) -> bool {
-        self.phase == Phase::HandedOver && self.guards.handed_over_stops
-    }
-
     fn window_len(&self) -> u64 {
         self.cfg.window.0.max(1)
     }
--- a/crates/galenapath-filings/src/table/admit.rs
+++ b/crates/galenapath-filings/src/table/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a filing by its key.
 
-use super::{FilingTable, Phase};
+use super::FilingTable;
 use crate::record::{Record, State};
 use crate::{Answer, ClaimId, FilingKey, Fingerprint, KeyId, KeyKind, RecordId};
 use galenapath_protocol::{Incarnation, Micros};
@@ -55,7 +55,14 @@
             KeyKind::Issued { incarnation, window } if self.owns(incarnation) => {
                 self.admit_issued(key.id(), window, fp)
             }
-            KeyKind::Issued { incarnation, .. } => self.admit_elsewhere(incarnation, key.id(), fp),
+            KeyKind::Issued { incarnation, window } => {
+                match self.admit_elsewhere(incarnation, key.id(), fp) {
+                    Admit::MayHaveRun if !self.guards.successor_replays_only => {
+                        self.admit_issued(key.id(), window, fp)
+                    }
+                    admit => admit,
+                }
+            }
         }
     }
 
@@ -73,7 +80,7 @@
         if let Some(id) = self.records.find(window, key) {
             return self.admit_known(id, fp);
         }
-        if self.stopping() {
+        if self.stopping {
             return Admit::Full { retry_after: self.cfg.retry_after };
         }
         match self.open(window, key, fp, State::Admitted, false) {
@@ -90,11 +97,12 @@
     /// A key that has a record here.
     pub(super) fn admit_known(&mut self, id: RecordId, fp: Fingerprint) -> Admit {
         let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
-        if record.binds_fingerprint() && record.fp != fp && self.guards.fingerprint_checked {
+        let bound = record.binds_fingerprint() || !self.guards.unclaimed_unbound;
+        if bound && record.fp != fp && self.guards.fingerprint_checked {
             return Admit::Mismatch;
         }
         match &record.state {
-            State::Admitted | State::Sent if !self.guards.record_first => Admit::Run(id),
+            State::Admitted | State::Sent if !self.guards.record_first => self.run_again(id, fp),
             State::Claiming { .. } | State::Admitted | State::Sent => Admit::InProgress(id),
             State::Unclaimed { first } => {
                 let first = *first;
@@ -110,7 +118,7 @@
     /// Runs a claimed key that did not run, under a new sequence number: the holder of the old id
     /// can do nothing with it.
     fn run_again(&mut self, id: RecordId, fp: Fingerprint) -> Admit {
-        if self.stopping() {
+        if self.stopping {
             return Admit::Full { retry_after: self.cfg.retry_after };
         }
         let seq = self.records.next_seq();
@@ -121,10 +129,6 @@
         Admit::Run(RecordId { seq, ..id })
     }
 
-    pub(super) fn stopping(&self) -> bool {
-        self.phase != Phase::Serving
-    }
-
     /// Makes a record; `None` if there is no room.
     pub(super) fn open(
         &mut self,
--- a/crates/galenapath-filings/src/table/claims.rs
+++ b/crates/galenapath-filings/src/table/claims.rs
@@ -1,6 +1,7 @@
 //! Callers' own keys: bound to an incarnation by a claim in the store.
 
-use super::{FilingTable, Phase};
+use super::FilingTable;
+use crate::claim::PendingClaim;
 use crate::record::State;
 use crate::{Admit, ClaimId, ClaimResult, Fingerprint, KeyId, RecordId};
 use galenapath_protocol::{Incarnation, Micros};
@@ -14,10 +15,15 @@
     /// Takes the store's word on a claim. Called once for each [`Admit::Claim`].
     pub fn claim_result(&mut self, now: Micros, claim: ClaimId, result: ClaimResult) -> Admit {
         self.expire(now);
-        let Some(id) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
+        let Some(pending) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
+        let id = pending.record;
+        let stale = self.now - pending.asked > self.cfg.claim_patience;
         let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
         let State::Claiming { first, .. } = record.state else { return Admit::MayHaveRun };
         let fp = record.fp;
+        if stale && self.guards.stale_claim_refused {
+            return self.unclaimed(id, first);
+        }
         match result {
             ClaimResult::Won => self.claimed(id),
             ClaimResult::Lost { incarnation, claim } if incarnation == self.incarnation => {
@@ -72,12 +78,12 @@
     }
 
     fn ask(&mut self, id: RecordId, claim: ClaimId) -> Admit {
-        self.pending.insert(claim, id);
+        self.pending.insert(claim, PendingClaim { record: id, asked: self.now });
         Admit::Claim(claim)
     }
 
     fn may_claim(&mut self) -> Result<(), Micros> {
-        if self.stopping() {
+        if self.stopping {
             return Err(self.cfg.retry_after);
         }
         self.budget.take(self.now)
@@ -90,14 +96,9 @@
 
     /// The store holds a claim of this record's life: the key is this incarnation's to dispatch.
     fn claimed(&mut self, id: RecordId) -> Admit {
-        let ready = self.phase == Phase::HandedOver;
-        if let Some(record) = self.records.get_mut(id) {
-            record.state = if ready { State::Ready } else { State::Admitted };
-        }
-        match ready {
-            true => Admit::Full { retry_after: self.cfg.retry_after },
-            false => Admit::Run(id),
-        }
+        let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
+        record.state = State::Admitted;
+        Admit::Run(id)
     }
 
     /// The store holds a claim from before this record: its own record has expired, and it may
