Suspects: trials known to peers, standings worked out per change; property tests

Cause: judging a suspect walked all crashes for each member of each crash for each request, and two instances could run a trial of the same suspect at the same time. Change: standings are worked out when the crashes change; a trial is a fact that peers are told. Not measured: cost of judging.

--- a/crates/galenapath-filings/src/suspects/crash.rs
+++ b/crates/galenapath-filings/src/suspects/crash.rs
@@ -22,10 +22,6 @@
         self.backend == backend && apart < SAME_CRASH
     }
 
-    pub(super) fn has(&self, fp: Fingerprint) -> bool {
-        self.members.binary_search(&fp).is_ok()
-    }
-
     pub(super) fn add(&mut self, fp: Fingerprint, max: usize) {
         if let Err(at) = self.members.binary_search(&fp)
             && self.members.len() < max
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -1,13 +1,11 @@
 //! The suspects of one instance.
 
 use super::crash::Crash;
+use super::standing::{Blame, Standing, standings};
 use super::wire::SuspectWire;
 use crate::Fingerprint;
 use galenapath_protocol::Micros;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-/// Crashes from which a request is refused: one crash may be chance, and the second names it.
-const REFUSED_FROM: usize = 2;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Limits of the suspects.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -20,6 +18,8 @@
     pub max_answered: usize,
     /// Time for which a crash or an answer counts.
     pub lifetime: Micros,
+    /// Time after which a trial is taken to be over, however it ended.
+    pub trial_lifetime: Micros,
     /// What a caller is told to wait while another trial of the same request runs.
     pub trial_retry_after: Micros,
 }
@@ -31,6 +31,7 @@
             max_members: 64,
             max_answered: 1_024,
             lifetime: Micros::from_secs(600),
+            trial_lifetime: Micros::from_secs(5),
             trial_retry_after: Micros::from_secs(1),
         }
     }
@@ -56,11 +57,14 @@
     cfg: SuspectConfig,
     /// Oldest first.
     crashes: VecDeque<Crash>,
+    /// Invariant: what `crashes` say about each of their members.
+    standings: BTreeMap<Fingerprint, Standing>,
     /// Last complete answer of requests that were suspects. It speaks for them in every crash up
     /// to that time.
     answered: BTreeMap<Fingerprint, Micros>,
-    /// Suspects that run alone through this instance now.
-    trials: BTreeSet<Fingerprint>,
+    /// Suspects that run alone now, through this instance or a peer, with the start of the trial.
+    /// Invariant: at most as many as requests remembered for crashes.
+    trials: BTreeMap<Fingerprint, Micros>,
 }
 
 impl Suspects {
@@ -71,24 +75,29 @@
 
     /// What to do with the request `fp`.
     pub fn judge(&self, now: Micros, fp: Fingerprint) -> SuspectVerdict {
-        let Some(last) = self.live(now).filter(|crash| crash.has(fp)).last() else {
+        let Some(standing) = self.standings.get(&fp).filter(|s| self.fresh(now, s.last)) else {
             return SuspectVerdict::Clear;
         };
-        if self.is_culprit(now, fp) {
-            return SuspectVerdict::Refuse { retry_after: last.at + self.cfg.lifetime - now };
-        }
-        if self.live(now).filter(|crash| crash.has(fp)).all(|crash| self.explained(now, crash)) {
-            return SuspectVerdict::Clear;
+        match standing.blame {
+            Blame::Bystander => return SuspectVerdict::Clear,
+            Blame::Culprit => {
+                let retry_after = standing.last + self.cfg.lifetime - now;
+                return SuspectVerdict::Refuse { retry_after };
+            }
+            Blame::Suspect => {}
         }
-        if self.trials.contains(&fp) {
+        if self.trials.get(&fp).is_some_and(|start| *start + self.cfg.trial_lifetime > now) {
             return SuspectVerdict::Refuse { retry_after: self.cfg.trial_retry_after };
         }
         SuspectVerdict::RunAlone
     }
 
-    /// A suspect starts to run alone; a second one of the same request waits for its end.
-    pub fn trial_started(&mut self, fp: Fingerprint) {
-        self.trials.insert(fp);
+    /// A suspect starts to run alone; a second one of the same request waits for its end, here and
+    /// at each peer that has been told.
+    pub fn trial_started(&mut self, now: Micros, fp: Fingerprint) {
+        if self.standings.contains_key(&fp) {
+            self.trials.insert(fp, now);
+        }
     }
 
     /// The trial is over, however it ended.
@@ -103,7 +112,7 @@
 
     /// A request was answered completely, so it does not crash the server that runs it.
     pub fn answered(&mut self, now: Micros, fp: Fingerprint) {
-        if self.crashes.iter().any(|crash| crash.has(fp)) {
+        if self.standings.contains_key(&fp) {
             self.clear(now, fp, now);
         }
     }
@@ -113,6 +122,7 @@
         for fact in facts {
             match fact {
                 SuspectWire::Answered { fp, age_ms } => self.clear(now, *fp, then(now, *age_ms)),
+                SuspectWire::Trial { fp, age_ms } => self.trial_started(then(now, *age_ms), *fp),
                 SuspectWire::Crash { backend, age_ms, members } => {
                     self.add(now, *backend, then(now, *age_ms), members);
                 }
@@ -130,7 +140,10 @@
         let fresh = self.answered.iter().filter(|(_, at)| self.fresh(now, **at));
         let answered =
             fresh.map(|(fp, at)| SuspectWire::Answered { fp: *fp, age_ms: age_ms(now, *at) });
-        crashes.chain(answered).collect()
+        let trials = self.trials.iter();
+        let trials =
+            trials.map(|(fp, at)| SuspectWire::Trial { fp: *fp, age_ms: age_ms(now, *at) });
+        crashes.chain(answered).chain(trials).collect()
     }
 
     fn add(&mut self, now: Micros, backend: u64, at: Micros, in_flight: &[Fingerprint]) {
@@ -149,6 +162,7 @@
         while self.crashes.len() > self.cfg.max_crashes.max(1) {
             self.crashes.pop_front();
         }
+        self.standings = standings(self.crashes.iter());
     }
 
     fn insert_crash(&mut self, backend: u64, at: Micros) -> usize {
@@ -165,6 +179,8 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
             crash.clear(fp);
         }
+        self.trials.remove(&fp);
+        self.standings = standings(self.crashes.iter());
         let last = self.answered.entry(fp).or_insert(at);
         *last = at.max(*last);
         if self.answered.len() > self.cfg.max_answered {
@@ -177,6 +193,8 @@
         let lifetime = self.cfg.lifetime;
         self.crashes.retain(|crash| crash.at + lifetime > now);
         self.answered.retain(|_, at| *at + lifetime > now);
+        let trial_lifetime = self.cfg.trial_lifetime;
+        self.trials.retain(|_, start| *start + trial_lifetime > now);
     }
 
     fn live(&self, now: Micros) -> impl Iterator<Item = &Crash> {
@@ -186,26 +204,6 @@
     fn fresh(&self, now: Micros, at: Micros) -> bool {
         at + self.cfg.lifetime > now
     }
-
-    fn count(&self, now: Micros, fp: Fingerprint) -> usize {
-        self.live(now).filter(|crash| crash.has(fp)).count()
-    }
-
-    /// Whether `fp` was in two crashes and in one of them nothing else was in as many.
-    fn is_culprit(&self, now: Micros, fp: Fingerprint) -> bool {
-        let count = self.count(now, fp);
-        if count < REFUSED_FROM {
-            return false;
-        }
-        let fewer = |other: &Fingerprint| *other == fp || self.count(now, *other) < count;
-        let mut own = self.live(now).filter(|crash| crash.has(fp));
-        own.any(|crash| crash.members.iter().all(fewer))
-    }
-
-    /// Whether a culprit among its members accounts for the crash.
-    fn explained(&self, now: Micros, crash: &Crash) -> bool {
-        crash.members.iter().any(|fp| self.is_culprit(now, *fp))
-    }
 }
 
 fn then(now: Micros, age_ms: u64) -> Micros {
--- a/crates/galenapath-filings/src/suspects/mod.rs
+++ b/crates/galenapath-filings/src/suspects/mod.rs
@@ -7,6 +7,7 @@
 
 mod crash;
 mod list;
+mod standing;
 mod wire;
 
 pub use list::{SuspectConfig, SuspectVerdict, Suspects};
--- /dev/null
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -0,0 +1,168 @@
+//! Tests of the crash suspects.
+
+use galenapath_filings::{Fingerprint, SuspectConfig, SuspectVerdict, Suspects};
+use galenapath_protocol::Micros;
+use proptest::prelude::*;
+
+const POISON: Fingerprint = Fingerprint(666);
+const T0: Micros = Micros::from_secs(1_000);
+/// Times between crashes: longer than reports of one crash are apart.
+const APART: Micros = Micros::from_secs(3);
+
+fn fp(n: u128) -> Fingerprint {
+    Fingerprint(n)
+}
+
+fn suspects() -> Suspects {
+    Suspects::new(SuspectConfig::default())
+}
+
+fn share(now: Micros, all: &mut [Suspects]) {
+    let facts: Vec<_> = all.iter().flat_map(|s| s.export(now)).collect();
+    all.iter_mut().for_each(|s| s.merge(now, &facts));
+}
+
+fn refused(verdict: SuspectVerdict) -> bool {
+    matches!(verdict, SuspectVerdict::Refuse { .. })
+}
+
+#[test]
+fn judge_unknown_clear() {
+    assert_eq!(suspects().judge(T0, POISON), SuspectVerdict::Clear);
+}
+
+#[test]
+fn crashed_once_all_run_alone() {
+    let mut s = suspects();
+    s.crashed(T0, 1, &[POISON, fp(1)]);
+    assert_eq!(s.judge(T0, POISON), SuspectVerdict::RunAlone);
+    assert_eq!(s.judge(T0, fp(1)), SuspectVerdict::RunAlone);
+}
+
+#[test]
+fn crashed_twice_named_and_bystanders_cleared() {
+    let mut s = suspects();
+    s.crashed(T0, 1, &[POISON, fp(1), fp(2)]);
+    let now = T0 + APART;
+    s.crashed(now, 2, &[POISON]);
+    assert!(refused(s.judge(now, POISON)));
+    assert_eq!(s.judge(now, fp(1)), SuspectVerdict::Clear);
+}
+
+#[test]
+fn crashed_same_server_reported_twice_once() {
+    let mut s = suspects();
+    s.crashed(T0, 1, &[POISON, fp(1)]);
+    s.crashed(T0 + Micros::from_millis(5), 1, &[POISON, fp(2)]);
+    assert_eq!(s.judge(T0 + APART, POISON), SuspectVerdict::RunAlone);
+}
+
+#[test]
+fn crashed_popular_bystander_not_refused() {
+    let mut s = suspects();
+    let popular = fp(7);
+    s.crashed(T0, 1, &[POISON, popular]);
+    s.crashed(T0 + APART, 2, &[POISON, popular]);
+    assert_eq!(s.judge(T0 + APART, popular), SuspectVerdict::RunAlone);
+    s.answered(T0 + APART, popular);
+    assert_eq!(s.judge(T0 + APART, popular), SuspectVerdict::Clear);
+    assert!(refused(s.judge(T0 + APART, POISON)));
+}
+
+#[test]
+fn answered_before_crash_no_excuse() {
+    let mut s = suspects();
+    s.crashed(T0, 1, &[POISON]);
+    s.answered(T0, POISON);
+    s.crashed(T0 + APART, 2, &[POISON]);
+    assert_eq!(s.judge(T0 + APART, POISON), SuspectVerdict::RunAlone);
+}
+
+#[test]
+fn trial_second_waits_here_and_at_peer() {
+    let mut all = [suspects(), suspects()];
+    all[0].crashed(T0, 1, &[POISON, fp(1)]);
+    all[0].trial_started(T0, POISON);
+    share(T0, &mut all);
+    assert!(all.iter().all(|s| refused(s.judge(T0, POISON))));
+    let later = T0 + SuspectConfig::default().trial_lifetime;
+    assert_eq!(all[1].judge(later, POISON), SuspectVerdict::RunAlone);
+}
+
+#[test]
+fn judge_expired_clear() {
+    let mut s = suspects();
+    s.crashed(T0, 1, &[POISON]);
+    let later = T0 + SuspectConfig::default().lifetime;
+    assert_eq!(s.judge(later, POISON), SuspectVerdict::Clear);
+}
+
+#[test]
+fn crashed_copies_before_sharing_then_refused() {
+    let mut all: Vec<_> = (0..4).map(|_| suspects()).collect();
+    for (place, s) in all.iter_mut().enumerate() {
+        let others = [POISON, fp(place as u128), fp(100 + place as u128)];
+        s.crashed(T0, place as u64, &others);
+    }
+    share(T0, &mut all);
+    assert!(all.iter().all(|s| refused(s.judge(T0, POISON))));
+    assert!(all.iter().all(|s| s.judge(T0, fp(2)) == SuspectVerdict::Clear));
+}
+
+/// Sends the poison again and again through the given instances, each crash shared before the next
+/// send, among bystanders that share servers while it runs with others. Returns servers lost.
+fn servers_lost(sends: &[(usize, Vec<u128>)]) -> u64 {
+    let mut all: Vec<_> = (0..3).map(|_| suspects()).collect();
+    let (mut now, mut lost) = (T0, 0);
+    for (place, bystanders) in sends {
+        now = now + APART;
+        let mut in_flight = vec![POISON];
+        match all[*place].judge(now, POISON) {
+            SuspectVerdict::Refuse { .. } => continue,
+            SuspectVerdict::RunAlone => all[*place].trial_started(now, POISON),
+            SuspectVerdict::Clear => in_flight.extend(bystanders.iter().map(|n| fp(*n))),
+        }
+        lost += 1;
+        all[*place].crashed(now, lost, &in_flight);
+        share(now, &mut all);
+    }
+    lost
+}
+
+proptest! {
+    #[test]
+    fn poison_shared_two_servers(
+        sends in prop::collection::vec((0..3_usize, prop::collection::vec(0..6_u128, 0..6)), 2..12)
+    ) {
+        prop_assert_eq!(servers_lost(&sends), 2);
+    }
+
+    #[test]
+    fn merge_any_order_same_verdicts(
+        crashes in prop::collection::vec(
+            (0..4_u64, 0..20_u64, prop::collection::vec(0..5_u128, 1..5)), 1..8),
+        answered in prop::collection::vec(0..5_u128, 0..3),
+    ) {
+        let mut parts = Vec::new();
+        for (backend, at, members) in &crashes {
+            let mut s = suspects();
+            let members: Vec<_> = members.iter().map(|n| fp(*n)).collect();
+            s.crashed(T0 + Micros::from_secs(at * 3), *backend, &members);
+            parts.push(s);
+        }
+        let now = T0 + Micros::from_secs(100);
+        let mut facts: Vec<_> = parts.iter().flat_map(|s| s.export(now)).collect();
+        for n in &answered {
+            let age_ms = 20_000;
+            facts.push(galenapath_filings::SuspectWire::Answered { fp: fp(*n), age_ms });
+        }
+        let (mut forth, mut back) = (suspects(), suspects());
+        forth.merge(now, &facts);
+        forth.merge(now, &facts);
+        facts.reverse();
+        back.merge(now, &facts);
+        for n in 0..5 {
+            prop_assert_eq!(forth.judge(now, fp(n)), back.judge(now, fp(n)));
+        }
+    }
+}
