--- a/crates/galenapath-filings/src/answer.rs
+++ b/crates/galenapath-filings/src/answer.rs
@@ -29,7 +29,7 @@
 
 /// Estimated bytes of an answer besides its headers and body: the shared box, its place in the
 /// queue of kept answers, and the allocations' own overhead.
-const ANSWER_COST: usize = 192;
+const ANSWER_COST: usize = 208;
 
 /// Estimated bytes of one header besides its text.
 const HEADER_COST: usize = 80;
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -5,7 +5,7 @@
 use super::wire::SuspectWire;
 use crate::Fingerprint;
 use galenapath_protocol::Micros;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Limits of the suspects.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -18,8 +18,6 @@
     pub max_answered: usize,
     /// Time for which a crash or an answer counts.
     pub lifetime: Micros,
-    /// Time after which a trial is taken to be over, however it ended.
-    pub trial_lifetime: Micros,
     /// What a caller is told to wait while another trial of the same request runs.
     pub trial_retry_after: Micros,
 }
@@ -31,7 +29,6 @@
             max_members: 64,
             max_answered: 1_024,
             lifetime: Micros::from_secs(600),
-            trial_lifetime: Micros::from_secs(5),
             trial_retry_after: Micros::from_secs(1),
         }
     }
@@ -62,9 +59,8 @@
     /// Last complete answer of requests that were suspects. It speaks for them in every crash up
     /// to that time.
     answered: BTreeMap<Fingerprint, Micros>,
-    /// Suspects that run alone now, through this instance or a peer, with the start of the trial.
-    /// Invariant: at most as many as requests remembered for crashes.
-    trials: BTreeMap<Fingerprint, Micros>,
+    /// Suspects that run alone through this instance now.
+    trials: BTreeSet<Fingerprint>,
 }
 
 impl Suspects {
@@ -86,18 +82,16 @@
             }
             Blame::Suspect => {}
         }
-        if self.trials.get(&fp).is_some_and(|start| *start + self.cfg.trial_lifetime > now) {
+        if self.trials.contains(&fp) {
             return SuspectVerdict::Refuse { retry_after: self.cfg.trial_retry_after };
         }
         SuspectVerdict::RunAlone
     }
 
-    /// A suspect starts to run alone; a second one of the same request waits for its end, here and
-    /// at each peer that has been told.
-    pub fn trial_started(&mut self, now: Micros, fp: Fingerprint) {
-        if self.standings.contains_key(&fp) {
-            self.trials.insert(fp, now);
-        }
+    /// A suspect starts to run alone; a second one of the same request waits for its end. Peers are
+    /// not told: see the bound in the specification.
+    pub fn trial_started(&mut self, fp: Fingerprint) {
+        self.trials.insert(fp);
     }
 
     /// The trial is over, however it ended.
@@ -122,7 +116,6 @@
         for fact in facts {
             match fact {
                 SuspectWire::Answered { fp, age_ms } => self.clear(now, *fp, then(now, *age_ms)),
-                SuspectWire::Trial { fp, age_ms } => self.trial_started(then(now, *age_ms), *fp),
                 SuspectWire::Crash { backend, age_ms, members } => {
                     self.add(now, *backend, then(now, *age_ms), members);
                 }
@@ -140,10 +133,7 @@
         let fresh = self.answered.iter().filter(|(_, at)| self.fresh(now, **at));
         let answered =
             fresh.map(|(fp, at)| SuspectWire::Answered { fp: *fp, age_ms: age_ms(now, *at) });
-        let trials = self.trials.iter();
-        let trials =
-            trials.map(|(fp, at)| SuspectWire::Trial { fp: *fp, age_ms: age_ms(now, *at) });
-        crashes.chain(answered).chain(trials).collect()
+        crashes.chain(answered).collect()
     }
 
     fn add(&mut self, now: Micros, backend: u64, at: Micros, in_flight: &[Fingerprint]) {
@@ -179,7 +169,6 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
             crash.clear(fp);
         }
-        self.trials.remove(&fp);
         self.standings = standings(self.crashes.iter());
         let last = self.answered.entry(fp).or_insert(at);
         *last = at.max(*last);
@@ -193,8 +182,6 @@
         let lifetime = self.cfg.lifetime;
         self.crashes.retain(|crash| crash.at + lifetime > now);
         self.answered.retain(|_, at| *at + lifetime > now);
-        let trial_lifetime = self.cfg.trial_lifetime;
-        self.trials.retain(|_, start| *start + trial_lifetime > now);
     }
 
     fn live(&self, now: Micros) -> impl Iterator<Item = &Crash> {
--- a/crates/galenapath-filings/src/suspects/wire.rs
+++ b/crates/galenapath-filings/src/suspects/wire.rs
@@ -14,13 +14,6 @@
         /// Requests that were in flight and were not answered since.
         members: Vec<Fingerprint>,
     },
-    /// A suspect runs alone now, or was about to a moment ago.
-    Trial {
-        /// The request.
-        fp: Fingerprint,
-        /// Milliseconds since its start.
-        age_ms: u64,
-    },
     /// A request was answered completely.
     Answered {
         /// The request.
