Model: a store that lets a lease write over its own claim; bound on a lease's use

Cause: the store's acquire under a lease lets the holder of the same lease write over the key, so a claim that outlived its record could get a new number and pass for fresh. Change: the model's store does so; an instance may write claims under one lease for at most the records' lifetime (FilingTable::claim_lease_use). With a longer use the checker finds a key that runs twice (claim_lease_used_too_long). One more model: expiry, crash and planned stop together.

--- a/crates/galenapath-filings/src/table/claims.rs
+++ b/crates/galenapath-filings/src/table/claims.rs
@@ -12,6 +12,13 @@
         self.cfg.claim_lease
     }
 
+    /// Longest time for which one lease may be used for new claims. A store that lets the holder of
+    /// a lease write over its own claim would else give a claim that outlived its record a new
+    /// number, and the key would run again.
+    pub fn claim_lease_use(&self) -> Micros {
+        self.cfg.lifetime
+    }
+
     /// Takes the store's word on a claim. Called once for each [`Admit::Claim`].
     pub fn claim_result(&mut self, now: Micros, claim: ClaimId, result: ClaimResult) -> Admit {
         self.expire(now);
--- a/crates/galenapath-filings/tests/model/step.rs
+++ b/crates/galenapath-filings/tests/model/step.rs
@@ -4,9 +4,11 @@
 //! delivered; an instance list that lags is a forward that is tried, passed to another instance or
 //! given up in any case.
 
-use super::world::{LEASE, Request, Stage, Try, World, at, fingerprint};
+use super::world::{Claim, LEASE, Request, Stage, Try, World, at, fingerprint};
 use bytes::Bytes;
-use galenapath_filings::{Admit, AfterAttempt, Answer, AttemptEnd, ClaimResult, End, RecordId};
+use galenapath_filings::{
+    Admit, AfterAttempt, Answer, AttemptEnd, ClaimId, ClaimResult, End, RecordId,
+};
 use galenapath_protocol::{Incarnation, Verdict};
 use std::rc::Rc;
 
@@ -108,11 +110,14 @@
         });
     }
     for write in &w.writes {
-        let (key, by, claim) = *write;
-        add(steps, w, Action::LandClaim { key, by }, |w| {
+        let (key, claim) = *write;
+        add(steps, w, Action::LandClaim { key, by: claim.by }, |w| {
             w.writes.remove(write);
             let now = w.now;
-            w.claims.entry(key).or_insert((by, claim, now));
+            let (held, _) = w.claims.entry(key).or_insert((claim, now));
+            if held.same_lease(&claim) {
+                *held = claim;
+            }
         });
     }
     for ((t, attempt, by), request) in &w.requests {
@@ -142,9 +147,10 @@
             w.instance(place).tasks.insert((t, Stage::Admitted { id, attempt: 0 }));
         }
         Admit::Claim(claim) => {
-            let by = w.instances[place].incarnation;
-            w.writes.insert((t.key, by, claim));
-            w.instance(place).tasks.insert((t, Stage::Claiming { claim, direct }));
+            let write = (t.key, stored(w, place, claim, w.now));
+            w.writes.insert(write);
+            let asked = w.now;
+            w.instance(place).tasks.insert((t, Stage::Claiming { claim, asked, direct }));
         }
         Admit::Forward(to) if direct => {
             w.forwards.insert((t, to));
@@ -161,6 +167,11 @@
     }
 }
 
+/// A claim as it is written at the tick `asked`.
+fn stored(w: &World, place: usize, id: ClaimId, asked: u64) -> Claim {
+    Claim { by: w.instances[place].incarnation, id, lease: asked / w.bounds.lease_use }
+}
+
 fn task(w: &World, place: usize, t: Try, stage: Stage, steps: &mut Steps) {
     let now = at(w.now);
     let by = w.instances[place].incarnation;
@@ -171,18 +182,18 @@
         });
     };
     match stage {
-        Stage::Claiming { claim, direct } => {
+        Stage::Claiming { claim, asked, direct } => {
             let result = |w: &mut World, result| {
                 let admit = w.table(place).claim_result(now, claim, result);
                 admitted(w, place, t, admit, direct);
             };
-            let write = (t.key, by, claim);
+            let write = (t.key, stored(w, place, claim, asked));
             let landed = !w.writes.contains(&write);
-            if let Some((holder, held, _)) = w.claims.get(&t.key)
+            if let Some((held, _)) = w.claims.get(&t.key)
                 && landed
             {
-                let lost = ClaimResult::Lost { incarnation: *holder, claim: *held };
-                let won = (*holder, *held) == (by, claim);
+                let lost = ClaimResult::Lost { incarnation: held.by, claim: held.id };
+                let won = (held.by, held.id) == (by, claim);
                 let reply = if won { ClaimResult::Won } else { lost };
                 go(Action::ClaimReply { t, at: place }, &|w| result(w, reply));
             }
@@ -322,7 +333,7 @@
     if w.now == w.bounds.ticks {
         return;
     }
-    let lapses = w.claims.values().any(|(.., landed)| landed + LEASE <= w.now + 1);
+    let lapses = w.claims.values().any(|(_, landed)| landed + LEASE <= w.now + 1);
     let flying = w.requests.values().any(|r| *r == Request::Flying);
     if lapses && (flying || marked(w, None) || !w.forwards.is_empty()) {
         return;
@@ -330,6 +341,6 @@
     add(steps, w, Action::Tick, |w| {
         w.now += 1;
         let now = w.now;
-        w.claims.retain(|_, (.., landed)| *landed + LEASE > now);
+        w.claims.retain(|_, (_, landed)| *landed + LEASE > now);
     });
 }
--- a/crates/galenapath-filings/tests/model/world.rs
+++ b/crates/galenapath-filings/tests/model/world.rs
@@ -28,6 +28,8 @@
     /// Whether marking and writing are two steps, and late answers are awaited.
     pub fine: bool,
     pub max_records: usize,
+    /// Ticks for which an instance writes its claims under one lease.
+    pub lease_use: u64,
     pub guards: Guards,
 }
 
@@ -46,6 +48,7 @@
         attempts: 2,
         fine: true,
         max_records: 8,
+        lease_use: 1,
         guards: Guards::ON,
     };
 }
@@ -64,6 +67,7 @@
     /// `direct` tells a try that came from its caller from one that was passed on.
     Claiming {
         claim: ClaimId,
+        asked: u64,
         direct: bool,
     },
     Admitted {
@@ -95,6 +99,22 @@
     pub handed_over: bool,
 }
 
+/// A claim as the store holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Claim {
+    pub by: Incarnation,
+    pub id: ClaimId,
+    /// Number of the incarnation's lease.
+    pub lease: u64,
+}
+
+impl Claim {
+    /// The store lets the holder of a lease write over what the same lease holds.
+    pub fn same_lease(&self, other: &Self) -> bool {
+        (self.by, self.lease) == (other.by, other.lease)
+    }
+}
+
 /// A request at or on its way to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Request {
@@ -113,9 +133,9 @@
     pub stops: u8,
     pub store_faults: u8,
     /// Claims that the store holds, with the tick at which each landed.
-    pub claims: BTreeMap<usize, (Incarnation, ClaimId, u64)>,
+    pub claims: BTreeMap<usize, (Claim, u64)>,
     /// Claim writes on their way to the store.
-    pub writes: BTreeSet<(usize, Incarnation, ClaimId)>,
+    pub writes: BTreeSet<(usize, Claim)>,
     /// Tries passed on to an incarnation.
     pub forwards: BTreeSet<(Try, Incarnation)>,
     pub requests: BTreeMap<(Try, u8, Incarnation), Request>,
@@ -219,8 +239,10 @@
                 || instances.iter().any(|i| i.tasks.iter().any(|(other, _)| other == t))
         });
         if self.bounds.ticks < LEASE {
-            // No lease lapses: a write that finds a claim has no effect, now or later.
-            self.writes.retain(|(key, ..)| !self.claims.contains_key(key));
+            // No lease lapses: a write that finds another's claim never has an effect.
+            let claims = &self.claims;
+            let effect = |held: &(Claim, u64), claim: &Claim| held.0.same_lease(claim);
+            self.writes.retain(|(key, c)| claims.get(key).is_none_or(|held| effect(held, c)));
         }
         self.estates.retain(|from, _| hand_overs.iter().any(|(_, other)| other == from));
     }
--- a/crates/galenapath-filings/tests/model_mutations.rs
+++ b/crates/galenapath-filings/tests/model_mutations.rs
@@ -91,3 +91,9 @@
     let b = Bounds { fingerprints: 2, sends: 3, fine: false, ..OWN };
     off("unclaimed_unbound", Guards { unclaimed_unbound: false, ..ON }, b, DENIED);
 }
+
+/// Not a guard of the table but a duty of its user: see `FilingTable::claim_lease_use`.
+#[test]
+fn claim_lease_used_too_long() {
+    violated("claim_lease_use", Bounds { ticks: 2, lease_use: 9, ..OWN }, TWICE);
+}
--- a/crates/galenapath-filings/tests/model_safety.rs
+++ b/crates/galenapath-filings/tests/model_safety.rs
@@ -72,3 +72,10 @@
 fn own_key_two_fingerprints() {
     holds("own_key_two_fingerprints", Bounds { fingerprints: 2, store_faults: 2, ..OWN });
 }
+
+#[test]
+fn own_key_expiry_crash_and_planned_stop() {
+    let faults = Bounds { crashes: 1, stops: 1, store_faults: 1, ..OWN };
+    let b = Bounds { sends: 2, ticks: 2, fine: false, ..faults };
+    holds("own_key_expiry_crash_and_planned_stop", b);
+}
