--- a/crates/galenapath-filings/src/adopted.rs
+++ b/crates/galenapath-filings/src/adopted.rs
@@ -34,7 +34,27 @@
 }
 
 impl HandOver {
-    fn bytes(&self) -> usize {
+    /// Splits outcomes into parts of at most `max_bytes` by [`bytes`](Self::bytes), in their order;
+    /// one that is larger makes a part of its own. A successor takes parts over one by one.
+    pub fn parts(outcomes: Vec<Self>, max_bytes: usize) -> Vec<Vec<Self>> {
+        let mut parts: Vec<Vec<Self>> = Vec::new();
+        let mut used = 0;
+        for outcome in outcomes {
+            let cost = outcome.bytes();
+            match parts.last_mut() {
+                Some(part) if used + cost <= max_bytes => part.push(outcome),
+                _ => {
+                    parts.push(vec![outcome]);
+                    used = 0;
+                }
+            }
+            used += cost;
+        }
+        parts
+    }
+
+    /// Bytes that the outcome takes at its successor; a message needs more by its coding.
+    pub fn bytes(&self) -> usize {
         match &self.outcome {
             HandedOutcome::Answered(answer) => RECORD_COST + answer.bytes(),
             HandedOutcome::AnswerDropped { .. } => RECORD_COST,
--- a/crates/galenapath-filings/src/store.rs
+++ b/crates/galenapath-filings/src/store.rs
@@ -152,9 +152,9 @@
         }
     }
 
-    /// All records in order of window and key.
+    /// All records, newest window first.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (KeyId, &Record)> {
-        let live = self.windows.range(self.floor..);
+        let live = self.windows.range(self.floor..).rev();
         live.flat_map(|(_, records)| records.iter().map(|(key, record)| (*key, record)))
     }
 
--- a/crates/galenapath-filings/src/table.rs
+++ b/crates/galenapath-filings/src/table.rs
@@ -131,7 +131,8 @@
 
     /// All known outcomes, for the successors; begins a planned stop if none has begun. Best called
     /// when the last filing has ended, since a successor answers "may have run" for the others. It
-    /// may be called again for those that ended since.
+    /// may be called again for those that ended since. Newest windows come first, since a successor
+    /// takes over no more than it has room for.
     pub fn hand_over(&mut self) -> Vec<HandOver> {
         self.begin_stop();
         self.records
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -108,6 +108,20 @@
     assert!(all.iter().all(|s| s.judge(T0, fp(2)) == SuspectVerdict::Clear));
 }
 
+#[test]
+fn trials_before_sharing_then_refused() {
+    let mut all: Vec<_> = (0..3).map(|_| suspects()).collect();
+    all[0].crashed(T0, 0, &[POISON, fp(1)]);
+    share(T0, &mut all);
+    let now = T0 + APART;
+    for (place, s) in all.iter_mut().enumerate() {
+        assert_eq!(s.judge(now, POISON), SuspectVerdict::RunAlone);
+        s.crashed(now, 1 + place as u64, &[POISON]);
+    }
+    share(now, &mut all);
+    assert!(all.iter().all(|s| refused(s.judge(now, POISON))));
+}
+
 /// Sends the poison again and again through the given instances, each crash shared before the next
 /// send, among bystanders that share servers while it runs with others. Returns servers lost.
 fn servers_lost(sends: &[(usize, Vec<u128>)]) -> u64 {
--- a/crates/galenapath-filings/tests/table.rs
+++ b/crates/galenapath-filings/tests/table.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use galenapath_filings::{
     Admit, AfterAttempt, Answer, AttemptEnd, ClaimId, ClaimResult, End, FilingConfig, FilingKey,
-    FilingTable, Fingerprint, RecordGone, RecordId,
+    FilingTable, Fingerprint, HandOver, RecordGone, RecordId,
 };
 use galenapath_protocol::{Incarnation, Micros, Verdict};
 
@@ -230,3 +230,20 @@
     let late = issued(&mut a, T0, "late");
     assert!(matches!(a.admit(T0, &late, FP), Admit::Full { .. }));
 }
+
+#[test]
+fn hand_over_parts_bounded_newest_first() {
+    let mut t = table();
+    let later = T0 + FilingConfig::default().window;
+    let old = issued(&mut t, T0, "old");
+    answered(&mut t, T0, &old, 3_000);
+    for n in 0..10 {
+        let key = issued(&mut t, later, &n.to_string());
+        answered(&mut t, later, &key, 100);
+    }
+    let parts = HandOver::parts(t.hand_over(), 1_000);
+    let sizes = parts.iter().map(|part| part.iter().map(HandOver::bytes).sum::<usize>());
+    assert!(sizes.zip(&parts).all(|(bytes, part)| bytes <= 1_000 || part.len() == 1));
+    assert_eq!(parts.iter().map(Vec::len).sum::<usize>(), 11);
+    assert!(parts.last().unwrap().iter().any(|outcome| outcome.key == old.id()));
+}
