Filings: a key prefix for each address of an answer

Cause: the address answer names the instances that dispatch for a service but could carry only the prefix of the instance that was asked; a caller's filing then reached a dispatcher with a key that it must pass on to an instance that does not dispatch for the service. Ruled out: peers that tell each other their window numbers (a message more, and stale ones cost the same as clocks that disagree). Change: FilingTable::prefix_of; windows are counted from a common origin, and a key one window ahead is admitted. The floor is the owner's alone, so clocks decide availability, not safety.

--- a/crates/galenapath-filings/src/table.rs
+++ b/crates/galenapath-filings/src/table.rs
@@ -19,6 +19,10 @@
 
 pub use admit::Admit;
 
+/// Windows ahead of the current one whose keys are admitted: the clock of the instance that issued
+/// the key may be ahead.
+const EARLY_WINDOWS: u32 = 1;
+
 /// The filing table of one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct FilingTable {
@@ -67,6 +71,16 @@
         prefix_text(self.incarnation, self.window())
     }
 
+    /// The current key prefix of another instance, for an address answer that names it.
+    ///
+    /// Instances that issue for each other count time from one origin, such as the Unix epoch at
+    /// their start. Clocks that disagree by more than a key window cost availability only: the
+    /// owner refuses keys of windows that it does not know yet, and those below its own floor.
+    pub fn prefix_of(&mut self, now: Micros, incarnation: Incarnation) -> String {
+        self.expire(now);
+        prefix_text(incarnation, self.window())
+    }
+
     /// Marks that the first byte of an attempt may leave now. Must be called right before it does,
     /// with the time read right before; on an error nothing may be sent and the caller is told
     /// what a fresh [`admit`](Self::admit) says.
--- a/crates/galenapath-filings/src/table/admit.rs
+++ b/crates/galenapath-filings/src/table/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a filing by its key.
 
-use super::FilingTable;
+use super::{EARLY_WINDOWS, FilingTable};
 use crate::record::{Record, State};
 use crate::{Answer, ClaimId, FilingKey, Fingerprint, KeyId, KeyKind, RecordId};
 use galenapath_protocol::{Incarnation, Micros};
@@ -42,7 +42,7 @@
         /// Span after which a resend may succeed.
         retry_after: Micros,
     },
-    /// The key's window is over, or was never issued. Nothing is known: "may have run".
+    /// The key's window is over, or cannot have been issued yet. Nothing is known: "may have run".
     Expired,
 }
 
@@ -73,7 +73,7 @@
     fn admit_issued(&mut self, key: KeyId, window: u32, fp: Fingerprint) -> Admit {
         let floor = self.records.floor();
         let expired = window < floor && self.guards.expired_refused;
-        if expired || window > self.window() {
+        if expired || window > self.window().saturating_add(EARLY_WINDOWS) {
             return Admit::Expired;
         }
         let window = window.max(floor);
--- a/crates/galenapath-filings/tests/model/world.rs
+++ b/crates/galenapath-filings/tests/model/world.rs
@@ -17,6 +17,8 @@
     pub keys: usize,
     /// The last so many keys are callers' own; the others are issued by instance 0.
     pub own_keys: usize,
+    /// Window of the issued keys; one ahead comes from an instance whose clock is ahead.
+    pub key_window: u32,
     pub fingerprints: u8,
     pub sends: u8,
     pub ticks: u64,
@@ -39,6 +41,7 @@
         instances: 2,
         keys: 1,
         own_keys: 0,
+        key_window: 0,
         fingerprints: 1,
         sends: 2,
         ticks: 0,
@@ -181,8 +184,11 @@
     }
 
     pub fn key(&self, number: usize) -> FilingKey {
-        let prefix = if self.is_own(number) { "own" } else { "0000000000000000-0" };
-        FilingKey::try_from(format!("{prefix}-{number}").as_str()).unwrap()
+        let text = match self.is_own(number) {
+            true => format!("own-{number}"),
+            false => format!("{}-{}-{number}", Incarnation(0), self.key_window),
+        };
+        FilingKey::try_from(text.as_str()).unwrap()
     }
 }
 
--- a/crates/galenapath-filings/tests/model_safety.rs
+++ b/crates/galenapath-filings/tests/model_safety.rs
@@ -29,6 +29,11 @@
     holds("issued_key_expiry", Bounds { ticks: 3, crashes: 1, ..ISSUED });
 }
 
+#[test]
+fn issued_key_of_clock_ahead() {
+    holds("issued_key_of_clock_ahead", Bounds { key_window: 1, ticks: 4, ..ISSUED });
+}
+
 #[test]
 fn two_keys_full_table() {
     holds("two_keys_full_table", Bounds { keys: 2, sends: 4, max_records: 1, ..ISSUED });
--- a/crates/galenapath-filings/tests/table.rs
+++ b/crates/galenapath-filings/tests/table.rs
@@ -89,6 +89,14 @@
     assert_eq!(t.admit(T0, &own("000000000000000a-7-x"), FP), Admit::Expired);
 }
 
+#[test]
+fn admit_key_issued_by_peer_runs() {
+    let mut peer = FilingTable::new(FilingConfig::default(), PEER);
+    let ahead = T0 + FilingConfig::default().window;
+    let key = own(&(peer.prefix_of(ahead, ME) + "a"));
+    run(table().admit(T0, &key, FP));
+}
+
 #[test]
 fn admit_expired_window_refused() {
     let mut t = table();
