--- a/crates/galenapath-filings/src/table.rs
+++ b/crates/galenapath-filings/src/table.rs
@@ -9,7 +9,7 @@
 mod claims;
 
 use crate::adopted::Adopted;
-use crate::claim::ClaimBudget;
+use crate::claim::{ClaimBudget, PendingClaim};
 use crate::key::prefix_text;
 use crate::record::{AfterAttempt, AttemptEnd, End, Record, RecordGone, State};
 use crate::store::Records;
@@ -19,15 +19,9 @@
 
 pub use admit::Admit;
 
-/// How far a planned stop has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Phase {
-    Serving,
-    /// New keys are refused; those in progress end.
-    Stopping,
-    /// Outcomes are with the successors; nothing is dispatched any more.
-    HandedOver,
-}
+/// Windows ahead of the current one whose keys are admitted: the clock of the instance that issued
+/// the key may be ahead.
+const EARLY_WINDOWS: u32 = 1;
 
 /// The filing table of one instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -37,13 +31,14 @@
     incarnation: Incarnation,
     /// Latest time seen. Invariant: never falls.
     now: Micros,
-    phase: Phase,
+    /// A planned stop has begun: new keys are refused, those in progress end.
+    stopping: bool,
     records: Records,
     adopted: Adopted,
     budget: ClaimBudget,
     next_claim: u64,
     /// Claims that are with the store. At most one for each record in state `Claiming`.
-    pending: BTreeMap<ClaimId, RecordId>,
+    pending: BTreeMap<ClaimId, PendingClaim>,
 }
 
 impl FilingTable {
@@ -61,7 +56,7 @@
             guards,
             incarnation,
             now: Micros::ZERO,
-            phase: Phase::Serving,
+            stopping: false,
             records: Records::default(),
             adopted: Adopted::default(),
             budget,
@@ -76,6 +71,16 @@
         prefix_text(self.incarnation, self.window())
     }
 
+    /// The current key prefix of another instance, for an address answer that names it.
+    ///
+    /// Instances that issue for each other count time from one origin, such as the Unix epoch at
+    /// their start. Clocks that disagree by more than a key window cost availability only: the
+    /// owner refuses keys of windows that it does not know yet, and those below its own floor.
+    pub fn prefix_of(&mut self, now: Micros, incarnation: Incarnation) -> String {
+        self.expire(now);
+        prefix_text(incarnation, self.window())
+    }
+
     /// Marks that the first byte of an attempt may leave now. Must be called right before it does,
     /// with the time read right before; on an error nothing may be sent and the caller is told
     /// what a fresh [`admit`](Self::admit) says.
@@ -84,9 +89,6 @@
         if !self.guards.sent_checked {
             return Ok(());
         }
-        if self.handed_over() {
-            return Err(RecordGone);
-        }
         let record = self.records.get_mut(id).ok_or(RecordGone)?;
         if record.state != State::Admitted {
             return Err(RecordGone);
@@ -138,13 +140,15 @@
 
     /// Begins a planned stop: new keys are refused from now on.
     pub fn begin_stop(&mut self) {
-        self.phase = self.phase.max(Phase::Stopping);
+        self.stopping = true;
     }
 
-    /// Ends a planned stop: returns all known outcomes for the successors. Nothing is dispatched
-    /// afterwards.
+    /// All known outcomes, for the successors; begins a planned stop if none has begun. Best called
+    /// when the last filing has ended, since a successor answers "may have run" for the others. It
+    /// may be called again for those that ended since. Newest windows come first, since a successor
+    /// takes over no more than it has room for.
     pub fn hand_over(&mut self) -> Vec<HandOver> {
-        self.phase = Phase::HandedOver;
+        self.begin_stop();
         self.records
             .iter()
             .filter_map(|(key, record)| {
@@ -212,10 +216,6 @@
         }
     }
 
-    fn handed_over(&self) -> bool {
-        self.phase == Phase::HandedOver && self.guards.handed_over_stops
-    }
-
     fn window_len(&self) -> u64 {
         self.cfg.window.0.max(1)
     }
