Configuration core: classes, the chain of changes, acceptance as a pure state machine

One head in the store holds the newest version and the last records, so accepting a change is one compare-and-swap and its audit record is in the same write. A replica takes a head from any source and never goes back. Acceptance reads back after a lost reply; it says "not run" only when no swap can still take effect. Wire types come from schema/config.schema.json and operators.schema.json; the generator learns replacements, so that types shared by two schemas are generated once.

--- /dev/null
+++ b/crates/galenapath-config/src/config.rs
@@ -0,0 +1,143 @@
+//! The configuration at one version.
+
+use crate::{ChangeId, ChangeRecord, Class, Version};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// All classes, at one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Config {
+    version: Version,
+    classes: BTreeMap<String, Class>,
+    /// The last change of each class, of removed ones too, so that a change that was overtaken by
+    /// a removal is never accepted a second time.
+    marks: BTreeMap<String, Mark>,
+    /// Names of the classes of each service, longest prefix first. Follows from `classes`.
+    routes: BTreeMap<String, Vec<String>>,
+}
+
+/// The last change of a class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Mark {
+    /// Version that the change made.
+    pub revision: Version,
+    /// Identifier of the change.
+    pub id: ChangeId,
+}
+
+/// A record or a part that does not fit the chain of changes.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Broken {
+    /// The record does not follow the version.
+    #[error("version {record} does not follow version {config}")]
+    NotNext {
+        /// Version of the configuration.
+        config: Version,
+        /// Version of the record.
+        record: Version,
+    },
+    /// The record starts from another class than the configuration has.
+    #[error("the change to version {0} starts from another class than there is")]
+    OtherFrom(Version),
+    /// Parts that contradict each other.
+    #[error("{0}")]
+    Inconsistent(&'static str),
+}
+
+impl Config {
+    /// A configuration out of its parts, as a snapshot holds them.
+    pub fn new(
+        version: Version,
+        classes: impl IntoIterator<Item = Class>,
+        marks: BTreeMap<String, Mark>,
+    ) -> Result<Self, Broken> {
+        let classes: BTreeMap<String, Class> =
+            classes.into_iter().map(|class| (class.name.clone(), class)).collect();
+        let marked = |class: &Class| {
+            marks.get(&class.name).is_some_and(|mark| mark.revision == class.revision)
+        };
+        if !classes.values().all(marked) {
+            return Err(Broken::Inconsistent("a class is not at its last revision"));
+        }
+        if marks.values().any(|mark| mark.revision > version) {
+            return Err(Broken::Inconsistent("a revision is newer than the version"));
+        }
+        let routes = routes(&classes);
+        Ok(Self { version, classes, marks, routes })
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// All classes, by name.
+    pub fn classes(&self) -> impl Iterator<Item = &Class> {
+        self.classes.values()
+    }
+
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.get(name)
+    }
+
+    /// The last change of each class by name, of removed ones too.
+    pub fn marks(&self) -> &BTreeMap<String, Mark> {
+        &self.marks
+    }
+
+    /// Revision of the class of that name, of a removed one too; zero where there never was one.
+    pub fn revision(&self, name: &str) -> Version {
+        self.marks.get(name).map_or(Version(0), |mark| mark.revision)
+    }
+
+    /// The class that a request belongs to: among the classes of its service that cover its method
+    /// and path, the one with the longest prefix. Allocates nothing.
+    pub fn classify(&self, service: &str, method: &str, path: &str) -> Option<&Class> {
+        let names = self.routes.get(service)?;
+        let mut classes = names.iter().filter_map(|name| self.classes.get(name));
+        classes.find(|class| class.has_method(method) && class.has_path(path))
+    }
+
+    /// The configuration after `records`, of which the first must be the next.
+    pub fn after<'a>(
+        &self,
+        records: impl IntoIterator<Item = &'a ChangeRecord>,
+    ) -> Result<Self, Broken> {
+        let mut next = self.clone();
+        for record in records {
+            next.advance(record)?;
+        }
+        next.routes = routes(&next.classes);
+        Ok(next)
+    }
+
+    /// Takes in one record, but for the routes.
+    fn advance(&mut self, record: &ChangeRecord) -> Result<(), Broken> {
+        if record.version != self.version.next() {
+            return Err(Broken::NotNext { config: self.version, record: record.version });
+        }
+        let name = record.class_name().to_owned();
+        if self.classes.get(&name) != record.from.as_ref() {
+            return Err(Broken::OtherFrom(record.version));
+        }
+        match &record.to {
+            Some(class) => self.classes.insert(name.clone(), class.clone()),
+            None => self.classes.remove(&name),
+        };
+        let mark = Mark { revision: record.version, id: record.id.clone() };
+        self.marks.insert(name, mark);
+        self.version = record.version;
+        Ok(())
+    }
+}
+
+fn routes(classes: &BTreeMap<String, Class>) -> BTreeMap<String, Vec<String>> {
+    let mut by_length: Vec<&Class> = classes.values().collect();
+    by_length.sort_by_key(|class| std::cmp::Reverse(class.path_prefix.len()));
+    let mut routes: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for class in by_length {
+        routes.entry(class.service.clone()).or_default().push(class.name.clone());
+    }
+    routes
+}
--- a/crates/galenapath-config/src/lib.rs
+++ b/crates/galenapath-config/src/lib.rs
@@ -1,1 +1,43 @@
-//! Placeholder.
+//! The operators' configuration: classes, changes, and how a change is accepted for good.
+//!
+//! The configuration is a chain of accepted changes in the platform's store. One key, the
+//! [`Head`], holds the newest version and the last records; a change is accepted by one
+//! compare-and-swap of it, so its audit record is in the same write. Everything here is pure.
+
+mod acceptance;
+mod chain;
+mod change;
+mod check;
+mod class;
+mod codec;
+mod config;
+mod convert;
+mod head;
+mod ident;
+mod propose;
+mod replica;
+mod target;
+pub mod wire;
+
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+mod generated;
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+mod generated_operators;
+
+pub use acceptance::{Acceptance, Action, Event, HeadIndex, Outcome};
+pub use chain::{Chain, FollowError};
+pub use change::{Change, ChangeRecord, ChangeRequest};
+pub use check::Invalid;
+pub use class::{Class, ClassKind};
+pub use codec::{
+    decode_head, decode_page, decode_snapshot, encode_head, encode_page, encode_snapshot,
+};
+pub use config::{Broken, Config, Mark};
+pub use convert::{DecodeError, mark_wire, mark_wires};
+pub use head::{AuditPage, HEAD_KEY, Head, Limits, page_key, page_of, snapshot_key};
+pub use ident::{ChangeId, Version};
+pub use propose::{Cut, MAX_NAMES, Proposal, Refusal, propose};
+pub use replica::{Applied, Replica};
+pub use target::{Share, Target};
--- /dev/null
+++ b/crates/galenapath-config/src/propose.rs
@@ -0,0 +1,169 @@
+//! Deciding on a change request.
+
+use crate::check::check_request;
+use crate::{
+    AuditPage, Chain, Change, ChangeRecord, ChangeRequest, Class, Config, Head, Invalid, Limits,
+    Mark, Version,
+};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Most names of classes, removed ones included: a snapshot stays under the store's 1 MB.
+pub const MAX_NAMES: usize = 1_024;
+
+/// The head that accepts a change, once it is swapped in.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Proposal {
+    /// The new head.
+    pub head: Head,
+    /// What must be in the store before the new head.
+    pub cut: Option<Cut>,
+}
+
+/// A full tail's oldest page and the snapshot that takes its place.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Cut {
+    /// The page.
+    pub page: AuditPage,
+    /// The configuration before the change.
+    pub snapshot: Arc<Config>,
+}
+
+/// Why a change is not proposed.
+#[derive(Clone, Debug, Error, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The same change was accepted before; a success for whoever sends it again.
+    #[error("already accepted as version {version}")]
+    AlreadyAccepted {
+        /// Version that it made.
+        version: Version,
+    },
+    /// The class has changed since the author saw it.
+    #[error("class `{class}` was changed meanwhile by change `{}` (version {})", newer.id, newer.revision)]
+    Conflict {
+        /// The class.
+        class: String,
+        /// The newer change.
+        newer: Mark,
+    },
+    /// The class has changed, and the change may be one of those that are no longer in the tail.
+    #[error("class `{class}` has changed so long ago that only the audit trail tells by whom")]
+    BaseTooOld {
+        /// The class.
+        class: String,
+    },
+    /// Another change has the identifier.
+    #[error("another change, version {version}, has the same identifier")]
+    IdReused {
+        /// Version of the other change.
+        version: Version,
+    },
+    /// There is no such class.
+    #[error("there is no class `{class}`")]
+    NoSuchClass {
+        /// The class.
+        class: String,
+    },
+    /// There is a class of that name.
+    #[error("class `{class}` exists already")]
+    ClassExists {
+        /// The class.
+        class: String,
+    },
+    /// Another class covers the same requests.
+    #[error("class `{other}` covers the same service, path and method")]
+    Overlap {
+        /// The other class.
+        other: String,
+    },
+    /// Too many names of classes are in use, removed ones included.
+    #[error("there are {MAX_NAMES} names of classes already")]
+    TooManyNames,
+    /// A field cannot be accepted.
+    #[error(transparent)]
+    Invalid(#[from] Invalid),
+}
+
+/// Builds the head that accepts `req` on top of `chain`, or says why not.
+///
+/// `at_unix_ms` goes into the audit trail and decides nothing.
+pub fn propose(
+    chain: &Chain,
+    req: &ChangeRequest,
+    at_unix_ms: u64,
+    limits: Limits,
+) -> Result<Proposal, Refusal> {
+    check_request(req)?;
+    check_id(chain, req)?;
+    check_base(chain, req)?;
+    let config = chain.config();
+    let version = config.version().next();
+    let from = config.class(req.change.class_name()).cloned();
+    let to = result(config, &req.change, version)?;
+    let id = req.id.clone();
+    let author = req.author.clone();
+    let record = ChangeRecord { version, id, author, at_unix_ms, from, to };
+    Ok(match chain.head().cut(limits) {
+        Some((head, page)) => {
+            let cut = Cut { page, snapshot: config.clone() };
+            Proposal { head: head.with(record), cut: Some(cut) }
+        }
+        None => Proposal { head: chain.head().with(record), cut: None },
+    })
+}
+
+fn check_id(chain: &Chain, req: &ChangeRequest) -> Result<(), Refusal> {
+    if let Some(record) = chain.head().find(&req.id) {
+        let version = record.version;
+        return Err(match record.is_from(req) {
+            true => Refusal::AlreadyAccepted { version },
+            false => Refusal::IdReused { version },
+        });
+    }
+    let mark = chain.config().marks().get(req.change.class_name());
+    match mark {
+        Some(mark) if mark.id == req.id => Err(Refusal::AlreadyAccepted { version: mark.revision }),
+        _ => Ok(()),
+    }
+}
+
+fn check_base(chain: &Chain, req: &ChangeRequest) -> Result<(), Refusal> {
+    let class = req.change.class_name().to_owned();
+    let mark = chain.config().marks().get(&class);
+    if mark.map_or(Version(0), |mark| mark.revision) == req.base {
+        return Ok(());
+    }
+    match mark {
+        Some(newer) if req.base >= chain.head().before_tail() => {
+            Err(Refusal::Conflict { class, newer: newer.clone() })
+        }
+        Some(_) => Err(Refusal::BaseTooOld { class }),
+        None => Err(Refusal::NoSuchClass { class }),
+    }
+}
+
+fn result(config: &Config, change: &Change, revision: Version) -> Result<Option<Class>, Refusal> {
+    let class = change.class_name().to_owned();
+    match (change, config.class(&class)) {
+        (Change::CreateClass(new), None) => create(config, new, revision).map(Some),
+        (Change::CreateClass(_), Some(_)) => Err(Refusal::ClassExists { class }),
+        (Change::SetTarget { target, .. }, Some(old)) => {
+            Ok(Some(Class { target: *target, revision, ..old.clone() }))
+        }
+        (Change::RemoveClass { .. }, Some(_)) => Ok(None),
+        (Change::SetTarget { .. } | Change::RemoveClass { .. }, None) => {
+            Err(Refusal::NoSuchClass { class })
+        }
+    }
+}
+
+fn create(config: &Config, new: &Class, revision: Version) -> Result<Class, Refusal> {
+    if let Some(other) = config.classes().find(|other| other.overlaps(new)) {
+        return Err(Refusal::Overlap { other: other.name.clone() });
+    }
+    let known = config.marks().contains_key(&new.name);
+    if !known && config.marks().len() >= MAX_NAMES {
+        return Err(Refusal::TooManyNames);
+    }
+    Ok(Class { revision, ..new.clone() })
+}
--- a/crates/galenapath-dev/examples/codegen.rs
+++ b/crates/galenapath-dev/examples/codegen.rs
@@ -12,13 +12,34 @@
     output: &'static str,
     /// Derives beyond those that the generator always adds.
     derives: &'static [&'static str],
+    /// Types of the schema that are generated elsewhere, and their paths.
+    replacements: &'static [(&'static str, &'static str)],
 }
 
-const TARGETS: &[Target] = &[Target {
-    schema: "schema/settings.schema.json",
-    output: "crates/galenapath-settings/src/generated.rs",
-    derives: &["PartialEq"],
-}];
+const TARGETS: &[Target] = &[
+    Target {
+        schema: "schema/settings.schema.json",
+        output: "crates/galenapath-settings/src/generated.rs",
+        derives: &["PartialEq"],
+        replacements: &[],
+    },
+    Target {
+        schema: "schema/config.schema.json",
+        output: "crates/galenapath-config/src/generated.rs",
+        derives: &["PartialEq"],
+        replacements: &[],
+    },
+    Target {
+        schema: "schema/operators.schema.json",
+        output: "crates/galenapath-config/src/generated_operators.rs",
+        derives: &["PartialEq"],
+        replacements: &[
+            ("ClassWire", "crate::wire::ClassWire"),
+            ("ChangeRecordWire", "crate::wire::ChangeRecordWire"),
+            ("MarkWire", "crate::wire::MarkWire"),
+        ],
+    },
+];
 
 type AnyError = Box<dyn std::error::Error>;
 
@@ -54,6 +75,9 @@
     for derive in target.derives {
         settings.with_derive((*derive).to_owned());
     }
+    for (name, path) in target.replacements {
+        settings.with_replacement(name, path, std::iter::empty());
+    }
     let mut space = typify::TypeSpace::new(&settings);
     space.add_root_schema(schema)?;
     let file = syn::parse2::<syn::File>(space.to_stream())?;
