--- /dev/null
+++ b/crates/galenapath-config/tests/propose.rs
@@ -0,0 +1,101 @@
+//! Deciding on change requests.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+
+mod support;
+
+use galenapath_config::{
+    Chain, Change, ChangeId, Class, Limits, Mark, Refusal, Version, encode_head, propose,
+};
+use support::{accept, class, create, long_chain, remove, request, set_target};
+
+const SMALL: Limits = Limits { tail: 4, page: 2 };
+
+fn refusal(chain: &Chain, req: &galenapath_config::ChangeRequest) -> Refusal {
+    propose(chain, req, 0, Limits::DEFAULT).unwrap_err()
+}
+
+#[test]
+fn propose_race_names_newer_change() {
+    let chain = accept(&Chain::default(), &create("1", "maps"), Limits::DEFAULT);
+    let first = accept(&chain, &set_target("2", 1, "maps", 20), Limits::DEFAULT);
+    let newer = Mark { revision: Version(2), id: ChangeId("2".into()) };
+    let conflict = Refusal::Conflict { class: "maps".into(), newer };
+    assert_eq!(refusal(&first, &set_target("3", 1, "maps", 30)), conflict);
+}
+
+#[test]
+fn propose_same_id_already_accepted() {
+    let req = create("1", "maps");
+    let chain = accept(&Chain::default(), &req, Limits::DEFAULT);
+    assert_eq!(refusal(&chain, &req), Refusal::AlreadyAccepted { version: Version(1) });
+}
+
+#[test]
+fn propose_same_id_other_change_refused() {
+    let chain = accept(&Chain::default(), &create("1", "maps"), Limits::DEFAULT);
+    let req = set_target("1", 1, "maps", 30);
+    assert_eq!(refusal(&chain, &req), Refusal::IdReused { version: Version(1) });
+}
+
+#[test]
+fn propose_removed_class_not_recreated_by_resend() {
+    let mut chain = accept(&Chain::default(), &create("1", "maps"), SMALL);
+    chain = accept(&chain, &remove("2", 1, "maps"), SMALL);
+    for n in 0..6 {
+        chain = accept(&chain, &create(&format!("other-{n}"), &format!("other-{n}")), SMALL);
+    }
+    assert!(chain.head().find(&ChangeId("1".into())).is_none());
+    let resend = refusal(&chain, &create("1", "maps"));
+    assert_eq!(resend, Refusal::BaseTooOld { class: "maps".into() });
+    let anew = request("9", 2, Change::CreateClass(class("maps", "/maps")));
+    assert!(propose(&chain, &anew, 0, SMALL).is_ok());
+}
+
+#[test]
+fn propose_full_tail_is_cut() {
+    let chains = long_chain(9, SMALL);
+    let cuts: Vec<u64> = chains.iter().map(|chain| chain.head().snapshot().0).collect();
+    assert_eq!(cuts, [0, 0, 0, 0, 4, 4, 6, 6, 8, 8]);
+    assert!(chains.iter().all(|chain| chain.head().tail().len() <= SMALL.tail));
+}
+
+#[test]
+fn propose_invalid_fields_refused() {
+    let chain = Chain::default();
+    let bad = [
+        Class { name: "a b".into(), ..class("x", "/x") },
+        Class { path_prefix: "maps".into(), ..class("x", "/x") },
+        Class { methods: vec!["get".into()], ..class("x", "/x") },
+        Class { service: String::new(), ..class("x", "/x") },
+    ];
+    for class in bad {
+        let req = request("1", 0, Change::CreateClass(class));
+        assert!(matches!(refusal(&chain, &req), Refusal::Invalid(_)), "{req:?}");
+    }
+    let unknown = refusal(&chain, &set_target("1", 0, "maps", 30));
+    assert_eq!(unknown, Refusal::NoSuchClass { class: "maps".into() });
+}
+
+#[test]
+fn propose_largest_head_fits_a_value() {
+    let longest = "n".repeat(64);
+    let large = Class {
+        service: longest.clone(),
+        methods: vec!["M".repeat(64); 16],
+        path_prefix: format!("/{}", "p".repeat(255)),
+        ..class(&longest, "/")
+    };
+    let mut req = request(&"i".repeat(64), 0, Change::CreateClass(large));
+    req.author = "\u{1F600}".repeat(64);
+    let mut chain = accept(&Chain::default(), &req, Limits::DEFAULT);
+    for n in 1..64 {
+        let mut req = set_target(&format!("{n:064}"), n, &longest, u32::MAX);
+        req.author = "\u{1F600}".repeat(64);
+        chain = accept(&chain, &req, Limits::DEFAULT);
+    }
+    let bytes = encode_head(chain.head()).unwrap().len();
+    println!("largest head: {bytes} bytes");
+    assert_eq!(chain.head().tail().len(), 64);
+    assert!(bytes < 1 << 20);
+}
--- /dev/null
+++ b/crates/galenapath-config/tests/replica.rs
@@ -0,0 +1,93 @@
+//! Replicas under heads from any source in any order.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+
+mod support;
+
+use galenapath_config::{Applied, Chain, Limits, Replica, Version, decode_head, encode_head};
+use galenapath_config::{decode_snapshot, encode_snapshot};
+use proptest::prelude::*;
+use support::{accept, create, long_chain, set_target};
+
+const SMALL: Limits = Limits { tail: 4, page: 2 };
+
+#[test]
+fn apply_older_is_stale() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut replica = Replica::default();
+    let newest = chains[3].head().clone();
+    assert_eq!(replica.apply(newest), Applied::Advanced { from: Version(0) });
+    assert_eq!(replica.apply(chains[1].head().clone()), Applied::Stale);
+    assert_eq!(replica.config(), chains[3].config());
+}
+
+#[test]
+fn apply_gap_asks_for_snapshot() {
+    let chains = long_chain(9, SMALL);
+    let mut replica = Replica::default();
+    let head = chains[9].head().clone();
+    assert_eq!(replica.apply(head.clone()), Applied::Gap { snapshot: Version(8) });
+    assert_eq!(replica.version(), Version(0));
+    let snapshot = chains[7].config();
+    assert_eq!(snapshot.version(), Version(8));
+    assert_eq!(replica.apply_from(snapshot, head), Applied::Advanced { from: Version(0) });
+    assert_eq!(replica.config(), chains[9].config());
+}
+
+#[test]
+fn apply_other_chain_diverges() {
+    let one = accept(&Chain::default(), &create("1", "maps"), Limits::DEFAULT);
+    let two = accept(&Chain::default(), &create("2", "maps"), Limits::DEFAULT);
+    let longer = accept(&two, &set_target("3", 1, "maps", 9), Limits::DEFAULT);
+    let mut replica = Replica::default();
+    replica.apply(one.head().clone());
+    assert_eq!(replica.apply(two.head().clone()), Applied::Diverged);
+    assert_eq!(replica.apply(longer.head().clone()), Applied::Diverged);
+    assert_eq!(replica.config(), one.config());
+}
+
+proptest! {
+    /// Whatever heads arrive in whatever order, the version never goes down and the configuration
+    /// is the chain's at that version.
+    #[test]
+    fn apply_any_order_never_reverts(
+        order in prop::collection::vec((0usize..20, any::<bool>()), 1..60),
+    ) {
+        let chains = long_chain(19, SMALL);
+        let mut replica = Replica::default();
+        for (at, with_config) in order {
+            let before = replica.version();
+            let head = chains[at].head().clone();
+            match with_config {
+                true => replica.apply_from(chains[at].config(), head),
+                false => replica.apply(head),
+            };
+            prop_assert!(replica.version() >= before);
+            let version = replica.version().0 as usize;
+            if version > 0 {
+                prop_assert_eq!(replica.config(), chains[version - 1].config());
+            }
+        }
+    }
+
+    /// What is written to the store reads back as it was.
+    #[test]
+    fn encode_then_decode_is_same(changes in 0u64..20) {
+        let chain = long_chain(changes, SMALL).pop().unwrap();
+        let head = decode_head(&encode_head(chain.head()).unwrap()).unwrap();
+        prop_assert_eq!(&head, chain.head());
+        let config = decode_snapshot(&encode_snapshot(chain.config()).unwrap()).unwrap();
+        prop_assert_eq!(&config, &**chain.config());
+    }
+
+    /// Bytes from a damaged store are an error, never a panic.
+    #[test]
+    fn decode_damaged_is_error(at in 0usize..400, byte in any::<u8>(), cut in 0usize..400) {
+        let chain = long_chain(3, SMALL).pop().unwrap();
+        let mut value = encode_head(chain.head()).unwrap();
+        value[at] = byte;
+        let _ = decode_head(&value);
+        value.truncate(cut);
+        prop_assert!(decode_head(&value).is_err());
+    }
+}
