--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -1,3 +1,8 @@
-//! Development package: stand-ins for the platform and backend servers, and tools around them.
+//! Development package: stand-ins for the systems around galenapath, and the load generator.
+//!
+//! Nothing here ships: the programs are examples of this package.
 
+pub mod backend;
+pub mod load;
 pub mod store;
+pub mod wire;
