--- a/crates/galenapath-config/src/acceptance.rs
+++ b/crates/galenapath-config/src/acceptance.rs
@@ -152,10 +152,6 @@
     }
 
     fn on_head(&mut self, index: HeadIndex, head: Head) -> Action {
-        if self.unknown.is_some_and(|unknown| unknown != index) {
-            // The swap expected another head, so it has taken effect by now or never will.
-            self.unknown = None;
-        }
         let known = self.known.config().clone();
         match Chain::follow(&known, head.clone()) {
             Err(FollowError::Gap { snapshot }) => {
@@ -171,6 +167,11 @@
         if chain.version() < self.known.version() {
             return Action::Answer(self.behind());
         }
+        if self.unknown.is_some_and(|unknown| unknown != index) {
+            // The swap expected another head, so it has taken effect by now or never will, and
+            // the chain at hand tells which. Not cleared before the chain is at hand.
+            self.unknown = None;
+        }
         match propose(&chain, &self.req, self.at_unix_ms, self.limits) {
             Ok(proposal) => self.carry_out(index, proposal, chain),
             Err(Refusal::AlreadyAccepted { version }) => {
