--- a/crates/galenapath-codegen/examples/codegen.rs
+++ b/crates/galenapath-codegen/examples/codegen.rs
@@ -23,6 +23,12 @@
         derives: &["PartialEq"],
         replacements: &[],
     },
+    Target {
+        schema: "schema/peers.schema.json",
+        output: "crates/galenapath-peers/src/generated.rs",
+        derives: &["PartialEq"],
+        replacements: &[],
+    },
     Target {
         schema: "schema/config.schema.json",
         output: "crates/galenapath-config/src/generated.rs",
@@ -39,12 +45,6 @@
             ("MarkWire", "crate::wire::MarkWire"),
         ],
     },
-    Target {
-        schema: "schema/peers.schema.json",
-        output: "crates/galenapath-peers/src/generated.rs",
-        derives: &["PartialEq"],
-        replacements: &[],
-    },
 ];
 
 type AnyError = Box<dyn std::error::Error>;
--- a/crates/galenapath-config/tests/model/world.rs
+++ b/crates/galenapath-config/tests/model/world.rs
@@ -33,6 +33,9 @@
     CutNotFirst,
 }
 
+/// Takes the name of an event and what it does to a world.
+type Add<'a> = dyn FnMut(String, &dyn Fn(&mut World)) + 'a;
+
 /// What may go wrong how often.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Faults {
@@ -112,7 +115,7 @@
             return vec![("which breaks a rule".into(), world)];
         }
         let mut next = Vec::new();
-        let mut add = |label: String, event: &dyn Fn(&mut Self)| {
+        let mut add = |label: String, event: &dyn Fn(&mut World)| {
             let mut world = self.clone();
             event(&mut world);
             next.push((label, world));
@@ -137,7 +140,7 @@
         next
     }
 
-    fn instance_events(&self, at: usize, add: &mut dyn FnMut(String, &dyn Fn(&mut Self))) {
+    fn instance_events(&self, at: usize, add: &mut Add) {
         for (n, operator) in self.operators.iter().enumerate() {
             let open = matches!(operator.told, Told::Nothing | Told::Unknown);
             if open && !operator.waiting && operator.tries > 0 && self.instances[at].task.is_none()
@@ -158,13 +161,7 @@
         }
     }
 
-    fn action_events(
-        &self,
-        at: usize,
-        task: &Task,
-        label: &str,
-        add: &mut dyn FnMut(String, &dyn Fn(&mut Self)),
-    ) {
+    fn action_events(&self, at: usize, task: &Task, label: &str, add: &mut Add) {
         if self.down {
             add(format!("{label}, store down"), &|world| {
                 world.feed(at, Event::Failed(Verdict::NotRun));
@@ -197,14 +194,7 @@
         }
     }
 
-    fn swap_events(
-        &self,
-        at: usize,
-        expected: HeadIndex,
-        head: &Head,
-        label: &str,
-        add: &mut dyn FnMut(String, &dyn Fn(&mut Self)),
-    ) {
+    fn swap_events(&self, at: usize, expected: HeadIndex, head: &Head, label: &str, add: &mut Add) {
         add(label.into(), &|world| {
             let done = world.swap(expected, head);
             world.feed(at, if done { Event::Swapped } else { Event::Raced });
@@ -383,7 +373,7 @@
                 return Some("a replica differs from the chain at its version");
             }
         }
-        let wrong = self.operators.iter().find_map(|operator| {
+        self.operators.iter().find_map(|operator| {
             let mut own = audit.iter().filter(|r| r.id.0.starts_with(&operator.req.id.0[..1]));
             let (first, second) = (own.next(), own.next());
             let accepted = first.map(|record| record.version);
@@ -404,8 +394,7 @@
                 }
                 _ => None,
             }
-        });
-        wrong
+        })
     }
 }
 
--- a/crates/galenapath-entry/src/data/forward.rs
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -28,7 +28,7 @@
 use std::time::Duration;
 
 /// Successors that are asked for an outcome; as many as get it at a planned stop.
-pub(crate) const SUCCESSORS: usize = 2;
+pub const SUCCESSORS: usize = 2;
 
 /// Longest time to connect to another instance.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -28,6 +28,7 @@
 mod stream;
 
 pub use commands::DataCommand;
-pub use explain::{Explanation, Tried};
+pub use explain::Explanation;
+pub use forward::SUCCESSORS;
 pub use listener::serve;
 pub use plane::DataPlane;
