--- a/crates/galenapath-ctl/src/lib.rs
+++ b/crates/galenapath-ctl/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! The operators' command line: reads its arguments, asks an entry instance, prints the answer.
+
+mod classes;
+mod client;
+mod error;
+mod options;
+mod output;
+mod reports;
+mod run;
+mod settings;
+
+pub use error::{CtlError, ExitStatus};
+pub use options::{Options, OutputFormat};
+pub use run::run;
--- /dev/null
+++ b/crates/galenapath-ctl/src/options.rs
@@ -0,0 +1,198 @@
+//! Arguments of `galenactl`.
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Exit codes, for the help text and for scripts.
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  the instance cannot be reached, or its answer cannot be read
+  2  wrong arguments, a field that cannot be accepted, or settings that cannot be used
+  3  conflict: the class was changed meanwhile; look at it and decide again
+  4  the token was refused
+  5  not accepted, the store cannot be used now; run the command again later
+  6  may have been accepted; run the command again with the --id and --base it printed
+  7  no such class or request";
+
+/// Operates galenapath through any of its entry instances.
+#[derive(Parser)]
+#[command(
+    name = "galenactl",
+    version,
+    after_help = EXIT_CODES,
+    after_long_help = EXIT_CODES
+)]
+pub struct Options {
+    /// Operators' address of an entry instance, IP and port
+    #[arg(long, global = true, value_name = "ADDR")]
+    pub instance: Option<SocketAddr>,
+    /// File whose first line is the operators' token; needed for changes
+    #[arg(long, global = true, value_name = "FILE")]
+    pub token_file: Option<PathBuf>,
+    /// Form of the output
+    #[arg(long, global = true, value_enum, default_value_t = OutputFormat::Table)]
+    pub output: OutputFormat,
+    /// Longest wait for an answer, in seconds
+    #[arg(long, global = true, value_name = "SECONDS", default_value_t = 15)]
+    pub timeout: u64,
+    /// What to do
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum OutputFormat {
+    /// Columns for people.
+    Table,
+    /// One JSON document, as the instance sent it.
+    Json,
+}
+
+/// What to do.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Create, list and change classes of work
+    #[command(subcommand)]
+    Class(ClassCommand),
+    /// Show what an instance knows of itself, its peers and the store
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 status")]
+    Status,
+    /// List accepted changes: who, when, id, from, to
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 audit --after 40")]
+    Audit {
+        /// Only changes after this version
+        #[arg(long, default_value_t = 0)]
+        after: u64,
+    },
+    /// Tell what happened to one request and why
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 explain \
+                            4f1c0a9be2d37761-2a\n\nAsk the instance that served the request; the \
+                            id is in the answer's galenapath-request-id header.")]
+    Explain {
+        /// Identifier of the request
+        #[arg(value_name = "REQUEST-ID")]
+        id: String,
+    },
+    /// Work with settings files
+    #[command(subcommand)]
+    Settings(SettingsCommand),
+}
+
+/// What to do with classes.
+#[derive(Subcommand)]
+pub enum ClassCommand {
+    /// Create a class
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 --token-file token \
+                            class create timetable-lookup --service timetable --kind lookup \
+                            --method GET --path / --latency-ms 50 --share 0.99")]
+    Create(CreateClass),
+    /// List the classes
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 class list")]
+    List,
+    /// Change the target of a class
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 --token-file token \
+                            class set-target timetable-lookup --latency-ms 40 --share 0.995")]
+    SetTarget(SetTarget),
+    /// Remove a class
+    #[command(after_help = "Example:\n  galenactl --instance 10.0.0.1:7003 --token-file token \
+                            class remove timetable-lookup")]
+    Remove(RemoveClass),
+}
+
+/// What to do with settings.
+#[derive(Subcommand)]
+pub enum SettingsCommand {
+    /// Check a settings file of an entry instance
+    #[command(after_help = "Example:\n  galenactl settings check entry-1.toml")]
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+}
+
+/// Arguments of `class create`.
+#[derive(Args)]
+pub struct CreateClass {
+    /// Name of the class
+    pub name: String,
+    /// Service whose requests belong to it
+    #[arg(long)]
+    pub service: String,
+    /// What its requests do
+    #[arg(long, value_enum)]
+    pub kind: Kind,
+    /// Path that the requests lie at or below
+    #[arg(long, value_name = "PREFIX", default_value = "/")]
+    pub path: String,
+    /// Method that belongs to it; may be repeated, all where left out
+    #[arg(long = "method", value_name = "METHOD")]
+    pub methods: Vec<String>,
+    /// Its target
+    #[command(flatten)]
+    pub target: TargetArgs,
+    /// How the change is told apart
+    #[command(flatten)]
+    pub change: ChangeArgs,
+}
+
+/// Arguments of `class set-target`.
+#[derive(Args)]
+pub struct SetTarget {
+    /// Name of the class
+    pub name: String,
+    /// The new target
+    #[command(flatten)]
+    pub target: TargetArgs,
+    /// How the change is told apart
+    #[command(flatten)]
+    pub change: ChangeArgs,
+}
+
+/// Arguments of `class remove`.
+#[derive(Args)]
+pub struct RemoveClass {
+    /// Name of the class
+    pub name: String,
+    /// How the change is told apart
+    #[command(flatten)]
+    pub change: ChangeArgs,
+}
+
+/// A target.
+#[derive(Args)]
+pub struct TargetArgs {
+    /// Latency in milliseconds
+    #[arg(long)]
+    pub latency_ms: u32,
+    /// Share of the requests that must meet it, between 0 and 1
+    #[arg(long, default_value_t = 0.99)]
+    pub share: f64,
+}
+
+/// How a change is told apart from others.
+#[derive(Args)]
+pub struct ChangeArgs {
+    /// Identifier of the change, only to send one again; chosen at random where left out
+    #[arg(long, requires = "base")]
+    pub id: Option<String>,
+    /// Revision of the class that the change builds on; the newest where left out
+    #[arg(long)]
+    pub base: Option<u64>,
+    /// Name for the audit trail; the user's login name where left out
+    #[arg(long)]
+    pub author: Option<String>,
+}
+
+/// What the requests of a class do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Kind {
+    /// Quick reads.
+    Lookup,
+    /// Requests that change records; each runs at most once.
+    Filing,
+    /// Large reads, streamed.
+    Transfer,
+}
--- /dev/null
+++ b/crates/galenapath-ctl/src/run.rs
@@ -0,0 +1,46 @@
+//! Running one command.
+
+use crate::client::Client;
+use crate::options::{Command, Options, SettingsCommand};
+use crate::{CtlError, classes, reports, settings};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use std::path::Path;
+use std::time::Duration;
+
+/// Runs the command and prints its result.
+///
+/// # Errors
+///
+/// Whatever kept the command from being done; its `status` is the exit code.
+pub fn run(options: Options) -> Result<(), CtlError> {
+    let failed = |e: std::io::Error| CtlError::Output(format!("no runtime: {e}"));
+    if let Command::Settings(SettingsCommand::Check { file }) = &options.command {
+        return settings::check(file);
+    }
+    let address = options.instance.ok_or(CtlError::NoInstance)?;
+    let token = options.token_file.as_deref().map(read_token).transpose()?;
+    let client = Client::new(address, token, Duration::from_secs(options.timeout));
+    let mut runtime =
+        RuntimeBuilder::<LegacyDriver>::new().enable_timer().build().map_err(failed)?;
+    runtime.block_on(ask(&client, options))
+}
+
+async fn ask(client: &Client, options: Options) -> Result<(), CtlError> {
+    let format = options.output;
+    match options.command {
+        Command::Class(command) => classes::run(client, format, command).await,
+        Command::Status => reports::status(client, format).await,
+        Command::Audit { after } => reports::audit(client, format, after).await,
+        Command::Explain { id } => reports::explain(client, format, &id).await,
+        Command::Settings(SettingsCommand::Check { file }) => settings::check(&file),
+    }
+}
+
+fn read_token(file: &Path) -> Result<String, CtlError> {
+    let error = |reason: String| CtlError::File { file: file.display().to_string(), reason };
+    let text = std::fs::read_to_string(file).map_err(|e| error(e.to_string()))?;
+    match text.lines().next().map(str::trim) {
+        Some(token) if !token.is_empty() => Ok(token.to_owned()),
+        _ => Err(error("the first line must be the operators' token".to_owned())),
+    }
+}
