Stand-ins tell what ran and what callers were told

A killed backend stand-in loses its counters, so each execution is also written to a file before the work begins. Servers can advertise another address (a relay) and tell the start of their run.

--- a/crates/galenapath-dev/examples/load.rs
+++ b/crates/galenapath-dev/examples/load.rs
@@ -11,7 +11,8 @@
 fn main() -> io::Result<()> {
     let opts = Options::parse();
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
-    let rows = runtime.block_on(run(&opts));
+    let reports = runtime.block_on(run(&opts));
+    let rows: Vec<_> = reports.into_iter().map(|report| report.row).collect();
     if !opts.json {
         print!("{}", table(&rows));
         return Ok(());
--- a/crates/galenapath-dev/src/backend/connection.rs
+++ b/crates/galenapath-dev/src/backend/connection.rs
@@ -8,6 +8,7 @@
 use galenapath_protocol::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, hash64};
 use monoio::time::sleep;
 use monoio_http::common::request::RequestHead;
+use std::io::Write;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -116,10 +117,7 @@
     job: &Job,
     guard: SlotGuard,
 ) -> Result<After, WireError> {
-    server.counters.borrow_mut().executions += 1;
-    if !job.key.is_empty() {
-        server.keys.borrow_mut().record(&job.key);
-    }
+    count_execution(server, job);
     let time = server.work_time(job.number("work_ms"));
     if is_marked(server, job) {
         sleep(time).await;
@@ -158,6 +156,18 @@
     }
 }
 
+fn count_execution(server: &Server, job: &Job) {
+    server.counters.borrow_mut().executions += 1;
+    if !job.key.is_empty() {
+        server.keys.borrow_mut().record(&job.key);
+    }
+    if let Some(mut log) = server.log.as_deref() {
+        // One write per line, so that a kill leaves whole lines; a full disk fails the test later.
+        let line = format!("{}\t{}\t{}\n", server.spec.name, job.key, job.path);
+        let _ = log.write_all(line.as_bytes());
+    }
+}
+
 fn cancelled(server: &Server) -> After {
     server.counters.borrow_mut().cancelled += 1;
     After::Close
--- a/crates/galenapath-dev/src/backend/options.rs
+++ b/crates/galenapath-dev/src/backend/options.rs
@@ -3,6 +3,7 @@
 use super::work::Work;
 use clap::Parser;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
 use thiserror::Error;
@@ -10,7 +11,8 @@
 /// Serves stand-ins of backend servers, many in one process.
 #[derive(Clone, Debug, Parser)]
 pub struct Options {
-    /// A server: `name=…,service=…,domain=…[,listen=ADDR][,work=…][,delay=…]`; repeat for more.
+    /// A server: `name=…,service=…,domain=…[,listen=ADDR]
+    /// [,advertise=ADDR][,work=…][,delay=…]`; repeat for more.
     #[arg(long = "server", required = true)]
     pub servers: Vec<ServerSpec>,
     /// Address of the platform's service to register with.
@@ -46,6 +48,10 @@
     /// Least time between the announcement that a server leaves and its end.
     #[arg(long, default_value = "4s", value_parser = humantime::parse_duration)]
     pub leave_after: Duration,
+    /// File to which a line `SERVER KEY PATH` is added when a request begins to run; it tells what
+    /// ran even after the process is killed.
+    #[arg(long)]
+    pub executions: Option<PathBuf>,
     /// Seed of the work times.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
@@ -62,6 +68,8 @@
     pub domain: String,
     /// Address that it listens on; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Address in the platform's list, where that is not the one it listens on.
+    pub advertise: Option<SocketAddr>,
     /// Its own work time.
     pub work: Option<Work>,
     /// Its own one-way delay.
@@ -88,6 +96,7 @@
             service: String::new(),
             domain: String::new(),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            advertise: None,
             work: None,
             delay: None,
         };
@@ -113,6 +122,7 @@
             "service" => self.service = value.to_owned(),
             "domain" => self.domain = value.to_owned(),
             "listen" => self.listen = value.parse().ok()?,
+            "advertise" => self.advertise = Some(value.parse().ok()?),
             "work" => self.work = Some(value.parse().ok()?),
             "delay" => self.delay = Some(humantime::parse_duration(value).ok()?),
             _ => return None,
--- a/crates/galenapath-dev/src/backend/process.rs
+++ b/crates/galenapath-dev/src/backend/process.rs
@@ -7,8 +7,10 @@
 use futures::future::join_all;
 use monoio::net::TcpListener;
 use monoio::time::sleep;
+use std::fs::{File, OpenOptions};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +19,10 @@
 /// How often the process looks whether it shall leave and whether it has.
 const LEAVE_POLL: Duration = Duration::from_millis(20);
 
+fn open_log(path: &Path) -> io::Result<Rc<File>> {
+    OpenOptions::new().create(true).append(true).open(path).map(Rc::new)
+}
+
 /// The servers of one process, bound and serving.
 pub struct Process {
     opts: Rc<Options>,
@@ -33,11 +39,13 @@
     pub fn start(opts: Options) -> io::Result<Self> {
         let opts = Rc::new(opts);
         let keys = Rc::default();
+        let log = opts.executions.as_deref().map(open_log).transpose()?;
         let mut servers = Vec::new();
         for spec in &opts.servers {
             let listener = TcpListener::bind(spec.listen)?;
             let addr = listener.local_addr()?;
-            let server = Server::new(spec.clone(), addr, Rc::clone(&opts), Rc::clone(&keys));
+            let server =
+                Server::new(spec.clone(), addr, Rc::clone(&opts), Rc::clone(&keys), log.clone());
             monoio::spawn(Rc::clone(&server).run(listener));
             if let Some(store) = opts.store {
                 monoio::spawn(keep_registered(Rc::clone(&server), store));
--- a/crates/galenapath-dev/src/backend/registration.rs
+++ b/crates/galenapath-dev/src/backend/registration.rs
@@ -28,15 +28,17 @@
 }
 
 async fn register(server: &Server, store: SocketAddr, leaving: bool) -> bool {
+    let addr = server.spec.advertise.unwrap_or(server.addr);
     let body = serde_json::json!({
         "ID": server.spec.name,
         "Name": "backend",
-        "Address": server.addr.ip().to_string(),
-        "Port": server.addr.port(),
+        "Address": addr.ip().to_string(),
+        "Port": addr.port(),
         "Meta": {
             "service": server.spec.service,
             "domain": server.spec.domain,
             "state": if leaving { "leaving" } else { "live" },
+            "started": server.started_ms.to_string(),
         },
     })
     .to_string();
--- a/crates/galenapath-dev/src/backend/server.rs
+++ b/crates/galenapath-dev/src/backend/server.rs
@@ -16,10 +16,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::cell::{Cell, RefCell};
+use std::fs::File;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How often a frozen server looks whether it has been thawed.
 const THAW_POLL: Duration = Duration::from_millis(2);
@@ -45,6 +46,10 @@
     pub counters: RefCell<Counters>,
     /// Executions per key, shared by all servers of the process.
     pub keys: Rc<RefCell<KeyCounts>>,
+    /// Where executions are written, if anywhere; shared likewise.
+    pub log: Option<Rc<File>>,
+    /// Start of the process's run, milliseconds since the Unix epoch.
+    pub started_ms: u128,
     /// One-way delay.
     pub delay: Duration,
     /// When it began to leave.
@@ -63,6 +68,7 @@
         addr: SocketAddr,
         opts: Rc<Options>,
         keys: Rc<RefCell<KeyCounts>>,
+        log: Option<Rc<File>>,
     ) -> Rc<Self> {
         let seed = galenapath_protocol::hash64(opts.seed, spec.name.as_bytes());
         let now = Instant::now();
@@ -72,6 +78,8 @@
             faults: RefCell::default(),
             counters: RefCell::default(),
             keys,
+            log,
+            started_ms: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis()),
             delay: spec.delay.unwrap_or(opts.delay),
             leaving: Cell::new(None),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
--- a/crates/galenapath-dev/src/load/attempt.rs
+++ b/crates/galenapath-dev/src/load/attempt.rs
@@ -2,8 +2,9 @@
 
 use super::check::BodyCheck;
 use super::pool::Pool;
+use super::tally::Outcome;
 use crate::wire::{Conn, Framing, WireError, request_head};
-use galenapath_protocol::{IDEMPOTENCY_KEY_HEADER, VERDICT_HEADER, Verdict};
+use galenapath_protocol::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, VERDICT_HEADER, Verdict};
 use http::{HeaderMap, Method, StatusCode};
 use monoio_http::common::response::ResponseHead;
 use std::net::SocketAddr;
@@ -26,35 +27,68 @@
     Wrong,
 }
 
+impl Attempt {
+    /// What the caller knows after it.
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::Answered => Outcome::Answered,
+            Self::NotRun(_) => Outcome::NotRun,
+            Self::MayHaveRun => Outcome::MayHaveRun,
+            Self::Failed(_) => Outcome::Failed,
+            Self::Broken => Outcome::Broken,
+            Self::Wrong => Outcome::Wrong,
+        }
+    }
+}
+
+/// What a request says.
+#[derive(Clone, Debug, Default)]
+pub struct RequestSpec {
+    /// Method; `GET` where it is empty.
+    pub method: String,
+    /// Service, sent as `Host`.
+    pub service: String,
+    /// Path with query.
+    pub path: String,
+    /// Idempotency key; none is sent where it is empty.
+    pub key: String,
+    /// Length of the pattern that the path asks for.
+    pub bytes: Option<u64>,
+    /// Time that the caller gives the request, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
 /// A request ready to be sent, any number of times.
 pub struct Request {
+    spec: RequestSpec,
     method: Method,
-    path: String,
-    key: String,
-    bytes: Option<u64>,
     /// Head and body as they go out.
     message: Vec<u8>,
 }
 
 impl Request {
-    /// A request to `service`; an empty `key` sends none.
-    pub fn new(
-        service: &str,
-        method: &str,
-        path: String,
-        key: String,
-        bytes: Option<u64>,
-        body: &[u8],
-    ) -> Self {
-        let len = body.len().to_string();
-        let mut headers = vec![("host", service), ("content-length", &len)];
-        if !key.is_empty() {
-            headers.push((IDEMPOTENCY_KEY_HEADER, &key));
+    /// Makes the message.
+    pub fn new(spec: RequestSpec) -> Self {
+        let method = Method::from_bytes(spec.method.as_bytes()).unwrap_or_default();
+        let len = spec.body.len().to_string();
+        let deadline = spec.deadline_ms.unwrap_or_default().to_string();
+        let mut headers = vec![("host", spec.service.as_str()), ("content-length", &len)];
+        if !spec.key.is_empty() {
+            headers.push((IDEMPOTENCY_KEY_HEADER, &spec.key));
+        }
+        if spec.deadline_ms.is_some() {
+            headers.push((DEADLINE_HEADER, &deadline));
         }
-        let mut message = request_head(method, &path, &headers).into_bytes();
-        message.extend_from_slice(body);
-        let method = Method::from_bytes(method.as_bytes()).unwrap_or_default();
-        Self { method, path, key, bytes, message }
+        let mut message = request_head(method.as_str(), &spec.path, &headers).into_bytes();
+        message.extend_from_slice(&spec.body);
+        Self { spec, method, message }
+    }
+
+    /// What the request says.
+    pub const fn spec(&self) -> &RequestSpec {
+        &self.spec
     }
 
     /// Sends the request to `addr` and reads the answer.
@@ -78,7 +112,7 @@
         let head = conn.read_answer().await?;
         let mut framing = Framing::of_answer(&self.method, head.status, &head.headers);
         let reusable = !matches!(framing, Framing::UntilClose) && !says_close(&head.headers);
-        let mut check = BodyCheck::new(&self.path, &self.key, self.bytes);
+        let mut check = BodyCheck::new(&self.spec.path, &self.spec.key, self.spec.bytes);
         while let Some(part) = conn.read_part(&mut framing).await? {
             if head.status.is_success() {
                 check.update(&part);
--- a/crates/galenapath-dev/src/load/caller.rs
+++ b/crates/galenapath-dev/src/load/caller.rs
@@ -1,10 +1,10 @@
 //! A caller: sends a request, comes back when told to, goes elsewhere when a connection breaks.
 
-use super::attempt::{Attempt, Request};
+use super::attempt::{Attempt, Request, RequestSpec};
 use super::entries::{Entries, Route};
 use super::options::{ClassLoad, Options};
 use super::pool::Pool;
-use super::tally::Outcome;
+use super::told::Told;
 use monoio::time::{sleep, timeout};
 use std::time::Duration;
 
@@ -19,34 +19,24 @@
 }
 
 impl Callers {
-    /// Sends request number `index`; gives its outcome and the number of attempts.
-    pub async fn call(&self, index: u64) -> (Outcome, u32) {
+    /// Sends request number `index` until it has an end.
+    pub async fn call(&self, index: u64) -> Told {
         let route = self.entries.route().await;
         let req = self.request(index, &route);
+        let mut told = Told::new(req.spec());
         let mut next = 0;
-        let mut outcome = Outcome::Broken;
         for attempt in 1..=self.opts.attempts {
             // The key stays bound to the first route; only the order of addresses moves on.
             let addr = route.addresses[next % route.addresses.len()];
-            match self.attempt(&req, addr).await {
-                Attempt::Answered => return (Outcome::Answered, attempt),
-                Attempt::MayHaveRun => return (Outcome::MayHaveRun, attempt),
-                Attempt::Failed(_) => return (Outcome::Failed, attempt),
-                Attempt::Wrong => return (Outcome::Wrong, attempt),
-                Attempt::NotRun(None) => return (Outcome::NotRun, attempt),
-                Attempt::NotRun(Some(after)) => {
-                    outcome = Outcome::NotRun;
-                    if attempt < self.opts.attempts {
-                        sleep(after).await;
-                    }
-                }
-                Attempt::Broken => {
-                    outcome = Outcome::Broken;
-                    next += 1;
-                }
+            let end = self.attempt(&req, addr).await;
+            told.record(end);
+            match end {
+                Attempt::NotRun(Some(after)) if attempt < self.opts.attempts => sleep(after).await,
+                Attempt::Broken => next += 1,
+                _ => break,
             }
         }
-        (outcome, self.opts.attempts)
+        told
     }
 
     async fn attempt(&self, req: &Request, addr: std::net::SocketAddr) -> Attempt {
@@ -68,7 +58,15 @@
             false => String::new(),
         };
         let body = vec![b'x'; class.body];
-        Request::new(&class.service, &class.method, path, key, class.bytes, &body)
+        Request::new(RequestSpec {
+            method: class.method.clone(),
+            service: class.service.clone(),
+            path,
+            key,
+            bytes: class.bytes,
+            deadline_ms: class.deadline_ms,
+            body,
+        })
     }
 }
 
--- a/crates/galenapath-dev/src/load/mod.rs
+++ b/crates/galenapath-dev/src/load/mod.rs
@@ -12,10 +12,13 @@
 mod pool;
 mod run;
 mod tally;
+mod told;
 
 pub use arrivals::Arrivals;
-pub use attempt::Attempt;
+pub use attempt::{Attempt, Request, RequestSpec};
 pub use check::BodyCheck;
 pub use options::{ClassLoad, Options, ParseClassError};
-pub use run::run;
+pub use pool::Pool;
+pub use run::{Report, run};
 pub use tally::{Outcome, Row, Tally, table};
+pub use told::Told;
--- a/crates/galenapath-dev/src/load/options.rs
+++ b/crates/galenapath-dev/src/load/options.rs
@@ -16,7 +16,7 @@
     #[arg(long = "direct", conflicts_with = "entries", required_unless_present = "entries")]
     pub direct: Vec<SocketAddr>,
     /// Load of a class: `name=…,service=…,rate=PER_SECOND[,method=…][,path=…][,bytes=…][,body=…]
-    /// [,filing=true][,target_ms=…][,reliability=…]`; repeat for more.
+    /// [,filing=true][,deadline_ms=…][,target_ms=…][,reliability=…]`; repeat for more.
     #[arg(long = "class", required = true)]
     pub classes: Vec<ClassLoad>,
     /// How long requests are sent.
@@ -62,6 +62,8 @@
     pub bytes: Option<u64>,
     /// Length of the request's body in bytes.
     pub body: usize,
+    /// Time that callers give a request, in milliseconds; not sent where it is missing.
+    pub deadline_ms: Option<u64>,
     /// Whether requests carry an idempotency key.
     pub filing: bool,
     /// Time within which an answer meets the target, in milliseconds.
@@ -93,6 +95,7 @@
             path: "/".to_owned(),
             bytes: None,
             body: 0,
+            deadline_ms: None,
             filing: false,
             target_ms: 1_000,
             reliability: 0.99,
@@ -120,6 +123,7 @@
             "rate" => self.rate = value.parse().ok()?,
             "bytes" => self.bytes = Some(value.parse().ok()?),
             "body" => self.body = value.parse().ok()?,
+            "deadline_ms" => self.deadline_ms = Some(value.parse().ok()?),
             "filing" => self.filing = value.parse().ok()?,
             "target_ms" => self.target_ms = value.parse().ok()?,
             "reliability" => self.reliability = value.parse().ok()?,
--- a/crates/galenapath-dev/src/load/run.rs
+++ b/crates/galenapath-dev/src/load/run.rs
@@ -6,6 +6,7 @@
 use super::options::{ClassLoad, Options};
 use super::pool::Pool;
 use super::tally::{Outcome, Row, Tally};
+use super::told::Told;
 use futures::future::join_all;
 use galenapath_protocol::hash64;
 use monoio::time::sleep;
@@ -16,8 +17,16 @@
 /// How often the end of the last requests is looked for.
 const END_POLL: Duration = Duration::from_millis(5);
 
-/// Runs the load of every class side by side; one row for each.
-pub async fn run(opts: &Options) -> Vec<Row> {
+/// Result of one class.
+pub struct Report {
+    /// Its figures.
+    pub row: Row,
+    /// What callers were told, in the order in which requests ended.
+    pub told: Vec<Told>,
+}
+
+/// Runs the load of every class side by side; one report for each.
+pub async fn run(opts: &Options) -> Vec<Report> {
     let classes = opts.classes.iter().enumerate();
     join_all(classes.map(|(number, class)| run_class(opts, class, number))).await
 }
@@ -25,16 +34,21 @@
 /// Requests of a class in progress and their results.
 struct Progress {
     tally: RefCell<Tally>,
+    told: RefCell<Vec<Told>>,
     outstanding: Cell<usize>,
 }
 
-async fn run_class(opts: &Options, class: &ClassLoad, number: usize) -> Row {
+async fn run_class(opts: &Options, class: &ClassLoad, number: usize) -> Report {
     let seed = hash64(opts.seed, class.name.as_bytes());
     let callers = Rc::new(callers(opts, class, number));
     // Asking for addresses once is a caller's first step, not part of a request's time.
     callers.entries.route().await;
     let tally = Tally::new(Duration::from_millis(class.target_ms));
-    let progress = Rc::new(Progress { tally: RefCell::new(tally), outstanding: Cell::new(0) });
+    let progress = Rc::new(Progress {
+        tally: RefCell::new(tally),
+        told: RefCell::default(),
+        outstanding: Cell::new(0),
+    });
     let began = Instant::now();
     let arrivals = Arrivals::new(seed, class.rate, opts.duration);
     for (index, at) in (0..opts.most).zip(arrivals) {
@@ -53,7 +67,8 @@
     while progress.outstanding.get() > 0 {
         sleep(END_POLL).await;
     }
-    progress.tally.borrow().row(&class.name, class.reliability)
+    let row = progress.tally.borrow().row(&class.name, class.reliability);
+    Report { row, told: progress.told.take() }
 }
 
 fn callers(opts: &Options, class: &ClassLoad, number: usize) -> Callers {
@@ -66,7 +81,8 @@
 }
 
 async fn send(callers: Rc<Callers>, progress: Rc<Progress>, index: u64, due: Instant) {
-    let (outcome, attempts) = callers.call(index).await;
-    progress.tally.borrow_mut().record(outcome, due.elapsed(), attempts);
+    let told = callers.call(index).await;
+    progress.tally.borrow_mut().record(told.outcome, due.elapsed(), told.attempts);
+    progress.told.borrow_mut().push(told);
     progress.outstanding.set(progress.outstanding.get() - 1);
 }
--- a/crates/galenapath-dev/tests/load.rs
+++ b/crates/galenapath-dev/tests/load.rs
@@ -19,7 +19,8 @@
         let process = Process::start(backend::Options::parse_from(all)).unwrap();
         let addr = process.addresses().next().unwrap().1.to_string();
         let all = [&["load", "--direct", &addr, "--duration", "300ms"], args].concat();
-        run(&Options::parse_from(all)).await
+        let reports = run(&Options::parse_from(all)).await;
+        reports.into_iter().map(|report| report.row).collect()
     })
 }
 
--- a/crates/galenapath-entry/src/control/operators.rs
+++ b/crates/galenapath-entry/src/control/operators.rs
@@ -14,8 +14,7 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 
 /// Times of an operator's connection.
-const TIMES: HeadTimes =
-    HeadTimes { idle: Duration::from_secs(60), head: Duration::from_secs(10) };
+const TIMES: HeadTimes = HeadTimes { idle: Duration::from_secs(60), head: Duration::from_secs(10) };
 
 /// Serves operators for as long as the instance runs.
 pub(super) async fn serve(plane: Rc<ControlPlane>, listener: TcpListener) {
--- a/crates/galenapath-entry/src/data/answer.rs
+++ b/crates/galenapath-entry/src/data/answer.rs
@@ -32,13 +32,7 @@
 impl OwnAnswer {
     /// An answer to a request that was not run.
     pub(super) fn not_run(status: StatusCode, reason: &'static str, text: &str) -> Self {
-        Self {
-            status,
-            verdict: Verdict::NotRun,
-            retry_after: None,
-            reason,
-            text: text.to_owned(),
-        }
+        Self { status, verdict: Verdict::NotRun, retry_after: None, reason, text: text.to_owned() }
     }
 
     /// An answer to a request that may have run.
@@ -84,8 +78,7 @@
     if !caller.keep_alive {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let framing =
-        if body.is_empty() { Framing::None } else { Framing::Length(body.len() as u64) };
+    let framing = if body.is_empty() { Framing::None } else { Framing::Length(body.len() as u64) };
     let is_head = caller.method == Method::HEAD;
     let out: &mut BytesMut = caller.connection.output();
     put_response(out, status, &headers, framing, !has_no_body(status));
--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -122,8 +122,7 @@
         .map_err(Fault::Http)?;
     take_report(target, &head.headers);
     let reply = read_start(target, connection, &req.method, head).await?;
-    if reply.status == StatusCode::SERVICE_UNAVAILABLE
-        && reply.headers.contains_key(NOT_RUN_HEADER)
+    if reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.headers.contains_key(NOT_RUN_HEADER)
     {
         return Err(Fault::Shed);
     }
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -118,19 +118,14 @@
     let service = plane.service(&meta.class.service, config);
     expect_continue(caller, &head.headers);
     let is_filing = meta.class.kind == ClassKind::Filing;
-    let limit = if is_filing {
-        plane.shared.settings.limits.filing_bytes as u64
-    } else {
-        BUFFERED_BODY
-    };
+    let limit =
+        if is_filing { plane.shared.settings.limits.filing_bytes as u64 } else { BUFFERED_BODY };
     let pause = plane.shared.settings.limits.idle_timeout;
     match read_body(caller, meta.framing, limit, pause).await? {
         BodyRead::Whole(body) if is_filing => {
             filing::serve(plane, caller, &service, &meta, head, body).await
         }
-        BodyRead::Whole(body) => {
-            lookup::serve(plane, caller, &service, &meta, head, body).await
-        }
+        BodyRead::Whole(body) => lookup::serve(plane, caller, &service, &meta, head, body).await,
         BodyRead::TooLarge { .. } if is_filing => {
             caller.keep_alive = false;
             let text = format!("the body of a filing may have {limit} bytes at most");
@@ -204,7 +199,10 @@
 enum BodyRead {
     Whole(Bytes),
     /// More than the limit: what was read, and where the rest stands.
-    TooLarge { start: Bytes, state: BodyState },
+    TooLarge {
+        start: Bytes,
+        state: BodyState,
+    },
 }
 
 async fn read_body(
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -1,5 +1,6 @@
 //! Trying one backend server.
 
+use super::answer::OwnAnswer;
 use super::attempt::{Fault, Reply, Target, attempt};
 use super::crash::{self, Clearance, Trial};
 use super::explain::Trace;
@@ -9,7 +10,6 @@
 use super::refusal;
 use super::request::RequestMeta;
 use super::service::Service;
-use super::answer::OwnAnswer;
 use galenapath_policy::Slot;
 use galenapath_protocol::BackendId;
 use std::rc::Rc;
@@ -101,10 +101,7 @@
         match result {
             Ok(reply) => {
                 drop(running);
-                self.plane
-                    .suspects
-                    .borrow_mut()
-                    .answered(self.plane.now(), self.req.fingerprint);
+                self.plane.suspects.borrow_mut().answered(self.plane.now(), self.req.fingerprint);
                 trace.tried(&backend.id, reply.status);
                 Ok(Served { backend: backend.id.clone(), in_flight, reply })
             }
--- a/crates/galenapath-entry/src/data/ending.rs
+++ b/crates/galenapath-entry/src/data/ending.rs
@@ -51,4 +51,3 @@
 pub(super) fn outcome_of(status: StatusCode) -> Outcome {
     if status.is_server_error() { Outcome::FastFailure } else { Outcome::Answered }
 }
-
--- a/crates/galenapath-entry/src/data/entries.rs
+++ b/crates/galenapath-entry/src/data/entries.rs
@@ -101,9 +101,8 @@
 /// domain, then the best of the rest up to a least number.
 fn dispatching<'a>(view: &'a MemberView, service: &str) -> Vec<&'a Member> {
     let mut ranked: Vec<&Member> = view.usable.iter().collect();
-    ranked.sort_by_key(|member| {
-        std::cmp::Reverse(hash64(member.incarnation.0, service.as_bytes()))
-    });
+    ranked
+        .sort_by_key(|member| std::cmp::Reverse(hash64(member.incarnation.0, service.as_bytes())));
     let mut domains: FastSet<&DomainId> = FastSet::default();
     let (mut chosen, rest): (Vec<&Member>, Vec<&Member>) =
         ranked.into_iter().partition(|member| domains.insert(&member.domain));
--- a/crates/galenapath-entry/src/data/filing.rs
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -13,9 +13,7 @@
 use super::service::Service;
 use super::{filing_wait, forward, headers, refusal, relay};
 use bytes::Bytes;
-use galenapath_filings::{
-    Admit, AfterAttempt, Answer, AttemptEnd, End, FilingKey, RecordId,
-};
+use galenapath_filings::{Admit, AfterAttempt, Answer, AttemptEnd, End, FilingKey, RecordId};
 use galenapath_http::{HttpError, RequestHead};
 use galenapath_policy::{Outcome, may_retry};
 use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
@@ -60,8 +58,10 @@
 fn key_of(meta: &RequestMeta) -> Result<FilingKey, OwnAnswer> {
     let bad = |text: &str| OwnAnswer::not_run(StatusCode::BAD_REQUEST, "bad_key", text);
     let Some(text) = &meta.key else {
-        return Err(bad("a filing needs an Idempotency-Key header: the key_prefix of /v1/entries \
-                        and a part of your own"));
+        return Err(bad(
+            "a filing needs an Idempotency-Key header: the key_prefix of /v1/entries \
+                        and a part of your own",
+        ));
     };
     FilingKey::parse(&meta.workspace, text).map_err(|e| bad(&e.to_string()))
 }
@@ -107,8 +107,10 @@
             ..OwnAnswer::not_run(
                 StatusCode::CONFLICT,
                 "answer_not_kept",
-                &format!("the filing ran and was answered with status {status}; the answer itself \
-                          was not kept"),
+                &format!(
+                    "the filing ran and was answered with status {status}; the answer itself \
+                          was not kept"
+                ),
             )
         },
         Admit::Unclaimed { retry_after } => may_have(
--- a/crates/galenapath-entry/src/data/forward.rs
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -4,8 +4,8 @@
 //! that incarnation is gone, its successors are asked for the outcome, which they took over at a
 //! planned stop. A filing is passed on once: the instance that gets it answers what it knows.
 
-use super::attempt::read_final_head;
 use super::answer::OwnAnswer;
+use super::attempt::read_final_head;
 use super::attempt::{BUFFERED_ANSWER, Reply};
 use super::caller::Caller;
 use super::ending::{refuse, remember};
--- a/crates/galenapath-entry/src/data/listener.rs
+++ b/crates/galenapath-entry/src/data/listener.rs
@@ -12,11 +12,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers on `listener` for as long as the instance runs.
-pub async fn serve(
-    plane: Rc<DataPlane>,
-    listener: TcpListener,
-    commands: Receiver<DataCommand>,
-) {
+pub async fn serve(plane: Rc<DataPlane>, listener: TcpListener, commands: Receiver<DataCommand>) {
     monoio::spawn(commands::run(Rc::clone(&plane), commands));
     monoio::spawn(probes::run(Rc::clone(&plane)));
     let most = i64::try_from(plane.shared.settings.limits.caller_connections).unwrap_or(i64::MAX);
--- a/crates/galenapath-entry/src/data/permit.rs
+++ b/crates/galenapath-entry/src/data/permit.rs
@@ -154,13 +154,7 @@
     pub(super) fn start(plane: &Rc<DataPlane>, service: &Rc<Service>, slot: Slot) -> Self {
         let started = plane.now();
         service.state.borrow_mut().balancer.start(started, slot);
-        Self {
-            plane: Rc::clone(plane),
-            service: Rc::clone(service),
-            slot,
-            started,
-            is_done: false,
-        }
+        Self { plane: Rc::clone(plane), service: Rc::clone(service), slot, started, is_done: false }
     }
 
     /// The attempt has ended.
--- a/crates/galenapath-entry/src/data/prepare.rs
+++ b/crates/galenapath-entry/src/data/prepare.rs
@@ -32,8 +32,7 @@
         let mut headers = head.headers;
         headers::strip(&mut headers);
         headers::add_request(&mut headers, meta.id, meta.deadline - plane.now());
-        let fingerprint =
-            Fingerprint::of(&meta.class.service, head.method.as_str(), &path, &body);
+        let fingerprint = Fingerprint::of(&meta.class.service, head.method.as_str(), &path, &body);
         Self { method: head.method, path, headers, body, fingerprint }
     }
 
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -33,11 +33,8 @@
         }
         None => send_whole(caller, reply.status, reply.headers, &reply.start).await,
         Some(rest) => {
-            let head = LargeHead {
-                status: reply.status,
-                headers: reply.headers,
-                framing: reply.framing,
-            };
+            let head =
+                LargeHead { status: reply.status, headers: reply.headers, framing: reply.framing };
             send_large(caller, head, &reply.start, rest).await
         }
     }
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -8,7 +8,8 @@
 use galenapath_config::{ClassKind, Config};
 use galenapath_policy::{
     Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ClassIndex,
-    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket, WorkLength,
+    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket,
+    WorkLength,
 };
 use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
 use std::cell::RefCell;
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -3,17 +3,19 @@
 //! Such a request is sent once: its body cannot be had a second time.
 
 use super::answer::OwnAnswer;
-use super::attempt::{Fault, Reply, Rest, Target, can_reuse, read_final_head, take_report, time_left};
+use super::attempt::{
+    Fault, Reply, Rest, Target, can_reuse, read_final_head, take_report, time_left,
+};
 use super::caller::{Caller, read_piece};
 use super::ending::{observe_latency, outcome_of, refuse, remember};
 use super::explain::Trace;
 use super::permit::{InFlight, Permit};
 use super::plane::DataPlane;
 use super::prepare::Prepared;
+use super::refusal;
 use super::relay::{self, within_pause};
 use super::request::RequestMeta;
 use super::service::Service;
-use super::refusal;
 use bytes::Bytes;
 use galenapath_http::{BodyState, HttpError, RequestHead, put_request, response_framing};
 use galenapath_policy::Outcome;
@@ -58,8 +60,7 @@
             trace.tried(&backend.id, reply.status);
             observe_latency(plane, meta);
             let (status, outcome) = (reply.status, outcome_of(reply.status));
-            let sent =
-                relay::send(caller, &meta.id, &backend.id, Verdict::Answered, reply).await;
+            let sent = relay::send(caller, &meta.id, &backend.id, Verdict::Answered, reply).await;
             in_flight.finish(outcome);
             permit.finish(outcome);
             remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
@@ -100,8 +101,7 @@
         .map_err(|_| Fault::TimedOut)?
         .map_err(Fault::Http)?;
     take_report(target, &head.headers);
-    let framing =
-        response_framing(&req.method, head.status, &head.headers).map_err(Fault::Http)?;
+    let framing = response_framing(&req.method, head.status, &head.headers).map_err(Fault::Http)?;
     let state = BodyState::new(framing);
     let rest = if state.is_complete() {
         if can_reuse(framing, head.version, &head.headers) {
--- a/crates/galenapath-entry/src/run.rs
+++ b/crates/galenapath-entry/src/run.rs
@@ -28,8 +28,8 @@
     let peers = listen("peers", settings.listen.peers)?;
     let operators = listen("operators", settings.listen.operators)?;
     let stops = signals::stop_requests()?;
-    let plane = galenapath_peers::start(peers)
-        .change_context(EntryError::Start("the peers' plane"))?;
+    let plane =
+        galenapath_peers::start(peers).change_context(EntryError::Start("the peers' plane"))?;
     let callers_address = local_address(&callers)?;
     log::info!(
         callers:% = callers_address,
--- a/crates/galenapath-peers/src/convert.rs
+++ b/crates/galenapath-peers/src/convert.rs
@@ -103,7 +103,11 @@
     let crashes = crashes.iter().map(|wire| SuspectWire::Crash {
         backend: wire.backend,
         age_ms: wire.age_ms,
-        members: wire.fingerprints.iter().filter_map(|fp| unhex(fp).ok().map(Fingerprint)).collect(),
+        members: wire
+            .fingerprints
+            .iter()
+            .filter_map(|fp| unhex(fp).ok().map(Fingerprint))
+            .collect(),
     });
     let cleared = cleared.iter().filter_map(|wire| {
         let fp = Fingerprint(unhex(&wire.fingerprint).ok()?);
--- a/crates/galenapath-peers/src/lib.rs
+++ b/crates/galenapath-peers/src/lib.rs
@@ -15,8 +15,8 @@
 mod server;
 
 pub use call::{PeerCall, PeerRequest};
-pub use error::{BadNews, PeerError};
 pub use convert::{crashes_and_cleared, hand_over, outcomes, suspects};
+pub use error::{BadNews, PeerError};
 pub use generated::{
     ClearedWire, ConfigWire, CrashWire, ExchangeWire, HandOverWire, HeaderWire, LeavingWire,
     MemberStatusWire, MemberWire, OutcomeWire,
