Scenario language: parser, processes, relays, checks of what was told against what ran

Backend stand-ins note each execution in a file, which is compared at the end with what every caller was told.

The first scenario fails: the entry instance's data thread panics at its first answer from a backend server (a timer too far in the future). Reported; the scenario stays.

--- a/crates/galenapath-dev/src/backend/admin.rs
+++ b/crates/galenapath-dev/src/backend/admin.rs
@@ -26,6 +26,8 @@
     server: String,
     service: String,
     leaving: bool,
+    /// Requests that run or wait now.
+    running: usize,
     #[serde(flatten)]
     counters: Counters,
 }
@@ -87,6 +89,7 @@
             server: server.spec.name.clone(),
             service: server.spec.service.clone(),
             leaving: server.leaving.get().is_some(),
+            running: server.slots.running() + server.slots.waiting(),
             counters: server.counters.borrow().clone(),
         });
         let all = AllCounters {
--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod backend;
 pub mod load;
+pub mod scenario;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/crates/galenapath-dev/src/scenario/instance.rs
@@ -0,0 +1,130 @@
+//! Entry instances of a scenario.
+
+use super::error::ScenarioError;
+use super::line::Line;
+use super::net::Net;
+use super::process::Process;
+use super::programs::Programs;
+use super::relay::Relay;
+use crate::wire::exchange;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Kilobytes in a megabyte.
+const KB_PER_MB: f64 = 1024.0;
+
+/// An entry instance.
+pub struct Instance {
+    name: String,
+    settings: PathBuf,
+    dir: PathBuf,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for callers; the relay's where there is a link.
+    pub callers: SocketAddr,
+    /// Relay between callers and the instance.
+    pub link: Option<Relay>,
+    /// Relay between the instance and the store.
+    pub store_link: Option<Relay>,
+    /// The process; missing while it is killed or stopped.
+    pub process: Option<Process>,
+}
+
+impl Instance {
+    /// Prepares `instance NAME domain=… [link=yes] [store_link=yes]` and starts it.
+    pub fn start(
+        line: &Line,
+        programs: &Programs,
+        net: &mut Net,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        dir: &Path,
+    ) -> Result<(Self, SocketAddr), ScenarioError> {
+        let name = line.word(1).to_owned();
+        let (listen, peers, operators) = (net.address()?, net.address()?, net.address()?);
+        let link = relay(line, "link", net, listen)?;
+        let store_link = relay(line, "store_link", net, store)?;
+        let mut instance = Self {
+            settings: dir.join(format!("{name}.toml")),
+            dir: dir.to_owned(),
+            operators,
+            callers: link.as_ref().map_or(listen, |relay| relay.addr),
+            link,
+            store_link,
+            process: None,
+            name,
+        };
+        let store = instance.store_link.as_ref().map_or(store, |relay| relay.addr);
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let text = format!(
+            "[instance]\nname = \"{}\"\ndomain = \"{}\"\n\n\
+             [listen]\ncallers = \"{listen}\"\npeers = \"{peers}\"\noperators = \"{operators}\"\n\
+             seeds = [{}]\n\n\
+             [platform]\naddress = \"{store}\"\ntimeout = \"1s\"\n\n\
+             [operators]\ntoken_file = \"{}\"\n\n[log]\nlevel = \"{}\"\n",
+            instance.name,
+            line.option("domain").unwrap_or("d1"),
+            seeds.join(", "),
+            dir.join("token").display(),
+            line.option("log").unwrap_or("info"),
+        );
+        std::fs::write(&instance.settings, text).map_err(ScenarioError::io("settings"))?;
+        instance.restart(programs)?;
+        Ok((instance, peers))
+    }
+
+    /// Starts the process, again on the same addresses.
+    pub fn restart(&mut self, programs: &Programs) -> Result<(), ScenarioError> {
+        self.process = None;
+        let args = ["--settings".to_owned(), self.settings.display().to_string()];
+        let process = Process::start(&self.name, &programs.instance, &args, &self.dir)?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    /// Whether the instance says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let answer = exchange(self.operators, "GET", "/readyz", b"").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    }
+
+    /// A metric's sum over its labels, or `memory_mb`, the resident memory of the process.
+    pub async fn metric(&self, field: &str) -> Result<f64, ScenarioError> {
+        if field == "memory_mb" {
+            return self.memory_mb();
+        }
+        let answer = exchange(self.operators, "GET", "/metrics", b"").await;
+        let answer = answer.map_err(ScenarioError::call(format!("metrics of {}", self.name)))?;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let name = format!("galenapath_{field}");
+        let values = text.lines().filter_map(|line| {
+            let rest = line.strip_prefix(&name)?;
+            rest.starts_with(['{', ' ']).then(|| rest.rsplit(' ').next()?.parse::<f64>().ok())?
+        });
+        Ok(values.sum())
+    }
+
+    fn memory_mb(&self) -> Result<f64, ScenarioError> {
+        let id = self.process.as_ref().map(Process::id);
+        let id = id.ok_or_else(|| ScenarioError::bad(format!("{} does not run", self.name)))?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+        let status = status.map_err(ScenarioError::io("memory"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
+        kb.map(|kb| kb / KB_PER_MB).ok_or_else(|| ScenarioError::bad("no VmRSS"))
+    }
+}
+
+fn relay(
+    line: &Line,
+    option: &str,
+    net: &mut Net,
+    target: SocketAddr,
+) -> Result<Option<Relay>, ScenarioError> {
+    if line.option(option).is_none() {
+        return Ok(None);
+    }
+    let relay = Relay::start(net.address()?)?;
+    relay.set_target(target);
+    Ok(Some(relay))
+}
--- a/crates/galenapath-dev/src/scenario/mod.rs
+++ b/crates/galenapath-dev/src/scenario/mod.rs
@@ -14,6 +14,7 @@
 mod metric;
 mod net;
 mod operator;
+mod preset;
 mod process;
 mod programs;
 mod relay;
--- /dev/null
+++ b/crates/galenapath-dev/src/scenario/operator.rs
@@ -0,0 +1,79 @@
+//! Operators of a scenario: runs of `galenactl`.
+
+use super::error::ScenarioError;
+use super::process::POLL;
+use super::programs::Programs;
+use monoio::time::sleep;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest run of one command.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A command that runs.
+pub struct Operator {
+    child: Child,
+    out: std::path::PathBuf,
+}
+
+/// How a command ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// Exit code.
+    pub code: i32,
+    /// Everything that it printed.
+    pub output: String,
+}
+
+impl Operator {
+    /// Starts `galenactl` with `words` against the instance at `addr`.
+    pub fn start(
+        programs: &Programs,
+        addr: SocketAddr,
+        words: &[String],
+        dir: &Path,
+        number: usize,
+    ) -> Result<Self, ScenarioError> {
+        let out = dir.join(format!("operator-{number}.out"));
+        let file = File::create(&out).map_err(ScenarioError::io("operator"))?;
+        let err = file.try_clone().map_err(ScenarioError::io("operator"))?;
+        let child = Command::new(&programs.operator)
+            .args(["--instance", &addr.to_string()])
+            .arg("--token-file")
+            .arg(dir.join("token"))
+            .args(words)
+            .stdin(Stdio::null())
+            .stdout(file)
+            .stderr(err)
+            .spawn()
+            .map_err(ScenarioError::io("start galenactl"))?;
+        Ok(Self { child, out })
+    }
+
+    /// Waits for the end.
+    pub async fn wait(mut self) -> Result<Ended, ScenarioError> {
+        let began = Instant::now();
+        loop {
+            let status = self.child.try_wait().map_err(ScenarioError::io("galenactl"))?;
+            if let Some(status) = status {
+                let output = std::fs::read_to_string(&self.out).unwrap_or_default();
+                return Ok(Ended { code: status.code().unwrap_or(-1), output });
+            }
+            if began.elapsed() > LIMIT {
+                return Err(ScenarioError::bad("galenactl does not end"));
+            }
+            sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Operator {
+    fn drop(&mut self) {
+        // Fails only on a command that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/galenapath-dev/src/scenario/process.rs
+++ b/crates/galenapath-dev/src/scenario/process.rs
@@ -44,6 +44,11 @@
         Ok(Self { name: name.to_owned(), child, dir: dir.to_owned() })
     }
 
+    /// Process identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends `signal`.
     pub fn signal(&self, signal: Signal) -> Result<(), ScenarioError> {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
@@ -119,7 +124,8 @@
         let (out, err) = (read("out"), read("err"));
         let lines: Vec<_> = out.lines().chain(err.lines()).collect();
         let first = lines.len().saturating_sub(TAIL_LINES);
-        lines[first..].join("\n")
+        let panics = lines[..first].windows(2).filter(|pair| pair[0].contains("panicked"));
+        panics.flatten().chain(&lines[first..]).copied().collect::<Vec<_>>().join("\n")
     }
 }
 
--- /dev/null
+++ b/crates/galenapath-dev/src/scenario/send.rs
@@ -0,0 +1,114 @@
+//! Single requests of a scenario, each sent in the background.
+
+use super::error::ScenarioError;
+use super::line::Line;
+use super::process::POLL;
+use crate::load::{Attempt, Outcome, Pool, Request, RequestSpec};
+use crate::wire::exchange;
+use monoio::time::{sleep, timeout};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request that was sent once.
+pub struct Sent {
+    /// What it says.
+    pub spec: RequestSpec,
+    end: Rc<Cell<Option<(Attempt, Duration)>>>,
+}
+
+impl Sent {
+    /// Sends `spec` to `addr` on a connection of its own.
+    pub fn start(spec: RequestSpec, addr: SocketAddr) -> Self {
+        let end = Rc::new(Cell::new(None));
+        let req = Request::new(spec.clone());
+        let result = Rc::clone(&end);
+        monoio::spawn(async move {
+            let began = Instant::now();
+            let pool = Pool::default();
+            let attempt = timeout(PATIENCE, req.send(&pool, addr)).await;
+            result.set(Some((attempt.unwrap_or(Attempt::Broken), began.elapsed())));
+        });
+        Self { spec, end }
+    }
+
+    /// How it ended, if it did, and after how long.
+    pub fn ended(&self) -> Option<(Attempt, Duration)> {
+        self.end.get()
+    }
+
+    /// Waits for the end.
+    pub async fn wait(&self, limit: Duration) -> Result<Attempt, ScenarioError> {
+        let began = Instant::now();
+        loop {
+            if let Some((attempt, _)) = self.ended() {
+                return Ok(attempt);
+            }
+            if began.elapsed() >= limit {
+                return Err(ScenarioError::Timeout {
+                    condition: format!("the answer to {}", self.spec.path),
+                    seen: "none".to_owned(),
+                    limit_ms: limit.as_millis(),
+                });
+            }
+            sleep(POLL).await;
+        }
+    }
+}
+
+/// The request of `send ID INSTANCE METHOD SERVICE PATH [key=auto|TEXT] [deadline_ms=…] [bytes=…]`.
+pub async fn read_spec(
+    line: &Line,
+    addr: SocketAddr,
+    unique: &str,
+) -> Result<RequestSpec, ScenarioError> {
+    let service = line.word(4).to_owned();
+    let number = |name| line.option(name).and_then(|text| text.parse::<u64>().ok());
+    let joint = if line.word(5).contains('?') { '&' } else { '?' };
+    let mut path = format!("{}{joint}nonce={unique}", line.word(5));
+    if let Some(bytes) = number("bytes") {
+        path.push_str(&format!("&bytes={bytes}"));
+    }
+    let key = match line.option("key") {
+        None => String::new(),
+        Some("auto") => format!("{}{unique}", key_prefix(addr, &service).await?),
+        Some(text) => format!("{text}-{unique}"),
+    };
+    Ok(RequestSpec {
+        method: line.word(3).to_owned(),
+        service,
+        path,
+        key,
+        bytes: number("bytes"),
+        deadline_ms: number("deadline_ms"),
+        body: line.option("body").unwrap_or("").as_bytes().to_vec(),
+    })
+}
+
+async fn key_prefix(addr: SocketAddr, service: &str) -> Result<String, ScenarioError> {
+    let path = format!("/v1/entries?service={service}");
+    let answer = exchange(addr, "GET", &path, b"").await;
+    let answer = answer.map_err(ScenarioError::call("address answer"))?;
+    let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let prefix = value["key_prefix"].as_str();
+    prefix.map(str::to_owned).ok_or_else(|| {
+        let got = format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body));
+        ScenarioError::Unexpected { expected: "an address answer".to_owned(), got }
+    })
+}
+
+/// The name of an outcome in scenarios.
+pub fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::NotRun => "not-run",
+        Outcome::MayHaveRun => "may-have-run",
+        Outcome::Failed => "failed",
+        Outcome::Broken => "broken",
+        Outcome::Wrong => "wrong",
+    }
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,79 @@
+//! Every scenario under `scenarios/`, one test for each.
+//!
+//! They live here and not beside the runner, so that `cargo test --workspace` builds the programs
+//! that they start.
+
+use galenapath_dev::scenario::{Programs, run_file};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::sync::{Condvar, Mutex, PoisonError};
+
+/// Scenarios that run side by side; each starts up to a dozen processes.
+const SIDE_BY_SIDE: usize = 4;
+
+static FREE: Mutex<usize> = Mutex::new(SIDE_BY_SIDE);
+static FREED: Condvar = Condvar::new();
+
+/// A place among the scenarios that run; dropping it frees the place.
+struct Place;
+
+impl Place {
+    fn take() -> Self {
+        let mut free = FREE.lock().unwrap_or_else(PoisonError::into_inner);
+        while *free == 0 {
+            free = FREED.wait(free).unwrap_or_else(PoisonError::into_inner);
+        }
+        *free -= 1;
+        Self
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *FREE.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        FREED.notify_one();
+    }
+}
+
+fn directory() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
+}
+
+fn run(name: &str) {
+    let _place = Place::take();
+    let programs = Programs::beside_test().unwrap_or_else(|e| panic!("{e}"));
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap_or_else(|e| panic!("{}: {e}", dir.display()));
+    let result = run_file(&directory().join(format!("{name}.scn")), programs, &dir);
+    // The files of a failed scenario stay for whoever looks into it.
+    result.unwrap_or_else(|e| panic!("{e}"));
+    std::fs::remove_dir_all(&dir).unwrap_or_else(|e| panic!("{}: {e}", dir.display()));
+}
+
+macro_rules! scenarios {
+    ($($test:ident: $name:literal,)*) => {
+        const LISTED: &[&str] = &[$($name),*];
+        $(
+            #[test]
+            fn $test() {
+                run($name);
+            }
+        )*
+    };
+}
+
+scenarios! {
+    scenario_lookup_answered: "lookup-answered",
+}
+
+#[test]
+fn scenarios_every_file_listed() {
+    let entries = std::fs::read_dir(directory()).unwrap_or_else(|e| panic!("{e}"));
+    let files: BTreeSet<String> = entries
+        .map(|entry| entry.unwrap_or_else(|e| panic!("{e}")).path())
+        .filter(|path| path.extension().is_some_and(|ext| ext == "scn"))
+        .filter_map(|path| Some(path.file_stem()?.to_str()?.to_owned()))
+        .collect();
+    let listed: BTreeSet<String> = LISTED.iter().map(|name| (*name).to_owned()).collect();
+    assert_eq!(files, listed);
+}
