--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -146,7 +146,7 @@
     connection: &mut Connection,
 ) -> Result<ResponseHead, HttpError> {
     // The attempt's own timeout ends the wait.
-    let times = HeadTimes { idle: Duration::MAX / 4, head: Duration::MAX / 4 };
+    let times = HeadTimes { idle: Duration::from_secs(86_400), head: Duration::from_secs(86_400) };
     loop {
         let head = connection.read_response(times).await?;
         if !head.status.is_informational() {
