--- a/crates/galenapath-dev/src/backend/connection.rs
+++ b/crates/galenapath-dev/src/backend/connection.rs
@@ -79,7 +79,7 @@
         server.thaw().await;
         sleep(server.delay).await;
         let after = if job.head.uri.path() == PROBE_PATH {
-            server.counters.borrow_mut().probes += 1;
+            count_probe(server);
             answer::report_only(&mut conn, server).await?
         } else {
             run(&mut conn, server, &job).await?
@@ -148,6 +148,13 @@
     }
 }
 
+fn count_probe(server: &Server) {
+    let rate = server.probe_rate.borrow_mut().record(Instant::now());
+    let mut counters = server.counters.borrow_mut();
+    counters.probes += 1;
+    counters.probes_a_second_most = counters.probes_a_second_most.max(rate);
+}
+
 fn count_request(server: &Server) {
     let mut counters = server.counters.borrow_mut();
     counters.requests += 1;
--- a/crates/galenapath-dev/src/backend/counters.rs
+++ b/crates/galenapath-dev/src/backend/counters.rs
@@ -2,6 +2,8 @@
 
 use galenapath_protocol::FastMap;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
 /// Counters of one server since the start of the process.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,12 +30,33 @@
     pub expired: u64,
     /// Requests for a load report.
     pub probes: u64,
+    /// Most requests for a load report within one second.
+    pub probes_a_second_most: u64,
     /// Crashes by a marked request.
     pub crashes: u64,
     /// Time from the start of leaving to the last request read since, in milliseconds.
     pub last_request_after_leaving_ms: Option<u64>,
 }
 
+/// The most events that fell into one second.
+#[derive(Default)]
+pub struct PeakRate {
+    /// Events of the last second, oldest first.
+    recent: VecDeque<Instant>,
+}
+
+impl PeakRate {
+    /// Takes an event at `now`; gives the number of events in the second before it, this one
+    /// included.
+    pub fn record(&mut self, now: Instant) -> u64 {
+        self.recent.push_back(now);
+        while self.recent.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
+            self.recent.pop_front();
+        }
+        self.recent.len() as u64
+    }
+}
+
 /// Executions per idempotency key, over all servers of a process.
 #[derive(Default)]
 pub struct KeyCounts {
--- a/crates/galenapath-dev/src/backend/mod.rs
+++ b/crates/galenapath-dev/src/backend/mod.rs
@@ -19,7 +19,7 @@
 pub use answer::NOT_RUN_HEADER;
 pub use body::{pattern_byte, pattern_seed};
 pub use connection::PROBE_PATH;
-pub use counters::{Counters, KeyCounts};
+pub use counters::{Counters, KeyCounts, PeakRate};
 pub use faults::{Faults, FaultsChange, ReportFault};
 pub use options::{Options, ParseSpecError, ServerSpec};
 pub use process::Process;
--- a/crates/galenapath-dev/src/backend/server.rs
+++ b/crates/galenapath-dev/src/backend/server.rs
@@ -1,7 +1,7 @@
 //! One server: its address, connections, slots, faults and counters.
 
 use super::connection;
-use super::counters::{Counters, KeyCounts};
+use super::counters::{Counters, KeyCounts, PeakRate};
 use super::faults::{Faults, ReportFault};
 use super::options::{Options, ServerSpec};
 use super::slots::Slots;
@@ -44,6 +44,8 @@
     pub faults: RefCell<Faults>,
     /// What it did.
     pub counters: RefCell<Counters>,
+    /// Probes of the last second.
+    pub probe_rate: RefCell<PeakRate>,
     /// Executions per key, shared by all servers of the process.
     pub keys: Rc<RefCell<KeyCounts>>,
     /// Where executions are written, if anywhere; shared likewise.
@@ -77,6 +79,7 @@
             slots: Slots::new(opts.slots, opts.room),
             faults: RefCell::default(),
             counters: RefCell::default(),
+            probe_rate: RefCell::default(),
             keys,
             log,
             started_ms: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis()),
--- a/crates/galenapath-dev/src/scenario/mod.rs
+++ b/crates/galenapath-dev/src/scenario/mod.rs
@@ -4,10 +4,10 @@
 //! The language is described in `docs/design/scenarios.md`.
 
 mod backend;
-mod check;
 mod cluster;
 mod condition;
 mod error;
+mod expect;
 mod idle;
 mod instance;
 mod line;
@@ -29,3 +29,4 @@
 pub use programs::Programs;
 pub use relay::{LinkFault, Relay};
 pub use run::run_file;
+pub use truth::{Executions, check};
--- a/crates/galenapath-dev/src/scenario/relay.rs
+++ b/crates/galenapath-dev/src/scenario/relay.rs
@@ -47,9 +47,10 @@
 }
 
 impl Relay {
-    /// Listens on `addr`.
+    /// Listens on `addr`; port 0 takes a free one.
     pub fn start(addr: SocketAddr) -> Result<Self, ScenarioError> {
         let listener = TcpListener::bind(addr).map_err(ScenarioError::io("relay"))?;
+        let addr = listener.local_addr().map_err(ScenarioError::io("relay"))?;
         let link = Rc::new(Link { fault: Cell::default(), target: Cell::new(None) });
         monoio::spawn(accept(listener, Rc::clone(&link)));
         Ok(Self { addr, link })
--- a/crates/galenapath-dev/src/scenario/run.rs
+++ b/crates/galenapath-dev/src/scenario/run.rs
@@ -1,9 +1,9 @@
 //! Carries out the steps of a scenario in order.
 
 use super::backend::Backends;
-use super::check::{expect, limit, wait};
 use super::cluster::Cluster;
 use super::error::ScenarioError;
+use super::expect::{expect, limit, wait};
 use super::instance::Instance;
 use super::line::{Line, parse};
 use super::programs::Programs;
--- a/crates/galenapath-dev/src/scenario/send.rs
+++ b/crates/galenapath-dev/src/scenario/send.rs
@@ -60,7 +60,8 @@
     }
 }
 
-/// The request of `send ID INSTANCE METHOD SERVICE PATH [key=auto|TEXT] [deadline_ms=…] [bytes=…]`.
+/// The request of `send ID INSTANCE METHOD SERVICE PATH [key=auto|TEXT] [deadline_ms=…] [bytes=…]
+/// [same_path=yes]`.
 pub async fn read_spec(
     line: &Line,
     addr: SocketAddr,
@@ -69,7 +70,10 @@
     let service = line.word(4).to_owned();
     let number = |name| line.option(name).and_then(|text| text.parse::<u64>().ok());
     let joint = if line.word(5).contains('?') { '&' } else { '?' };
-    let mut path = format!("{}{joint}nonce={unique}", line.word(5));
+    let mut path = match line.option("same_path") {
+        Some(_) => line.word(5).to_owned(),
+        None => format!("{}{joint}nonce={unique}", line.word(5)),
+    };
     if let Some(bytes) = number("bytes") {
         path.push_str(&format!("&bytes={bytes}"));
     }
