--- a/crates/galenapath-dev/src/load/entries.rs
+++ b/crates/galenapath-dev/src/load/entries.rs
@@ -1,7 +1,7 @@
 //! Which addresses to use: asks the instances and keeps the answer as long as it is valid.
 
 use crate::wire::exchange;
-use monoio::time::timeout;
+use monoio::time::{sleep, timeout};
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -10,6 +10,8 @@
 
 /// Longest wait for an instance that is asked for addresses.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before an instance is asked again while it starts.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
 /// An answer is used at least this long, so that a failing instance is not asked per request.
 const LEAST_VALID: Duration = Duration::from_millis(200);
 
@@ -114,6 +116,21 @@
     }
 }
 
+/// Waits until each of `seeds` has an answer for `service`; `false` once `limit` is over.
+pub async fn wait_known(service: &str, seeds: &[SocketAddr], limit: Duration) -> bool {
+    let began = Instant::now();
+    let path = format!("/v1/entries?service={service}");
+    for seed in seeds {
+        while ask(*seed, &path).await.is_none() {
+            if began.elapsed() >= limit {
+                return false;
+            }
+            sleep(ASK_PAUSE).await;
+        }
+    }
+    true
+}
+
 async fn ask(seed: SocketAddr, path: &str) -> Option<EntriesWire> {
     let answer = timeout(ASK_TIMEOUT, exchange(seed, "GET", path, b"")).await.ok()?.ok()?;
     let wire: EntriesWire = serde_json::from_slice(&answer.body).ok()?;
--- a/crates/galenapath-dev/src/load/mod.rs
+++ b/crates/galenapath-dev/src/load/mod.rs
@@ -13,6 +13,7 @@
 mod run;
 mod tally;
 mod told;
+mod verify;
 
 pub use arrivals::Arrivals;
 pub use attempt::{Attempt, Request, RequestSpec};
@@ -22,3 +23,4 @@
 pub use run::{Report, run};
 pub use tally::{Outcome, Row, Tally, table};
 pub use told::Told;
+pub use verify::{problems, repeated_keys};
--- a/crates/galenapath-dev/src/load/options.rs
+++ b/crates/galenapath-dev/src/load/options.rs
@@ -37,6 +37,16 @@
     /// Simulated one-way delay between callers and instances.
     #[arg(long, default_value = "0ms", value_parser = humantime::parse_duration)]
     pub delay: Duration,
+    /// Longest wait, before the load begins, until every entry instance knows every service.
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration)]
+    pub warm_up: Duration,
+    /// Exit with 1 and say why where an answer was wrong or missing, or a target was missed.
+    #[arg(long)]
+    pub check: bool,
+    /// Address of a backend stand-in's counters; with `--check`, a key that ran twice is an error.
+    /// Repeat for more.
+    #[arg(long = "admin")]
+    pub admins: Vec<SocketAddr>,
     /// Seed of the arrivals.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/galenapath-dev/src/load/run.rs
+++ b/crates/galenapath-dev/src/load/run.rs
@@ -2,7 +2,7 @@
 
 use super::arrivals::Arrivals;
 use super::caller::Callers;
-use super::entries::Entries;
+use super::entries::{Entries, wait_known};
 use super::options::{ClassLoad, Options};
 use super::pool::Pool;
 use super::tally::{Outcome, Row, Tally};
@@ -27,6 +27,12 @@
 
 /// Runs the load of every class side by side; one report for each.
 pub async fn run(opts: &Options) -> Vec<Report> {
+    if !opts.warm_up.is_zero() {
+        for class in &opts.classes {
+            // A service that stays unknown shows in the figures of its class.
+            wait_known(&class.service, &opts.entries, opts.warm_up).await;
+        }
+    }
     let classes = opts.classes.iter().enumerate();
     join_all(classes.map(|(number, class)| run_class(opts, class, number))).await
 }
