--- a/crates/galenapath-dev/src/scenario/cluster.rs
+++ b/crates/galenapath-dev/src/scenario/cluster.rs
@@ -154,17 +154,16 @@
         executions
     }
 
-    /// What callers were told: single requests by key or path, then loads.
+    /// What callers were told: single requests by key or path, in the order in which they ended,
+    /// then loads.
     pub fn told(&self) -> Vec<Told> {
-        let mut told: BTreeMap<(String, String), Told> = BTreeMap::new();
-        for sent in self.sent.values() {
-            let id = (sent.spec.key.clone(), sent.spec.path.clone());
-            let entry = told.entry(id).or_insert_with(|| Told::new(&sent.spec));
-            if let Some((attempt, _)) = sent.ended() {
-                entry.record(attempt);
-            } else {
-                entry.never_ran = false;
-            }
+        let mut ended: Vec<_> =
+            self.sent.values().filter_map(|sent| Some((sent.ended()?, &sent.spec))).collect();
+        ended.sort_by_key(|(end, _)| end.at);
+        let mut told: BTreeMap<(&str, &str), Told> = BTreeMap::new();
+        for (end, spec) in ended {
+            let id = (spec.key.as_str(), spec.path.as_str());
+            told.entry(id).or_insert_with(|| Told::new(spec)).record(end.attempt);
         }
         let mut all: Vec<Told> = told.into_values().collect();
         for load in self.loads.values() {
--- a/crates/galenapath-dev/src/scenario/metric.rs
+++ b/crates/galenapath-dev/src/scenario/metric.rs
@@ -14,9 +14,7 @@
     if let Some(sent) = cluster.sent.get(name) {
         return match field {
             "executions" => Ok(f64::from(cluster.executions().of(&sent.spec.key, &sent.spec.path))),
-            "ms" => {
-                Ok(sent.ended().map_or(f64::INFINITY, |(_, time)| time.as_secs_f64() * 1_000.0))
-            }
+            "ms" => Ok(sent.ended().map_or(f64::INFINITY, |end| end.took.as_secs_f64() * 1_000.0)),
             _ => Err(ScenarioError::bad(format!("requests have no {field}"))),
         };
     }
--- a/crates/galenapath-dev/src/scenario/relay.rs
+++ b/crates/galenapath-dev/src/scenario/relay.rs
@@ -35,6 +35,8 @@
 /// The state that a relay's connections share.
 struct Link {
     fault: Cell<LinkFault>,
+    /// Number of cuts so far; a connection that is older than the last one ends.
+    cuts: Cell<u64>,
     /// Where connections go; unset until the target listens.
     target: Cell<Option<SocketAddr>>,
 }
@@ -51,7 +53,7 @@
     pub fn start(addr: SocketAddr) -> Result<Self, ScenarioError> {
         let listener = TcpListener::bind(addr).map_err(ScenarioError::io("relay"))?;
         let addr = listener.local_addr().map_err(ScenarioError::io("relay"))?;
-        let link = Rc::new(Link { fault: Cell::default(), target: Cell::new(None) });
+        let link = Rc::new(Link { fault: Cell::default(), cuts: Cell::default(), target: Cell::new(None) });
         monoio::spawn(accept(listener, Rc::clone(&link)));
         Ok(Self { addr, link })
     }
@@ -64,6 +66,9 @@
     /// Sets what is wrong with the link, for open connections too.
     pub fn set_fault(&self, fault: LinkFault) {
         self.link.fault.set(fault);
+        if fault == LinkFault::Cut {
+            self.link.cuts.set(self.link.cuts.get() + 1);
+        }
     }
 }
 
@@ -74,6 +79,7 @@
 }
 
 async fn connection(caller: TcpStream, link: Rc<Link>) {
+    let cuts = link.cuts.get();
     let Some(target) = link.target.get().filter(|_| link.fault.get() != LinkFault::Cut) else {
         return;
     };
@@ -83,15 +89,15 @@
     let (mut target_rx, mut target_tx) = target.into_split();
     let requests = pin!(pump(&mut caller_rx, &mut target_tx, &link, false));
     let replies = pin!(pump(&mut target_rx, &mut caller_tx, &link, true));
-    let cut = pin!(until_cut(&link));
+    let cut = pin!(until_cut(&link, cuts));
     // Either direction's end closes both: the processes of a scenario use no half-open connections.
     match select(select(requests, replies), cut).await {
         Either::Left(_) | Either::Right(_) => {}
     }
 }
 
-async fn until_cut(link: &Link) {
-    while link.fault.get() != LinkFault::Cut {
+async fn until_cut(link: &Link, cuts: u64) {
+    while link.cuts.get() == cuts {
         sleep(HOLD_POLL).await;
     }
 }
--- a/crates/galenapath-dev/src/scenario/send.rs
+++ b/crates/galenapath-dev/src/scenario/send.rs
@@ -18,7 +18,18 @@
 pub struct Sent {
     /// What it says.
     pub spec: RequestSpec,
-    end: Rc<Cell<Option<(Attempt, Duration)>>>,
+    end: Rc<Cell<Option<End>>>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    /// What its caller got.
+    pub attempt: Attempt,
+    /// Time that it took.
+    pub took: Duration,
+    /// When it ended.
+    pub at: Instant,
 }
 
 impl Sent {
@@ -31,13 +42,14 @@
             let began = Instant::now();
             let pool = Pool::default();
             let attempt = timeout(PATIENCE, req.send(&pool, addr)).await;
-            result.set(Some((attempt.unwrap_or(Attempt::Broken), began.elapsed())));
+            let attempt = attempt.unwrap_or(Attempt::Broken);
+            result.set(Some(End { attempt, took: began.elapsed(), at: Instant::now() }));
         });
         Self { spec, end }
     }
 
-    /// How it ended, if it did, and after how long.
-    pub fn ended(&self) -> Option<(Attempt, Duration)> {
+    /// How it ended, if it did.
+    pub fn ended(&self) -> Option<End> {
         self.end.get()
     }
 
@@ -45,8 +57,8 @@
     pub async fn wait(&self, limit: Duration) -> Result<Attempt, ScenarioError> {
         let began = Instant::now();
         loop {
-            if let Some((attempt, _)) = self.ended() {
-                return Ok(attempt);
+            if let Some(end) = self.ended() {
+                return Ok(end.attempt);
             }
             if began.elapsed() >= limit {
                 return Err(ScenarioError::Timeout {
--- a/crates/galenapath-dev/src/scenario/truth.rs
+++ b/crates/galenapath-dev/src/scenario/truth.rs
@@ -1,7 +1,7 @@
 //! Compares what callers were told with what backend servers ran.
 
 use super::error::ScenarioError;
-use crate::load::Told;
+use crate::load::{Outcome, Told};
 use galenapath_protocol::FastMap;
 use std::path::Path;
 
@@ -39,8 +39,11 @@
     }
 }
 
-/// Fails where a key ran twice, a request that was only ever told "not run" ran, an answered one
-/// did not run, or a body was wrong.
+/// Fails where a key ran twice, a caller was told "not run" of something that ran, an answered
+/// request did not run, or a body was wrong.
+///
+/// A key's last word counts: a filing that was told "not run" and sent again may have run since.
+/// A request without a key may run once for each attempt, so all of them must be told "not run".
 pub fn check(executions: &Executions, told: &[Told]) -> Result<(), ScenarioError> {
     if let Some((key, n)) = executions.repeated() {
         return Err(lie(format!("key {key} runs at most once"), format!("it ran {n} times")));
@@ -48,14 +51,15 @@
     for told in told {
         let ran = executions.of(&told.key, &told.path);
         let name = if told.key.is_empty() { &told.path } else { &told.key };
-        if told.never_ran && ran > 0 {
+        let last_word = !told.key.is_empty() && told.outcome == Outcome::NotRun;
+        if (told.never_ran || last_word) && ran > 0 {
             let expected = format!("{name} did not run, as its caller was told");
             return Err(lie(expected, format!("it ran {ran} times")));
         }
         if told.answered && ran == 0 {
             return Err(lie(format!("{name} ran, since it was answered"), "it did not".to_owned()));
         }
-        if told.outcome == crate::load::Outcome::Wrong {
+        if told.outcome == Outcome::Wrong {
             return Err(lie(format!("{name} gets its own answer"), "another body".to_owned()));
         }
     }
--- a/crates/galenapath-dev/tests/scenario.rs
+++ b/crates/galenapath-dev/tests/scenario.rs
@@ -93,6 +93,14 @@
     assert!(check(&executions, &[told("k", Attempt::MayHaveRun)]).is_ok());
 }
 
+#[test]
+fn check_false_last_word_refused() {
+    let executions = executions("check_false_last_word_refused", "b1\tk\t/a\n");
+    let mut told = told("k", Attempt::Broken);
+    told.record(Attempt::NotRun(None));
+    assert!(check(&executions, &[told]).is_err());
+}
+
 #[test]
 fn check_answer_out_of_nowhere_refused() {
     let executions = executions("check_answer_out_of_nowhere_refused", "");
