--- a/crates/galenapath-dev/src/backend/server.rs
+++ b/crates/galenapath-dev/src/backend/server.rs
@@ -1,7 +1,7 @@
 //! One server: its address, connections, slots, faults and counters.
 
 use super::connection;
-use super::counters::{Counters, KeyCounts};
+use super::counters::{Counters, KeyCounts, PeakRate};
 use super::faults::{Faults, ReportFault};
 use super::options::{Options, ServerSpec};
 use super::slots::Slots;
@@ -16,10 +16,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::cell::{Cell, RefCell};
+use std::fs::File;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How often a frozen server looks whether it has been thawed.
 const THAW_POLL: Duration = Duration::from_millis(2);
@@ -43,8 +44,14 @@
     pub faults: RefCell<Faults>,
     /// What it did.
     pub counters: RefCell<Counters>,
+    /// Probes of the last second.
+    pub probe_rate: RefCell<PeakRate>,
     /// Executions per key, shared by all servers of the process.
     pub keys: Rc<RefCell<KeyCounts>>,
+    /// Where executions are written, if anywhere; shared likewise.
+    pub log: Option<Rc<File>>,
+    /// Start of the process's run, milliseconds since the Unix epoch.
+    pub started_ms: u128,
     /// One-way delay.
     pub delay: Duration,
     /// When it began to leave.
@@ -63,6 +70,7 @@
         addr: SocketAddr,
         opts: Rc<Options>,
         keys: Rc<RefCell<KeyCounts>>,
+        log: Option<Rc<File>>,
     ) -> Rc<Self> {
         let seed = galenapath_protocol::hash64(opts.seed, spec.name.as_bytes());
         let now = Instant::now();
@@ -71,7 +79,10 @@
             slots: Slots::new(opts.slots, opts.room),
             faults: RefCell::default(),
             counters: RefCell::default(),
+            probe_rate: RefCell::default(),
             keys,
+            log,
+            started_ms: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis()),
             delay: spec.delay.unwrap_or(opts.delay),
             leaving: Cell::new(None),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
