Hedged lookups, attempts counted along the chain, dispatching instances by rendezvous

Cause: the data path used the first versions of the decisions: no second copies, no count that travels, an address answer of its own, and a capacity that counted admitted requests as in flight before they were, so that it let in more than the slots it knew.

--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server.
 
 use super::backend::Backend;
+use super::headers;
 use super::plane::DataPlane;
 use super::pool::Pooled;
 use super::prepare::Prepared;
@@ -12,7 +13,7 @@
     response_framing,
 };
 use galenapath_policy::{Outcome, Slot};
-use galenapath_protocol::{LoadReport, Micros, REPORT_HEADER, Verdict};
+use galenapath_protocol::{ATTEMPT_HEADER, LoadReport, Micros, REPORT_HEADER, Verdict};
 use http::{HeaderMap, Method, StatusCode};
 use std::time::Duration;
 use thiserror::Error;
@@ -105,11 +106,13 @@
     pub(super) deadline: Micros,
 }
 
-/// Sends a request and reads the answer, or the start of a large one. `before_send` is asked right
+/// Sends a request and reads the answer, or the start of a large one. `attempts` counts those on the
+/// whole chain of calls, this one included. `before_send` is asked right
 /// before the first byte may leave; `false` withdraws the request.
 pub(super) async fn attempt(
     target: &Target<'_>,
     req: &Prepared,
+    attempts: u32,
     before_send: impl FnOnce() -> bool,
 ) -> Result<Reply, Fault> {
     let limit = time_left(target).min(CONNECT_LIMIT);
@@ -118,7 +121,7 @@
         connection.give_back();
         return Err(Fault::Withdrawn);
     }
-    let exchange = exchange(&mut connection, req);
+    let exchange = exchange(&mut connection, req, attempts);
     let head = monoio::time::timeout(time_left(target), exchange)
         .await
         .map_err(|_| Fault::TimedOut)?
@@ -136,9 +139,15 @@
     (target.deadline - target.plane.now()).into()
 }
 
-async fn exchange(connection: &mut Connection, req: &Prepared) -> Result<ResponseHead, HttpError> {
+async fn exchange(
+    connection: &mut Connection,
+    req: &Prepared,
+    attempts: u32,
+) -> Result<ResponseHead, HttpError> {
     let framing = req.framing();
-    put_request(connection.output(), &req.method, &req.path, &req.headers, framing);
+    let mut head = req.headers.clone();
+    headers::set(&mut head, ATTEMPT_HEADER, &attempts.to_string());
+    put_request(connection.output(), &req.method, &req.path, &head, framing);
     connection.write_body(framing, &req.body).await?;
     connection.finish_body(framing).await?;
     read_final_head(connection).await
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -116,6 +116,7 @@
     config: &Config,
 ) -> Result<(), HttpError> {
     let service = plane.service(&meta.class.service, config);
+    service.state.borrow_mut().dispatching.count_request();
     expect_continue(caller, &head.headers);
     let is_filing = meta.class.kind == ClassKind::Filing;
     let limit =
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -2,17 +2,20 @@
 
 use super::answer::OwnAnswer;
 use super::attempt::{Fault, Reply, Target, attempt};
+use super::backend::Backend;
 use super::crash::{self, Clearance, Trial};
 use super::explain::Trace;
 use super::permit::InFlight;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
-use super::request::RequestMeta;
-use super::service::Service;
-use galenapath_policy::Slot;
-use galenapath_protocol::BackendId;
+use super::request::{RequestMeta, number};
+use super::service::{Service, State};
+use galenapath_policy::{AttemptCount, MAX_ATTEMPTS, Slot, may_retry};
+use galenapath_protocol::{ATTEMPT_HEADER, BackendId, Micros, Verdict};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// An answer and the attempt that it came from.
 pub(super) struct Served {
@@ -27,10 +30,14 @@
     pub(super) service: &'a Rc<Service>,
     pub(super) meta: &'a RequestMeta,
     pub(super) req: &'a Prepared,
+    /// What happens to the request; borrowed only between two awaits.
+    pub(super) trace: &'a RefCell<Trace>,
+    /// Attempts made over the whole chain of calls.
+    attempts: Cell<AttemptCount>,
     /// Held while the request is a suspect that runs alone.
     trial: Option<Trial<'a>>,
-    /// Backend servers tried already.
-    tried: Vec<Slot>,
+    /// Backend servers tried already; borrowed only between two awaits.
+    tried: RefCell<Vec<Slot>>,
 }
 
 impl<'a> Dispatch<'a> {
@@ -40,19 +47,72 @@
         service: &'a Rc<Service>,
         meta: &'a RequestMeta,
         req: &'a Prepared,
+        trace: &'a RefCell<Trace>,
     ) -> Result<Self, OwnAnswer> {
         let trial = match crash::clearance(plane, req.fingerprint) {
             Clearance::Free => None,
             Clearance::Alone(trial) => Some(trial),
             Clearance::Refused(verdict) => return Err(refusal::suspect(verdict)),
         };
-        Ok(Self { plane, service, meta, req, trial, tried: Vec::new() })
+        let attempts = Cell::new(AttemptCount::received(meta.attempts));
+        let tried = RefCell::default();
+        Ok(Self { plane, service, meta, req, trace, attempts, trial, tried })
+    }
+
+    /// Whether a further attempt is allowed after one that ended with `verdict`; if so it is
+    /// counted.
+    pub(super) fn may_go_on(&self, verdict: Verdict) -> bool {
+        let now = self.plane.now();
+        let kind = refusal::kind_of(self.meta.class.kind);
+        let left = self.meta.deadline - now;
+        let is_allowed = may_retry(kind, verdict, self.attempts.get().made(), left)
+            && self.service.state.borrow_mut().retries.try_retry(now);
+        if is_allowed {
+            self.count_attempt();
+            self.plane.shared.metrics.retries.inc();
+        }
+        is_allowed
+    }
+
+    /// Counts a further attempt.
+    fn count_attempt(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.again();
+        self.attempts.set(attempts);
+    }
+
+    /// How long to wait for an answer before a second copy goes out; `None` for never.
+    pub(super) fn hedge_delay(&self) -> Option<Duration> {
+        if self.trial.is_some() {
+            return None;
+        }
+        let kind = refusal::kind_of(self.meta.class.kind);
+        self.service.state.borrow().hedges.delay(kind).map(Duration::from)
+    }
+
+    /// Whether a second copy of an attempt that began at `started` may go out now; if so it is
+    /// counted.
+    pub(super) fn may_hedge(&self, started: Micros) -> bool {
+        let now = self.plane.now();
+        let kind = refusal::kind_of(self.meta.class.kind);
+        let mut state = self.service.state.borrow_mut();
+        let State { hedges, retries, admission, .. } = &mut *state;
+        // Without room for it a copy would only take the place of a request that waits.
+        let is_allowed = self.attempts.get().made() < MAX_ATTEMPTS
+            && admission.has_room()
+            && hedges.try_hedge(now, started, self.meta.deadline, kind, retries);
+        drop(state);
+        if is_allowed {
+            self.count_attempt();
+            self.plane.shared.metrics.hedges.inc();
+        }
+        is_allowed
     }
 
     /// Chooses the next backend server; one tried before only where no other is left.
     pub(super) fn choose(&self) -> Option<Slot> {
         let now = self.plane.now();
-        let mut exclude = self.tried.clone();
+        let mut exclude = self.tried.borrow().clone();
         if self.trial.is_some() {
             return self.choose_alone(exclude);
         }
@@ -79,12 +139,11 @@
     /// Tries the backend server in `slot`. `before_send` is asked right before the first byte may
     /// leave; `false` withdraws the request.
     pub(super) async fn attempt(
-        &mut self,
+        &self,
         slot: Slot,
-        trace: &mut Trace,
         before_send: impl FnOnce() -> bool,
     ) -> Result<Served, Fault> {
-        self.tried.push(slot);
+        self.tried.borrow_mut().push(slot);
         let in_flight = InFlight::start(self.plane, self.service, slot);
         let Some(backend) = self.service.backend(slot) else {
             return Err(Fault::Connect(std::io::ErrorKind::NotFound.into()));
@@ -97,12 +156,11 @@
             deadline: self.meta.deadline,
         };
         let running = backend.running.enter(self.req.fingerprint);
-        let result = attempt(&target, self.req, before_send).await;
+        let result = attempt(&target, self.req, self.attempts.get().made(), before_send).await;
         match result {
             Ok(reply) => {
                 drop(running);
-                self.plane.suspects.borrow_mut().answered(self.plane.now(), self.req.fingerprint);
-                trace.tried(&backend.id, reply.status);
+                self.answered(&backend, &reply, in_flight.latency());
                 Ok(Served { backend: backend.id.clone(), in_flight, reply })
             }
             Err(fault) => {
@@ -110,10 +168,22 @@
                     crash::note_loss(self.plane, &backend);
                 }
                 drop(running);
-                trace.tried(&backend.id, &fault);
+                self.trace.borrow_mut().tried(&backend.id, &fault);
                 in_flight.finish(fault.outcome());
                 Err(fault)
             }
         }
     }
+
+    fn answered(&self, backend: &Backend, reply: &Reply, latency: Micros) {
+        let fingerprint = self.req.fingerprint;
+        self.plane.suspects.borrow_mut().answered(self.plane.now(), fingerprint);
+        self.trace.borrow_mut().tried(&backend.id, reply.status);
+        self.service.state.borrow_mut().hedges.observe(latency);
+        if let Some(count) = number(&reply.headers, ATTEMPT_HEADER) {
+            let mut attempts = self.attempts.get();
+            attempts.reported(u32::try_from(count).unwrap_or(u32::MAX));
+            self.attempts.set(attempts);
+        }
+    }
 }
--- a/crates/galenapath-entry/src/data/entries.rs
+++ b/crates/galenapath-entry/src/data/entries.rs
@@ -4,11 +4,10 @@
 use super::caller::Caller;
 use super::headers::set;
 use super::plane::DataPlane;
-use crate::shared::MemberView;
+use super::service::Service;
 use galenapath_config::Config;
 use galenapath_http::HttpError;
-use galenapath_membership::Member;
-use galenapath_protocol::{DomainId, FastSet, Micros, VERDICT_HEADER, Verdict, hash64};
+use galenapath_protocol::{Micros, VERDICT_HEADER, Verdict, hash64};
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use http::{StatusCode, Uri};
 use serde::Serialize;
@@ -20,15 +19,12 @@
 /// long enough that asking costs next to nothing.
 const VALID_FOR: Micros = Micros::from_secs(5);
 
-/// Least number of addresses in an answer, where there are so many instances.
-const LEAST_ENTRIES: usize = 4;
-
 /// An address that a caller may use.
 #[derive(Serialize)]
-struct EntryBody<'a> {
+struct EntryBody {
     address: String,
-    domain: &'a str,
-    instance: &'a str,
+    domain: String,
+    instance: String,
 }
 
 /// The address answer.
@@ -36,7 +32,7 @@
 struct EntriesBody<'a> {
     service: &'a str,
     /// Addresses in the order in which to try them.
-    entries: Vec<EntryBody<'a>>,
+    entries: Vec<EntryBody>,
     valid_for_ms: u64,
     /// What idempotency keys should begin with; keys with it cost no call on the platform.
     key_prefix: String,
@@ -62,10 +58,9 @@
         let answer = OwnAnswer::not_run(StatusCode::NOT_FOUND, "unknown_service", text);
         return answer.send(caller, None).await;
     };
-    let view = plane.shared.members.load();
     let body = EntriesBody {
         service,
-        entries: entries(plane, &view, service),
+        entries: entries(plane, &plane.service(service, config)),
         valid_for_ms: VALID_FOR.0 / 1_000,
         key_prefix: plane.filings.borrow_mut().prefix(plane.now()),
     };
@@ -77,13 +72,13 @@
     send_whole(caller, StatusCode::OK, headers, &body).await
 }
 
-fn entries<'a>(plane: &DataPlane, view: &'a MemberView, service: &str) -> Vec<EntryBody<'a>> {
-    let mut chosen = dispatching(view, service);
+fn entries(plane: &DataPlane, service: &Service) -> Vec<EntryBody> {
+    let own = plane.shared.incarnation;
+    let mut chosen = service.state.borrow().dispatching.chosen().to_vec();
     // The asked instance comes first where it dispatches for the service, since the key prefix is
     // its own. The others are turned by its name, so that callers spread over them.
-    let own = plane.shared.incarnation;
     if !chosen.is_empty() {
-        let turn = hash64(own.0, service.as_bytes()) as usize % chosen.len();
+        let turn = hash64(own.0, service.name.as_bytes()) as usize % chosen.len();
         chosen.rotate_left(turn);
     }
     chosen.sort_by_key(|member| member.incarnation != own);
@@ -91,22 +86,8 @@
         .into_iter()
         .map(|member| EntryBody {
             address: member.callers.to_string(),
-            domain: &member.domain.0,
-            instance: &member.id.0,
+            domain: member.domain.0,
+            instance: member.id.0,
         })
         .collect()
 }
-
-/// The instances that dispatch for a service, by rendezvous hashing: the best of each failure
-/// domain, then the best of the rest up to a least number.
-fn dispatching<'a>(view: &'a MemberView, service: &str) -> Vec<&'a Member> {
-    let mut ranked: Vec<&Member> = view.usable.iter().collect();
-    ranked
-        .sort_by_key(|member| std::cmp::Reverse(hash64(member.incarnation.0, service.as_bytes())));
-    let mut domains: FastSet<&DomainId> = FastSet::default();
-    let (mut chosen, rest): (Vec<&Member>, Vec<&Member>) =
-        ranked.into_iter().partition(|member| domains.insert(&member.domain));
-    let missing = LEAST_ENTRIES.saturating_sub(chosen.len());
-    chosen.extend(rest.into_iter().take(missing));
-    chosen
-}
--- a/crates/galenapath-entry/src/data/filing.rs
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -15,9 +15,10 @@
 use bytes::Bytes;
 use galenapath_filings::{Admit, AfterAttempt, Answer, AttemptEnd, End, FilingKey, RecordId};
 use galenapath_http::{HttpError, RequestHead};
-use galenapath_policy::{Outcome, may_retry};
+use galenapath_policy::Outcome;
 use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// When a caller whose filing may have run should ask again with the same key.
@@ -32,7 +33,7 @@
     head: RequestHead,
     body: Bytes,
 ) -> Result<(), HttpError> {
-    let mut trace = Trace::new(meta.id);
+    let trace = Trace::new(meta.id);
     let key = match key_of(meta) {
         Ok(key) => key,
         Err(answer) => return refuse(plane, caller, meta, trace, &answer).await,
@@ -44,8 +45,9 @@
         Admit::Run(id) => {
             // Once dispatched, a filing runs to its end even when the caller goes away: its
             // outcome is what a resend asks for.
-            let ended = run(plane, service, meta, &req, id, &mut trace).await;
-            finish(plane, caller, meta, trace, ended).await
+            let trace = RefCell::new(trace);
+            let ended = run(plane, service, meta, &req, id, &trace).await;
+            finish(plane, caller, meta, trace.into_inner(), ended).await
         }
         Admit::Replay(answer) => replay(plane, caller, meta, trace, &answer).await,
         Admit::Forward(incarnation) => {
@@ -142,10 +144,10 @@
     meta: &RequestMeta,
     req: &Prepared,
     id: RecordId,
-    trace: &mut Trace,
+    trace: &RefCell<Trace>,
 ) -> Ended {
     let open = OpenRecord { plane, id, is_resolved: false };
-    let mut dispatch = match Dispatch::new(plane, service, meta, req) {
+    let dispatch = match Dispatch::new(plane, service, meta, req, trace) {
         Ok(dispatch) => dispatch,
         Err(answer) => return Ended::Unanswered(open.not_run(answer)),
     };
@@ -155,9 +157,9 @@
             return Ended::Unanswered(open.not_run(refusal::turn_away(&rejection)));
         }
     };
-    trace.waited = permit.waited;
+    trace.borrow_mut().waited = permit.waited;
     service.state.borrow_mut().retries.first_try(plane.now());
-    match try_until_final(&mut dispatch, id, trace).await {
+    match try_until_final(&dispatch, id).await {
         Tried::Answered(served) => {
             open.answered(&served.reply);
             Ended::Answered { served, permit }
@@ -185,16 +187,16 @@
 }
 
 /// Tries backend servers for as long as the attempts before certainly did not run the filing.
-async fn try_until_final(dispatch: &mut Dispatch<'_>, id: RecordId, trace: &mut Trace) -> Tried {
+async fn try_until_final(dispatch: &Dispatch<'_>, id: RecordId) -> Tried {
     let plane = dispatch.plane;
-    for attempt in 1.. {
+    loop {
         let Some(slot) = dispatch.choose() else { return Tried::NotRun(None) };
         let mut was_sent = false;
         let before_send = || {
             was_sent = plane.filings.borrow_mut().sent(plane.now(), id).is_ok();
             was_sent
         };
-        let result = dispatch.attempt(slot, trace, before_send).await;
+        let result = dispatch.attempt(slot, before_send).await;
         let fault = match result {
             Ok(served) => return Tried::Answered(Box::new(served)),
             Err(Fault::Withdrawn) => return Tried::MayHaveRun(Fault::Withdrawn),
@@ -211,19 +213,10 @@
                 return Tried::MayHaveRun(fault);
             }
         }
-        if !may_go_on(dispatch, attempt) {
+        if !dispatch.may_go_on(Verdict::NotRun) {
             return Tried::NotRun(Some(fault));
         }
-        plane.shared.metrics.retries.inc();
     }
-    Tried::NotRun(None)
-}
-
-fn may_go_on(dispatch: &Dispatch<'_>, attempt: u32) -> bool {
-    let now = dispatch.plane.now();
-    let kind = refusal::kind_of(dispatch.meta.class.kind);
-    may_retry(kind, Verdict::NotRun, attempt, dispatch.meta.deadline - now)
-        && dispatch.service.state.borrow_mut().retries.try_retry(now)
 }
 
 /// A record that has to be resolved. Dropping it unresolved counts as "may have run".
--- a/crates/galenapath-entry/src/data/headers.rs
+++ b/crates/galenapath-entry/src/data/headers.rs
@@ -2,8 +2,8 @@
 
 use super::request::RequestId;
 use galenapath_protocol::{
-    BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, Micros, REPORT_HEADER, REQUEST_ID_HEADER,
-    VERDICT_HEADER,
+    ATTEMPT_HEADER, BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, Micros, REPORT_HEADER,
+    REQUEST_ID_HEADER, VERDICT_HEADER,
 };
 use http::header::{
     CONNECTION, EXPECT, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
@@ -19,7 +19,8 @@
 
 /// Headers that only galenapath itself may set; what a caller or a backend server sends under
 /// these names is dropped.
-const INTERNAL: [&str; 6] = [
+const INTERNAL: [&str; 7] = [
+    ATTEMPT_HEADER,
     VERDICT_HEADER,
     REQUEST_ID_HEADER,
     BACKEND_HEADER,
--- a/crates/galenapath-entry/src/data/lookup.rs
+++ b/crates/galenapath-entry/src/data/lookup.rs
@@ -1,6 +1,7 @@
 //! Requests that may run more than once: lookups and transfers whose request body is at hand.
 
 use super::answer::OwnAnswer;
+use super::attempt::Fault;
 use super::caller::Caller;
 use super::dispatch::{Dispatch, Served};
 use super::ending::{observe_latency, outcome_of, refuse, remember};
@@ -14,8 +15,9 @@
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_http::{HttpError, RequestHead};
-use galenapath_policy::{Outcome, may_retry};
+use galenapath_policy::{Outcome, Slot};
 use galenapath_protocol::Verdict;
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -29,15 +31,16 @@
     body: Bytes,
 ) -> Result<(), HttpError> {
     let req = Prepared::new(plane, meta, head, body);
-    let mut trace = Trace::new(meta.id);
+    let trace = RefCell::new(Trace::new(meta.id));
     let result = {
-        let work = pin!(run(plane, service, meta, &req, &mut trace));
+        let work = pin!(run(plane, service, meta, &req, &trace));
         let gone = pin!(caller.connection.closed());
         match select(work, gone).await {
             Either::Left((result, _)) => Some(result),
             Either::Right(_) => None,
         }
     };
+    let trace = trace.into_inner();
     match result {
         None => {
             plane.shared.metrics.fault("caller_gone");
@@ -87,15 +90,15 @@
     service: &Rc<Service>,
     meta: &RequestMeta,
     req: &Prepared,
-    trace: &mut Trace,
+    trace: &RefCell<Trace>,
 ) -> Result<(Permit, Served), OwnAnswer> {
-    let mut dispatch = Dispatch::new(plane, service, meta, req)?;
+    let dispatch = Dispatch::new(plane, service, meta, req, trace)?;
     let permit = Permit::acquire(plane, service, meta)
         .await
         .map_err(|rejection| refusal::turn_away(&rejection))?;
-    trace.waited = permit.waited;
+    trace.borrow_mut().waited = permit.waited;
     service.state.borrow_mut().retries.first_try(plane.now());
-    match try_until_answered(&mut dispatch, trace).await {
+    match try_until_answered(&dispatch).await {
         Ok(served) => Ok((permit, served)),
         Err(failure) => {
             permit.finish(failure.outcome);
@@ -110,21 +113,18 @@
     outcome: Outcome,
 }
 
-async fn try_until_answered(
-    dispatch: &mut Dispatch<'_>,
-    trace: &mut Trace,
-) -> Result<Served, Unanswered> {
+async fn try_until_answered(dispatch: &Dispatch<'_>) -> Result<Served, Unanswered> {
     let mut ran = Verdict::NotRun;
-    for attempt in 1.. {
+    loop {
         let Some(slot) = dispatch.choose() else {
             return Err(Unanswered { answer: refusal::no_backend(ran), outcome: Outcome::Shed });
         };
-        match dispatch.attempt(slot, trace, || true).await {
+        match try_hedged(dispatch, slot).await {
             Ok(served) => {
                 // A server that fails fast is tried past, but its answer is an answer.
                 let is_final = !served.reply.status.is_server_error()
                     || served.reply.rest.is_some()
-                    || !may_go_on(dispatch, Verdict::MayHaveRun, attempt);
+                    || !dispatch.may_go_on(Verdict::MayHaveRun);
                 if is_final {
                     return Ok(served);
                 }
@@ -132,22 +132,36 @@
                 ran = Verdict::MayHaveRun;
             }
             Err(fault) => {
-                if !may_go_on(dispatch, fault.verdict(), attempt) {
+                if !dispatch.may_go_on(fault.verdict()) {
                     let answer = refusal::failed(&fault, ran);
                     return Err(Unanswered { answer, outcome: fault.outcome() });
                 }
                 ran = refusal::worst(ran, fault.verdict());
             }
         }
-        dispatch.plane.shared.metrics.retries.inc();
     }
-    Err(Unanswered { answer: refusal::no_backend(ran), outcome: Outcome::Failure })
 }
 
-/// Whether a further attempt is allowed after one that ended with `verdict`.
-fn may_go_on(dispatch: &Dispatch<'_>, verdict: Verdict, attempt: u32) -> bool {
-    let now = dispatch.plane.now();
-    let kind = refusal::kind_of(dispatch.meta.class.kind);
-    may_retry(kind, verdict, attempt, dispatch.meta.deadline - now)
-        && dispatch.service.state.borrow_mut().retries.try_retry(now)
+/// Tries the backend server in `slot`, and a second one when the first is slower than most: the
+/// first answer wins and the other attempt is cancelled, which closes its connection.
+async fn try_hedged(dispatch: &Dispatch<'_>, slot: Slot) -> Result<Served, Fault> {
+    let started = dispatch.plane.now();
+    let first = pin!(dispatch.attempt(slot, || true));
+    let Some(delay) = dispatch.hedge_delay() else { return first.await };
+    let first = match select(first, pin!(monoio::time::sleep(delay))).await {
+        Either::Left((result, _)) => return result,
+        Either::Right(((), first)) => first,
+    };
+    if !dispatch.may_hedge(started) {
+        return first.await;
+    }
+    let Some(other) = dispatch.choose().filter(|other| *other != slot) else {
+        return first.await;
+    };
+    let second = pin!(dispatch.attempt(other, || true));
+    match select(first, second).await {
+        Either::Left((Ok(served), _)) | Either::Right((Ok(served), _)) => Ok(served),
+        Either::Left((Err(_), second)) => second.await,
+        Either::Right((Err(_), first)) => first.await,
+    }
 }
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod crash;
 mod dispatch;
+mod dispatching;
 mod ending;
 mod entries;
 mod explain;
--- a/crates/galenapath-entry/src/data/permit.rs
+++ b/crates/galenapath-entry/src/data/permit.rs
@@ -153,10 +153,18 @@
     /// Counts an attempt at `slot`.
     pub(super) fn start(plane: &Rc<DataPlane>, service: &Rc<Service>, slot: Slot) -> Self {
         let started = plane.now();
-        service.state.borrow_mut().balancer.start(started, slot);
+        let mut state = service.state.borrow_mut();
+        state.balancer.start(started, slot);
+        state.in_flight += 1;
+        drop(state);
         Self { plane: Rc::clone(plane), service: Rc::clone(service), slot, started, is_done: false }
     }
 
+    /// Time since the attempt began.
+    pub(super) fn latency(&self) -> Micros {
+        self.plane.now() - self.started
+    }
+
     /// The attempt has ended.
     pub(super) fn finish(mut self, outcome: Outcome) {
         self.release(outcome);
@@ -168,7 +176,10 @@
         }
         let now = self.plane.now();
         let latency = now - self.started;
-        self.service.state.borrow_mut().balancer.finish(now, self.slot, outcome, latency);
+        let mut state = self.service.state.borrow_mut();
+        state.balancer.finish(now, self.slot, outcome, latency);
+        state.in_flight -= 1;
+        drop(state);
         let label = match outcome {
             Outcome::Answered => "answered",
             Outcome::Shed => "shed",
--- a/crates/galenapath-entry/src/data/request.rs
+++ b/crates/galenapath-entry/src/data/request.rs
@@ -3,7 +3,8 @@
 use galenapath_config::Class;
 use galenapath_http::{Framing, RequestHead};
 use galenapath_protocol::{
-    DEADLINE_HEADER, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, Incarnation, Micros, WORKSPACE_HEADER,
+    ATTEMPT_HEADER, DEADLINE_HEADER, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, Incarnation, Micros,
+    WORKSPACE_HEADER,
 };
 use http::HeaderMap;
 use std::fmt;
@@ -53,6 +54,8 @@
     pub(super) key: Option<String>,
     /// Entry instances that the request has passed.
     pub(super) hops: u32,
+    /// Attempts made on it so far by those that it has passed; zero from a caller.
+    pub(super) attempts: u32,
     /// Where its body ends.
     pub(super) framing: Framing,
 }
@@ -78,6 +81,8 @@
             key: text(&head.headers, IDEMPOTENCY_KEY_HEADER).map(str::to_owned),
             hops: number(&head.headers, HOPS_HEADER)
                 .map_or(0, |hops| u32::try_from(hops).unwrap_or(u32::MAX)),
+            attempts: number(&head.headers, ATTEMPT_HEADER)
+                .map_or(0, |count| u32::try_from(count).unwrap_or(u32::MAX)),
             framing,
             class,
         }
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -1,9 +1,10 @@
 //! One service on the data path: its backend servers and the decisions about them.
 
 use super::backend::Backend;
+use super::dispatching::Dispatching;
 use super::plane::DataPlane;
 use crate::fleet::FleetBackend;
-use crate::shared::Shared;
+use crate::shared::{MemberView, Shared};
 use futures::channel::oneshot;
 use galenapath_config::{ClassKind, Config};
 use galenapath_policy::{
@@ -11,12 +12,15 @@
     ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket,
     WorkLength,
 };
-use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
+use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Connections that a backend server takes, shared by all instances that dispatch to it.
-pub(super) const BACKEND_CONNECTIONS: u32 = 240;
+/// Slots assumed of a backend server that has not yet told.
+const ASSUMED_SLOTS: u32 = 6;
+
+/// Time between two looks at the service's rate.
+const RATE_INTERVAL: Micros = Micros::from_secs(1);
 
 /// One service.
 pub(super) struct Service {
@@ -35,11 +39,17 @@
     pub(super) retries: RetryBudget,
     pub(super) hedges: HedgePolicy,
     pub(super) waiters: FastMap<Ticket, oneshot::Sender<Step>>,
+    /// Attempts in flight at backend servers.
+    pub(super) in_flight: u32,
     backends: FastMap<BackendId, Rc<Backend>>,
     classes: FastMap<String, ClassIndex>,
     fleet_version: Option<u64>,
     config_version: Option<u64>,
     members_version: Option<u64>,
+    pub(super) dispatching: Dispatching,
+    rate_at: Micros,
+    /// Connections to each backend server in the last list that was taken in.
+    share: u32,
 }
 
 impl Service {
@@ -52,11 +62,15 @@
             retries: RetryBudget::new(RetryConfig::default()),
             hedges: HedgePolicy::new(HedgeConfig::default()),
             waiters: FastMap::default(),
+            in_flight: 0,
             backends: FastMap::default(),
             classes: FastMap::default(),
             fleet_version: None,
             config_version: None,
             members_version: None,
+            dispatching: Dispatching::new(),
+            rate_at: Micros::ZERO,
+            share: 0,
         };
         Rc::new(Self { name: name.to_owned(), state: RefCell::new(state) })
     }
@@ -68,17 +82,17 @@
         if state.config_version != Some(config.version().0) {
             state.set_classes(&self.name, config);
         }
-        let fleet = plane.shared.fleet.load();
         let members = plane.shared.members.load();
-        let is_current = state.fleet_version == Some(fleet.version)
-            && state.members_version == Some(members.version);
-        if is_current {
-            return;
+        let since_rate = now - state.rate_at;
+        if state.members_version != Some(members.version) || since_rate >= RATE_INTERVAL {
+            state.members_version = Some(members.version);
+            state.set_members(now, &self.name, plane.shared.incarnation, &members);
+        }
+        let fleet = plane.shared.fleet.load();
+        if state.fleet_version != Some(fleet.version) {
+            state.fleet_version = Some(fleet.version);
+            state.set_backends(now, fleet.backends(&self.name));
         }
-        state.fleet_version = Some(fleet.version);
-        state.members_version = Some(members.version);
-        let share = connection_share(members.usable.len());
-        state.set_backends(now, fleet.backends(&self.name), share);
     }
 
     /// Index of a class of this service.
@@ -92,7 +106,9 @@
         loop {
             let mut state = self.state.borrow_mut();
             let slots = state.balancer.free_slots(now);
-            let in_flight = u32::try_from(state.admission.in_flight()).unwrap_or(u32::MAX);
+            let in_flight = state.in_flight;
+            let waiting = u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX);
+            state.balancer.set_waiting(waiting);
             state.admission.set_capacity(now, in_flight.saturating_add(slots));
             state.admission.poll(now, &mut steps);
             if steps.is_empty() {
@@ -140,9 +156,28 @@
         self.admission.set_classes(&policies);
     }
 
-    fn set_backends(&mut self, now: Micros, listed: &[FleetBackend], share: u32) {
+    fn set_members(&mut self, now: Micros, service: &str, own: Incarnation, members: &MemberView) {
+        let since_rate = now - self.rate_at;
+        let over = if since_rate >= RATE_INTERVAL { since_rate } else { Micros::ZERO };
+        if over > Micros::ZERO {
+            self.rate_at = now;
+        }
+        self.dispatching.update(now, service, own, members, over);
+        self.balancer.set_dispatchers(now, self.dispatching.number());
+        // The share may have changed, so the list of backend servers is taken in again.
+        if self.share != self.dispatching.share(now) {
+            self.fleet_version = None;
+        }
+    }
+
+    fn set_backends(&mut self, now: Micros, listed: &[FleetBackend]) {
+        let share = self.dispatching.share(now);
+        self.share = share;
         let specs: Vec<BackendSpec> = listed.iter().map(|b| to_spec(b, share)).collect();
         self.balancer.set_backends(now, &specs);
+        let live = listed.iter().filter(|entry| !entry.leaving).count();
+        let slots = u32::try_from(live).unwrap_or(u32::MAX).saturating_mul(ASSUMED_SLOTS);
+        self.admission.set_service_slots(now, slots);
         let mut backends = FastMap::default();
         for entry in listed {
             let known = self.backends.remove(&entry.id).filter(|b| b.is_same_run(entry));
@@ -173,10 +208,3 @@
         connection_share: share,
     }
 }
-
-/// Connections to one backend server that one of `instances` may hold. Half of the server's
-/// connections are kept back, so that instances that come while others go do not exceed them.
-fn connection_share(instances: usize) -> u32 {
-    let instances = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
-    (BACKEND_CONNECTIONS / 2 / instances).max(1)
-}
