Claims: one that is never reported holds off resends for its patience only

Cause: a filing whose task is cancelled while its claim is with the store left the record claiming until its window expired; every resend was told that it is in progress. Change: after claim_patience a resend claims again; the late word on the old claim is not acted on.

--- a/crates/galenapath-filings/src/table.rs
+++ b/crates/galenapath-filings/src/table.rs
@@ -37,7 +37,7 @@
     adopted: Adopted,
     budget: ClaimBudget,
     next_claim: u64,
-    /// Claims that are with the store. At most one for each record in state `Claiming`.
+    /// Claims that are with the store. Invariant: at most those of `claim_patience` and one more.
     pending: BTreeMap<ClaimId, PendingClaim>,
 }
 
--- a/crates/galenapath-filings/src/table/admit.rs
+++ b/crates/galenapath-filings/src/table/admit.rs
@@ -103,7 +103,14 @@
         }
         match &record.state {
             State::Admitted | State::Sent if !self.guards.record_first => self.run_again(id, fp),
-            State::Claiming { .. } | State::Admitted | State::Sent => Admit::InProgress(id),
+            State::Admitted | State::Sent => Admit::InProgress(id),
+            State::Claiming { first, latest } => {
+                let (first, latest) = (*first, *latest);
+                match self.is_awaited(latest) {
+                    true => Admit::InProgress(id),
+                    false => self.reclaim(id, first, fp),
+                }
+            }
             State::Unclaimed { first } => {
                 let first = *first;
                 self.reclaim(id, first, fp)
--- a/crates/galenapath-filings/src/table/claims.rs
+++ b/crates/galenapath-filings/src/table/claims.rs
@@ -24,9 +24,12 @@
         self.expire(now);
         let Some(pending) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
         let id = pending.record;
-        let stale = self.now - pending.asked > self.cfg.claim_patience;
+        let stale = self.is_stale(pending);
         let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
-        let State::Claiming { first, .. } = record.state else { return Admit::MayHaveRun };
+        let State::Claiming { first, latest } = record.state else { return Admit::MayHaveRun };
+        if latest != claim {
+            return Admit::MayHaveRun;
+        }
         let fp = record.fp;
         if stale && self.guards.stale_claim_refused {
             return self.unclaimed(id, first);
@@ -84,7 +87,23 @@
         self.ask(id, latest)
     }
 
+    /// Whether the store's word on a claim can still be acted on. One that never comes, because
+    /// whoever asked was cancelled, does not hold off resends for longer.
+    pub(super) fn is_awaited(&self, claim: ClaimId) -> bool {
+        let pending = self.pending.get(&claim);
+        pending.is_some_and(|pending| !self.is_stale(*pending))
+    }
+
+    fn is_stale(&self, pending: PendingClaim) -> bool {
+        self.now - pending.asked > self.cfg.claim_patience
+    }
+
     fn ask(&mut self, id: RecordId, claim: ClaimId) -> Admit {
+        while let Some(oldest) = self.pending.first_entry()
+            && self.now - oldest.get().asked > self.cfg.claim_patience
+        {
+            oldest.remove();
+        }
         self.pending.insert(claim, PendingClaim { record: id, asked: self.now });
         Admit::Claim(claim)
     }
--- a/crates/galenapath-filings/tests/table.rs
+++ b/crates/galenapath-filings/tests/table.rs
@@ -211,6 +211,18 @@
     assert_eq!(t.claim_result(late, second, held), Admit::MayHaveRun);
 }
 
+#[test]
+fn claim_never_reported_claimed_again() {
+    let mut t = table();
+    let key = own("booking-1");
+    let first = claim(t.admit(T0, &key, FP));
+    assert!(matches!(t.admit(T0, &key, FP), Admit::InProgress(_)));
+    let later = T0 + FilingConfig::default().claim_patience + Micros(1);
+    let second = claim(t.admit(later, &key, FP));
+    assert_eq!(t.claim_result(later, first, ClaimResult::Won), Admit::MayHaveRun);
+    run(t.claim_result(later, second, ClaimResult::Lost { incarnation: ME, claim: first }));
+}
+
 #[test]
 fn claim_burst_limited() {
     let mut t = table();
