--- a/crates/galenapath-dev/src/backend/connection.rs
+++ b/crates/galenapath-dev/src/backend/connection.rs
@@ -8,6 +8,7 @@
 use galenapath_protocol::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, hash64};
 use monoio::time::sleep;
 use monoio_http::common::request::RequestHead;
+use std::io::Write;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -78,7 +79,7 @@
         server.thaw().await;
         sleep(server.delay).await;
         let after = if job.head.uri.path() == PROBE_PATH {
-            server.counters.borrow_mut().probes += 1;
+            count_probe(server);
             answer::report_only(&mut conn, server).await?
         } else {
             run(&mut conn, server, &job).await?
@@ -116,10 +117,7 @@
     job: &Job,
     guard: SlotGuard,
 ) -> Result<After, WireError> {
-    server.counters.borrow_mut().executions += 1;
-    if !job.key.is_empty() {
-        server.keys.borrow_mut().record(&job.key);
-    }
+    count_execution(server, job);
     let time = server.work_time(job.number("work_ms"));
     if is_marked(server, job) {
         sleep(time).await;
@@ -150,6 +148,13 @@
     }
 }
 
+fn count_probe(server: &Server) {
+    let rate = server.probe_rate.borrow_mut().record(Instant::now());
+    let mut counters = server.counters.borrow_mut();
+    counters.probes += 1;
+    counters.probes_a_second_most = counters.probes_a_second_most.max(rate);
+}
+
 fn count_request(server: &Server) {
     let mut counters = server.counters.borrow_mut();
     counters.requests += 1;
@@ -158,6 +163,18 @@
     }
 }
 
+fn count_execution(server: &Server, job: &Job) {
+    server.counters.borrow_mut().executions += 1;
+    if !job.key.is_empty() {
+        server.keys.borrow_mut().record(&job.key);
+    }
+    if let Some(mut log) = server.log.as_deref() {
+        // One write per line, so that a kill leaves whole lines; a full disk fails the test later.
+        let line = format!("{}\t{}\t{}\n", server.spec.name, job.key, job.path);
+        let _ = log.write_all(line.as_bytes());
+    }
+}
+
 fn cancelled(server: &Server) -> After {
     server.counters.borrow_mut().cancelled += 1;
     After::Close
