--- a/crates/galenapath-entry/src/clock.rs
+++ b/crates/galenapath-entry/src/clock.rs
@@ -1,23 +1,28 @@
 //! The clock of an instance.
 
 use galenapath_protocol::Micros;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A monotonic clock that counts from the start of the instance; the same origin on every thread.
+/// A monotonic clock. It is read off the wall clock once, at the start, and counts from the Unix
+/// epoch, so that the key windows of instances with clocks that agree roughly have the same
+/// numbers. A step of the wall clock does not move it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    /// Wall-clock time at the origin, since the Unix epoch.
+    at_origin: Duration,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        let at_origin = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { origin: Instant::now(), at_origin }
     }
 
-    /// Time since the start.
+    /// Time since the Unix epoch, as the clock counts it.
     pub fn now(self) -> Micros {
-        self.origin.elapsed().into()
+        (self.at_origin + self.origin.elapsed()).into()
     }
 }
 
