--- a/crates/galenapath-entry/src/control/configuration.rs
+++ b/crates/galenapath-entry/src/control/configuration.rs
@@ -56,7 +56,7 @@
     }
 }
 
-async fn read_snapshot(plane: &ControlPlane, version: Version) -> Option<Arc<Config>> {
+pub(super) async fn read_snapshot(plane: &ControlPlane, version: Version) -> Option<Arc<Config>> {
     let result = plane.platform.read(&snapshot_key(version)).await;
     plane.count_call("read", &result);
     let entry = result.ok()?.entry?;
--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -3,6 +3,7 @@
 use super::plane::ControlPlane;
 use super::{configuration, stop};
 use crate::data::DataCommand;
+use galenapath_config::Version;
 use galenapath_filings::SuspectWire;
 use galenapath_membership::{LeavingMark, Member, Probe};
 use galenapath_peers::{
@@ -63,7 +64,7 @@
 }
 
 /// Exchanges news with the peer at `to`; returns the incarnation that answered.
-async fn exchange(
+pub(super) async fn exchange(
     plane: &Rc<ControlPlane>,
     to: SocketAddr,
     incarnation: Incarnation,
@@ -109,6 +110,9 @@
         plane.suspects.borrow_mut().merge(plane.now(), &facts);
         let _ = plane.wiring.commands.try_send(DataCommand::Suspects(facts));
     }
+    if let Some(sender) = news.members.first() {
+        plane.note_peer_version(Incarnation(sender.incarnation), Version(news.config_version));
+    }
     if news.config_version > plane.replica.borrow().version().0 {
         monoio::spawn(configuration::pull(Rc::clone(plane), from));
     }
--- /dev/null
+++ b/crates/galenapath-entry/src/control/operators/views.rs
@@ -0,0 +1,127 @@
+//! What operators can look at.
+
+use super::answer::Answer;
+use crate::control::plane::ControlPlane;
+use crate::data::{DataCommand, Explanation};
+use galenapath_config::wire::{
+    AuditWire, ChangeRecordWire, ClassesWire, ErrorCodeWire, ExplainWire, InstanceStateWire,
+    PeerStatusWire, StatusWire, StoreStatusWire,
+};
+use galenapath_config::{Limits, Version, decode_page, mark_wires, page_key, page_of};
+use galenapath_platform::Platform;
+use http::StatusCode;
+
+/// Seconds after which an operator should ask for an audit page again.
+const PAGE_RETRY_S: u64 = 5;
+
+/// `GET /v1/classes`.
+pub(super) fn classes(plane: &ControlPlane) -> Answer {
+    let config = plane.replica.borrow().config().clone();
+    let wire = ClassesWire {
+        version: config.version().0,
+        classes: config.classes().map(Into::into).collect(),
+        marks: mark_wires(&config),
+    };
+    Answer::json(StatusCode::OK, &wire)
+}
+
+/// `GET /v1/status`.
+pub(super) fn status(plane: &ControlPlane) -> Answer {
+    let shared = &plane.shared;
+    let store = &plane.store_use;
+    let state = match (shared.is_draining(), shared.is_ready()) {
+        (true, _) => InstanceStateWire::Leaving,
+        (false, true) => InstanceStateWire::Serving,
+        (false, false) => InstanceStateWire::Starting,
+    };
+    let wire = StatusWire {
+        instance: shared.name().to_string(),
+        domain: shared.settings.instance.domain.to_string(),
+        incarnation: shared.incarnation.to_string(),
+        state,
+        version: plane.replica.borrow().version().0,
+        store: StoreStatusWire {
+            reachable: store.reachable.get(),
+            watching: store.watching.get(),
+            reads: store.reads.get(),
+            writes: store.writes.get(),
+            failures: store.failures.get(),
+        },
+        peers: peers(plane),
+    };
+    Answer::json(StatusCode::OK, &wire)
+}
+
+fn peers(plane: &ControlPlane) -> Vec<PeerStatusWire> {
+    let now = plane.now();
+    let members = plane.members.borrow();
+    let versions = plane.peer_versions.borrow();
+    let told = members.usable().filter_map(|m| Some((m, versions.get(&m.incarnation)?)));
+    let mut peers: Vec<PeerStatusWire> = told
+        .map(|(member, told)| PeerStatusWire {
+            name: member.id.to_string(),
+            version: told.version.0,
+            age_ms: (now - told.at).0 / 1_000,
+        })
+        .collect();
+    peers.sort_by(|a, b| a.name.cmp(&b.name));
+    peers
+}
+
+/// `GET /v1/audit?after=VERSION`: from the tail, or one page from the store.
+pub(super) async fn audit(plane: &ControlPlane, after: u64) -> Answer {
+    let chain = plane.replica.borrow().chain().clone();
+    let version = chain.version().0;
+    let after = Version(after);
+    if after >= chain.head().before_tail() {
+        let newer = chain.head().tail().iter().filter(|record| record.version > after);
+        let records = newer.map(ChangeRecordWire::from).collect();
+        return Answer::json(StatusCode::OK, &AuditWire { version, records, complete: true });
+    }
+    let key = page_key(page_of(after.next(), Limits::DEFAULT));
+    let result = plane.platform.read(&key).await;
+    plane.count_call("read", &result);
+    let page = result.ok().and_then(|read| read.entry).map(|entry| decode_page(&entry.value));
+    let Some(Ok(page)) = page else {
+        let message = format!("the audit page {key} cannot be read from the store now");
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Answer::error(status, ErrorCodeWire::Unavailable, message)
+            .come_back_after(PAGE_RETRY_S);
+    };
+    let newer = page.records.iter().filter(|record| record.version > after);
+    let records = newer.map(ChangeRecordWire::from).collect();
+    Answer::json(StatusCode::OK, &AuditWire { version, records, complete: false })
+}
+
+/// `GET /v1/requests/ID`.
+pub(super) async fn explain(plane: &ControlPlane, id: &str) -> Answer {
+    let (reply, answer) = flume::bounded(1);
+    let command = DataCommand::Explain { id: id.to_owned(), reply };
+    let sent = plane.wiring.commands.send_async(command).await.is_ok();
+    let found = if sent { answer.recv_async().await.ok().flatten() } else { None };
+    match found {
+        Some(explanation) => Answer::json(StatusCode::OK, &explain_wire(explanation)),
+        None => {
+            let message = format!(
+                "request `{id}` is not remembered here; ask the instance that served it, \
+                 within its last few thousand requests"
+            );
+            Answer::error(StatusCode::NOT_FOUND, ErrorCodeWire::NotFound, message)
+        }
+    }
+}
+
+fn explain_wire(explanation: Explanation) -> ExplainWire {
+    let tried = explanation.tried.iter();
+    ExplainWire {
+        backends: tried.map(|tried| format!("{}: {}", tried.backend, tried.outcome)).collect(),
+        id: explanation.id,
+        class: Some(explanation.class),
+        workspace: Some(explanation.workspace),
+        status: explanation.status,
+        verdict: explanation.verdict.to_string(),
+        why: explanation.reason,
+        queued_us: explanation.waited.0,
+        total_us: explanation.took.0,
+    }
+}
--- a/crates/galenapath-entry/src/control/plane.rs
+++ b/crates/galenapath-entry/src/control/plane.rs
@@ -1,5 +1,7 @@
 //! The state of the control side.
 
+use super::peer_versions::PeerVersion;
+use super::store_use::StoreUse;
 use crate::data::DataCommand;
 use crate::shared::{ControlEvent, Shared};
 use flume::{Receiver, Sender};
@@ -8,7 +10,7 @@
 use galenapath_membership::{LeavingMarks, Member, MemberStatus, Members, MembershipConfig};
 use galenapath_peers::{PeerCall, PeerRequest};
 use galenapath_platform::{ConsulPlatform, ListedInstance};
-use galenapath_protocol::Micros;
+use galenapath_protocol::{FastMap, Incarnation, Micros};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,6 +44,10 @@
     pub platform: ConsulPlatform,
     /// The configuration as this instance knows it.
     pub replica: RefCell<Replica>,
+    /// Versions of the configuration that peers last told.
+    pub(super) peer_versions: RefCell<FastMap<Incarnation, PeerVersion>>,
+    /// How the store was used.
+    pub(super) store_use: StoreUse,
     /// Entry instances.
     pub(super) members: RefCell<Members>,
     /// Backend servers that are leaving.
@@ -72,6 +78,8 @@
             wiring,
             platform,
             replica: RefCell::default(),
+            peer_versions: RefCell::default(),
+            store_use: StoreUse::default(),
             members: RefCell::new(members),
             marks: RefCell::default(),
             suspects: RefCell::default(),
@@ -92,6 +100,7 @@
         call: &str,
         result: &Result<T, galenapath_platform::PlatformError>,
     ) {
+        self.store_use.count(call, result.is_ok());
         let label = if result.is_ok() { "ok" } else { "failed" };
         self.shared.metrics.platform_calls.with_label_values(&[call, label]).inc();
         if let Err(e) = result {
