Three instances watch the head of the configuration, the others learn from peers

Every instance watched, so calls grew with the fleet. Now the first three usable instances of a shared random order watch; the others read once at their start and every five minutes, and hear from peers. An absent head is watched as well, where it was polled twice a second.

--- a/crates/galenapath-entry/src/control/configuration.rs
+++ b/crates/galenapath-entry/src/control/configuration.rs
@@ -7,40 +7,81 @@
 };
 use galenapath_peers::{ConfigWire, PeerCall};
 use galenapath_platform::{Platform, StoreIndex};
+use galenapath_protocol::{Incarnation, Micros, hash64};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Instances that watch the head. One would do; three, so that two may be paused or cut off from
+/// the store. With every instance watching, the calls would grow with the fleet.
+const WATCHERS: usize = 3;
+
+/// Seed of the order in which instances watch.
+const WATCH_SEED: u64 = 0x636f_6e66_6967;
+
 /// Longest wait of a watch. A waiting watch counts as a call, so longer waits cost less.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Time between two looks at whether it is this instance's turn to watch.
+const REVIEW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest time that an instance which does not watch goes without a read of its own, in case that
+/// every watcher is cut off from the store and from its peers.
+const READ_PERIOD: Micros = Micros::from_secs(300);
+
 /// Pause after a failed call, so that a store that is down is not hammered.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the head of the configuration in the store.
+/// Follows the head of the configuration in the store: reads it at the start, then watches it where
+/// this instance is one of the few that do. The others learn from their peers.
 pub(super) async fn follow(plane: Rc<ControlPlane>) {
     let mut after = StoreIndex(0);
+    let mut read_at: Option<Micros> = None;
     loop {
-        let result = plane.platform.watch(HEAD_KEY, after, WATCH_WAIT).await;
-        plane.count_call("watch", &result);
-        let Ok(read) = result else {
-            monoio::time::sleep(FAILURE_PAUSE).await;
-            continue;
-        };
-        after = read.position;
-        let Some(entry) = read.entry else {
-            monoio::time::sleep(FAILURE_PAUSE).await;
-            continue;
+        let watches = is_watcher(&plane);
+        plane.store_use.watching.set(watches);
+        let due = read_at.is_none_or(|at| plane.now() - at >= READ_PERIOD);
+        let seen = match (watches, due) {
+            (true, _) => look(&plane, after, WATCH_WAIT).await,
+            (false, true) => look(&plane, StoreIndex(0), Duration::ZERO).await,
+            (false, false) => {
+                monoio::time::sleep(REVIEW_PAUSE).await;
+                continue;
+            }
         };
-        match decode_head(&entry.value) {
-            Ok(head) => take_head(&plane, head).await,
-            Err(e) => {
-                log::error!(error:% = e; "the configuration in the store cannot be read");
-                plane.shared.metrics.fault("bad_configuration");
+        match seen {
+            Some(position) => {
+                after = position;
+                read_at = Some(plane.now());
             }
+            None => monoio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+/// Whether this instance is among the first of the usable ones in a random order that all share.
+fn is_watcher(plane: &ControlPlane) -> bool {
+    let rank = |incarnation: Incarnation| hash64(WATCH_SEED, &incarnation.0.to_be_bytes());
+    let own = rank(plane.shared.incarnation);
+    let members = plane.members.borrow();
+    members.usable().filter(|member| rank(member.incarnation) < own).count() < WATCHERS
+}
+
+/// Watches the head once; the position to watch from next, `None` where the store did not answer.
+async fn look(plane: &ControlPlane, after: StoreIndex, wait: Duration) -> Option<StoreIndex> {
+    let result = plane.platform.watch(HEAD_KEY, after, wait).await;
+    plane.count_call("watch", &result);
+    let read = result.ok()?;
+    let Some(entry) = read.entry else { return Some(read.position) };
+    match decode_head(&entry.value) {
+        Ok(head) => take_head(plane, head).await,
+        Err(e) => {
+            log::error!(error:% = e; "the configuration in the store cannot be read");
+            plane.shared.metrics.fault("bad_configuration");
         }
     }
+    Some(read.position)
 }
 
 /// Takes over a head from the store, with its snapshot where that is needed.
