--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,124 @@
+//! Every scenario under `scenarios/`, one test for each.
+//!
+//! They live here and not beside the runner, so that `cargo test --workspace` builds the programs
+//! that they start.
+
+use galenapath_dev::scenario::{Programs, run_file};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::sync::{Condvar, Mutex, PoisonError};
+
+/// Scenarios that run side by side; each starts up to a dozen processes.
+const SIDE_BY_SIDE: usize = 4;
+
+static FREE: Mutex<usize> = Mutex::new(SIDE_BY_SIDE);
+static FREED: Condvar = Condvar::new();
+
+/// A place among the scenarios that run; dropping it frees the place.
+struct Place;
+
+impl Place {
+    fn take() -> Self {
+        let mut free = FREE.lock().unwrap_or_else(PoisonError::into_inner);
+        while *free == 0 {
+            free = FREED.wait(free).unwrap_or_else(PoisonError::into_inner);
+        }
+        *free -= 1;
+        Self
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *FREE.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        FREED.notify_one();
+    }
+}
+
+fn directory() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios")
+}
+
+fn run(name: &str) {
+    let _place = Place::take();
+    let programs = Programs::beside_test().unwrap_or_else(|e| panic!("{e}"));
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap_or_else(|e| panic!("{}: {e}", dir.display()));
+    let result = run_file(&directory().join(format!("{name}.scn")), programs, &dir);
+    // The files of a failed scenario stay for whoever looks into it.
+    result.unwrap_or_else(|e| panic!("{e}"));
+    std::fs::remove_dir_all(&dir).unwrap_or_else(|e| panic!("{}: {e}", dir.display()));
+}
+
+macro_rules! scenarios {
+    ($($test:ident: $name:literal,)*) => {
+        const LISTED: &[&str] = &[$($name),*];
+        $(
+            #[test]
+            fn $test() {
+                run($name);
+            }
+        )*
+    };
+}
+
+scenarios! {
+    scenario_answers_damaged: "answers-damaged",
+    scenario_backend_cut_and_store_down: "backend-cut-and-store-down",
+    scenario_backend_frozen: "backend-frozen",
+    scenario_backend_killed: "backend-killed",
+    scenario_backend_leaving_list_lags: "backend-leaving-list-lags",
+    scenario_fail_fast: "fail-fast",
+    scenario_filing_backend_frozen: "filing-backend-frozen",
+    scenario_filing_backend_killed: "filing-backend-killed",
+    scenario_filing_caller_cut: "filing-caller-cut",
+    scenario_filing_cut_and_killed: "filing-cut-and-killed",
+    scenario_filing_frozen_and_store_down: "filing-frozen-and-store-down",
+    scenario_filing_instance_frozen: "filing-instance-frozen",
+    scenario_filing_instance_killed: "filing-instance-killed",
+    scenario_filing_keys_many_resent: "filing-keys-many-resent",
+    scenario_filing_killed_while_store_down: "filing-killed-while-store-down",
+    scenario_filing_own_key_elsewhere: "filing-own-key-elsewhere",
+    scenario_filing_own_key_instance_frozen: "filing-own-key-instance-frozen",
+    scenario_filing_own_key_instance_killed: "filing-own-key-instance-killed",
+    scenario_filing_planned_stop: "filing-planned-stop",
+    scenario_filing_reply_cut: "filing-reply-cut",
+    scenario_filing_resent_same_key: "filing-resent-same-key",
+    scenario_filing_store_down: "filing-store-down",
+    scenario_filing_store_reply_lost: "filing-store-reply-lost",
+    scenario_filing_two_at_once: "filing-two-at-once",
+    scenario_garbage: "garbage",
+    scenario_idle_callers: "idle-callers",
+    scenario_instance_killed: "instance-killed",
+    scenario_lookup_answered: "lookup-answered",
+    scenario_measuring_within_budget: "measuring-within-budget",
+    scenario_not_run_no_backend: "not-run-no-backend",
+    scenario_not_run_saturated: "not-run-saturated",
+    scenario_overload_recovers: "overload-recovers",
+    scenario_poison: "poison",
+    scenario_poison_and_store_down: "poison-and-store-down",
+    scenario_poison_bystanders: "poison-bystanders",
+    scenario_reports_lie: "reports-lie",
+    scenario_rolling_backends: "rolling-backends",
+    scenario_rolling_instances: "rolling-instances",
+    scenario_store_down_lookups: "store-down-lookups",
+    scenario_store_down_new_instance: "store-down-new-instance",
+    scenario_store_down_new_instance_serves: "store-down-new-instance-serves",
+    scenario_store_slow: "store-slow",
+    scenario_straggler: "straggler",
+    scenario_transfer_cut: "transfer-cut",
+    scenario_transfer_large: "transfer-large",
+    scenario_two_servers_lost: "two-servers-lost",
+}
+
+#[test]
+fn scenarios_every_file_listed() {
+    let entries = std::fs::read_dir(directory()).unwrap_or_else(|e| panic!("{e}"));
+    let files: BTreeSet<String> = entries
+        .map(|entry| entry.unwrap_or_else(|e| panic!("{e}")).path())
+        .filter(|path| path.extension().is_some_and(|ext| ext == "scn"))
+        .filter_map(|path| Some(path.file_stem()?.to_str()?.to_owned()))
+        .collect();
+    let listed: BTreeSet<String> = LISTED.iter().map(|name| (*name).to_owned()).collect();
+    assert_eq!(files, listed);
+}
