Address answer names each instance's key prefix; outcomes are handed over in parts

Cause: callers of an instance that does not dispatch for the service had each filing passed on, and one hand-over message of all outcomes could pass the peers' limit of 8 MiB.

--- a/crates/galenapath-entry/src/control/claims.rs
+++ b/crates/galenapath-entry/src/control/claims.rs
@@ -10,11 +10,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// A lease for claims is used for new claims this long; then a new one is taken, so that every
-/// claim stands for its whole time.
-const LEASE_USE: Micros = Micros::from_secs(3_600);
-
-/// The lease that new claims are written with.
+/// The lease that new claims are written with, and until when it is used for them. It is taken
+/// for longer than a claim has to stand, so that the last claim written with it stands as long.
 #[derive(Default)]
 struct ClaimLease {
     current: RefCell<Option<(Lease, Micros)>>,
@@ -39,7 +36,7 @@
 }
 
 async fn claim(plane: &ControlPlane, lease: &ClaimLease, request: &ClaimRequest) -> ClaimResult {
-    let Ok(lease) = current_lease(plane, lease, request.lease).await else {
+    let Ok(lease) = current_lease(plane, lease, request).await else {
         return ClaimResult::StoreDown;
     };
     let value = Bytes::from(claim_text(plane.shared.incarnation, request.claim));
@@ -77,7 +74,7 @@
 async fn current_lease(
     plane: &ControlPlane,
     lease: &ClaimLease,
-    time: Micros,
+    request: &ClaimRequest,
 ) -> Result<Lease, PlatformError> {
     let now = plane.now();
     if let Some((lease, until)) = &*lease.current.borrow()
@@ -85,10 +82,10 @@
     {
         return Ok(lease.clone());
     }
-    let result = plane.platform.lease((time + LEASE_USE).into()).await;
+    let result = plane.platform.lease((request.lease + request.lease_use).into()).await;
     plane.count_call("lease", &result);
     let new = result?;
-    *lease.current.borrow_mut() = Some((new.clone(), now + LEASE_USE));
+    *lease.current.borrow_mut() = Some((new.clone(), now + request.lease_use));
     Ok(new)
 }
 
--- a/crates/galenapath-entry/src/control/stop.rs
+++ b/crates/galenapath-entry/src/control/stop.rs
@@ -6,9 +6,10 @@
 use super::plane::ControlPlane;
 use super::{gossip, lists};
 use crate::data::{DataCommand, SUCCESSORS};
-use galenapath_filings::successors;
+use galenapath_filings::{HandOver, successors};
 use galenapath_peers::{HandOverWire, PeerCall};
 use galenapath_protocol::Incarnation;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,10 @@
 /// address answer are not refused: an answer is kept for five seconds, and gossip takes one more.
 const GRACE: Duration = Duration::from_secs(6);
 
+/// Most bytes of outcomes in one message. Their text form is more than twice as long, and peers
+/// take messages of eight megabytes.
+const PART_BYTES: usize = 1 << 20;
+
 /// Time between two looks at the requests in progress.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -62,18 +67,26 @@
     let Ok(outcomes) = rx.recv_async().await else { return };
     let own = plane.shared.incarnation;
     let usable: Vec<_> = plane.members.borrow().usable().map(|m| m.incarnation).collect();
+    let parts = HandOver::parts(outcomes, PART_BYTES);
     for successor in successors(own, &usable, SUCCESSORS) {
         let to = plane.members.borrow().find(successor).map(|member| member.peers);
         let Some(to) = to else { continue };
-        let wire = galenapath_peers::hand_over(own, &outcomes);
-        let (reply, answer) = flume::bounded(1);
-        let call = PeerCall::HandOver { to, outcomes: wire, reply };
-        let sent = plane.wiring.calls.send_async(call).await.is_ok();
-        let taken = sent && matches!(answer.recv_async().await, Ok(Ok(true)));
-        log::info!(to:% = to, outcomes = outcomes.len(), taken; "outcomes handed over");
+        let mut taken = 0;
+        for part in &parts {
+            taken += usize::from(send_part(plane, to, part).await);
+        }
+        log::info!(to:% = to, parts = parts.len(), taken; "outcomes handed over");
     }
 }
 
+async fn send_part(plane: &ControlPlane, to: SocketAddr, part: &[HandOver]) -> bool {
+    let outcomes = galenapath_peers::hand_over(plane.shared.incarnation, part);
+    let (reply, answer) = flume::bounded(1);
+    let call = PeerCall::HandOver { to, outcomes, reply };
+    let is_sent = plane.wiring.calls.send_async(call).await.is_ok();
+    is_sent && matches!(answer.recv_async().await, Ok(Ok(true)))
+}
+
 /// Takes over the outcomes of an incarnation that stops.
 pub(super) fn adopt(plane: &ControlPlane, wire: &HandOverWire) -> bool {
     let Ok(outcomes) = galenapath_peers::outcomes(wire) else {
--- a/crates/galenapath-entry/src/data/entries.rs
+++ b/crates/galenapath-entry/src/data/entries.rs
@@ -25,6 +25,9 @@
     address: String,
     domain: String,
     instance: String,
+    /// What idempotency keys of filings sent to this address should begin with: the instance there
+    /// runs them itself, without a call on the platform.
+    key_prefix: String,
 }
 
 /// The address answer.
@@ -34,7 +37,7 @@
     /// Addresses in the order in which to try them.
     entries: Vec<EntryBody>,
     valid_for_ms: u64,
-    /// What idempotency keys should begin with; keys with it cost no call on the platform.
+    /// The key prefix of the first address.
     key_prefix: String,
 }
 
@@ -58,11 +61,12 @@
         let answer = OwnAnswer::not_run(StatusCode::NOT_FOUND, "unknown_service", text);
         return answer.send(caller, None).await;
     };
+    let entries = entries(plane, &plane.service(service, config));
     let body = EntriesBody {
         service,
-        entries: entries(plane, &plane.service(service, config)),
+        key_prefix: entries.first().map_or_else(String::new, |entry| entry.key_prefix.clone()),
+        entries,
         valid_for_ms: VALID_FOR.0 / 1_000,
-        key_prefix: plane.filings.borrow_mut().prefix(plane.now()),
     };
     let body = serde_json::to_vec(&body)
         .map_err(|e| HttpError::Io(std::io::Error::new(std::io::ErrorKind::InvalidData, e)))?;
@@ -75,16 +79,18 @@
 fn entries(plane: &DataPlane, service: &Service) -> Vec<EntryBody> {
     let own = plane.shared.incarnation;
     let mut chosen = service.state.borrow().dispatching.chosen().to_vec();
-    // The asked instance comes first where it dispatches for the service, since the key prefix is
-    // its own. The others are turned by its name, so that callers spread over them.
+    // The asked instance comes first where it dispatches for the service, so that callers stay
+    // with it. The others are turned by its name, so that callers spread over them.
     if !chosen.is_empty() {
         let turn = hash64(own.0, service.name.as_bytes()) as usize % chosen.len();
         chosen.rotate_left(turn);
     }
     chosen.sort_by_key(|member| member.incarnation != own);
+    let mut filings = plane.filings.borrow_mut();
     chosen
         .into_iter()
         .map(|member| EntryBody {
+            key_prefix: filings.prefix_of(plane.now(), member.incarnation),
             address: member.callers.to_string(),
             domain: member.domain.0,
             instance: member.id.0,
--- a/crates/galenapath-entry/src/data/filing_wait.rs
+++ b/crates/galenapath-entry/src/data/filing_wait.rs
@@ -74,6 +74,7 @@
         path: key.claim_path(),
         claim,
         lease: plane.filings.borrow().claim_lease(),
+        lease_use: plane.filings.borrow().claim_lease_use(),
         reply,
     };
     if plane.events.try_send(ControlEvent::Claim(request)).is_err() {
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -121,6 +121,8 @@
     pub claim: ClaimId,
     /// Least time for which the claim has to stand.
     pub lease: Micros,
+    /// Longest time for which one lease may be used for new claims.
+    pub lease_use: Micros,
     /// Where the store's word goes.
     pub reply: flume::Sender<ClaimResult>,
 }
