Planned stop: connections close after their next answer from the start of the stop

Cause: keep-alive connections stayed open until the process ended, so that a request could be lost in its socket. Callers are told to close as soon as the instance leaves the address answers.

--- a/crates/galenapath-entry/src/control/lists.rs
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -36,7 +36,7 @@
     loop {
         let result = plane.platform.announce(&announcement).await;
         plane.count_call("announce", &result);
-        if result.is_ok() || plane.shared.is_draining() {
+        if result.is_ok() || plane.shared.is_leaving() {
             return;
         }
         monoio::time::sleep(FAILURE_PAUSE).await;
--- a/crates/galenapath-entry/src/control/stop.rs
+++ b/crates/galenapath-entry/src/control/stop.rs
@@ -6,6 +6,7 @@
 use super::plane::ControlPlane;
 use super::{gossip, lists};
 use crate::data::{DataCommand, SUCCESSORS};
+use crate::shared::Stage;
 use galenapath_filings::{HandOver, successors};
 use galenapath_peers::{HandOverWire, PeerCall};
 use galenapath_protocol::Incarnation;
@@ -30,12 +31,13 @@
     let limit = plane.shared.settings.limits.drain_timeout;
     log::info!(limit:? = limit; "stopping");
     let end = Instant::now() + limit;
+    plane.shared.set_stage(Stage::Leaving);
     plane.members.borrow_mut().leave(plane.now());
     plane.publish_members();
     gossip::tell_all(plane).await;
     lists::announce_leaving(plane).await;
     wait(plane, GRACE.min(limit / 2)).await;
-    plane.shared.set_draining();
+    plane.shared.set_stage(Stage::Draining);
     let _ = plane.wiring.commands.send_async(DataCommand::BeginStop).await;
     while Instant::now() < end && in_progress(plane).await > 0 {
         wait(plane, POLL).await;
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -80,7 +80,7 @@
 ) -> Result<(), HttpError> {
     let _guard = plane.begin();
     caller.method = head.method.clone();
-    caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_draining();
+    caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_leaving();
     let framing = match request_framing(head.version, &head.headers) {
         Ok(framing) => framing,
         Err(e) => {
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -11,7 +11,7 @@
 use galenapath_settings::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 
 /// Usable entry instances at some moment.
 #[derive(Clone, Debug, Default)]
@@ -52,7 +52,8 @@
     /// Entry instances.
     pub members: ArcSwap<MemberView>,
     ready: AtomicBool,
-    draining: AtomicBool,
+    /// How far a planned stop has come; only ever goes up.
+    stage: AtomicU8,
 }
 
 impl Shared {
@@ -73,7 +74,7 @@
             fleet: ArcSwap::default(),
             members: ArcSwap::default(),
             ready: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            stage: AtomicU8::new(Stage::Serving as u8),
         })
     }
 
@@ -84,7 +85,7 @@
 
     /// Whether the instance knows the configuration and the backend servers.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire) && !self.is_draining()
+        self.ready.load(Ordering::Acquire) && !self.is_leaving()
     }
 
     /// Notes that the instance knows enough to serve.
@@ -92,17 +93,34 @@
         self.ready.store(true, Ordering::Release);
     }
 
-    /// Whether the instance takes no new requests because it is stopping.
+    /// Whether a planned stop has begun: connections are closed after their next answer.
+    pub fn is_leaving(&self) -> bool {
+        self.stage.load(Ordering::Acquire) >= Stage::Leaving as u8
+    }
+
+    /// Whether a planned stop has come to where no new filings are taken.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.stage.load(Ordering::Acquire) >= Stage::Draining as u8
     }
 
-    /// Notes that the instance is stopping.
-    pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Release);
+    /// Notes how far a planned stop has come.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.fetch_max(stage as u8, Ordering::AcqRel);
     }
 }
 
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No stop has begun.
+    Serving,
+    /// The instance has left the address answers and still takes requests, since callers keep the
+    /// answers that they have for a while.
+    Leaving,
+    /// Requests in progress end; no new filings are taken.
+    Draining,
+}
+
 /// What the data thread tells or asks the control thread.
 pub enum ControlEvent {
     /// A backend server said that it is leaving.
