--- /dev/null
+++ b/crates/galenapath-config/tests/acceptance.rs
@@ -0,0 +1,118 @@
+//! Single steps of accepting a change.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
+
+mod support;
+
+use galenapath_config::{
+    Acceptance, Action, Chain, Event, Head, HeadIndex, Limits, Outcome, Replica, Version,
+};
+use galenapath_protocol::Verdict;
+use support::{long_chain, set_target};
+
+fn knowing(chain: &Chain) -> Replica {
+    let mut replica = Replica::default();
+    replica.apply_from(chain.config(), chain.head().clone());
+    replica
+}
+
+/// An acceptance of a change on `chains`' newest, and the event of reading `head`.
+fn begin(known: &Chain, base: u64) -> Acceptance {
+    Acceptance::new(set_target("x", base, "lookup", 5), knowing(known), 7, Limits::DEFAULT)
+}
+
+fn read(index: u64, head: &Head) -> Event {
+    Event::Head { index: HeadIndex(index), head: head.clone() }
+}
+
+fn verdict(action: Action) -> Verdict {
+    match action {
+        Action::Answer(Outcome::Unavailable(verdict)) => verdict,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn step_older_store_is_not_built_upon() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 2);
+    let action = acceptance.step(read(9, chains[1].head()));
+    assert_eq!(action, Action::Answer(Outcome::StoreBehind));
+}
+
+#[test]
+fn step_emptied_store_is_not_built_upon() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    let action = acceptance.step(read(0, &Head::default()));
+    assert_eq!(action, Action::Answer(Outcome::StoreBehind));
+}
+
+#[test]
+fn step_swapped_is_accepted() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    let action = acceptance.step(read(9, chains[3].head()));
+    assert!(matches!(action, Action::Swap { expected: HeadIndex(9), .. }));
+    let Action::Answer(Outcome::Accepted { version, chain }) = acceptance.step(Event::Swapped)
+    else {
+        panic!("not accepted");
+    };
+    assert_eq!((version, chain.version()), (Version(5), Version(5)));
+}
+
+#[test]
+fn step_given_up_before_swap_not_run() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    assert_eq!(verdict(acceptance.step(Event::GiveUp)), Verdict::NotRun);
+}
+
+#[test]
+fn step_given_up_in_swap_may_have_run() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    acceptance.step(read(9, chains[3].head()));
+    assert_eq!(verdict(acceptance.step(Event::GiveUp)), Verdict::MayHaveRun);
+}
+
+#[test]
+fn step_lost_reply_then_store_away_may_have_run() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    acceptance.step(read(9, chains[3].head()));
+    assert_eq!(acceptance.step(Event::Failed(Verdict::MayHaveRun)), Action::ReadHead);
+    assert_eq!(verdict(acceptance.step(Event::Failed(Verdict::NotRun))), Verdict::MayHaveRun);
+}
+
+/// The fault that the model check found: the head has moved on, and the snapshot that would tell
+/// whether the swap took effect cannot be read.
+#[test]
+fn step_lost_reply_then_snapshot_away_may_have_run() {
+    let limits = Limits { tail: 1, page: 1 };
+    let chains = long_chain(5, limits);
+    let req = set_target("x", 2, "lookup", 5);
+    let mut acceptance = Acceptance::new(req, knowing(&chains[1]), 7, limits);
+    let action = acceptance.step(read(9, chains[1].head()));
+    assert!(matches!(action, Action::WriteCut { .. }));
+    acceptance.step(Event::CutWritten);
+    assert_eq!(acceptance.step(Event::Failed(Verdict::MayHaveRun)), Action::ReadHead);
+    let action = acceptance.step(read(12, chains[5].head()));
+    assert!(matches!(action, Action::ReadSnapshot(_)));
+    assert_eq!(verdict(acceptance.step(Event::Failed(Verdict::NotRun))), Verdict::MayHaveRun);
+}
+
+#[test]
+fn step_races_without_end_given_up() {
+    let chains = long_chain(3, Limits::DEFAULT);
+    let mut acceptance = begin(&chains[3], 4);
+    for swaps in 1..=8 {
+        let action = acceptance.step(read(9 + swaps, chains[3].head()));
+        assert!(matches!(action, Action::Swap { .. }), "{swaps}");
+        let action = acceptance.step(Event::Raced);
+        match swaps {
+            8 => assert_eq!(verdict(action), Verdict::NotRun),
+            _ => assert_eq!(action, Action::ReadHead),
+        }
+    }
+}
