--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -10,9 +10,13 @@
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
 use std::time::Duration;
 
-/// Space made for one read, in bytes.
+/// Space made for one read inside a message, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Space made while a connection is idle, in bytes: enough for most heads, and small, since every
+/// idle connection holds it.
+const IDLE_READ_SIZE: usize = 1024;
+
 /// Output beyond this many bytes is written before more is added.
 const FLUSH_SIZE: usize = 64 * 1024;
 
@@ -83,7 +87,7 @@
     }
 
     async fn fill_within(&mut self, limit: Duration) -> Result<(), HttpError> {
-        match monoio::time::timeout(limit, self.fill()).await {
+        match monoio::time::timeout(limit, self.fill_up_to(IDLE_READ_SIZE)).await {
             Ok(Ok(0)) => Err(HttpError::Closed),
             Ok(Ok(_)) => Ok(()),
             Ok(Err(e)) => Err(e.into()),
@@ -115,7 +119,11 @@
     /// Reads once; returns the number of bytes, 0 at the end. Cancelling loses no bytes: the spare
     /// room is split off, so what was received before stays in `input`.
     async fn fill(&mut self) -> std::io::Result<usize> {
-        self.input.reserve(READ_SIZE);
+        self.fill_up_to(READ_SIZE).await
+    }
+
+    async fn fill_up_to(&mut self, size: usize) -> std::io::Result<usize> {
+        self.input.reserve(size);
         let len = self.input.len();
         let mut spare = self.input.split_off(len);
         let room = spare.bytes_total();
