Stand-in connections let timers run during large bodies

Cause: the runtime looks at its timers only when no task is ready, and reading a fast peer is ready all the time; one answer of 2 GB held up every timer of the process for its whole length (scenario transfer-cut: the kill came a minute late). Change: a pause after every 4 MB.

--- a/crates/galenapath-dev/src/scenario/relay.rs
+++ b/crates/galenapath-dev/src/scenario/relay.rs
@@ -53,7 +53,11 @@
     pub fn start(addr: SocketAddr) -> Result<Self, ScenarioError> {
         let listener = TcpListener::bind(addr).map_err(ScenarioError::io("relay"))?;
         let addr = listener.local_addr().map_err(ScenarioError::io("relay"))?;
-        let link = Rc::new(Link { fault: Cell::default(), cuts: Cell::default(), target: Cell::new(None) });
+        let link = Rc::new(Link {
+            fault: Cell::default(),
+            cuts: Cell::default(),
+            target: Cell::new(None),
+        });
         monoio::spawn(accept(listener, Rc::clone(&link)));
         Ok(Self { addr, link })
     }
--- a/crates/galenapath-dev/src/wire/conn.rs
+++ b/crates/galenapath-dev/src/wire/conn.rs
@@ -4,12 +4,14 @@
 use bytes::{Bytes, BytesMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
+use monoio::time::sleep;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::common::request::RequestHead;
 use monoio_http::common::response::ResponseHead;
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Bytes asked for by one read; also the largest part of a body that is held at once.
@@ -19,6 +21,10 @@
 /// First allocation for reads; idle connections keep no more than this.
 const FIRST_READ_LEN: usize = 4 * 1024;
 
+/// Bytes of bodies after which a connection lets timers and other tasks run. The runtime looks at
+/// its timers only when no task is ready, and a fast peer's connection is ready all the time.
+const PAUSE_AFTER: usize = 4 * 1024 * 1024;
+
 /// Why a message could not be read or written.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -46,6 +52,8 @@
     buf: BytesMut,
     /// Next read's length: grows while a body streams, so that idle connections stay small.
     read_len: usize,
+    /// Bytes of bodies since the last pause.
+    since_pause: usize,
 }
 
 impl Conn {
@@ -53,7 +61,7 @@
     pub fn new(stream: TcpStream) -> Self {
         // Small answers must not wait for an acknowledgement; failure costs only latency.
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: BytesMut::new(), read_len: FIRST_READ_LEN }
+        Self { stream, buf: BytesMut::new(), read_len: FIRST_READ_LEN, since_pause: 0 }
     }
 
     /// Connects to `addr`.
@@ -96,6 +104,7 @@
     pub async fn read_part(&mut self, framing: &mut Framing) -> Result<Option<Bytes>, WireError> {
         loop {
             if let Some(part) = self.decode_part(framing)? {
+                self.pause_after(part.len()).await;
                 return Ok(Some(part));
             }
             if matches!(framing, Framing::Done) {
@@ -160,6 +169,7 @@
 
     /// Writes all of `bytes` without copying them.
     pub async fn write_part(&mut self, bytes: Bytes) -> Result<(), WireError> {
+        self.pause_after(bytes.len()).await;
         self.stream.write_all(bytes).await.0?;
         Ok(())
     }
@@ -180,6 +190,14 @@
         }
     }
 
+    async fn pause_after(&mut self, len: usize) {
+        self.since_pause += len;
+        if self.since_pause >= PAUSE_AFTER {
+            self.since_pause = 0;
+            sleep(Duration::ZERO).await;
+        }
+    }
+
     async fn fill(&mut self) -> io::Result<usize> {
         let (result, buf) = self.stream.read(Vec::with_capacity(self.read_len)).await;
         let len = result?;
