--- a/crates/galenapath-filings/src/table/admit.rs
+++ b/crates/galenapath-filings/src/table/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a filing by its key.
 
-use super::{FilingTable, Phase};
+use super::{EARLY_WINDOWS, FilingTable};
 use crate::record::{Record, State};
 use crate::{Answer, ClaimId, FilingKey, Fingerprint, KeyId, KeyKind, RecordId};
 use galenapath_protocol::{Incarnation, Micros};
@@ -42,7 +42,7 @@
         /// Span after which a resend may succeed.
         retry_after: Micros,
     },
-    /// The key's window is over, or was never issued. Nothing is known: "may have run".
+    /// The key's window is over, or cannot have been issued yet. Nothing is known: "may have run".
     Expired,
 }
 
@@ -55,7 +55,14 @@
             KeyKind::Issued { incarnation, window } if self.owns(incarnation) => {
                 self.admit_issued(key.id(), window, fp)
             }
-            KeyKind::Issued { incarnation, .. } => self.admit_elsewhere(incarnation, key.id(), fp),
+            KeyKind::Issued { incarnation, window } => {
+                match self.admit_elsewhere(incarnation, key.id(), fp) {
+                    Admit::MayHaveRun if !self.guards.successor_replays_only => {
+                        self.admit_issued(key.id(), window, fp)
+                    }
+                    admit => admit,
+                }
+            }
         }
     }
 
@@ -66,14 +73,14 @@
     fn admit_issued(&mut self, key: KeyId, window: u32, fp: Fingerprint) -> Admit {
         let floor = self.records.floor();
         let expired = window < floor && self.guards.expired_refused;
-        if expired || window > self.window() {
+        if expired || window > self.window().saturating_add(EARLY_WINDOWS) {
             return Admit::Expired;
         }
         let window = window.max(floor);
         if let Some(id) = self.records.find(window, key) {
             return self.admit_known(id, fp);
         }
-        if self.stopping() {
+        if self.stopping {
             return Admit::Full { retry_after: self.cfg.retry_after };
         }
         match self.open(window, key, fp, State::Admitted, false) {
@@ -90,12 +97,20 @@
     /// A key that has a record here.
     pub(super) fn admit_known(&mut self, id: RecordId, fp: Fingerprint) -> Admit {
         let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
-        if record.binds_fingerprint() && record.fp != fp && self.guards.fingerprint_checked {
+        let bound = record.binds_fingerprint() || !self.guards.unclaimed_unbound;
+        if bound && record.fp != fp && self.guards.fingerprint_checked {
             return Admit::Mismatch;
         }
         match &record.state {
-            State::Admitted | State::Sent if !self.guards.record_first => Admit::Run(id),
-            State::Claiming { .. } | State::Admitted | State::Sent => Admit::InProgress(id),
+            State::Admitted | State::Sent if !self.guards.record_first => self.run_again(id, fp),
+            State::Admitted | State::Sent => Admit::InProgress(id),
+            State::Claiming { first, latest } => {
+                let (first, latest) = (*first, *latest);
+                match self.is_awaited(latest) {
+                    true => Admit::InProgress(id),
+                    false => self.reclaim(id, first, fp),
+                }
+            }
             State::Unclaimed { first } => {
                 let first = *first;
                 self.reclaim(id, first, fp)
@@ -110,7 +125,7 @@
     /// Runs a claimed key that did not run, under a new sequence number: the holder of the old id
     /// can do nothing with it.
     fn run_again(&mut self, id: RecordId, fp: Fingerprint) -> Admit {
-        if self.stopping() {
+        if self.stopping {
             return Admit::Full { retry_after: self.cfg.retry_after };
         }
         let seq = self.records.next_seq();
@@ -121,10 +136,6 @@
         Admit::Run(RecordId { seq, ..id })
     }
 
-    pub(super) fn stopping(&self) -> bool {
-        self.phase != Phase::Serving
-    }
-
     /// Makes a record; `None` if there is no room.
     pub(super) fn open(
         &mut self,
--- a/crates/galenapath-filings/src/table/claims.rs
+++ b/crates/galenapath-filings/src/table/claims.rs
@@ -1,6 +1,7 @@
 //! Callers' own keys: bound to an incarnation by a claim in the store.
 
-use super::{FilingTable, Phase};
+use super::FilingTable;
+use crate::claim::PendingClaim;
 use crate::record::State;
 use crate::{Admit, ClaimId, ClaimResult, Fingerprint, KeyId, RecordId};
 use galenapath_protocol::{Incarnation, Micros};
@@ -11,13 +12,28 @@
         self.cfg.claim_lease
     }
 
+    /// Longest time for which one lease may be used for new claims. A store that lets the holder of
+    /// a lease write over its own claim would else give a claim that outlived its record a new
+    /// number, and the key would run again.
+    pub fn claim_lease_use(&self) -> Micros {
+        self.cfg.lifetime
+    }
+
     /// Takes the store's word on a claim. Called once for each [`Admit::Claim`].
     pub fn claim_result(&mut self, now: Micros, claim: ClaimId, result: ClaimResult) -> Admit {
         self.expire(now);
-        let Some(id) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
+        let Some(pending) = self.pending.remove(&claim) else { return Admit::MayHaveRun };
+        let id = pending.record;
+        let stale = self.is_stale(pending);
         let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
-        let State::Claiming { first, .. } = record.state else { return Admit::MayHaveRun };
+        let State::Claiming { first, latest } = record.state else { return Admit::MayHaveRun };
+        if latest != claim {
+            return Admit::MayHaveRun;
+        }
         let fp = record.fp;
+        if stale && self.guards.stale_claim_refused {
+            return self.unclaimed(id, first);
+        }
         match result {
             ClaimResult::Won => self.claimed(id),
             ClaimResult::Lost { incarnation, claim } if incarnation == self.incarnation => {
@@ -71,13 +87,29 @@
         self.ask(id, latest)
     }
 
+    /// Whether the store's word on a claim can still be acted on. One that never comes, because
+    /// whoever asked was cancelled, does not hold off resends for longer.
+    pub(super) fn is_awaited(&self, claim: ClaimId) -> bool {
+        let pending = self.pending.get(&claim);
+        pending.is_some_and(|pending| !self.is_stale(*pending))
+    }
+
+    fn is_stale(&self, pending: PendingClaim) -> bool {
+        self.now - pending.asked > self.cfg.claim_patience
+    }
+
     fn ask(&mut self, id: RecordId, claim: ClaimId) -> Admit {
-        self.pending.insert(claim, id);
+        while let Some(oldest) = self.pending.first_entry()
+            && self.now - oldest.get().asked > self.cfg.claim_patience
+        {
+            oldest.remove();
+        }
+        self.pending.insert(claim, PendingClaim { record: id, asked: self.now });
         Admit::Claim(claim)
     }
 
     fn may_claim(&mut self) -> Result<(), Micros> {
-        if self.stopping() {
+        if self.stopping {
             return Err(self.cfg.retry_after);
         }
         self.budget.take(self.now)
@@ -90,14 +122,9 @@
 
     /// The store holds a claim of this record's life: the key is this incarnation's to dispatch.
     fn claimed(&mut self, id: RecordId) -> Admit {
-        let ready = self.phase == Phase::HandedOver;
-        if let Some(record) = self.records.get_mut(id) {
-            record.state = if ready { State::Ready } else { State::Admitted };
-        }
-        match ready {
-            true => Admit::Full { retry_after: self.cfg.retry_after },
-            false => Admit::Run(id),
-        }
+        let Some(record) = self.records.get_mut(id) else { return Admit::MayHaveRun };
+        record.state = State::Admitted;
+        Admit::Run(id)
     }
 
     /// The store holds a claim from before this record: its own record has expired, and it may
