--- a/crates/galenapath-policy/benches/decisions/aims.rs
+++ b/crates/galenapath-policy/benches/decisions/aims.rs
@@ -1,13 +1,18 @@
 //! The aims, and whether the runs met them.
 
 use super::Job;
-use super::scenario::Pattern;
+use super::scenario::{MEAN_WORK, Pattern, SECOND, SERVERS, SLOTS};
 use super::stats::Figures;
 use galenapath_policy::ChoicePolicy;
 
 const MOST_OVER_LIMIT: f64 = 1.3;
 const MOST_OF_POWER_OF_TWO_WAIT: f64 = 0.25;
 const MOST_STRAGGLER_SHARE: f64 = 0.25;
+const CAPACITY_PER_SECOND: f64 = SERVERS as f64 * SLOTS as f64 * SECOND as f64 / MEAN_WORK;
+const LEAST_GOODPUT: f64 = 0.95;
+const LEAST_RECOVERED: f64 = 0.99;
+/// In milliseconds.
+const LATEST_REJECTION: f64 = 1.0;
 const MOST_MEASURING: f64 = 0.01;
 
 /// The runs of one scenario.
@@ -28,6 +33,9 @@
         } else {
             print_never_worse(&runs);
         }
+        if runs.pattern == Pattern::Saturation {
+            print_saturation(&runs);
+        }
         let measuring = runs.galenapath.measuring;
         let text = format!("{:.3}%", measuring * 100.0);
         print_aim(&runs.title, "measuring < 1%", &text, measuring < MOST_MEASURING);
@@ -46,6 +54,20 @@
     print_aim(title, "share after 50 ms < 1/4 of even", &format!("{share:.3}"), is_met);
 }
 
+fn print_saturation(runs: &Runs<'_>) {
+    let Runs { title, galenapath: g, .. } = runs;
+    let [overload, after] = g.windows;
+    let goodput = overload.good as f64 / CAPACITY_PER_SECOND;
+    let text = format!("{:.1}%", goodput * 100.0);
+    print_aim(title, "goodput at 150% >= 95% of capacity", &text, goodput >= LEAST_GOODPUT);
+    let is_met = g.told99 <= LATEST_REJECTION;
+    print_aim(title, "rejections within 1 ms, p99", &format!("{:.2} ms", g.told99), is_met);
+    let recovered = after.good as f64 / after.offered.max(1) as f64;
+    let text = format!("{:.2}%", recovered * 100.0);
+    let is_met = recovered >= LEAST_RECOVERED;
+    print_aim(title, "second after the overload answered in time >= 99%", &text, is_met);
+}
+
 fn print_never_worse(runs: &Runs<'_>) {
     let Runs { title, galenapath: g, power_of_two: p, .. } = runs;
     let ratios = [g.p50 / p.p50, g.p99 / p.p99, g.p999 / p.p999];
