Ejected servers: the waits between trials grow with the number of dispatchers

Cause: with sixteen dispatchers each makes trials of its own; on a straggler 160 of 61,000 requests were trials or first late ones, more than one in a thousand.

Three dispatchers wait 99 ms as before 100.

choose_trials_shared_by_dispatchers fails with fixed waits. The times in choose_ejected_single_trial follow: twice 99 ms.

--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -114,6 +114,7 @@
         let probes = ProbeBudget::new(now, self.cfg.probe_rate, self.cfg.dispatchers);
         let generation = self.generations[index];
         let mut server = Server::new(id.clone(), generation, self.cfg.assumed_slots, probes);
+        server.health.dispatchers = self.cfg.dispatchers;
         server.ramp_from = self.listed.then_some(now);
         self.generations[index] = Slot::next_generation(generation);
         self.servers[index] = Some(server);
@@ -126,6 +127,7 @@
         self.cfg.dispatchers = dispatchers.max(1);
         for server in self.servers.iter_mut().flatten() {
             server.probes.set_share(now, self.cfg.probe_rate, self.cfg.dispatchers);
+            server.health.dispatchers = self.cfg.dispatchers;
         }
     }
 
--- a/crates/galenapath-policy/src/balance/health.rs
+++ b/crates/galenapath-policy/src/balance/health.rs
@@ -31,9 +31,11 @@
 const EJECT_SCORE: f32 = 8.0;
 /// Half-life of the score of a server that has nothing in flight to move it.
 const IDLE_HALF_LIFE: Micros = Micros::from_millis(50);
-/// Time to the first trial of an ejected server; doubles with each that goes wrong.
-const FIRST_TRIAL: Micros = Micros::from_millis(100);
-const LONGEST_TRIAL_WAIT: Micros = Micros::from_secs(1);
+/// Time to the first trial of an ejected server, for each dispatcher of the service; doubles with
+/// each that goes wrong. Trials go wrong for their callers, so that all dispatchers together make
+/// about as many, however many they are: three make one each after 100 ms.
+const FIRST_TRIAL: Micros = Micros::from_millis(33);
+const LONGEST_TRIAL_WAIT: Micros = Micros::from_millis(333);
 /// Trials in time, one after the other, that bring a server back.
 const TRIALS_TO_RETURN: u32 = 3;
 
@@ -103,6 +105,8 @@
     score: f32,
     /// When the score last changed.
     changed_at: Micros,
+    /// Dispatchers of the service, which share the trials.
+    pub dispatchers: u32,
     ejection: Option<Ejection>,
 }
 
@@ -129,10 +133,11 @@
 
     /// Takes a sign of a request that started at `started`.
     pub fn note(&mut self, now: Micros, started: Micros, sign: Sign) {
+        let longest = self.for_all(LONGEST_TRIAL_WAIT);
         match &mut self.ejection {
             None => self.note_score(now, sign),
             Some(ejection) => {
-                if ejection.note_trial(now, started, sign) {
+                if ejection.note_trial(now, started, sign, longest) {
                     self.ejection = None;
                     self.score = 0.0;
                 }
@@ -140,16 +145,17 @@
         }
     }
 
+    fn for_all(&self, wait: Micros) -> Micros {
+        Micros(wait.0 * u64::from(self.dispatchers.max(1)))
+    }
+
     fn note_score(&mut self, now: Micros, sign: Sign) {
         self.score = (self.score + sign.step()).clamp(0.0, EJECT_SCORE);
         self.changed_at = now;
         if self.score >= EJECT_SCORE {
-            self.ejection = Some(Ejection {
-                next_trial: now + FIRST_TRIAL,
-                wait: FIRST_TRIAL,
-                good_trials: 0,
-                trial_from: None,
-            });
+            let wait = self.for_all(FIRST_TRIAL);
+            self.ejection =
+                Some(Ejection { next_trial: now + wait, wait, good_trials: 0, trial_from: None });
         }
     }
 
@@ -186,7 +192,7 @@
 
 impl Ejection {
     /// Returns whether the server has earned its return.
-    fn note_trial(&mut self, now: Micros, started: Micros, sign: Sign) -> bool {
+    fn note_trial(&mut self, now: Micros, started: Micros, sign: Sign, longest: Micros) -> bool {
         if self.trial_from.is_none_or(|from| started < from) {
             return false;
         }
@@ -197,7 +203,7 @@
             return self.good_trials >= TRIALS_TO_RETURN;
         }
         self.good_trials = 0;
-        self.wait = Micros((self.wait.0 * 2).min(LONGEST_TRIAL_WAIT.0));
+        self.wait = Micros((self.wait.0 * 2).min(longest.0));
         self.next_trial = now + self.wait;
         false
     }
