Try: doubt servers that claim room and answer late

Cause sought: with sixteen dispatchers few have two requests on a server, so that a report of none is seldom contradicted and idle-looking liars draw work.

--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -160,7 +160,8 @@
             Outcome::Answered => {
                 let lateness = limits.map_or(Lateness::InTime, |l| l.lateness(latency));
                 server.health.note(now, started, Sign::Ended { counted, lateness });
-                server.others.answered(latency, mean, server.slots);
+                let is_late = lateness > Lateness::InTime;
+                server.others.answered(latency, mean, server.slots, is_late);
                 server.answered(now);
                 let home = server.home;
                 self.paths.add(home, latency);
