--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -160,8 +160,7 @@
             Outcome::Answered => {
                 let lateness = limits.map_or(Lateness::InTime, |l| l.lateness(latency));
                 server.health.note(now, started, Sign::Ended { counted, lateness });
-                let is_late = lateness > Lateness::InTime;
-                server.others.answered(latency, mean, server.slots, is_late);
+                server.others.answered(latency, mean, server.slots);
                 server.answered(now);
                 let home = server.home;
                 self.paths.add(home, latency);
--- a/crates/galenapath-policy/src/balance/load.rs
+++ b/crates/galenapath-policy/src/balance/load.rs
@@ -18,9 +18,6 @@
 const DOUBTED_FROM: f32 = 4.0;
 const MOST_DOUBT: f32 = 8.0;
 const CONFIRMED: f32 = 0.1;
-/// Doubt that an answer in time takes back from a server that claims room. A tenth of a usual
-/// server's answers are late; beyond a fifth the doubt grows.
-const IN_TIME_WITH_ROOM: f32 = 0.25;
 /// Requests by which a report may differ from the own count: answers on the way.
 const REPORT_SLACK: u32 = 1;
 
@@ -30,8 +27,6 @@
     last: f32,
     average: f32,
     waiting: u32,
-    /// Whether the last report claimed a free slot.
-    claims_room: bool,
     reported_at: Option<Micros>,
     /// Between zero and `MOST_DOUBT`.
     doubt: f32,
@@ -45,7 +40,6 @@
         self.last = total.saturating_sub(own) as f32;
         self.average += OTHERS_WEIGHT * (self.last - self.average);
         self.waiting = report.waiting;
-        self.claims_room = total < report.slots;
         self.reported_at = Some(now);
     }
 
@@ -56,15 +50,10 @@
     }
 
     /// A request came back after `latency`. When the server claims a queue of a whole round of its
-    /// slots and still answers within the service's mean, the claim is false; when it claims room
-    /// and its requests are late more often than others', that is.
-    pub fn answered(&mut self, latency: Micros, mean: f32, slots: u32, is_late: bool) {
+    /// slots and still answers within the service's mean, the claim is false.
+    pub fn answered(&mut self, latency: Micros, mean: f32, slots: u32) {
         if self.waiting >= slots {
             self.weigh((latency.0 as f32) < mean);
-        } else if self.claims_room && is_late {
-            self.weigh(true);
-        } else if self.claims_room {
-            self.doubt = (self.doubt - IN_TIME_WITH_ROOM).max(0.0);
         }
     }
 
