--- a/crates/galenapath-policy/benches/decisions/main.rs
+++ b/crates/galenapath-policy/benches/decisions/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo bench --bench decisions [-- WORD]` plays the rows whose name contains `WORD`.
 
+mod admission;
 mod aims;
 mod cost;
 mod event;
@@ -39,18 +40,19 @@
     [admitting("galenapath, 6 disp.", 2 * FEW), admitting("galenapath, 16 disp.", INSTANCES)];
 
 const fn player(name: &'static str, policy: ChoicePolicy, dispatchers: usize) -> Player {
-    Player { name, policy, dispatchers, admits: false }
+    Player { name, policy, dispatchers, admission: false }
 }
 
 /// The whole path of an entry instance: admission, then the balancer.
 const fn admitting(name: &'static str, dispatchers: usize) -> Player {
-    Player { name, policy: ChoicePolicy::Galenapath, dispatchers, admits: true }
+    Player { name, policy: ChoicePolicy::Galenapath, dispatchers, admission: true }
 }
 
-const PATTERNS: [Pattern; 10] = [
+const PATTERNS: [Pattern; 11] = [
     Pattern::Steady,
     Pattern::Burst,
     Pattern::HeavyCallers,
+    Pattern::HeavyOverload,
     Pattern::Straggler,
     Pattern::FastFailure,
     Pattern::LongAmongShort,
@@ -61,8 +63,14 @@
 ];
 
 /// Patterns that are played with more dispatchers too.
-const COUNTED: [Pattern; 4] =
-    [Pattern::Steady, Pattern::HeavyCallers, Pattern::Straggler, Pattern::BadReports];
+const COUNTED: [Pattern; 6] = [
+    Pattern::Steady,
+    Pattern::HeavyCallers,
+    Pattern::HeavyOverload,
+    Pattern::Straggler,
+    Pattern::Saturation,
+    Pattern::BadReports,
+];
 
 /// One run: a scenario and a player, or the limit.
 #[derive(Clone, Copy)]
@@ -87,6 +95,7 @@
         print_row(job, figures);
     }
     aims::print(&jobs, &figures);
+    admission::print(&jobs, &figures);
 }
 
 fn jobs() -> Vec<Job> {
--- a/crates/galenapath-policy/benches/decisions/sim/mod.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/mod.rs
@@ -3,16 +3,17 @@
 //! An instance knows what its balancer was told: its own requests, the reports on the answers it
 //! got, and a list of servers that lags.
 
-mod admitted;
+mod admit;
 mod members;
 
+use self::admit::Gate;
 use super::event::{Event, Events};
 use super::fleet::{self, Reception, Server};
 use super::scenario::{
     Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, Scenario, Time,
 };
 use super::stats::Stats;
-use galenapath_policy::{Admission, Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot};
+use galenapath_policy::{Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot};
 use galenapath_protocol::{BackendId, DomainId, InstanceId, LoadReport, Micros};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -20,7 +21,7 @@
 
 /// One way between an instance and a server of its failure domain.
 pub const LOCAL_DELAY: Time = 100;
-/// A request that waits longer at an instance without admission is turned away.
+/// A request that waits longer at an instance is turned away. It stands in for admission.
 pub const LONGEST_WAIT: Time = super::scenario::TARGET / 2;
 const FAST_FAILURE: Time = 200;
 const PROBE_COST: Time = 50;
@@ -43,9 +44,8 @@
     pub policy: ChoicePolicy,
     /// Instances that dispatch for the service.
     pub dispatchers: usize,
-    /// Whether requests pass through admission, as on an entry instance; otherwise they wait in one
-    /// queue for at most `LONGEST_WAIT`.
-    pub admits: bool,
+    /// Whether admission decides what waits and what is turned away.
+    pub admission: bool,
 }
 
 struct Req {
@@ -63,7 +63,8 @@
     id: InstanceId,
     balancer: Balancer,
     queue: VecDeque<usize>,
-    admission: Admission,
+    /// Takes the place of `queue` for a player with admission.
+    gate: Option<Gate>,
     lag: Time,
     /// Requests that arrived in this window and in the one before.
     arrived: u64,
@@ -157,7 +158,7 @@
             id: InstanceId(id),
             balancer: Balancer::new(cfg, domain_id(domain), seed),
             queue: VecDeque::new(),
-            admission: admitted::admission(self.scenario.pattern, seed),
+            gate: self.player.admission.then(|| Gate::new(&self.scenario, seed)),
             arrived: 0,
             arrived_before: 0,
             slots_before: 0.0,
@@ -219,9 +220,8 @@
             tries: 0,
             sent_at: 0,
         });
-        if self.player.admits {
-            self.offer(req);
-            return;
+        if self.player.admission {
+            return self.offer(instance, req);
         }
         self.entries[instance].queue.push_back(req);
         self.drain(instance);
@@ -243,9 +243,8 @@
 
     /// Sends waiting requests while the balancer sees free slots; baselines send at once.
     fn drain(&mut self, instance: usize) {
-        if self.player.admits {
-            self.poll(instance);
-            return;
+        if self.player.admission {
+            return self.pump(instance);
         }
         let queues = self.player.policy == ChoicePolicy::Galenapath;
         let now = Micros(self.now);
@@ -330,26 +329,28 @@
             balancer.report(now, slot, report);
             self.reqs[req].tried.push(slot);
         }
+        let is_final = outcome == Outcome::Answered || tries >= MOST_TRIES;
+        if let Some(gate) = &mut self.entries[instance].gate {
+            gate.answered(now, req, is_final.then_some((outcome, latency)));
+        }
         if outcome == Outcome::Answered {
             let inside = self.now - arrival.at;
             let wait = inside.saturating_sub(arrival.work);
             let latency = inside + 2 * self.scenario.deployment.client;
             self.stats.answer(&arrival, latency, wait);
-            self.end_admitted(req, outcome);
-        } else if tries >= MOST_TRIES {
-            self.stats.reject(arrival.at);
-            self.end_admitted(req, outcome);
-        } else if self.player.admits {
-            self.start_admitted(req);
-        } else {
+        } else if tries < MOST_TRIES && self.player.admission {
+            self.send_admitted(req);
+        } else if tries < MOST_TRIES {
             self.entries[instance].queue.push_front(req);
+        } else {
+            self.stats.reject(arrival.at);
         }
         self.drain(instance);
     }
 
     fn tick(&mut self, instance: usize) {
         let entry = &self.entries[instance];
-        if !entry.live && entry.queue.is_empty() && entry.admission.waiting() == 0 {
+        if !entry.live && entry.queue.is_empty() {
             return;
         }
         if self.now % LOAD_WINDOW < TICK {
--- a/crates/galenapath-policy/benches/decisions/stats.rs
+++ b/crates/galenapath-policy/benches/decisions/stats.rs
@@ -1,21 +1,32 @@
 //! What a run measures.
 
-use super::scenario::{Arrival, CALLERS, MEASURED_FROM, MS, SECOND, SERVERS, SLOTS, Time};
+use super::scenario::{
+    Arrival, CALLERS, HEAVY_CALLERS, MEAN_WORK, MEASURED_FROM, MS, SECOND, SERVERS, SLOTS, Time,
+};
 
 /// Windows after the event in which the share of server 0 is counted: end of each.
 const SHARE_WINDOWS: [Time; 3] = [50 * MS, 250 * MS, Time::MAX];
 
+/// Seconds of a run.
+const SECONDS: usize = 4;
+/// Start of the time before the event in which latencies are compared; servers are warm by then.
+const WARM_FROM: Time = 300 * MS;
+
 #[derive(Debug)]
 pub struct Stats {
     latencies: Vec<Time>,
     waits: Vec<Time>,
     offered: usize,
     rejected: usize,
+    within_target: usize,
+    /// Requests that arrived in each second, and those of them answered within target.
+    offered_by_second: [u32; SECONDS],
+    good_by_second: [u32; SECONDS],
     /// Times from arrival to rejection.
     told: Vec<Time>,
-    /// Requests of the overload and of the second after it, and those answered within target.
-    windows: [Window; 2],
-    within_target: usize,
+    /// Latencies of the callers who are not heavy, before the event and after it.
+    others_before: Vec<Time>,
+    others: Vec<Time>,
     caller_offered: Vec<u32>,
     caller_good: Vec<u32>,
     sent: [u64; 3],
@@ -26,14 +37,7 @@
     /// Last arrival that was answered, summed over the runs.
     ended_at: Time,
     /// Runs added.
-    runs: u64,
-}
-
-/// One second of arrivals.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Window {
-    pub offered: usize,
-    pub good: usize,
+    runs: u32,
 }
 
 /// Figures of one run; times in milliseconds, the rest as shares.
@@ -51,12 +55,14 @@
     /// Share of server 0 in the windows after the event, relative to an even share.
     pub first_share: [f64; 3],
     pub to_leaving: u64,
-    /// 99th percentile of the time from arrival to rejection.
+    /// Answered within target in the first second after the event, as a share of capacity.
+    pub first_second: f64,
+    /// Answered within target in the second after that one, as a share of what arrived.
+    pub second_after: f64,
+    /// Time from arrival to rejection, 99th percentile; in milliseconds.
     pub told99: f64,
-    /// The first two seconds measured.
-    pub windows: [Window; 2],
-    /// Runs that the figures are of.
-    pub runs: u64,
+    /// 99th percentile of the latency of callers who are not heavy, relative to that before.
+    pub others99: f64,
 }
 
 impl Stats {
@@ -66,9 +72,12 @@
             waits: Vec::new(),
             offered: 0,
             rejected: 0,
-            told: Vec::new(),
-            windows: [Window::default(); 2],
             within_target: 0,
+            offered_by_second: [0; SECONDS],
+            good_by_second: [0; SECONDS],
+            told: Vec::new(),
+            others_before: Vec::new(),
+            others: Vec::new(),
             caller_offered: vec![0; CALLERS],
             caller_good: vec![0; CALLERS],
             sent: [0; 3],
@@ -86,13 +95,13 @@
         self.latencies.extend(other.latencies);
         self.waits.extend(other.waits);
         self.told.extend(other.told);
+        self.others.extend(other.others);
+        self.others_before.extend(other.others_before);
         self.offered += other.offered;
         self.rejected += other.rejected;
         self.within_target += other.within_target;
-        for (mine, others) in self.windows.iter_mut().zip(other.windows) {
-            mine.offered += others.offered;
-            mine.good += others.good;
-        }
+        add_all(&mut self.offered_by_second, &other.offered_by_second);
+        add_all(&mut self.good_by_second, &other.good_by_second);
         add_all(&mut self.caller_offered, &other.caller_offered);
         add_all(&mut self.caller_good, &other.caller_good);
         add_all(&mut self.sent, &other.sent);
@@ -105,11 +114,9 @@
     }
 
     pub fn offer(&mut self, arrived: Time, caller: usize) {
+        self.offered_by_second[second(arrived)] += 1;
         if arrived >= MEASURED_FROM {
             self.offered += 1;
-            if let Some(window) = self.window(arrived) {
-                window.offered += 1;
-            }
             self.caller_offered[caller] += 1;
         }
     }
@@ -118,6 +125,11 @@
     /// between caller and instance. Long work counts for goodput only.
     pub fn answer(&mut self, arrival: &Arrival, latency: Time, wait: Time) {
         self.ended_at = self.ended_at.max(arrival.at);
+        let is_good = latency <= arrival.target();
+        self.good_by_second[second(arrival.at)] += u32::from(is_good);
+        if arrival.caller >= HEAVY_CALLERS {
+            self.note_other(arrival.at, latency);
+        }
         if arrival.at < MEASURED_FROM {
             return;
         }
@@ -125,16 +137,21 @@
             self.latencies.push(latency);
             self.waits.push(wait);
         }
-        if latency <= arrival.target() {
+        if is_good {
             self.within_target += 1;
-            if let Some(window) = self.window(arrival.at) {
-                window.good += 1;
-            }
             self.caller_good[arrival.caller] += 1;
         }
     }
 
-    /// A request was turned away `after` it came.
+    fn note_other(&mut self, arrived: Time, latency: Time) {
+        if arrived >= MEASURED_FROM {
+            self.others.push(latency);
+        } else if arrived >= WARM_FROM {
+            self.others_before.push(latency);
+        }
+    }
+
+    /// A request was told that it is turned away, `after` it arrived.
     pub fn told(&mut self, arrived: Time, after: Time) {
         if arrived >= MEASURED_FROM {
             self.told.push(after);
@@ -145,11 +162,6 @@
         self.rejected += usize::from(arrived >= MEASURED_FROM);
     }
 
-    fn window(&mut self, arrived: Time) -> Option<&mut Window> {
-        let index = arrived.checked_sub(MEASURED_FROM)? / SECOND;
-        self.windows.get_mut(index as usize)
-    }
-
     pub fn send(&mut self, at: Time, server: usize) {
         let Some(since) = at.checked_sub(MEASURED_FROM) else { return };
         let window = SHARE_WINDOWS.iter().position(|&end| since < end).unwrap_or(2);
@@ -166,6 +178,8 @@
         self.latencies.sort_unstable();
         self.waits.sort_unstable();
         self.told.sort_unstable();
+        self.others.sort_unstable();
+        self.others_before.sort_unstable();
         let capacity = (SERVERS as u64 * u64::from(SLOTS) * self.ended_at.max(1)) as f64;
         let offered = self.offered.max(1) as f64;
         let mut first_share = [0.0; 3];
@@ -186,9 +200,11 @@
             measuring: self.probe_time as f64 / capacity,
             first_share,
             to_leaving: self.to_leaving,
+            first_second: f64::from(self.good_by_second[1]) / (per_second() * f64::from(self.runs)),
+            second_after: f64::from(self.good_by_second[2])
+                / f64::from(self.offered_by_second[2].max(1)),
             told99: quantile(&self.told, 0.99),
-            windows: self.windows,
-            runs: self.runs,
+            others99: quantile(&self.others, 0.99) / quantile(&self.others_before, 0.99).max(0.1),
         }
     }
 
@@ -213,6 +229,15 @@
     }
 }
 
+fn second(at: Time) -> usize {
+    ((at / SECOND) as usize).min(SECONDS - 1)
+}
+
+/// Requests that all servers serve in a second.
+fn per_second() -> f64 {
+    SERVERS as f64 * f64::from(SLOTS) * SECOND as f64 / MEAN_WORK
+}
+
 /// In milliseconds.
 fn quantile(sorted: &[Time], q: f64) -> f64 {
     let Some(last) = sorted.len().checked_sub(1) else { return 0.0 };
