--- a/crates/galenapath-http/tests/body.rs
+++ b/crates/galenapath-http/tests/body.rs
@@ -1,5 +1,7 @@
 //! Bodies: whatever way they are framed and cut into pieces, they come out whole or not at all.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 mod support;
 
 use galenapath_http::{Framing, HttpError, request_framing};
--- a/crates/galenapath-http/tests/framing.rs
+++ b/crates/galenapath-http/tests/framing.rs
@@ -1,5 +1,7 @@
 //! Where bodies end, and heads that leave it open.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use galenapath_http::{Framing, HttpError, request_framing, response_framing};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Version};
 
--- a/crates/galenapath-http/tests/head.rs
+++ b/crates/galenapath-http/tests/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests: limits, forbidden bytes and anything at all.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 mod support;
 
 use galenapath_http::{HttpError, MAX_HEADERS, RequestHead, check_head};
--- a/crates/galenapath-settings/tests/load.rs
+++ b/crates/galenapath-settings/tests/load.rs
@@ -1,5 +1,7 @@
 //! Settings files: what is taken, and one clear error for what is not.
 
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
 use galenapath_settings::{LogLevel, SettingsError, parse};
 use proptest::prelude::*;
 use std::path::Path;
