--- /dev/null
+++ b/tests/callers.rs
@@ -0,0 +1,131 @@
+//! What callers may send to a running instance, and what they get for it.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get};
+
+/// A server that answers with the request's path.
+fn echo() -> FakeServer {
+    FakeServer::start(|io, req| answer_ok(io, req.path().as_bytes()))
+}
+
+fn raw(instance: &Instance, bytes: &str) -> Answer {
+    let mut client = Client::connect(instance.callers);
+    // The instance may close before it has read everything.
+    let _ = client.io.write_all(bytes.as_bytes());
+    let answer = client.answer();
+    assert!(client.is_closed());
+    answer
+}
+
+fn assert_alive(instance: &Instance) {
+    assert_eq!(get(instance.callers, "/alive", "").text(), "/alive");
+}
+
+#[test]
+fn callers_bad_framing_refused() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let cases = [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: +3\r\n\r\nabc",
+        "Content-Length: 99999999999999999999\r\n\r\nabc",
+        "Transfer-Encoding: gzip\r\n\r\nabc",
+        "X: a\n\r\n",
+        "X: a\r\n b\r\n\r\n",
+        "X: a\0b\r\n\r\n",
+        "X : a\r\n\r\n",
+    ];
+    for case in cases {
+        let answer = raw(&instance, &format!("POST / HTTP/1.1\r\nHost: s\r\n{case}"));
+        assert_eq!((answer.status, answer.verdict()), (400, "not-run"), "{case:?}");
+    }
+    assert_alive(&instance);
+}
+
+#[test]
+fn callers_large_head_refused() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    for len in [17_000, 1_000_000] {
+        let head = format!("GET / HTTP/1.1\r\nHost: s\r\nX: {}\r\n\r\n", "x".repeat(len));
+        let answer = raw(&instance, &head);
+        assert_eq!((answer.status, answer.verdict()), (431, "not-run"), "{len}");
+    }
+    assert_alive(&instance);
+}
+
+#[test]
+fn callers_large_filing_refused() {
+    let setup = Setup {
+        limits: "filing_bytes = 1000".into(),
+        classes: vec![("filing", "filing", "/")],
+        servers: vec![echo().address],
+    };
+    let instance = Instance::start(&setup);
+    for len in [1_001, 3_000_000] {
+        let body = "x".repeat(len);
+        let head = format!("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: {len}\r\n\r\n");
+        let answer = raw(&instance, &(head + &body));
+        assert_eq!((answer.status, answer.verdict()), (413, "not-run"), "{len}");
+    }
+}
+
+#[test]
+fn callers_slow_head_timed_out() {
+    let setup = Setup { limits: "header_timeout = \"200ms\"".into(), ..Setup::lookup(&echo()) };
+    let instance = Instance::start(&setup);
+    let mut client = Client::connect(instance.callers);
+    client.send("GET / HTTP/1.1\r\nHost:");
+    let start = Instant::now();
+    let answer = client.answer();
+    assert_eq!((answer.status, answer.verdict()), (408, "not-run"));
+    assert!(start.elapsed() >= Duration::from_millis(150));
+    assert!(client.is_closed());
+}
+
+#[test]
+fn callers_unknown_service_refused() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let answer = raw(&instance, "GET / HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n");
+    assert_eq!((answer.status, answer.verdict()), (404, "not-run"));
+    assert!(answer.text().contains("other"));
+    let answer = raw(&instance, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert_eq!((answer.status, answer.verdict()), (404, "not-run"));
+}
+
+#[test]
+fn callers_pipelined_in_order() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let mut client = Client::connect(instance.callers);
+    for n in 0..20 {
+        client.get(&format!("/{n}"), "");
+    }
+    for n in 0..20 {
+        assert_eq!(client.answer().text(), format!("/{n}"));
+    }
+}
+
+#[test]
+fn callers_forged_headers_stripped() {
+    let seen = Arc::new(Mutex::new(String::new()));
+    let server = {
+        let seen = Arc::clone(&seen);
+        FakeServer::start(move |io, req| {
+            seen.lock().unwrap().clone_from(&req.headers);
+            answer_ok(io, b"")
+        })
+    };
+    let instance = Instance::start(&Setup::lookup(&server));
+    let forged = "Galenapath-Verdict: forged\r\nGalenapath-Hops: 77\r\nGalenapath-Report: forged\r\n\
+                  Galenapath-Backend: forged\r\nGalenapath-Request-Id: forged\r\n\
+                  Galenapath-Deadline-Ms: 5000\r\nConnection: X-Mine\r\nX-Mine: forged\r\n";
+    assert_eq!(get(instance.callers, "/", forged).status, 200);
+    let seen = seen.lock().unwrap().clone();
+    assert!(!seen.contains("forged") && !seen.contains("77"), "{seen}");
+    assert_eq!(seen.matches("galenapath-deadline-ms").count(), 1, "{seen}");
+}
--- /dev/null
+++ b/tests/support/instance.rs
@@ -0,0 +1,213 @@
+//! A process of the instance under test.
+
+use super::server::FakeServer;
+use galenapath_dev::store::{StoreOptions, serve};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// Longest wait for anything that should happen.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Waits until `condition` holds; panics when it does not in time.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < LIMIT, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// What an instance is started with.
+#[derive(Default)]
+pub struct Setup {
+    /// Lines of the `[limits]` table.
+    pub limits: String,
+    /// Classes: name, kind and path; the service is called `s`.
+    pub classes: Vec<(&'static str, &'static str, &'static str)>,
+    /// The backend servers of the service.
+    pub servers: Vec<SocketAddr>,
+}
+
+impl Setup {
+    /// One server, and a lookup class for the whole service.
+    pub fn lookup(server: &FakeServer) -> Self {
+        Self {
+            classes: vec![("lookup", "lookup", "/")],
+            servers: vec![server.address],
+            ..Self::default()
+        }
+    }
+}
+
+/// A running instance; killed when dropped.
+pub struct Instance {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    child: Child,
+}
+
+impl Instance {
+    /// Starts the store, lists the servers, starts an instance and creates the classes.
+    pub fn start(setup: &Setup) -> Self {
+        let store = start_store();
+        for (n, server) in setup.servers.iter().enumerate() {
+            list(store, n, *server);
+        }
+        let dir = new_dir();
+        let token = dir.join("token");
+        std::fs::write(&token, "secret\n").unwrap();
+        let file = write_settings(&dir, "127.0.0.1:0", store, &setup.limits);
+        let instance = Self::spawn(&file);
+        for class in &setup.classes {
+            create_class(instance.operators, &token, class);
+        }
+        wait_until("ready", || super::get(instance.operators, "/readyz", "").status == 200);
+        std::fs::remove_dir_all(dir).unwrap();
+        instance
+    }
+
+    fn spawn(settings: &Path) -> Self {
+        let mut child = command(settings).stderr(Stdio::piped()).spawn().unwrap();
+        let stderr = child.stderr.take().unwrap();
+        let (tx, rx) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if line.contains(" listening ") {
+                    let _ = tx.send(line);
+                } else if line.contains("panicked") {
+                    eprintln!("instance: {line}");
+                }
+            }
+        });
+        let line = rx.recv_timeout(LIMIT).unwrap();
+        let field = |name: &str| {
+            let value = line.split_whitespace().find_map(|f| f.strip_prefix(name)).unwrap();
+            value.parse().unwrap()
+        };
+        Self { callers: field("callers="), operators: field("operators="), child }
+    }
+
+    /// Resident memory in bytes.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(self.proc("status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let kilobytes: usize = line.split_whitespace().next().unwrap().parse().unwrap();
+        kilobytes * 1024
+    }
+
+    /// A file or directory about the process.
+    pub fn proc(&self, name: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{name}", self.child.id()))
+    }
+
+    /// A figure of `/metrics`; 0 where it is missing.
+    pub fn metric(&self, name: &str) -> f64 {
+        let text = super::get(self.operators, "/metrics", "").text();
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.map_or(0.0, |value| value.parse().unwrap())
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Sends SIGTERM and waits for the end.
+    pub fn stop(&mut self) -> ExitStatus {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let mut status = None;
+        wait_until("the end of the instance", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The program with a settings file.
+pub fn command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_galenapath"));
+    command.arg("--settings").arg(settings);
+    command
+}
+
+/// A new directory of the test's own.
+pub fn new_dir() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir = format!("instance-{}-{n}", std::process::id());
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    dir
+}
+
+/// Writes a settings file into `dir`, with free ports but for the callers' address.
+pub fn write_settings(dir: &Path, callers: &str, store: SocketAddr, limits: &str) -> PathBuf {
+    let token = dir.join("token");
+    let text = format!(
+        "[instance]\nname = \"e1\"\ndomain = \"d1\"\n\
+         [listen]\ncallers = \"{callers}\"\npeers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
+         [platform]\naddress = \"{store}\"\n\
+         [operators]\ntoken_file = {token:?}\n\
+         [limits]\n{limits}\n"
+    );
+    let file = dir.join("entry.toml");
+    std::fs::write(&file, text).unwrap();
+    file
+}
+
+fn start_store() -> SocketAddr {
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut runtime =
+            monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().unwrap();
+        runtime.block_on(async {
+            let listener = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            tx.send(listener.local_addr().unwrap()).unwrap();
+            serve(listener, StoreOptions { call_ms: 1, ..StoreOptions::default() }).await;
+        });
+    });
+    rx.recv_timeout(LIMIT).unwrap()
+}
+
+fn list(store: SocketAddr, n: usize, server: SocketAddr) {
+    let body = format!(
+        "{{\"ID\":\"b{n}\",\"Name\":\"backend\",\"Address\":\"{}\",\"Port\":{},\"Meta\":\
+         {{\"service\":\"s\",\"domain\":\"d1\",\"state\":\"live\",\"started\":\"1\"}}}}",
+        server.ip(),
+        server.port()
+    );
+    let mut client = super::Client::connect(store);
+    client.send(&format!(
+        "PUT /v1/agent/service/register HTTP/1.1\r\nHost: store\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ));
+    assert_eq!(client.answer().status, 200);
+}
+
+fn create_class(operators: SocketAddr, token: &Path, class: &(&str, &str, &str)) {
+    let (name, kind, path) = class;
+    let output = Command::new(env!("CARGO_BIN_EXE_galenactl"))
+        .args(["--instance", &operators.to_string(), "--token-file"])
+        .arg(token)
+        .args(["class", "create", name, "--service", "s", "--kind", kind, "--path", path])
+        .args(["--latency-ms", "1000", "--author", "test"])
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+}
