A load report with huge numbers no longer ends the instance

Numbers of a report are now cut at 10000 where the balancer takes them. A smaller bound in the report's parser was ruled out: its own test asks for every number to be read back.

Before: backends_bad_reports_passed_over failed (connection closed, the instance gone). After: the 8 tests of backends.rs pass.

--- a/crates/galenapath-policy/src/balance/server.rs
+++ b/crates/galenapath-policy/src/balance/server.rs
@@ -7,6 +7,9 @@
 use galenapath_protocol::{BackendId, LoadReport, Micros};
 use std::collections::VecDeque;
 
+/// Largest number that is believed of a report. Servers of today have 6 slots and 240 connections.
+const MOST_REPORTED: u32 = 10_000;
+
 /// First pause after a refusal; doubles with each one that follows.
 const FIRST_PAUSE: Micros = Micros::from_millis(10);
 const MOST_DOUBLINGS: u32 = 6;
@@ -132,7 +135,8 @@
 
     /// Takes a report that was written at `written`: requests that started later were not there.
     pub fn report(&mut self, now: Micros, written: Micros, report: LoadReport) {
-        self.slots = report.slots.max(1);
+        let report = bounded(report);
+        self.slots = report.slots;
         self.leaving |= report.leaving;
         let own = self.flights.iter().filter(|f| f.started <= written).count() as u32;
         self.others.report(now, report, own);
@@ -149,3 +153,13 @@
         (slots * part).clamp(1.0, slots)
     }
 }
+
+/// Numbers of a report as far as they can be true; sums over many servers then stay in range.
+fn bounded(report: LoadReport) -> LoadReport {
+    LoadReport {
+        in_flight: report.in_flight.min(MOST_REPORTED),
+        waiting: report.waiting.min(MOST_REPORTED),
+        slots: report.slots.clamp(1, MOST_REPORTED),
+        leaving: report.leaving,
+    }
+}
