A port in use is one error on one line

Cause: the start printed the error's debug form, with source locations and terminal colours, on six lines. It now prints the chain of causes; the token's file has moved into its error, so that it is still named. The tests of the process that came with it check settings, descriptors (no io_uring), children (none), the drain after SIGTERM and the memory of 200 MB bodies.

--- a/crates/galenapath-entry/src/error.rs
+++ b/crates/galenapath-entry/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors that end an entry instance.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use thiserror::Error;
 
 /// Why an entry instance could not start or go on.
@@ -15,8 +16,11 @@
         address: SocketAddr,
     },
     /// The file with the operators' token cannot be read, or is empty.
-    #[error("operators.token_file cannot be read, or its first line is empty")]
-    Token,
+    #[error("operators.token_file = {file:?} cannot be read, or its first line is empty")]
+    Token {
+        /// The file.
+        file: PathBuf,
+    },
     /// A runtime, a thread or the logger could not be started.
     #[error("cannot start {0}")]
     Start(&'static str),
--- a/crates/galenapath-entry/src/run.rs
+++ b/crates/galenapath-entry/src/run.rs
@@ -128,12 +128,11 @@
 }
 
 fn read_token(file: &Path) -> Result<String, Report<EntryError>> {
-    let text = std::fs::read_to_string(file)
-        .change_context(EntryError::Token)
-        .attach(format!("file {}", file.display()))?;
+    let error = || EntryError::Token { file: file.to_owned() };
+    let text = std::fs::read_to_string(file).change_context_lazy(error)?;
     let token = text.lines().next().unwrap_or("").trim().to_owned();
     if token.is_empty() {
-        return Err(Report::new(EntryError::Token).attach(format!("file {}", file.display())));
+        return Err(Report::new(error()));
     }
     Ok(token)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,7 +42,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("galenapath: {e:?}");
+            eprintln!("galenapath: {e:#}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,148 @@
+//! The instance as a process: settings, ports, descriptors, memory and its end.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::ops::ControlFlow;
+use std::time::Duration;
+use support::{
+    Client, FakeServer, Instance, Setup, answer_ok, command, get, new_dir, write_settings,
+};
+
+/// Size of a large body, in bytes.
+const LARGE: usize = 200 * 1024 * 1024;
+
+/// Most memory that a large body may cost beyond a small one, in bytes.
+const LARGE_BODY_MEMORY: usize = 8 * 1024 * 1024;
+
+fn nowhere() -> SocketAddr {
+    "127.0.0.1:9".parse().unwrap()
+}
+
+#[test]
+fn process_check_settings_told() {
+    let dir = new_dir();
+    let file = write_settings(&dir, "127.0.0.1:0", nowhere(), "");
+    let good = command(&file).arg("--check-settings").output().unwrap();
+    assert!(good.status.success());
+    let file = write_settings(&dir, "127.0.0.1:0", nowhere(), "idle_timeout = \"5 parsecs\"");
+    let bad = command(&file).arg("--check-settings").output().unwrap();
+    assert_eq!(bad.status.code(), Some(2));
+    let text = String::from_utf8(bad.stderr).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(text.contains("entry.toml:13: limits.idle_timeout"), "{text}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn process_port_in_use_one_error() {
+    let dir = new_dir();
+    std::fs::write(dir.join("token"), "secret\n").unwrap();
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let file = write_settings(&dir, &address, nowhere(), "");
+    let output = command(&file).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        text.contains("listen.callers") && text.contains("in use") && text.contains(&address),
+        "{text}"
+    );
+    assert_eq!(text.lines().count(), 1, "{text}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn process_no_uring_no_children() {
+    let instance = Instance::start(&Setup::lookup(&FakeServer::fixed("")));
+    for entry in std::fs::read_dir(instance.proc("fd")).unwrap() {
+        let target = std::fs::read_link(entry.unwrap().path()).unwrap_or_default();
+        assert!(!target.to_string_lossy().contains("io_uring"), "{}", target.display());
+    }
+    for task in std::fs::read_dir(instance.proc("task")).unwrap() {
+        let children = std::fs::read_to_string(task.unwrap().path().join("children"));
+        assert_eq!(children.unwrap_or_default(), "");
+    }
+}
+
+#[test]
+fn process_terminated_drains() {
+    let (tx, rx) = std::sync::mpsc::channel();
+    let tx = std::sync::Mutex::new(tx);
+    let server = FakeServer::start(move |io, _| {
+        let (go, wait) = std::sync::mpsc::channel();
+        tx.lock().unwrap().send(go).unwrap();
+        wait.recv().unwrap();
+        answer_ok(io, b"whole")
+    });
+    let setup = Setup { limits: "drain_timeout = \"4s\"".into(), ..Setup::lookup(&server) };
+    let mut instance = Instance::start(&setup);
+    let mut client = Client::connect(instance.callers);
+    client.get("/", "");
+    let go: std::sync::mpsc::Sender<()> = rx.recv().unwrap();
+    let answer = std::thread::spawn(move || client.answer());
+    let answered = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(500));
+        go.send(()).unwrap();
+    });
+    let start = std::time::Instant::now();
+    assert_eq!(instance.stop().code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    answered.join().unwrap();
+    let answer = answer.join().unwrap();
+    assert_eq!((answer.text().as_str(), answer.is_whole), ("whole", true));
+}
+
+#[test]
+fn process_large_bodies_no_more_memory() {
+    let server = FakeServer::start(|io, req| {
+        if req.path() == "/down" {
+            let _ = write!(io, "HTTP/1.1 200 OK\r\ncontent-length: {LARGE}\r\n\r\n");
+            let piece = vec![b'x'; 1024 * 1024];
+            for _ in 0..LARGE / piece.len() {
+                let _ = io.write_all(&piece);
+            }
+            return ControlFlow::Break(());
+        }
+        answer_ok(io, req.body.len().to_string().as_bytes())
+    });
+    let instance = Instance::start(&Setup::lookup(&server));
+    for _ in 0..100 {
+        assert_eq!(get(instance.callers, "/small", "").text(), "0");
+    }
+    let before = instance.memory();
+    upload(&instance);
+    let up = instance.memory();
+    download(&instance);
+    let down = instance.memory();
+    let most = before + LARGE_BODY_MEMORY;
+    assert!(up < most && down < most, "before {before}, up {up}, down {down}");
+}
+
+fn upload(instance: &Instance) {
+    let mut client = Client::connect(instance.callers);
+    client.send(&format!("POST /up HTTP/1.1\r\nHost: s\r\nContent-Length: {LARGE}\r\n\r\n"));
+    let piece = vec![b'x'; 1024 * 1024];
+    for _ in 0..LARGE / piece.len() {
+        client.io.write_all(&piece).unwrap();
+    }
+    assert_eq!(client.answer().text(), LARGE.to_string());
+}
+
+fn download(instance: &Instance) {
+    let mut client = Client::connect(instance.callers);
+    client.get("/down", "Connection: close\r\n");
+    let mut buf = vec![0; 1024 * 1024];
+    let mut total = 0;
+    loop {
+        let n = client.io.read(&mut buf).unwrap();
+        if n == 0 {
+            break;
+        }
+        total += n;
+    }
+    assert!(total > LARGE && total < LARGE + 4096, "{total}");
+}
