--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -45,7 +45,8 @@
                 return;
             }
         };
-        let result = serve_one(&plane, &mut caller, head).await;
+        // Boxed, so that an idle connection does not hold the room of a request in progress.
+        let result = Box::pin(serve_one(&plane, &mut caller, head)).await;
         if result.is_err() || !caller.keep_alive {
             caller.connection.shutdown().await;
             return;
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -75,6 +75,8 @@
         decode: impl Fn(&mut BytesMut) -> Option<Decoded<T>>,
     ) -> Result<T, HttpError> {
         if self.input.is_empty() {
+            // Most connections are idle most of the time, so they must not keep a large buffer.
+            self.input = BytesMut::with_capacity(IDLE_READ_SIZE);
             self.fill_within(times.idle).await?;
         }
         monoio::time::timeout(times.head, self.fill_head())
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -12,6 +12,12 @@
     Client, FakeServer, Instance, Setup, answer_ok, command, get, new_dir, write_settings,
 };
 
+/// Callers' ends of idle connections; below the limit of descriptors of one process.
+const IDLE_CALLERS: usize = 10_000;
+
+/// Most memory that an idle caller may cost, in bytes.
+const IDLE_CALLER_MEMORY: usize = 8 * 1024;
+
 /// Size of a large body, in bytes.
 const LARGE: usize = 200 * 1024 * 1024;
 
@@ -96,6 +102,30 @@
     assert_eq!((answer.text().as_str(), answer.is_whole), ("whole", true));
 }
 
+#[test]
+fn process_idle_callers_bounded_memory() {
+    let server = FakeServer::start(|io, _| answer_ok(io, b"ok"));
+    let instance = Instance::start(&Setup::lookup(&server));
+    assert_eq!(get(instance.callers, "/", "").text(), "ok");
+    let before = instance.memory();
+    let idle: Vec<Client> = (0..IDLE_CALLERS)
+        .map(|_| {
+            let mut client = Client::connect(instance.callers);
+            client.get("/", "");
+            assert_eq!(client.answer().text(), "ok");
+            client
+        })
+        .collect();
+    support::wait_until("all callers accepted", || {
+        instance.metric("galenapath_caller_connections") >= IDLE_CALLERS as f64
+    });
+    let grown = instance.memory().saturating_sub(before);
+    println!("{} bytes for each idle caller", grown / IDLE_CALLERS);
+    assert!(grown < IDLE_CALLERS * IDLE_CALLER_MEMORY);
+    assert_eq!(get(instance.callers, "/", "").text(), "ok");
+    drop(idle);
+}
+
 #[test]
 fn process_large_bodies_no_more_memory() {
     let server = FakeServer::start(|io, req| {
