A caller's bad or slow body is told to the caller, not counted against the backend server

Cause: while a body was streamed, a fault of the caller's side was handled as one of the backend server: answered 502 backend_failed and counted as the server's failure, so that callers could make healthy servers look ill. Where the body was read first, the connection was closed without a status. Now 400 for chunks that cannot be read and 408 for a pause that is too long; may-have-run once a part was streamed, not-run otherwise.

Before: callers_bad_chunks_refused and callers_slow_body_timed_out failed. After: both pass.

--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -47,6 +47,9 @@
     /// The connection broke, or what came is no HTTP.
     #[error("{0}")]
     Http(HttpError),
+    /// The caller went away or sent a body that cannot be read; no fault of the backend server.
+    #[error("the request's body: {0}")]
+    Caller(HttpError),
     /// No answer before the deadline.
     #[error("no answer before the deadline")]
     TimedOut,
@@ -57,7 +60,7 @@
     pub(super) const fn verdict(&self) -> Verdict {
         match self {
             Self::Connect(_) | Self::Shed | Self::Withdrawn => Verdict::NotRun,
-            Self::Http(_) | Self::TimedOut => Verdict::MayHaveRun,
+            Self::Http(_) | Self::Caller(_) | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
 
@@ -68,7 +71,7 @@
             Self::Connect(e) if e.kind() == std::io::ErrorKind::WouldBlock => Outcome::Cancelled,
             Self::Connect(_) => Outcome::FastFailure,
             Self::Shed => Outcome::Shed,
-            Self::Withdrawn => Outcome::Cancelled,
+            Self::Withdrawn | Self::Caller(_) => Outcome::Cancelled,
             Self::Http(_) => Outcome::Failure,
             Self::TimedOut => Outcome::TimedOut,
         }
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -12,6 +12,7 @@
 use http::header::{CONNECTION, EXPECT, HOST};
 use http::{HeaderMap, Method, StatusCode, Version};
 use monoio::net::TcpStream;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,6 +58,9 @@
 /// Answers a request whose head cannot be used, where an answer makes sense, and closes.
 async fn refuse(plane: &DataPlane, caller: &mut Caller, e: &HttpError) {
     let (status, reason) = match e {
+        HttpError::Io(e) if e.kind() == ErrorKind::TimedOut => {
+            (StatusCode::REQUEST_TIMEOUT, "body_timeout")
+        }
         HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => return,
         HttpError::HeadTooLarge { .. } => {
             (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
@@ -123,7 +127,14 @@
     let limit =
         if is_filing { plane.shared.settings.limits.filing_bytes as u64 } else { BUFFERED_BODY };
     let pause = plane.shared.settings.limits.idle_timeout;
-    match read_body(caller, meta.framing, limit, pause).await? {
+    let body = match read_body(caller, meta.framing, limit, pause).await {
+        Ok(body) => body,
+        Err(e) => {
+            refuse(plane, caller, &e).await;
+            return Err(e);
+        }
+    };
+    match body {
         BodyRead::Whole(body) if is_filing => {
             filing::serve(plane, caller, &service, &meta, head, body).await
         }
--- a/crates/galenapath-entry/src/data/refusal.rs
+++ b/crates/galenapath-entry/src/data/refusal.rs
@@ -4,6 +4,7 @@
 use super::attempt::Fault;
 use galenapath_config::ClassKind;
 use galenapath_filings::SuspectVerdict;
+use galenapath_http::HttpError;
 use galenapath_policy::{RejectReason, Rejection, RequestKind};
 use galenapath_protocol::{Micros, Verdict};
 use http::StatusCode;
@@ -81,6 +82,8 @@
             (StatusCode::SERVICE_UNAVAILABLE, "backend_unreachable")
         }
         Fault::Http(_) => (StatusCode::BAD_GATEWAY, "backend_failed"),
+        Fault::Caller(HttpError::Io(_)) => (StatusCode::REQUEST_TIMEOUT, "body_timeout"),
+        Fault::Caller(_) => (StatusCode::BAD_REQUEST, "bad_request"),
     };
     let text = fault.to_string();
     let answer = match worst(ran, fault.verdict()) {
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -92,7 +92,7 @@
     let pause = target.plane.shared.settings.limits.idle_timeout;
     loop {
         let piece = read_piece(&mut caller.connection, &mut state, pause);
-        let Some(piece) = piece.await.map_err(Fault::Http)? else { break };
+        let Some(piece) = piece.await.map_err(Fault::Caller)? else { break };
         within_pause(connection.write_body(framing, &piece)).await.map_err(Fault::Http)?;
     }
     within_pause(connection.finish_body(framing)).await.map_err(Fault::Http)?;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -48,6 +48,18 @@
     assert_alive(&instance);
 }
 
+#[test]
+fn callers_bad_chunks_refused() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let head = "POST / HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let large = format!("{:x}\r\n{}\r\n", 100_000, "x".repeat(100_000));
+    let small = raw(&instance, &format!("{head}zz\r\nabc\r\n0\r\n\r\n"));
+    assert_eq!((small.status, small.verdict()), (400, "not-run"));
+    let streamed = raw(&instance, &format!("{head}{large}zz\r\n"));
+    assert_eq!((streamed.status, streamed.verdict()), (400, "may-have-run"));
+    assert_alive(&instance);
+}
+
 #[test]
 fn callers_large_head_refused() {
     let instance = Instance::start(&Setup::lookup(&echo()));
@@ -88,6 +100,14 @@
     assert!(client.is_closed());
 }
 
+#[test]
+fn callers_slow_body_timed_out() {
+    let setup = Setup { limits: "idle_timeout = \"300ms\"".into(), ..Setup::lookup(&echo()) };
+    let instance = Instance::start(&setup);
+    let answer = raw(&instance, "POST / HTTP/1.1\r\nHost: s\r\nContent-Length: 9\r\n\r\nabc");
+    assert_eq!((answer.status, answer.verdict()), (408, "not-run"));
+}
+
 #[test]
 fn callers_unknown_service_refused() {
     let instance = Instance::start(&Setup::lookup(&echo()));
