HTTP/1.0 callers and HEAD: Connection is always told, chunks never sent to HTTP/1.0

Cause: the answer to HEAD had no Connection header, so a caller could send its next request into a connection that was being closed; HTTP/1.0 callers that asked for keep-alive were not told that they got it; and a large answer of unknown length went to them in chunks, whose sizes they would have taken for content. Sending such an answer until the close was ruled out: a part could then be taken for the whole. It is answered 505 with verdict may-have-run instead.

Before: callers_head_without_body, callers_old_version_kept_alive_when_asked and callers_old_version_never_chunked failed. After: all pass.

--- a/crates/galenapath-entry/src/data/answer.rs
+++ b/crates/galenapath-entry/src/data/answer.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
-use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
 use std::fmt::Display;
 
@@ -75,9 +75,7 @@
     mut headers: HeaderMap,
     body: &[u8],
 ) -> Result<(), HttpError> {
-    if !caller.keep_alive {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
+    caller.set_connection(&mut headers);
     let framing = if body.is_empty() { Framing::None } else { Framing::Length(body.len() as u64) };
     let is_head = caller.method == Method::HEAD;
     let out: &mut BytesMut = caller.connection.output();
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -10,7 +10,7 @@
     BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, request_framing,
 };
 use http::header::{CONNECTION, EXPECT, HOST};
-use http::{HeaderMap, Method, StatusCode, Version};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Version};
 use monoio::net::TcpStream;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -27,6 +27,19 @@
     pub(super) method: Method,
     /// Whether the connection stays open after the answer.
     pub(super) keep_alive: bool,
+    /// Whether the request is HTTP/1.0, whose answers must not be chunked.
+    pub(super) is_http_10: bool,
+}
+
+impl Caller {
+    /// Says in an answer's headers whether the connection stays open, where that is not understood.
+    pub(super) fn set_connection(&self, headers: &mut HeaderMap) {
+        if !self.keep_alive {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        } else if self.is_http_10 {
+            headers.insert(CONNECTION, HeaderValue::from_static("keep-alive"));
+        }
+    }
 }
 
 /// Serves requests on a connection until either side closes it.
@@ -37,6 +50,7 @@
         connection: Connection::new(io, limits.header_bytes),
         method: Method::GET,
         keep_alive: true,
+        is_http_10: false,
     };
     loop {
         let head = match caller.connection.read_request(times).await {
@@ -85,6 +99,7 @@
 ) -> Result<(), HttpError> {
     let _guard = plane.begin();
     caller.method = head.method.clone();
+    caller.is_http_10 = head.version == Version::HTTP_10;
     caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_leaving();
     let framing = match request_framing(head.version, &head.headers) {
         Ok(framing) => framing,
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -1,12 +1,12 @@
 //! Passing a backend server's answer on to the caller.
 
-use super::answer::{has_no_body, send_whole};
+use super::answer::{OwnAnswer, has_no_body, send_whole};
 use super::attempt::{Reply, Rest};
 use super::caller::{Caller, read_piece};
 use super::headers;
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::{BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::header::HeaderMap;
 use http::{Method, StatusCode};
 use std::fmt::Display;
 use std::time::Duration;
@@ -29,13 +29,14 @@
     headers::set(&mut reply.headers, BACKEND_HEADER, &backend.0);
     match reply.rest {
         None if caller.method == Method::HEAD => {
+            caller.set_connection(&mut reply.headers);
             send_head_only(caller, reply.status, reply.headers).await
         }
         None => send_whole(caller, reply.status, reply.headers, &reply.start).await,
         Some(rest) => {
             let head =
                 LargeHead { status: reply.status, headers: reply.headers, framing: reply.framing };
-            send_large(caller, head, &reply.start, rest).await
+            send_large(caller, id, head, &reply.start, rest).await
         }
     }
 }
@@ -64,8 +65,17 @@
     framing: Framing,
 }
 
+/// Turns away a caller who could not tell the end of the answer from a break: HTTP/1.0 knows no
+/// chunks, and the length is not known before the end.
+async fn refuse_http_10(caller: &mut Caller, id: &dyn Display) -> Result<(), HttpError> {
+    let text = "the answer has no known length; ask for it with HTTP/1.1";
+    let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+    OwnAnswer::may_have_run(status, "http_version", text).send(caller, Some(id)).await
+}
+
 async fn send_large(
     caller: &mut Caller,
+    id: &dyn Display,
     mut head: LargeHead,
     start: &[u8],
     mut rest: Rest,
@@ -76,9 +86,10 @@
         Framing::UntilClose => Framing::Chunked,
         other => other,
     };
-    if !caller.keep_alive {
-        head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    if caller.is_http_10 && framing == Framing::Chunked {
+        return refuse_http_10(caller, id).await;
     }
+    caller.set_connection(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
     within_pause(caller.connection.write_body(framing, start)).await?;
     while let Some(piece) = read_piece(&mut rest.connection, &mut rest.state, BODY_PAUSE).await? {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::io::Write;
+use std::ops::ControlFlow;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get};
@@ -130,6 +131,51 @@
     }
 }
 
+#[test]
+fn callers_head_without_body() {
+    let instance = Instance::start(&Setup::lookup(&FakeServer::start(|io, req| {
+        let _ = io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n");
+        assert!(req.line.starts_with("HEAD"));
+        ControlFlow::Continue(())
+    })));
+    let mut client = Client::connect(instance.callers);
+    client.send("HEAD /a HTTP/1.1\r\nHost: s\r\n\r\n");
+    client.send("HEAD /b HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    let first = client.answer_to("HEAD");
+    assert_eq!((first.status, first.header("content-length")), (200, Some("5")));
+    let second = client.answer_to("HEAD");
+    assert_eq!((second.status, second.header("connection")), (200, Some("close")));
+    assert!(client.is_closed());
+}
+
+#[test]
+fn callers_old_version_kept_alive_when_asked() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let answer = raw(&instance, "GET /a HTTP/1.0\r\nHost: s\r\n\r\n");
+    assert_eq!((answer.text().as_str(), answer.header("connection")), ("/a", Some("close")));
+    let mut client = Client::connect(instance.callers);
+    for _ in 0..2 {
+        client.send("GET /b HTTP/1.0\r\nHost: s\r\nConnection: keep-alive\r\n\r\n");
+        let answer = client.answer();
+        let connection = answer.header("connection");
+        assert_eq!((answer.text().as_str(), connection), ("/b", Some("keep-alive")));
+    }
+}
+
+#[test]
+fn callers_old_version_never_chunked() {
+    let instance = Instance::start(&Setup::lookup(&FakeServer::start(|io, _| {
+        let _ = io.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let chunk = format!("{:x}\r\n{}\r\n", 100_000, "x".repeat(100_000));
+        let _ = io.write_all(chunk.as_bytes());
+        let _ = io.write_all(b"0\r\n\r\n");
+        ControlFlow::Continue(())
+    })));
+    let answer = raw(&instance, "GET / HTTP/1.0\r\nHost: s\r\n\r\n");
+    assert_eq!((answer.status, answer.verdict()), (505, "may-have-run"));
+    assert_eq!(get(instance.callers, "/", "").body.len(), 100_000);
+}
+
 #[test]
 fn callers_forged_headers_stripped() {
     let seen = Arc::new(Mutex::new(String::new()));
