Expect: 100-continue is answered before a streamed body too

Cause: the interim answer for a body above 64 KB was put into the output and not written, so the caller and the instance waited for each other until the caller gave up waiting (a second with curl) or its idle timeout. It is now written when the backend server's connection is there, so a request that is turned away is never asked for its body.

Before: callers_expect_continue_told failed (no answer within 20 s). After: it passes.

--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -29,9 +29,19 @@
     pub(super) keep_alive: bool,
     /// Whether the request is HTTP/1.0, whose answers must not be chunked.
     pub(super) is_http_10: bool,
+    /// Whether the caller waits for an interim answer before it sends the body.
+    pub(super) expects_continue: bool,
 }
 
 impl Caller {
+    /// Tells a caller that waits for it to send the body.
+    pub(super) async fn ask_for_body(&mut self) -> Result<(), HttpError> {
+        if std::mem::take(&mut self.expects_continue) {
+            self.connection.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        self.connection.flush().await
+    }
+
     /// Says in an answer's headers whether the connection stays open, where that is not understood.
     pub(super) fn set_connection(&self, headers: &mut HeaderMap) {
         if !self.keep_alive {
@@ -51,6 +61,7 @@
         method: Method::GET,
         keep_alive: true,
         is_http_10: false,
+        expects_continue: false,
     };
     loop {
         let head = match caller.connection.read_request(times).await {
@@ -100,6 +111,7 @@
     let _guard = plane.begin();
     caller.method = head.method.clone();
     caller.is_http_10 = head.version == Version::HTTP_10;
+    caller.expects_continue = expects_continue(&head);
     caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_leaving();
     let framing = match request_framing(head.version, &head.headers) {
         Ok(framing) => framing,
@@ -137,7 +149,6 @@
 ) -> Result<(), HttpError> {
     let service = plane.service(&meta.class.service, config);
     service.state.borrow_mut().dispatching.count_request();
-    expect_continue(caller, &head.headers);
     let is_filing = meta.class.kind == ClassKind::Filing;
     let limit =
         if is_filing { plane.shared.settings.limits.filing_bytes as u64 } else { BUFFERED_BODY };
@@ -215,12 +226,10 @@
     }
 }
 
-fn expect_continue(caller: &mut Caller, headers: &HeaderMap) {
-    let expects = text(headers, EXPECT.as_str())
-        .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
-    if expects {
-        caller.connection.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-    }
+fn expects_continue(head: &RequestHead) -> bool {
+    head.version == Version::HTTP_11
+        && text(&head.headers, EXPECT.as_str())
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
 }
 
 /// The body of a request, as far as it was read.
@@ -243,7 +252,7 @@
     if matches!(framing, Framing::Length(n) if n > limit) {
         return Ok(BodyRead::TooLarge { start: Bytes::new(), state });
     }
-    caller.connection.flush().await?;
+    caller.ask_for_body().await?;
     let mut body = BytesMut::new();
     while let Some(piece) = read_piece(&mut caller.connection, &mut state, pause).await? {
         body.extend_from_slice(&piece);
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -86,6 +86,7 @@
 ) -> Result<Reply, Fault> {
     let limit = time_left(target).min(CONNECT_LIMIT);
     let mut connection = target.backend.pool.checkout(limit).await.map_err(Fault::Connect)?;
+    caller.ask_for_body().await.map_err(Fault::Caller)?;
     let framing = meta.framing;
     put_request(connection.output(), &req.method, &req.path, &req.headers, framing);
     within_pause(connection.write_body(framing, &start)).await.map_err(Fault::Http)?;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -176,6 +176,21 @@
     assert_eq!(get(instance.callers, "/", "").body.len(), 100_000);
 }
 
+#[test]
+fn callers_expect_continue_told() {
+    let server = FakeServer::start(|io, req| answer_ok(io, req.body.len().to_string().as_bytes()));
+    let instance = Instance::start(&Setup::lookup(&server));
+    for len in [10, 300_000] {
+        let mut client = Client::connect(instance.callers);
+        client.send(&format!(
+            "POST / HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: {len}\r\n\r\n"
+        ));
+        assert_eq!(client.answer().status, 100);
+        client.send(&"x".repeat(len));
+        assert_eq!(client.answer().text(), len.to_string());
+    }
+}
+
 #[test]
 fn callers_forged_headers_stripped() {
     let seen = Arc::new(Mutex::new(String::new()));
