A caller that goes away frees its slot at once, also while bodies stream

Cause: nobody watched the caller's connection while the rest of a large answer, or the head of the answer to a streamed request, was awaited from the backend server; the slot stayed taken until the server sent something or a pause of 30 s ended.

Before: callers_gone_slot_freed failed for /large (slot not free within 20 s). After: it passes for small answers, large answers and uploads, each within 2 s.

--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -4,11 +4,14 @@
 use super::attempt::{Reply, Rest};
 use super::caller::{Caller, read_piece};
 use super::headers;
+use bytes::Bytes;
+use futures::future::{Either, select};
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::{BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
 use http::header::HeaderMap;
 use http::{Method, StatusCode};
 use std::fmt::Display;
+use std::pin::pin;
 use std::time::Duration;
 
 /// Longest pause inside a body, on either side, before the answer is given up.
@@ -92,7 +95,7 @@
     caller.set_connection(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
     within_pause(caller.connection.write_body(framing, start)).await?;
-    while let Some(piece) = read_piece(&mut rest.connection, &mut rest.state, BODY_PAUSE).await? {
+    while let Some(piece) = next_piece(caller, &mut rest).await? {
         within_pause(caller.connection.write_body(framing, &piece)).await?;
     }
     within_pause(caller.connection.finish_body(framing)).await?;
@@ -102,6 +105,16 @@
     Ok(())
 }
 
+/// The next piece of an answer, unless the caller goes away first.
+async fn next_piece(caller: &mut Caller, rest: &mut Rest) -> Result<Option<Bytes>, HttpError> {
+    let piece = pin!(read_piece(&mut rest.connection, &mut rest.state, BODY_PAUSE));
+    let gone = pin!(caller.connection.closed());
+    match select(piece, gone).await {
+        Either::Left((piece, _)) => piece,
+        Either::Right(_) => Err(HttpError::Closed),
+    }
+}
+
 pub(super) async fn within_pause<T>(
     work: impl Future<Output = Result<T, HttpError>>,
 ) -> Result<T, HttpError> {
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -17,9 +17,11 @@
 use super::request::RequestMeta;
 use super::service::Service;
 use bytes::Bytes;
+use futures::future::{Either, select};
 use galenapath_http::{BodyState, HttpError, RequestHead, put_request, response_framing};
 use galenapath_policy::Outcome;
 use galenapath_protocol::Verdict;
+use std::pin::pin;
 use std::rc::Rc;
 
 /// Longest time to connect to a backend server.
@@ -97,10 +99,14 @@
         within_pause(connection.write_body(framing, &piece)).await.map_err(Fault::Http)?;
     }
     within_pause(connection.finish_body(framing)).await.map_err(Fault::Http)?;
-    let head = monoio::time::timeout(time_left(target), read_final_head(&mut connection))
-        .await
-        .map_err(|_| Fault::TimedOut)?
-        .map_err(Fault::Http)?;
+    let head = {
+        let head = monoio::time::timeout(time_left(target), read_final_head(&mut connection));
+        let gone = pin!(caller.connection.closed());
+        match select(pin!(head), gone).await {
+            Either::Left((head, _)) => head.map_err(|_| Fault::TimedOut)?.map_err(Fault::Http)?,
+            Either::Right(_) => return Err(Fault::Caller(HttpError::Closed)),
+        }
+    };
     take_report(target, &head.headers);
     let framing = response_framing(&req.method, head.status, &head.headers).map_err(Fault::Http)?;
     let state = BodyState::new(framing);
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -6,9 +6,10 @@
 
 use std::io::Write;
 use std::ops::ControlFlow;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get};
+use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get, wait_until};
 
 /// A server that answers with the request's path.
 fn echo() -> FakeServer {
@@ -210,3 +211,39 @@
     assert!(!seen.contains("forged") && !seen.contains("77"), "{seen}");
     assert_eq!(seen.matches("galenapath-deadline-ms").count(), 1, "{seen}");
 }
+
+#[test]
+fn callers_gone_slot_freed() {
+    let closed = Arc::new(AtomicUsize::new(0));
+    let started = Arc::new(AtomicUsize::new(0));
+    let server = {
+        let (closed, started) = (Arc::clone(&closed), Arc::clone(&started));
+        FakeServer::start(move |io, req| {
+            if req.path() == "/large" {
+                let _ = io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 900000\r\n\r\n");
+                let _ = io.write_all(&[b'x'; 100_000]);
+            }
+            started.fetch_add(1, Ordering::SeqCst);
+            // Never answers; sees the instance close.
+            let _ = std::io::Read::read(io, &mut [0]);
+            closed.fetch_add(1, Ordering::SeqCst);
+            ControlFlow::Break(())
+        })
+    };
+    let instance = Instance::start(&Setup::lookup(&server));
+    let body = "x".repeat(100_000);
+    let requests = [
+        "GET /small HTTP/1.1\r\nHost: s\r\n\r\n".to_owned(),
+        "GET /large HTTP/1.1\r\nHost: s\r\n\r\n".to_owned(),
+        format!("POST /up HTTP/1.1\r\nHost: s\r\nContent-Length: 100000\r\n\r\n{body}"),
+    ];
+    for (n, req) in requests.iter().enumerate() {
+        let mut client = Client::connect(instance.callers);
+        client.send(req);
+        wait_until("the request at the server", || started.load(Ordering::SeqCst) > n);
+        let gone = Instant::now();
+        drop(client);
+        wait_until("the slot", || closed.load(Ordering::SeqCst) > n);
+        assert!(gone.elapsed() < Duration::from_secs(2), "{:.20}: {:?}", req, gone.elapsed());
+    }
+}
