--- a/crates/galenapath-entry/src/data/commands.rs
+++ b/crates/galenapath-entry/src/data/commands.rs
@@ -18,11 +18,6 @@
     },
     /// Take in what a peer knows of suspects.
     Suspects(Vec<SuspectWire>),
-    /// Tell what is known of suspects.
-    ExportSuspects {
-        /// Where they go.
-        reply: Sender<Vec<SuspectWire>>,
-    },
     /// Take over the outcomes of an incarnation that stops.
     Adopt {
         /// The incarnation.
@@ -59,9 +54,6 @@
             let _ = reply.try_send(plane.history.borrow().find(&id).cloned());
         }
         DataCommand::Suspects(news) => plane.suspects.borrow_mut().merge(now, &news),
-        DataCommand::ExportSuspects { reply } => {
-            let _ = reply.try_send(plane.suspects.borrow().export(now));
-        }
         DataCommand::Adopt { from, outcomes } => {
             plane.filings.borrow_mut().adopt(now, from, outcomes);
         }
--- a/crates/galenapath-entry/src/fleet.rs
+++ b/crates/galenapath-entry/src/fleet.rs
@@ -47,16 +47,6 @@
     pub fn backends(&self, service: &str) -> &[FleetBackend] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
-
-    /// Number of backend servers.
-    pub fn len(&self) -> usize {
-        self.services.values().map(Vec::len).sum()
-    }
-
-    /// Whether no backend server is known.
-    pub fn is_empty(&self) -> bool {
-        self.services.is_empty()
-    }
 }
 
 fn to_backend(listed: &ListedInstance, marks: &LeavingMarks) -> FleetBackend {
