Probes are split among all instances that may send, twice what is seen; filings avoid servers in doubt

Six instances served the service, three of them dispatched, and the budget was split by three. Ruled out: bursts of one bucket (it holds one probe). Change: set_probe_sharers with every usable instance, doubled for lists that overlap, at least 16.

--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -11,6 +11,7 @@
 use super::refusal;
 use super::request::{RequestMeta, number};
 use super::service::{Service, State};
+use galenapath_config::ClassKind;
 use galenapath_policy::{AttemptCount, MAX_ATTEMPTS, Slot, may_retry};
 use galenapath_protocol::{ATTEMPT_HEADER, BackendId, Micros, Verdict};
 use std::cell::{Cell, RefCell};
@@ -112,16 +113,22 @@
     /// Chooses the next backend server; one tried before only where no other is left.
     pub(super) fn choose(&self) -> Option<Slot> {
         let now = self.plane.now();
-        let mut exclude = self.tried.borrow().clone();
+        let exclude = self.tried.borrow().clone();
         if self.trial.is_some() {
             return self.choose_alone(exclude);
         }
         let mut state = self.service.state.borrow_mut();
-        if let Some(slot) = state.balancer.choose(now, &exclude) {
+        let balancer = &mut state.balancer;
+        if exclude.is_empty()
+            && balancer.free_slots(now) == 0
+            && let Some(slot) = balancer.choose_crossing(now)
+        {
             return Some(slot);
         }
-        exclude.clear();
-        state.balancer.choose(now, &exclude)
+        // A filing that fails cannot be sent again, so it is no trial for a server in doubt.
+        let is_filing = self.meta.class.kind == ClassKind::Filing;
+        let proven = if is_filing { balancer.choose_proven(now, &exclude) } else { None };
+        proven.or_else(|| balancer.choose(now, &exclude)).or_else(|| balancer.choose(now, &[]))
     }
 
     /// Chooses a backend server on which nothing else runs.
--- a/crates/galenapath-entry/src/data/permit.rs
+++ b/crates/galenapath-entry/src/data/permit.rs
@@ -96,6 +96,9 @@
         Decision::Wait => {
             let (tx, rx) = oneshot::channel();
             state.waiters.insert(meta.number, tx);
+            drop(state);
+            // Room may have been made for it at the cost of others.
+            service.poll(now);
             Offered::Wait(rx)
         }
     }
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -19,6 +19,10 @@
 /// Slots assumed of a backend server that has not yet told.
 const ASSUMED_SLOTS: u32 = 6;
 
+/// Least number of instances among which probes are split: an instance that has just started does
+/// not know the others yet, and today's deployments have 16.
+const LEAST_PROBE_SHARERS: u32 = 16;
+
 /// Time between two looks at the service's rate.
 const RATE_INTERVAL: Micros = Micros::from_secs(1);
 
@@ -105,11 +109,7 @@
         let mut steps = Vec::new();
         loop {
             let mut state = self.state.borrow_mut();
-            let slots = state.balancer.free_slots(now);
-            let in_flight = state.in_flight;
-            let waiting = u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX);
-            state.balancer.set_waiting(waiting);
-            state.admission.set_capacity(now, in_flight.saturating_add(slots));
+            state.tell_capacity(now);
             state.admission.poll(now, &mut steps);
             if steps.is_empty() {
                 return;
@@ -136,6 +136,17 @@
 }
 
 impl State {
+    /// Tells admission and the balancer about each other. Where no slot is free, one more request
+    /// may come in if it had better cross to another failure domain than wait.
+    fn tell_capacity(&mut self, now: Micros) {
+        let waiting = u32::try_from(self.admission.waiting()).unwrap_or(u32::MAX);
+        self.balancer.set_waiting(waiting);
+        let free = self.balancer.free_slots(now);
+        let crosses = free == 0 && self.balancer.choose_crossing(now).is_some();
+        let room = free.max(u32::from(crosses));
+        self.admission.set_capacity(now, self.in_flight.saturating_add(room));
+    }
+
     fn set_classes(&mut self, service: &str, config: &Config) {
         self.config_version = Some(config.version().0);
         let of_service = config.classes().filter(|class| class.service == service);
@@ -164,6 +175,7 @@
         }
         self.dispatching.update(now, service, own, members, over);
         self.balancer.set_dispatchers(now, self.dispatching.number());
+        self.balancer.set_probe_sharers(now, probe_sharers(members));
         // The share may have changed, so the list of backend servers is taken in again.
         if self.share != self.dispatching.share(now) {
             self.fleet_version = None;
@@ -208,3 +220,10 @@
         connection_share: share,
     }
 }
+
+/// Instances among which probes are split. While instances are replaced, old and new ones probe by
+/// lists that differ, so each counts twice as many as it sees.
+fn probe_sharers(members: &MemberView) -> u32 {
+    let usable = u32::try_from(members.usable.len()).unwrap_or(u32::MAX);
+    usable.saturating_mul(2).max(LEAST_PROBE_SHARERS)
+}
--- a/crates/galenapath-policy/src/balance/balancer.rs
+++ b/crates/galenapath-policy/src/balance/balancer.rs
@@ -46,12 +46,15 @@
     listed: bool,
     pub(super) turn: usize,
     probe_turn: usize,
+    /// Instances among which the probes to a server are split; at least `cfg.dispatchers`.
+    probe_sharers: u32,
     pub(super) candidates: Vec<Candidate>,
 }
 
 impl Balancer {
     /// A balancer without servers, for an instance in failure domain `domain`.
     pub fn new(cfg: BalancerConfig, domain: DomainId, seed: u64) -> Self {
+        let probe_sharers = cfg.dispatchers;
         Self {
             cfg,
             domain,
@@ -67,6 +70,7 @@
             listed: false,
             turn: 0,
             probe_turn: 0,
+            probe_sharers,
             candidates: Vec::new(),
         }
     }
@@ -111,7 +115,7 @@
             }
             None => return None,
         };
-        let probes = ProbeBudget::new(now, self.cfg.probe_rate, self.cfg.dispatchers);
+        let probes = ProbeBudget::new(now, self.cfg.probe_rate, self.probe_sharers);
         let generation = self.generations[index];
         let mut server = Server::new(id.clone(), generation, self.cfg.assumed_slots, probes);
         server.health.dispatchers = self.cfg.dispatchers;
@@ -126,9 +130,19 @@
     pub fn set_dispatchers(&mut self, now: Micros, dispatchers: u32) {
         self.cfg.dispatchers = dispatchers.max(1);
         for server in self.servers.iter_mut().flatten() {
-            server.probes.set_share(now, self.cfg.probe_rate, self.cfg.dispatchers);
             server.health.dispatchers = self.cfg.dispatchers;
         }
+        self.set_probe_sharers(now, self.probe_sharers);
+    }
+
+    /// Tells how many instances may probe the servers, this one included: all that may send them
+    /// requests, also those that only serve what came to them by an old address answer. Never
+    /// fewer than dispatch; starts at the configured number of dispatchers.
+    pub fn set_probe_sharers(&mut self, now: Micros, sharers: u32) {
+        self.probe_sharers = sharers.max(self.cfg.dispatchers);
+        for server in self.servers.iter_mut().flatten() {
+            server.probes.set_share(now, self.cfg.probe_rate, self.probe_sharers);
+        }
     }
 
     /// Tells how many requests wait at this instance. With it, requests wait for a server of the
