--- a/crates/galenapath-dev/src/load/caller.rs
+++ b/crates/galenapath-dev/src/load/caller.rs
@@ -12,7 +12,8 @@
 pub struct Callers {
     pub(super) class: ClassLoad,
     pub(super) opts: Options,
-    pub(super) entries: Entries,
+    /// One for each instance that is asked, taken in turn: callers are spread over the instances.
+    pub(super) entries: Vec<Entries>,
     pub(super) pool: Pool,
     /// Keeps keys and paths of different runs apart.
     pub(super) run: u64,
@@ -21,7 +22,8 @@
 impl Callers {
     /// Sends request number `index` until it has an end.
     pub async fn call(&self, index: u64) -> Told {
-        let route = self.entries.route().await;
+        let turn = usize::try_from(index).unwrap_or(0) % self.entries.len();
+        let route = self.entries[turn].route().await;
         let req = self.request(index, &route);
         let mut told = Told::new(req.spec());
         let mut next = 0;
--- a/crates/galenapath-dev/src/load/options.rs
+++ b/crates/galenapath-dev/src/load/options.rs
@@ -25,7 +25,8 @@
     /// Most requests of a class.
     #[arg(long, default_value_t = 1_000_000)]
     pub most: u64,
-    /// Most requests of a class that are unanswered at a time; what exceeds it is counted as broken.
+    /// Most requests of a class that are unanswered at a time; what exceeds it is not sent and
+    /// counted as unsent.
     #[arg(long, default_value_t = 4_000)]
     pub outstanding: usize,
     /// Times that a caller sends a request, the first one counted.
--- a/crates/galenapath-dev/src/load/run.rs
+++ b/crates/galenapath-dev/src/load/run.rs
@@ -33,8 +33,7 @@
             wait_known(&class.service, &opts.entries, opts.warm_up).await;
         }
     }
-    let classes = opts.classes.iter().enumerate();
-    join_all(classes.map(|(number, class)| run_class(opts, class, number))).await
+    join_all(opts.classes.iter().map(|class| run_class(opts, class))).await
 }
 
 /// Requests of a class in progress and their results.
@@ -44,11 +43,11 @@
     outstanding: Cell<usize>,
 }
 
-async fn run_class(opts: &Options, class: &ClassLoad, number: usize) -> Report {
+async fn run_class(opts: &Options, class: &ClassLoad) -> Report {
     let seed = hash64(opts.seed, class.name.as_bytes());
-    let callers = Rc::new(callers(opts, class, number));
+    let callers = Rc::new(callers(opts, class));
     // Asking for addresses once is a caller's first step, not part of a request's time.
-    callers.entries.route().await;
+    join_all(callers.entries.iter().map(Entries::route)).await;
     let tally = Tally::new(Duration::from_millis(class.target_ms));
     let progress = Rc::new(Progress {
         tally: RefCell::new(tally),
@@ -64,7 +63,7 @@
             sleep(wait).await;
         }
         if progress.outstanding.get() >= opts.outstanding {
-            progress.tally.borrow_mut().record(Outcome::Broken, Duration::ZERO, 0);
+            progress.tally.borrow_mut().record(Outcome::Unsent, Duration::ZERO, 0);
             continue;
         }
         progress.outstanding.set(progress.outstanding.get() + 1);
@@ -77,10 +76,13 @@
     Report { row, told: progress.told.take() }
 }
 
-fn callers(opts: &Options, class: &ClassLoad, number: usize) -> Callers {
+fn callers(opts: &Options, class: &ClassLoad) -> Callers {
+    let service = &class.service;
     let entries = match opts.direct.is_empty() {
-        true => Entries::asking(&class.service, &opts.entries, number),
-        false => Entries::fixed(&class.service, &opts.direct),
+        true => (0..opts.entries.len())
+            .map(|first| Entries::asking(service, &opts.entries, first))
+            .collect(),
+        false => vec![Entries::fixed(service, &opts.direct)],
     };
     let run = rand::random();
     Callers { class: class.clone(), opts: opts.clone(), entries, pool: Pool::default(), run }
--- a/crates/galenapath-dev/src/load/tally.rs
+++ b/crates/galenapath-dev/src/load/tally.rs
@@ -24,11 +24,13 @@
     Broken,
     /// A body of another request, or a damaged one.
     Wrong,
+    /// Never sent: too many requests of the class were unanswered already.
+    Unsent,
 }
 
 /// Counts and times of one class so far.
 pub struct Tally {
-    counts: [u64; 6],
+    counts: [u64; 7],
     in_time: u64,
     resent: u64,
     times: Histogram<u64>,
@@ -43,7 +45,7 @@
         #[allow(clippy::expect_used)]
         let mut times = times.expect("constant bounds are valid");
         times.auto(true);
-        Self { counts: [0; 6], in_time: 0, resent: 0, times, target }
+        Self { counts: [0; 7], in_time: 0, resent: 0, times, target }
     }
 
     /// Counts a request that ended `time` after it was due, in `attempts` attempts.
@@ -70,6 +72,7 @@
             failed: count(Outcome::Failed),
             broken: count(Outcome::Broken),
             wrong: count(Outcome::Wrong),
+            unsent: count(Outcome::Unsent),
             resent: self.resent,
             p50_ms: ms(0.5),
             p99_ms: ms(0.99),
@@ -85,7 +88,7 @@
 pub struct Row {
     /// Name of the class.
     pub class: String,
-    /// Requests that were due and sent, each counted once.
+    /// Requests that were due, each counted once.
     pub sent: u64,
     /// See [`Outcome::Answered`].
     pub answered: u64,
@@ -99,6 +102,8 @@
     pub broken: u64,
     /// See [`Outcome::Wrong`].
     pub wrong: u64,
+    /// See [`Outcome::Unsent`].
+    pub unsent: u64,
     /// Attempts beyond the first.
     pub resent: u64,
     /// Median time of answered requests in milliseconds, from the moment they were due.
--- a/crates/galenapath-dev/src/load/verify.rs
+++ b/crates/galenapath-dev/src/load/verify.rs
@@ -15,6 +15,7 @@
         };
         none_of(row.wrong, "wrong answers");
         none_of(row.broken, "broken requests");
+        none_of(row.unsent, "requests that were not sent");
         none_of(row.failed, "failed requests");
         none_of(row.may_have_run, "requests that may have run");
         if !row.target_met {
--- a/crates/galenapath-dev/src/scenario/cluster.rs
+++ b/crates/galenapath-dev/src/scenario/cluster.rs
@@ -21,6 +21,9 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+/// File of the operators' token.
+pub const TOKEN_FILE: &str = "token";
+
 /// Where the result of a load in the background appears.
 pub type LoadResult = Rc<RefCell<Option<Report>>>;
 
@@ -132,11 +135,21 @@
         Ok(links)
     }
 
-    /// Starts a run of `galenactl` against an instance.
+    /// Starts a run of `galenactl` against an instance, with the operators' token.
     pub fn operator(&mut self, name: &str, words: &[String]) -> Result<Operator, ScenarioError> {
+        self.operator_with(TOKEN_FILE, name, words)
+    }
+
+    /// The same with the token in another file of the scenario.
+    pub fn operator_with(
+        &mut self,
+        token: &str,
+        name: &str,
+        words: &[String],
+    ) -> Result<Operator, ScenarioError> {
         self.count += 1;
         let addr = self.instance(name)?.operators;
-        Operator::start(&self.programs, addr, words, &self.dir, self.count)
+        Operator::start(&self.programs, addr, token, words, &self.dir, self.count)
     }
 
     /// A text that no other request of the scenario has.
--- a/crates/galenapath-dev/src/scenario/operator.rs
+++ b/crates/galenapath-dev/src/scenario/operator.rs
@@ -29,10 +29,12 @@
 }
 
 impl Operator {
-    /// Starts `galenactl` with `words` against the instance at `addr`.
+    /// Starts `galenactl` with `words` against the instance at `addr`, with the token in the file
+    /// `token` of `dir`.
     pub fn start(
         programs: &Programs,
         addr: SocketAddr,
+        token: &str,
         words: &[String],
         dir: &Path,
         number: usize,
@@ -43,7 +45,7 @@
         let child = Command::new(&programs.operator)
             .args(["--instance", &addr.to_string()])
             .arg("--token-file")
-            .arg(dir.join("token"))
+            .arg(dir.join(token))
             .args(words)
             .stdin(Stdio::null())
             .stdout(file)
--- a/crates/galenapath-dev/src/scenario/run.rs
+++ b/crates/galenapath-dev/src/scenario/run.rs
@@ -1,7 +1,7 @@
 //! Carries out the steps of a scenario in order.
 
 use super::backend::Backends;
-use super::cluster::Cluster;
+use super::cluster::{Cluster, TOKEN_FILE};
 use super::error::ScenarioError;
 use super::expect::{expect, limit, wait};
 use super::instance::Instance;
@@ -22,6 +22,9 @@
 
 /// Token that the operators of a scenario share.
 const TOKEN: &str = "scenario-operators-token\n";
+/// Token that no instance takes, and its file.
+const WRONG_TOKEN: &str = "scenario-wrong-token\n";
+const WRONG_TOKEN_FILE: &str = "wrong-token";
 /// Longest wait for the end of a request once the steps are done.
 const LAST_ANSWER_LIMIT: Duration = Duration::from_secs(60);
 
@@ -37,7 +40,7 @@
     runtime.block_on(async {
         let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
         let lines = parse(&text).map_err(|e| format!("{}: {e}", file.display()))?;
-        std::fs::write(dir.join("token"), TOKEN).map_err(|e| e.to_string())?;
+        write_tokens(dir).map_err(|e| e.to_string())?;
         let mut cluster = Cluster::new(programs, dir.to_owned());
         for line in &lines {
             if let Err(e) = step(&mut cluster, line).await {
@@ -53,6 +56,11 @@
     })
 }
 
+fn write_tokens(dir: &Path) -> std::io::Result<()> {
+    std::fs::write(dir.join(TOKEN_FILE), TOKEN)?;
+    std::fs::write(dir.join(WRONG_TOKEN_FILE), WRONG_TOKEN)
+}
+
 /// Waits for everything that still runs, then compares what was told with what ran.
 async fn finish(cluster: &Cluster) -> Result<(), ScenarioError> {
     for name in cluster.loads.keys() {
@@ -242,10 +250,11 @@
     Ok(())
 }
 
-/// `ctl INSTANCE [exit=…] WORDS…` or `race accepted=… (INSTANCE "WORDS")…`
+/// `ctl INSTANCE [exit=…] [token=wrong] WORDS…` or `race accepted=… (INSTANCE "WORDS")…`
 async fn change(cluster: &mut Cluster, line: &Line) -> Result<(), ScenarioError> {
     if line.word(0) == "ctl" {
-        let ended = cluster.operator(line.word(1), &line.words[2..])?.wait().await?;
+        let token = if line.option("token").is_some() { WRONG_TOKEN_FILE } else { TOKEN_FILE };
+        let ended = cluster.operator_with(token, line.word(1), &line.words[2..])?.wait().await?;
         let expected = line.option("exit").unwrap_or("0");
         if ended.code.to_string() == expected {
             return Ok(());
--- a/crates/galenapath-dev/src/scenario/send.rs
+++ b/crates/galenapath-dev/src/scenario/send.rs
@@ -126,5 +126,6 @@
         Outcome::Failed => "failed",
         Outcome::Broken => "broken",
         Outcome::Wrong => "wrong",
+        Outcome::Unsent => "unsent",
     }
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -130,9 +130,9 @@
   done
   fail "class $1: $(tail -n 1 "$dir/create.out")"
 }
-create lookup --service "$lookup" --kind lookup --path / --target 50ms --share 0.99
-create filing --service "$filing" --kind filing --path / --target 100ms --share 0.99
-create transfer --service "$transfer" --kind transfer --path / --target 500ms --share 0.99
+create lookup --service "$lookup" --kind lookup --path / --latency-ms 50 --share 0.99
+create filing --service "$filing" --kind filing --path / --latency-ms 100 --share 0.99
+create transfer --service "$transfer" --kind transfer --path / --latency-ms 500 --share 0.99
 
 status=0
 "$bin/examples/load" "${entries[@]}" "${admins[@]}" --check --warm-up 20s \
