--- a/crates/galenapath-policy/benches/decisions/main.rs
+++ b/crates/galenapath-policy/benches/decisions/main.rs
@@ -16,16 +16,18 @@
 use galenapath_policy::ChoicePolicy;
 use scenario::{DOMAINS, Deployment, HSINCHU, INSTANCES, LAGOS, Pattern, Scenario, Work};
 use sim::Player;
-use stats::Figures;
+use stats::{Figures, Stats};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
 
 const THREADS: usize = 4;
-const SEED: u64 = 20;
+/// Each run is played with these; their requests count together.
+const SEEDS: [u64; 2] = [20, 21];
 const FEW: usize = 3;
 
-const PLAYERS: [Player; 6] = [
-    player("galenapath", ChoicePolicy::Galenapath, FEW),
+const PLAYERS: [Player; 7] = [
+    admitting("galenapath", FEW),
+    player("galenapath, no admission", ChoicePolicy::Galenapath, FEW),
     player("random", ChoicePolicy::Random, INSTANCES),
     player("round robin", ChoicePolicy::RoundRobin, INSTANCES),
     player("least in flight", ChoicePolicy::LeastInFlight, INSTANCES),
@@ -34,24 +36,18 @@
 ];
 
 /// Played besides where the number of dispatchers matters.
-const MORE_DISPATCHERS: [Player; 2] = [
-    player("galenapath, 6 disp.", ChoicePolicy::Galenapath, 2 * FEW),
-    player("galenapath, 16 disp.", ChoicePolicy::Galenapath, INSTANCES),
-];
-
-/// Played with admission in front, where the pattern is one for it.
-const ADMITTED: [Player; 2] = [
-    Player { admission: true, ..player("with admission", ChoicePolicy::Galenapath, FEW) },
-    Player {
-        admission: true,
-        ..player("with admission, 16 disp.", ChoicePolicy::Galenapath, INSTANCES)
-    },
-];
+const MORE_DISPATCHERS: [Player; 2] =
+    [admitting("galenapath, 6 disp.", 2 * FEW), admitting("galenapath, 16 disp.", INSTANCES)];
 
 const fn player(name: &'static str, policy: ChoicePolicy, dispatchers: usize) -> Player {
     Player { name, policy, dispatchers, admission: false }
 }
 
+/// The whole path of an entry instance: admission, then the balancer.
+const fn admitting(name: &'static str, dispatchers: usize) -> Player {
+    Player { name, policy: ChoicePolicy::Galenapath, dispatchers, admission: true }
+}
+
 const PATTERNS: [Pattern; 11] = [
     Pattern::Steady,
     Pattern::Burst,
@@ -67,8 +63,14 @@
 ];
 
 /// Patterns that are played with more dispatchers too.
-const COUNTED: [Pattern; 4] =
-    [Pattern::Steady, Pattern::HeavyCallers, Pattern::Straggler, Pattern::BadReports];
+const COUNTED: [Pattern; 6] = [
+    Pattern::Steady,
+    Pattern::HeavyCallers,
+    Pattern::HeavyOverload,
+    Pattern::Straggler,
+    Pattern::Saturation,
+    Pattern::BadReports,
+];
 
 /// One run: a scenario and a player, or the limit.
 #[derive(Clone, Copy)]
@@ -99,14 +101,11 @@
 fn jobs() -> Vec<Job> {
     let mut jobs = Vec::new();
     let mut add = |deployment: Deployment, pattern: Pattern, work: Work| {
-        let scenario = Scenario { deployment, work, pattern, seed: SEED };
+        let scenario = Scenario { deployment, work, pattern, seed: SEEDS[0] };
         jobs.extend(PLAYERS.iter().map(|p| Job { scenario, player: Some(*p) }));
         if work == Work::Exponential && COUNTED.contains(&pattern) {
             jobs.extend(MORE_DISPATCHERS.iter().map(|p| Job { scenario, player: Some(*p) }));
         }
-        if work == Work::Exponential {
-            jobs.extend(ADMITTED.iter().map(|p| Job { scenario, player: Some(*p) }));
-        }
         jobs.push(Job { scenario, player: None });
     };
     for deployment in [HSINCHU, LAGOS] {
@@ -124,15 +123,20 @@
 
 impl Job {
     fn title(&self) -> String {
-        let Scenario { deployment, work, pattern, seed } = self.scenario;
-        format!("{}, {work:?} work, {}, seed {seed}", pattern.name(), deployment.name)
+        let Scenario { deployment, work, pattern, .. } = self.scenario;
+        format!("{}, {work:?} work, {}", pattern.name(), deployment.name)
     }
 
     fn play(&self) -> Figures {
-        match &self.player {
-            Some(player) => sim::play(&self.scenario, player),
-            None => limit::play(&self.scenario, DOMAINS),
+        let mut stats = Stats::new();
+        for seed in SEEDS {
+            let scenario = Scenario { seed, ..self.scenario };
+            stats.add(match &self.player {
+                Some(player) => sim::play(&scenario, player),
+                None => limit::play(&scenario, DOMAINS),
+            });
         }
+        stats.figures()
     }
 }
 
