Members: second look, silent leaving ones end, gone ones probed, suspicion grows with the fleet

A single lost message made a suspect, and a refutation needs two spreads of gossip, longer than 3 s from 16 instances on; a leaving member that stopped was never gone; a newcomer was in nobody's round for up to a round (200 s at 400); gone members were never probed, so that regions that lost each other stayed apart; a tombstone was dropped while a lagging list still told of the member; every newcomer told the whole list again.

Change: a live member is a suspect after two misses in a row; suspicion is 3 s and 0.5 s for each doubling; leaving members that stay silent are gone; one probe in eight goes to a gone member; newcomers get a random place in the round; old news of a gone member renews its tombstone; what a newcomer reads first from the list is not told; of rumors told equally often the newest goes first.

The bound on the table's size in tick_replacements_memory_bounded now counts the instances that run, since half of its replacements take new addresses; its own-entry check leaves out stopped instances.

--- a/crates/galenapath-membership/src/config.rs
+++ b/crates/galenapath-membership/src/config.rs
@@ -12,8 +12,11 @@
     /// Time between two probes that an instance sends. One probe a second keeps the cost of
     /// control flat in the number of instances.
     pub probe_interval: Micros,
-    /// How long a suspect may still answer before it counts as gone.
+    /// How long a suspect may still answer before it counts as gone, in a fleet of one.
     pub suspicion: Micros,
+    /// Added to `suspicion` for each doubling of the number of members, since a refutation takes
+    /// two spreads of gossip.
+    pub suspicion_per_doubling: Micros,
     /// How long a member that is gone stays known, so that old rumors do not bring it back.
     pub keep_gone: Micros,
     /// Each rumor is sent this many times for each doubling of the number of members.
@@ -27,9 +30,17 @@
         Self {
             probe_interval: Micros::from_millis(500),
             suspicion: Micros::from_secs(3),
+            suspicion_per_doubling: Micros::from_millis(500),
             keep_gone: Micros::from_secs(600),
             rumor_factor: 3,
             rumors_per_message: 8,
         }
     }
 }
+
+impl MembershipConfig {
+    /// The suspicion in a fleet whose size is one doubled `doublings` times.
+    pub fn suspicion_after(&self, doublings: u32) -> Micros {
+        Micros(self.suspicion.0 + self.suspicion_per_doubling.0 * u64::from(doublings))
+    }
+}
--- a/crates/galenapath-membership/src/members.rs
+++ b/crates/galenapath-membership/src/members.rs
@@ -5,7 +5,11 @@
 //! shuffled order that visits everyone; a missed probe makes a suspect, which is told to the others
 //! on later probes, and a suspect that stays silent is gone. A member that hears it is suspected
 //! raises its beat and says so. This is the SWIM protocol without its indirect probes: a cut that
-//! hides a member from some peers only is answered by the member's own refutation through others.
+//! hides a member from some peers only is answered by the member's own refutation through others,
+//! for which the suspicion has to outlast two spreads of gossip.
+//!
+//! Members that are gone are probed now and then, or regions that lost each other would not find
+//! each other again: both sides hold the other for gone, and nobody would speak against it.
 
 use crate::rumors::Rumors;
 use crate::{Member, MemberStatus, MembershipConfig};
@@ -21,11 +25,40 @@
     pub incarnation: Incarnation,
 }
 
+/// One probe in this many goes to a member that is gone, if there is one.
+const GONE_PROBE_EVERY: u64 = 8;
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
-    /// When the status last changed.
+    /// When the status last changed; of a gone member, when news last called it anything else.
     since: Micros,
+    /// Whether the last probe of a live member was missed and a second one is to follow.
+    is_missed: bool,
+    /// When a leaving member first missed a probe since it last answered.
+    silent: Option<Micros>,
+}
+
+impl Entry {
+    const fn new(now: Micros, member: Member) -> Self {
+        Self { member, since: now, is_missed: false, silent: None }
+    }
+
+    /// Keeps a tombstone for as long as anyone speaks of the member as present.
+    fn note_old_news(&mut self, now: Micros) {
+        if self.member.status == MemberStatus::Gone {
+            self.since = now;
+        }
+    }
+
+    /// Since when the member would have had to answer and did not.
+    fn wanting_since(&self) -> Option<Micros> {
+        match self.member.status {
+            MemberStatus::Suspect => Some(self.since),
+            MemberStatus::Leaving => self.silent,
+            MemberStatus::Live | MemberStatus::Gone => None,
+        }
+    }
 }
 
 /// All incarnations of entry instances known to one of them.
@@ -41,6 +74,10 @@
     /// Peers still to be probed in this round, last first.
     round: Vec<Incarnation>,
     round_number: u64,
+    /// Members that missed a probe and are probed again before they count as suspects.
+    second_looks: Vec<Incarnation>,
+    /// Probes sent so far.
+    probes: u64,
     next_probe: Micros,
     version: u64,
 }
@@ -56,6 +93,8 @@
             rumors: Rumors::default(),
             round: Vec::new(),
             round_number: 0,
+            second_looks: Vec::new(),
+            probes: 0,
             next_probe: now,
             version: 0,
         };
@@ -95,7 +134,7 @@
             return None;
         }
         self.next_probe = now + self.cfg.probe_interval;
-        let incarnation = self.next_in_round()?;
+        let incarnation = self.next_to_probe()?;
         let member = self.find(incarnation)?;
         Some(Probe { to: member.peers, incarnation })
     }
@@ -121,21 +160,40 @@
         }
     }
 
+    /// Takes in what a newcomer reads first from the platform's list. The others know it already,
+    /// so it is not told: with 400 members it would fill the messages of five minutes.
+    pub fn learn(&mut self, now: Micros, list: &[Member]) {
+        let own = self.rumors.clone();
+        self.merge(now, list);
+        self.rumors = own;
+    }
+
     /// A probe was answered by the incarnation it was sent to.
     pub fn probe_answered(&mut self, now: Micros, incarnation: Incarnation) {
         // Only the member itself may end a suspicion that others share, by raising its beat; its
         // answer carries its own entry, which `merge` takes in.
         let Some(entry) = self.entries.get_mut(&incarnation) else { return };
+        entry.is_missed = false;
+        entry.silent = None;
         if entry.member.status == MemberStatus::Suspect {
             entry.since = now;
         }
     }
 
-    /// A probe was not answered.
+    /// A probe was not answered. A second miss in a row makes a suspect of a live member: single
+    /// messages are lost far more often than members.
     pub fn probe_failed(&mut self, now: Micros, incarnation: Incarnation) {
-        let Some(entry) = self.entries.get(&incarnation) else { return };
-        if entry.member.status == MemberStatus::Live {
-            self.set_status(now, incarnation, MemberStatus::Suspect);
+        let Some(entry) = self.entries.get_mut(&incarnation) else { return };
+        match entry.member.status {
+            MemberStatus::Live if entry.is_missed => {
+                self.set_status(now, incarnation, MemberStatus::Suspect);
+            }
+            MemberStatus::Live => {
+                entry.is_missed = true;
+                self.second_looks.push(incarnation);
+            }
+            MemberStatus::Leaving => entry.silent = entry.silent.or(Some(now)),
+            MemberStatus::Suspect | MemberStatus::Gone => {}
         }
     }
 
@@ -156,10 +214,13 @@
             self.refute(now, news);
             return;
         }
-        match self.entries.get(&news.incarnation) {
-            Some(known) if !news.is_newer_than(&known.member) => {}
-            Some(_) => self.store(now, news.clone()),
-            // News of a death that nobody here knew of as a life is not worth keeping.
+        match self.entries.get_mut(&news.incarnation) {
+            Some(known) if news.is_newer_than(&known.member) => self.store(now, news.clone()),
+            // Someone still holds the old news, so the tombstone is still needed.
+            Some(known) if news.status != MemberStatus::Gone => known.note_old_news(now),
+            Some(_) => {}
+            // News of a death that nobody here knew of as a life is not worth keeping. Kept, every
+            // newcomer would hold tombstones anew and tell those who had dropped them.
             None if news.status == MemberStatus::Gone => {}
             None => self.store(now, news.clone()),
         }
@@ -193,18 +254,25 @@
 
     fn store(&mut self, now: Micros, member: Member) {
         let incarnation = member.incarnation;
-        self.entries.insert(incarnation, Entry { member, since: now });
+        let known = self.entries.insert(incarnation, Entry::new(now, member));
+        if known.is_none() {
+            self.add_to_round(incarnation);
+        }
         self.version += 1;
-        let doublings = usize::BITS - self.entries.len().leading_zeros();
-        self.rumors.push(incarnation, self.cfg.rumor_factor * doublings.max(1));
+        self.rumors.push(incarnation, self.cfg.rumor_factor * self.doublings());
+    }
+
+    /// How often the number of members was doubled from one, rounded up.
+    fn doublings(&self) -> u32 {
+        (usize::BITS - self.entries.len().leading_zeros()).max(1)
     }
 
     fn end_suspicions(&mut self, now: Micros) {
+        let suspicion = self.cfg.suspicion_after(self.doublings());
         let expired: Vec<Incarnation> = self
             .entries
             .values()
-            .filter(|entry| entry.member.status == MemberStatus::Suspect)
-            .filter(|entry| now >= entry.since + self.cfg.suspicion)
+            .filter(|entry| entry.wanting_since().is_some_and(|since| now >= since + suspicion))
             .map(|entry| entry.member.incarnation)
             .collect();
         for incarnation in expired {
@@ -216,6 +284,24 @@
         });
     }
 
+    fn next_to_probe(&mut self) -> Option<Incarnation> {
+        self.probes += 1;
+        while let Some(incarnation) = self.second_looks.pop() {
+            if self.entries.get(&incarnation).is_some_and(|entry| entry.is_missed) {
+                return Some(incarnation);
+            }
+        }
+        let is_for_gone = self.probes.is_multiple_of(GONE_PROBE_EVERY);
+        let gone = if is_for_gone { self.some_gone() } else { None };
+        gone.or_else(|| self.next_in_round())
+    }
+
+    fn some_gone(&self) -> Option<Incarnation> {
+        let seed = self.own.0 ^ self.probes;
+        let gone = self.entries.values().filter(|e| e.member.status == MemberStatus::Gone);
+        gone.map(|e| e.member.incarnation).min_by_key(|i| hash64(seed, &i.0.to_le_bytes()))
+    }
+
     fn next_in_round(&mut self) -> Option<Incarnation> {
         loop {
             if self.round.is_empty() {
@@ -228,6 +314,18 @@
         }
     }
 
+    /// Puts a new member at a random place of the round, or with hundreds of members nobody would
+    /// probe it for minutes.
+    fn add_to_round(&mut self, incarnation: Incarnation) {
+        if incarnation == self.own {
+            return;
+        }
+        let seed = self.own.0 ^ self.round_number;
+        let places = self.round.len() as u64 + 1;
+        let place = hash64(seed, &incarnation.0.to_le_bytes()) % places;
+        self.round.insert(usize::try_from(place).unwrap_or(0), incarnation);
+    }
+
     /// Shuffles the peers by a hash that differs per prober and round.
     fn start_round(&mut self) {
         self.round_number += 1;
--- a/crates/galenapath-membership/src/rumors.rs
+++ b/crates/galenapath-membership/src/rumors.rs
@@ -20,10 +20,10 @@
     /// Queues news about a member, to be sent `times` times; replaces older news of it.
     pub(crate) fn push(&mut self, about: Incarnation, times: u32) {
         self.pending.retain(|rumor| rumor.about != about);
-        self.pending.push(Rumor { about, left: times });
+        self.pending.insert(0, Rumor { about, left: times });
     }
 
-    /// Takes up to `most` members to tell of, those told least often first.
+    /// Takes up to `most` members to tell of, those told least often first, of those the newest.
     pub(crate) fn take(&mut self, most: usize) -> Vec<Incarnation> {
         self.pending.sort_by_key(|rumor| std::cmp::Reverse(rumor.left));
         let told = self.pending.iter_mut().take(most);
--- /dev/null
+++ b/crates/galenapath-membership/tests/leaving.rs
@@ -0,0 +1,148 @@
+//! Marks of backend servers that are leaving.
+
+use galenapath_membership::{LeavingMark, LeavingMarks};
+use galenapath_protocol::{BackendId, Micros};
+use pathfinding::prelude::bfs_reach;
+use proptest::prelude::*;
+
+const NOW: Micros = Micros::from_secs(10_000);
+
+fn mark(backend: u64, started: u64) -> LeavingMark {
+    LeavingMark { backend: BackendId(format!("b{backend}")), started }
+}
+
+proptest! {
+    #[test]
+    fn mark_order_does_not_matter(marks in prop::collection::vec((0_u64..3, 0_u64..4), 0..12)) {
+        let (mut first, mut second) = (LeavingMarks::default(), LeavingMarks::default());
+        for (backend, started) in &marks {
+            first.mark(NOW, &mark(*backend, *started));
+        }
+        for (backend, started) in marks.iter().rev() {
+            second.mark(NOW, &mark(*backend, *started));
+        }
+        for backend in 0..3 {
+            for started in 0..5 {
+                let id = mark(backend, started).backend;
+                prop_assert_eq!(first.is_leaving(&id, started), second.is_leaving(&id, started));
+            }
+        }
+    }
+
+    #[test]
+    fn mark_never_unlearned(marks in prop::collection::vec((0_u64..3, 0_u64..4), 0..12)) {
+        let mut all = LeavingMarks::default();
+        for (n, (backend, started)) in marks.iter().enumerate() {
+            all.mark(NOW, &mark(*backend, *started));
+            for (backend, started) in &marks[..=n] {
+                let told = mark(*backend, *started);
+                prop_assert!(all.is_leaving(&told.backend, told.started));
+                prop_assert!(!all.mark(NOW, &told));
+            }
+        }
+    }
+}
+
+#[test]
+fn is_leaving_later_run_used() {
+    let mut marks = LeavingMarks::default();
+    marks.mark(NOW, &mark(1, 100));
+    assert!(marks.is_leaving(&mark(1, 0).backend, 100));
+    assert!(marks.is_leaving(&mark(1, 0).backend, 99));
+    assert!(!marks.is_leaving(&mark(1, 0).backend, 101));
+}
+
+#[test]
+fn mark_memory_bounded() {
+    let mut marks = LeavingMarks::default();
+    for n in 0..5_000 {
+        marks.mark(Micros(NOW.0 + n), &mark(n, 1));
+    }
+    assert!(marks.recent(NOW, Micros::from_secs(1)).len() <= 4_096);
+    assert!(marks.is_leaving(&mark(4_999, 1).backend, 1));
+}
+
+/// Whether a listed run counts as leaving, given the start of the run that was marked.
+type Rule = fn(&LeavingMarks, Option<u64>, u64) -> bool;
+
+/// One server that runs up to three times; two instances that hear of its leaving in any order,
+/// and whose lists lag in any way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    /// Run of the server.
+    run: u64,
+    /// Whether that run has begun to leave.
+    is_leaving: bool,
+    /// Latest run whose leaving each instance has heard of.
+    heard: [Option<u64>; 2],
+    /// Run that each instance's list shows.
+    listed: [u64; 2],
+}
+
+fn steps(state: &State) -> Vec<State> {
+    let mut next = Vec::new();
+    let mut push = |change: &dyn Fn(&mut State)| {
+        let mut after = state.clone();
+        change(&mut after);
+        next.push(after);
+    };
+    push(&|s| s.is_leaving = true);
+    if state.is_leaving && state.run < 3 {
+        push(&|s| (s.run, s.is_leaving) = (s.run + 1, false));
+    }
+    for at in 0..2 {
+        if state.is_leaving {
+            push(&|s| s.heard[at] = s.heard[at].max(Some(s.run)));
+        }
+        push(&|s| s.heard[at] = s.heard[at].max(s.heard[1 - at]));
+        for run in 1..=state.run {
+            push(&|s| s.listed[at] = run);
+        }
+    }
+    next
+}
+
+/// A run whose leaving was heard is never used, a later run always is.
+fn check(rule: Rule) -> Result<usize, State> {
+    let start = State { run: 1, is_leaving: false, heard: [None; 2], listed: [1; 2] };
+    let mut states = 0;
+    for state in bfs_reach(start, steps) {
+        states += 1;
+        for at in 0..2 {
+            let mut marks = LeavingMarks::default();
+            if let Some(run) = state.heard[at] {
+                marks.mark(NOW, &mark(1, run));
+            }
+            let must_leave = state.heard[at].is_some_and(|run| state.listed[at] <= run);
+            if rule(&marks, state.heard[at], state.listed[at]) != must_leave {
+                return Err(state);
+            }
+        }
+    }
+    Ok(states)
+}
+
+fn shipped(marks: &LeavingMarks, _: Option<u64>, listed: u64) -> bool {
+    marks.is_leaving(&mark(1, 0).backend, listed)
+}
+
+#[test]
+fn model_leaving_heard_run_never_used() {
+    let states = check(shipped).unwrap();
+    println!("leaving rule: {states} states, no violation");
+    assert!(states > 100);
+}
+
+#[test]
+fn model_leaving_mutants_found() {
+    let list_alone: Rule = |_, _, _| false;
+    let same_run_only: Rule = |_, heard, listed| heard == Some(listed);
+    let any_run: Rule = |_, heard, _| heard.is_some();
+    for (name, mutant) in [
+        ("the list takes marks back", list_alone),
+        ("an older listed run is used", same_run_only),
+        ("a later run stays out", any_run),
+    ] {
+        assert!(check(mutant).is_err(), "{name}");
+    }
+}
--- a/crates/galenapath-membership/tests/members.rs
+++ b/crates/galenapath-membership/tests/members.rs
@@ -20,7 +20,8 @@
 }
 
 fn own_is_usable_everywhere(network: &Network) -> bool {
-    network.nodes.iter().all(|node| node.members.own().is_some_and(|own| own.is_usable()))
+    let mut running = network.nodes.iter().filter(|node| node.is_up);
+    running.all(|node| node.members.own().is_some_and(|own| own.is_usable()))
 }
 
 #[test]
@@ -166,12 +167,16 @@
         network.run(Micros::from_secs(8));
         network.nodes[node].is_up = false;
         network.run(Micros::from_secs(12));
-        network.restart(node, run);
+        match run % 2 {
+            0 => network.restart(node, run),
+            _ => drop(network.join()),
+        }
     }
     let largest = network.nodes.iter().map(|node| node.members.all().count()).max();
-    println!("99 replacements of 16 in 33 min: largest table {largest:?}");
-    // 16 members, and the 30 or so replaced within the 600 s that gone ones are kept.
-    assert!(largest <= Some(52), "{largest:?}");
+    println!("99 replacements in 33 min: largest table {largest:?}");
+    // Those that run, and the 30 or so replaced within the 600 s that gone ones are kept.
+    let running = network.nodes.iter().filter(|node| node.is_up).count();
+    assert!(largest <= Some(running + 36), "{largest:?} with {running} running");
     assert!(network.largest_message <= 10);
     assert!(own_is_usable_everywhere(&network));
 }
--- a/crates/galenapath-membership/tests/network/mod.rs
+++ b/crates/galenapath-membership/tests/network/mod.rs
@@ -44,7 +44,7 @@
 }
 
 pub fn member(node: usize, run: u64) -> Member {
-    let port = u16::try_from(10_000 + node).unwrap();
+    let port = u16::try_from(10_000 + node).unwrap_or(u16::MAX);
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
     Member {
         id: InstanceId(format!("entry-{node}")),
@@ -82,7 +82,7 @@
     fn node(&self, own: Member, list: &[Member]) -> Node {
         let incarnation = own.incarnation;
         let mut members = Members::new(MembershipConfig::default(), self.now, own);
-        members.merge(self.now, list);
+        members.learn(self.now, list);
         Node { members, incarnation, is_up: true, is_paused: false, side: 0, open: Vec::new() }
     }
 
