--- a/crates/galenapath-policy/benches/decisions/sim/admit.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/admit.rs
@@ -1,7 +1,7 @@
 //! Players with admission: what waits and what is turned away is decided by the code that ships.
 
 use super::Sim;
-use crate::scenario::{Arrival, CALLERS, MEAN_WORK, Pattern, Scenario, TARGET};
+use crate::scenario::{Arrival, CALLERS, LONG_TARGET, Pattern, Scenario, TARGET, Time};
 use galenapath_policy::{
     Admission, AdmissionConfig, Balancer, ClassIndex, ClassPolicy, Decision, Offer, Outcome, Step,
     WorkLength, WorkspaceIndex,
@@ -10,8 +10,6 @@
 
 const SHORT: ClassIndex = ClassIndex(0);
 const LONG: ClassIndex = ClassIndex(1);
-/// Work from which a request of pattern 4 belongs to the class of long work.
-const LONG_WORK: f64 = 10.0 * MEAN_WORK;
 /// How long callers wait for an answer.
 const PATIENCE: Micros = Micros::from_secs(1);
 
@@ -20,7 +18,6 @@
     admission: Admission,
     /// The index of each caller, who is a workspace of their own.
     workspaces: Vec<WorkspaceIndex>,
-    has_long: bool,
     /// Requests sent and not yet answered.
     in_flight: u32,
 }
@@ -29,12 +26,17 @@
     pub(super) fn new(scenario: &Scenario, seed: u64) -> Self {
         let mut admission = Admission::new(AdmissionConfig::default(), seed);
         let has_long = scenario.pattern == Pattern::LongAmongShort;
-        let target = Micros(TARGET - 2 * scenario.deployment.client);
-        let policy = |class, length| ClassPolicy { class, length, target };
-        let classes = [policy(SHORT, WorkLength::Short), policy(LONG, WorkLength::Long)];
+        let way = 2 * scenario.deployment.client;
+        let policy = |class, length, target: Time| ClassPolicy {
+            class,
+            length,
+            target: Micros(target - way),
+        };
+        let short = policy(SHORT, WorkLength::Short, TARGET);
+        let classes = [short, policy(LONG, WorkLength::Long, LONG_TARGET)];
         admission.set_classes(&classes[..1 + usize::from(has_long)]);
         let workspaces = (0..CALLERS).map(|i| admission.workspace(&i.to_string())).collect();
-        Self { admission, workspaces, has_long, in_flight: 0 }
+        Self { admission, workspaces, in_flight: 0 }
     }
 
     /// Tells admission and the balancer about each other.
@@ -46,8 +48,7 @@
     }
 
     fn offer(&mut self, now: Micros, req: usize, arrival: &Arrival) -> Decision {
-        let is_long = self.has_long && arrival.work as f64 >= LONG_WORK;
-        let class = if is_long { LONG } else { SHORT };
+        let class = if arrival.is_long { LONG } else { SHORT };
         let workspace = self.workspaces[arrival.caller];
         let offer = Offer { ticket: req as u64, class, workspace, deadline: now + PATIENCE };
         self.admission.offer(now, offer)
--- a/crates/galenapath-policy/benches/decisions/sim/mod.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/mod.rs
@@ -12,7 +12,7 @@
 use super::scenario::{
     Arrival, CALLERS, DOMAINS, INSTANCES, MEASURED_FROM, MS, Pattern, SECOND, Scenario, Time,
 };
-use super::stats::{Figures, Stats};
+use super::stats::Stats;
 use galenapath_policy::{Balancer, BalancerConfig, ChoicePolicy, Outcome, Slot};
 use galenapath_protocol::{BackendId, DomainId, InstanceId, LoadReport, Micros};
 use rand::rngs::SmallRng;
@@ -75,14 +75,14 @@
 }
 
 /// Plays the scenario once.
-pub fn play(scenario: &Scenario, player: &Player) -> Figures {
+pub fn play(scenario: &Scenario, player: &Player) -> Stats {
     let mut sim = Sim::new(*scenario, *player);
     for arrival in scenario.arrivals() {
         sim.run_until(arrival.at);
         sim.arrive(arrival);
     }
     sim.run_until(scenario_end());
-    sim.stats.figures()
+    sim.stats
 }
 
 /// Late enough for every answer that counts.
@@ -337,7 +337,7 @@
             let inside = self.now - arrival.at;
             let wait = inside.saturating_sub(arrival.work);
             let latency = inside + 2 * self.scenario.deployment.client;
-            self.stats.answer(arrival.at, arrival.caller, latency, wait);
+            self.stats.answer(&arrival, latency, wait);
         } else if tries < MOST_TRIES && self.player.admission {
             self.send_admitted(req);
         } else if tries < MOST_TRIES {
