Admission: overload is noticed after 30 ms; callers are as heavy as their waiting requests

Cause: at 150% load the queue grew to the whole allowance of 75 ms in the 100 ms before the overload was noticed, and where all workspaces are small none counted as over its share, so that the queue stayed long. On the bench, peers were told of requests that were turned away, which sent callers to one instance. Change: an interval of 30 ms; a workspace that would have as many waiting as any other gets the short allowance; the bench counts requests let in as an instance's load. Ruled out: 50 ms (16 dispatchers still told one in a hundred after 53 ms); cutting the queue to twice the short allowance while overloaded (rejections after 5 to 7 ms at p99 with 16 dispatchers, 2b no better).

--- a/crates/galenapath-policy/benches/decisions/sim/admit.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/admit.rs
@@ -109,6 +109,8 @@
         let Some(gate) = &mut entry.gate else { return };
         match slot {
             Some(slot) => {
+                // Peers are told of work, and what is turned away makes none.
+                entry.arrived += u64::from(self.reqs[req].tries == 0);
                 gate.in_flight += 1;
                 self.send(req, slot);
             }
--- a/crates/galenapath-policy/benches/decisions/sim/mod.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/mod.rs
@@ -209,7 +209,6 @@
     fn arrive(&mut self, arrival: Arrival) {
         self.stats.offer(arrival.at, arrival.caller);
         let instance = self.pins[arrival.caller];
-        self.entries[instance].arrived += 1;
         let req = self.reqs.len();
         self.reqs.push(Req {
             arrival,
@@ -223,6 +222,7 @@
         if self.player.admission {
             return self.offer(instance, req);
         }
+        self.entries[instance].arrived += 1;
         self.entries[instance].queue.push_back(req);
         self.drain(instance);
         self.cross(instance, req);
--- a/crates/galenapath-policy/src/admission/config.rs
+++ b/crates/galenapath-policy/src/admission/config.rs
@@ -82,7 +82,7 @@
             early_rejection: true,
             min_wait_share: 0.1,
             prediction_margin: 0.8,
-            overload_after: Micros::from_millis(100),
+            overload_after: Micros::from_millis(30),
             overload_wait_share: 0.25,
             short_reserve: 0.1,
             long_share: 0.7,
--- a/crates/galenapath-policy/src/admission/turn_away.rs
+++ b/crates/galenapath-policy/src/admission/turn_away.rs
@@ -55,13 +55,14 @@
         Some(if over { RejectReason::OverShare } else { RejectReason::WontMeetTarget })
     }
 
-    /// Whether the workspace has at least an even share of what waits. One request is never too
-    /// much: in a short queue it would be an even share.
+    /// Whether the workspace would have as many waiting as any other, or has at least an even share
+    /// of what waits. One request beside a workspace with several is never too much: in a short
+    /// queue it would be an even share.
     fn is_over_share(&self, length: WorkLength, workspace: WorkspaceIndex) -> bool {
         let queue = self.lane(length).queue();
         let own = queue.len_of(workspace);
-        let alone = queue.active() <= 1 && own == queue.len();
-        alone || (own > 1 && own * queue.active() >= queue.len())
+        let most = queue.heaviest().map_or(0, |heaviest| queue.len_of(heaviest));
+        own + 1 >= most || (own > 1 && own * queue.active() >= queue.len())
     }
 
     /// Rejects what waits beyond the bounds: of the workspace that has most waiting, the request
