--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -80,7 +80,7 @@
 ) -> Result<(), HttpError> {
     let _guard = plane.begin();
     caller.method = head.method.clone();
-    caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_draining();
+    caller.keep_alive = wants_keep_alive(&head) && !plane.shared.is_leaving();
     let framing = match request_framing(head.version, &head.headers) {
         Ok(framing) => framing,
         Err(e) => {
@@ -116,6 +116,7 @@
     config: &Config,
 ) -> Result<(), HttpError> {
     let service = plane.service(&meta.class.service, config);
+    service.state.borrow_mut().dispatching.count_request();
     expect_continue(caller, &head.headers);
     let is_filing = meta.class.kind == ClassKind::Filing;
     let limit =
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -1,14 +1,12 @@
 //! The suspects of one instance.
 
 use super::crash::Crash;
+use super::standing::{Blame, Standing, standings};
 use super::wire::SuspectWire;
 use crate::Fingerprint;
 use galenapath_protocol::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Crashes from which a request is refused: one crash may be chance, and the second names it.
-const REFUSED_FROM: usize = 2;
-
 /// Limits of the suspects.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct SuspectConfig {
@@ -56,6 +54,8 @@
     cfg: SuspectConfig,
     /// Oldest first.
     crashes: VecDeque<Crash>,
+    /// Invariant: what `crashes` say about each of their members.
+    standings: BTreeMap<Fingerprint, Standing>,
     /// Last complete answer of requests that were suspects. It speaks for them in every crash up
     /// to that time.
     answered: BTreeMap<Fingerprint, Micros>,
@@ -71,14 +71,16 @@
 
     /// What to do with the request `fp`.
     pub fn judge(&self, now: Micros, fp: Fingerprint) -> SuspectVerdict {
-        let Some(last) = self.live(now).filter(|crash| crash.has(fp)).last() else {
+        let Some(standing) = self.standings.get(&fp).filter(|s| self.fresh(now, s.last)) else {
             return SuspectVerdict::Clear;
         };
-        if self.is_culprit(now, fp) {
-            return SuspectVerdict::Refuse { retry_after: last.at + self.cfg.lifetime - now };
-        }
-        if self.live(now).filter(|crash| crash.has(fp)).all(|crash| self.explained(now, crash)) {
-            return SuspectVerdict::Clear;
+        match standing.blame {
+            Blame::Bystander => return SuspectVerdict::Clear,
+            Blame::Culprit => {
+                let retry_after = standing.last + self.cfg.lifetime - now;
+                return SuspectVerdict::Refuse { retry_after };
+            }
+            Blame::Suspect => {}
         }
         if self.trials.contains(&fp) {
             return SuspectVerdict::Refuse { retry_after: self.cfg.trial_retry_after };
@@ -86,7 +88,8 @@
         SuspectVerdict::RunAlone
     }
 
-    /// A suspect starts to run alone; a second one of the same request waits for its end.
+    /// A suspect starts to run alone; a second one of the same request waits for its end. Peers are
+    /// not told: see the bound in the specification.
     pub fn trial_started(&mut self, fp: Fingerprint) {
         self.trials.insert(fp);
     }
@@ -103,7 +106,7 @@
 
     /// A request was answered completely, so it does not crash the server that runs it.
     pub fn answered(&mut self, now: Micros, fp: Fingerprint) {
-        if self.crashes.iter().any(|crash| crash.has(fp)) {
+        if self.standings.contains_key(&fp) {
             self.clear(now, fp, now);
         }
     }
@@ -149,6 +152,7 @@
         while self.crashes.len() > self.cfg.max_crashes.max(1) {
             self.crashes.pop_front();
         }
+        self.standings = standings(self.crashes.iter());
     }
 
     fn insert_crash(&mut self, backend: u64, at: Micros) -> usize {
@@ -165,6 +169,7 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
             crash.clear(fp);
         }
+        self.standings = standings(self.crashes.iter());
         let last = self.answered.entry(fp).or_insert(at);
         *last = at.max(*last);
         if self.answered.len() > self.cfg.max_answered {
@@ -186,26 +191,6 @@
     fn fresh(&self, now: Micros, at: Micros) -> bool {
         at + self.cfg.lifetime > now
     }
-
-    fn count(&self, now: Micros, fp: Fingerprint) -> usize {
-        self.live(now).filter(|crash| crash.has(fp)).count()
-    }
-
-    /// Whether `fp` was in two crashes and in one of them nothing else was in as many.
-    fn is_culprit(&self, now: Micros, fp: Fingerprint) -> bool {
-        let count = self.count(now, fp);
-        if count < REFUSED_FROM {
-            return false;
-        }
-        let fewer = |other: &Fingerprint| *other == fp || self.count(now, *other) < count;
-        let mut own = self.live(now).filter(|crash| crash.has(fp));
-        own.any(|crash| crash.members.iter().all(fewer))
-    }
-
-    /// Whether a culprit among its members accounts for the crash.
-    fn explained(&self, now: Micros, crash: &Crash) -> bool {
-        crash.members.iter().any(|fp| self.is_culprit(now, *fp))
-    }
 }
 
 fn then(now: Micros, age_ms: u64) -> Micros {
