--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -8,11 +8,12 @@
 use futures::channel::oneshot;
 use galenapath_config::{ClassKind, Config};
 use galenapath_policy::{
-    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ClassIndex,
-    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket,
-    WorkLength,
+    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy,
+    ClassIndex, ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step,
+    Ticket, WorkLength,
 };
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
+use galenapath_settings::Choice;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -61,7 +62,7 @@
         let seed = hash64(shared.incarnation.0, name.as_bytes());
         let domain = shared.settings.instance.domain.clone();
         let state = State {
-            balancer: Balancer::new(BalancerConfig::default(), domain, seed),
+            balancer: Balancer::new(balancer_config(shared), domain, seed),
             admission: Admission::new(AdmissionConfig::default(), seed),
             retries: RetryBudget::new(RetryConfig::default()),
             hedges: HedgePolicy::new(HedgeConfig::default()),
@@ -221,6 +222,17 @@
     }
 }
 
+fn balancer_config(shared: &Shared) -> BalancerConfig {
+    let policy = match shared.settings.choice {
+        Choice::Galenapath => ChoicePolicy::Galenapath,
+        Choice::Random => ChoicePolicy::Random,
+        Choice::RoundRobin => ChoicePolicy::RoundRobin,
+        Choice::LeastInFlight => ChoicePolicy::LeastInFlight,
+        Choice::PowerOfTwo => ChoicePolicy::PowerOfTwo,
+    };
+    BalancerConfig { policy, ..BalancerConfig::default() }
+}
+
 /// Instances among which probes are split. While instances are replaced, old and new ones probe by
 /// lists that differ, so each counts twice as many as it sees.
 fn probe_sharers(members: &MemberView) -> u32 {
--- a/crates/galenapath-settings/src/checked.rs
+++ b/crates/galenapath-settings/src/checked.rs
@@ -1,6 +1,6 @@
 //! Settings after all checks.
 
-use crate::LogLevel;
+use crate::{Choice, LogLevel};
 use galenapath_protocol::{DomainId, InstanceId};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,6 +21,8 @@
     pub limits: Limits,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
+    /// How backend servers are chosen; other than by default only in comparisons.
+    pub choice: Choice,
 }
 
 /// Who an instance is.
--- a/crates/galenapath-settings/src/generated.rs
+++ b/crates/galenapath-settings/src/generated.rs
@@ -1,5 +1,80 @@
 //! Generated from `schema/settings.schema.json` by the codegen example. Do not edit.
 
+///For comparisons only; never set it in a deployment.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ExperimentWire {
+    ///How backend servers are chosen; default `galenapath`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub choice: ::std::option::Option<ExperimentWireChoice>,
+}
+///How backend servers are chosen; default `galenapath`.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ExperimentWireChoice {
+    #[serde(rename = "galenapath")]
+    Galenapath,
+    #[serde(rename = "random")]
+    Random,
+    #[serde(rename = "round_robin")]
+    RoundRobin,
+    #[serde(rename = "least_in_flight")]
+    LeastInFlight,
+    #[serde(rename = "power_of_two")]
+    PowerOfTwo,
+}
+impl ::std::fmt::Display for ExperimentWireChoice {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Galenapath => f.write_str("galenapath"),
+            Self::Random => f.write_str("random"),
+            Self::RoundRobin => f.write_str("round_robin"),
+            Self::LeastInFlight => f.write_str("least_in_flight"),
+            Self::PowerOfTwo => f.write_str("power_of_two"),
+        }
+    }
+}
+impl ::std::str::FromStr for ExperimentWireChoice {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "galenapath" => Ok(Self::Galenapath),
+            "random" => Ok(Self::Random),
+            "round_robin" => Ok(Self::RoundRobin),
+            "least_in_flight" => Ok(Self::LeastInFlight),
+            "power_of_two" => Ok(Self::PowerOfTwo),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ExperimentWireChoice {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ExperimentWireChoice {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Who this instance is.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -142,6 +217,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct SettingsWire {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub experiment: ::std::option::Option<ExperimentWire>,
     pub instance: InstanceWire,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub limits: ::std::option::Option<LimitsWire>,
--- a/crates/galenapath-settings/src/lib.rs
+++ b/crates/galenapath-settings/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use checked::{Instance, Limits, Listen, Platform, Settings};
 pub use error::SettingsError;
-pub use generated::{LogWireLevel as LogLevel, SettingsWire};
+pub use generated::{ExperimentWireChoice as Choice, LogWireLevel as LogLevel, SettingsWire};
 pub use load::{load, parse};
--- a/crates/galenapath-settings/src/load.rs
+++ b/crates/galenapath-settings/src/load.rs
@@ -2,7 +2,7 @@
 
 use crate::checked::{Instance, Limits, Listen, Platform, Settings};
 use crate::generated::{LimitsWire, ListenWire, SettingsWire};
-use crate::{LogLevel, SettingsError};
+use crate::{Choice, LogLevel, SettingsError};
 use galenapath_protocol::{DomainId, InstanceId};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -55,6 +55,7 @@
         token_file: PathBuf::from(at.filled("operators.token_file", &wire.operators.token_file)?),
         limits: limits(&at, &wire.limits.unwrap_or_default())?,
         log_level: wire.log.and_then(|log| log.level).unwrap_or(LogLevel::Info),
+        choice: wire.experiment.and_then(|e| e.choice).unwrap_or(Choice::Galenapath),
     };
     Ok(settings)
 }
