Admission counts requests that are let in and not yet sent; attempts are told on every answer

Cause: the capacity told to admission counted the slots of requests that were let in and whose task had not run as still free, so that a burst was let in past the slots. The count of attempts went down a chain of calls and not back up.

--- a/crates/galenapath-entry/src/data/answer.rs
+++ b/crates/galenapath-entry/src/data/answer.rs
@@ -2,12 +2,12 @@
 
 use super::caller::Caller;
 use super::headers::set;
+use super::request::RequestId;
 use bytes::BytesMut;
 use galenapath_http::{Framing, HttpError, put_response};
-use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
+use galenapath_protocol::{ATTEMPT_HEADER, Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
-use std::fmt::Display;
 
 /// Header with the exact time after which a caller may come back, in milliseconds; `Retry-After`
 /// has whole seconds only.
@@ -16,6 +16,14 @@
 /// Standard header with a text that explains an answer to a person.
 const PLAIN_TEXT: HeaderValue = HeaderValue::from_static("text/plain; charset=utf-8");
 
+/// The request that an own answer is about.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct About {
+    pub(super) id: RequestId,
+    /// Attempts made on it over the whole chain of calls.
+    pub(super) attempts: u32,
+}
+
 /// An answer of the instance itself.
 #[derive(Clone, Debug)]
 pub(super) struct OwnAnswer {
@@ -50,13 +58,14 @@
     pub(super) async fn send(
         &self,
         caller: &mut Caller,
-        id: Option<&dyn Display>,
+        about: Option<About>,
     ) -> Result<(), HttpError> {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, PLAIN_TEXT);
         set(&mut headers, VERDICT_HEADER, self.verdict.as_str());
-        if let Some(id) = id {
-            set(&mut headers, REQUEST_ID_HEADER, &id.to_string());
+        if let Some(about) = about {
+            set(&mut headers, REQUEST_ID_HEADER, &about.id.to_string());
+            set(&mut headers, ATTEMPT_HEADER, &about.attempts.to_string());
         }
         if let Some(after) = self.retry_after {
             let seconds = after.0.div_ceil(1_000_000).max(1);
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -1,6 +1,6 @@
 //! One caller's connection.
 
-use super::answer::OwnAnswer;
+use super::answer::{About, OwnAnswer};
 use super::plane::DataPlane;
 use super::request::{RequestId, RequestMeta, text};
 use super::{entries, filing, lookup, stream};
@@ -131,7 +131,7 @@
             caller.keep_alive = false;
             let text = format!("the body of a filing may have {limit} bytes at most");
             OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "filing_too_large", &text)
-                .send(caller, Some(&meta.id))
+                .send(caller, Some(About { id: meta.id, attempts: 0 }))
                 .await
         }
         BodyRead::TooLarge { start, state } => {
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -5,7 +5,7 @@
 use super::backend::Backend;
 use super::crash::{self, Clearance, Trial};
 use super::explain::Trace;
-use super::permit::InFlight;
+use super::permit::{InFlight, Permit};
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
@@ -147,11 +147,13 @@
     /// leave; `false` withdraws the request.
     pub(super) async fn attempt(
         &self,
+        permit: &Permit,
         slot: Slot,
         before_send: impl FnOnce() -> bool,
     ) -> Result<Served, Fault> {
         self.tried.borrow_mut().push(slot);
-        let in_flight = InFlight::start(self.plane, self.service, slot);
+        self.trace.borrow_mut().attempts = self.attempts.get().made();
+        let in_flight = InFlight::start(permit, slot);
         let Some(backend) = self.service.backend(slot) else {
             return Err(Fault::Connect(std::io::ErrorKind::NotFound.into()));
         };
@@ -191,6 +193,7 @@
             let mut attempts = self.attempts.get();
             attempts.reported(u32::try_from(count).unwrap_or(u32::MAX));
             self.attempts.set(attempts);
+            self.trace.borrow_mut().attempts = attempts.made();
         }
     }
 }
--- a/crates/galenapath-entry/src/data/ending.rs
+++ b/crates/galenapath-entry/src/data/ending.rs
@@ -1,6 +1,6 @@
 //! The end of a request: metrics, log and explanation.
 
-use super::answer::OwnAnswer;
+use super::answer::{About, OwnAnswer};
 use super::caller::Caller;
 use super::explain::Trace;
 use super::plane::DataPlane;
@@ -20,8 +20,9 @@
 ) -> Result<(), HttpError> {
     let metrics = &plane.shared.metrics;
     metrics.rejections.with_label_values(&[&meta.class.name, answer.reason]).inc();
+    let about = About { id: meta.id, attempts: trace.attempts };
     remember(plane, meta, trace, answer.status.as_u16(), answer.verdict, answer.reason);
-    answer.send(caller, Some(&meta.id)).await
+    answer.send(caller, Some(about)).await
 }
 
 pub(super) fn remember(
--- a/crates/galenapath-entry/src/data/explain.rs
+++ b/crates/galenapath-entry/src/data/explain.rs
@@ -65,11 +65,13 @@
     id: RequestId,
     pub(super) waited: Micros,
     pub(super) tried: Vec<Tried>,
+    /// Attempts made over the whole chain of calls, as far as known here; zero before the first.
+    pub(super) attempts: u32,
 }
 
 impl Trace {
     pub(super) const fn new(id: RequestId) -> Self {
-        Self { id, waited: Micros::ZERO, tried: Vec::new() }
+        Self { id, waited: Micros::ZERO, tried: Vec::new(), attempts: 0 }
     }
 
     pub(super) fn tried(&mut self, backend: &BackendId, outcome: impl ToString) {
--- a/crates/galenapath-entry/src/data/filing.rs
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -9,6 +9,7 @@
 use super::permit::Permit;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
+use super::relay::Told;
 use super::request::RequestMeta;
 use super::service::Service;
 use super::{filing_wait, forward, headers, refusal, relay};
@@ -159,7 +160,7 @@
     };
     trace.borrow_mut().waited = permit.waited;
     service.state.borrow_mut().retries.first_try(plane.now());
-    match try_until_final(&dispatch, id).await {
+    match try_until_final(&dispatch, &permit, id).await {
         Tried::Answered(served) => {
             open.answered(&served.reply);
             Ended::Answered { served, permit }
@@ -187,7 +188,7 @@
 }
 
 /// Tries backend servers for as long as the attempts before certainly did not run the filing.
-async fn try_until_final(dispatch: &Dispatch<'_>, id: RecordId) -> Tried {
+async fn try_until_final(dispatch: &Dispatch<'_>, permit: &Permit, id: RecordId) -> Tried {
     let plane = dispatch.plane;
     loop {
         let Some(slot) = dispatch.choose() else { return Tried::NotRun(None) };
@@ -196,7 +197,7 @@
             was_sent = plane.filings.borrow_mut().sent(plane.now(), id).is_ok();
             was_sent
         };
-        let result = dispatch.attempt(slot, before_send).await;
+        let result = dispatch.attempt(permit, slot, before_send).await;
         let fault = match result {
             Ok(served) => return Tried::Answered(Box::new(served)),
             Err(Fault::Withdrawn) => return Tried::MayHaveRun(Fault::Withdrawn),
@@ -286,8 +287,13 @@
     observe_latency(plane, meta);
     let status = served.reply.status;
     let outcome = outcome_of(status);
-    let sent =
-        relay::send(caller, &meta.id, &served.backend, Verdict::Answered, served.reply).await;
+    let told = Told {
+        id: meta.id,
+        backend: &served.backend,
+        verdict: Verdict::Answered,
+        attempts: trace.attempts,
+    };
+    let sent = relay::send(caller, &told, served.reply).await;
     served.in_flight.finish(outcome);
     permit.finish(outcome);
     remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
--- a/crates/galenapath-entry/src/data/forward.rs
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -12,15 +12,16 @@
 use super::explain::Trace;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
-use super::request::{RequestMeta, text};
+use super::relay::Told;
+use super::request::{RequestMeta, number, text};
 use super::{headers, relay};
 use bytes::BytesMut;
 use galenapath_filings::successors;
 use galenapath_http::{BodyState, Connection, Framing, HttpError, put_request, response_framing};
 use galenapath_membership::Member;
 use galenapath_protocol::{
-    BackendId, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, Incarnation, Micros, VERDICT_HEADER, Verdict,
-    WORKSPACE_HEADER,
+    ATTEMPT_HEADER, BackendId, HOPS_HEADER, IDEMPOTENCY_KEY_HEADER, Incarnation, Micros,
+    VERDICT_HEADER, Verdict, WORKSPACE_HEADER,
 };
 use http::StatusCode;
 use monoio::net::TcpStream;
@@ -56,7 +57,10 @@
                     trace.tried(&name, reply.status);
                     let (status, verdict) = (reply.status, verdict_of(&reply));
                     remember(plane, meta, trace, status.as_u16(), verdict, "passed on");
-                    return relay::send(caller, &meta.id, &name, verdict, reply).await;
+                    let attempts = number(&reply.headers, ATTEMPT_HEADER).unwrap_or(1);
+                    let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
+                    let told = Told { id: meta.id, backend: &name, verdict, attempts };
+                    return relay::send(caller, &told, reply).await;
                 }
                 Err(e) => trace.tried(&name, e),
             }
@@ -116,6 +120,7 @@
     let mut head = req.headers.clone();
     headers::set_deadline(&mut head, meta.deadline - plane.now());
     headers::set(&mut head, "host", &meta.class.service);
+    headers::set(&mut head, ATTEMPT_HEADER, &meta.attempts.max(1).to_string());
     headers::set(&mut head, HOPS_HEADER, &(meta.hops + 1).to_string());
     headers::set(&mut head, WORKSPACE_HEADER, &meta.workspace);
     headers::set(&mut head, IDEMPOTENCY_KEY_HEADER, meta.key.as_deref().unwrap_or_default());
--- a/crates/galenapath-entry/src/data/lookup.rs
+++ b/crates/galenapath-entry/src/data/lookup.rs
@@ -9,6 +9,7 @@
 use super::permit::Permit;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
+use super::relay::Told;
 use super::request::RequestMeta;
 use super::service::Service;
 use super::{refusal, relay};
@@ -72,8 +73,13 @@
     } else {
         Some((served.in_flight, permit))
     };
-    let sent =
-        relay::send(caller, &meta.id, &served.backend, Verdict::Answered, served.reply).await;
+    let told = Told {
+        id: meta.id,
+        backend: &served.backend,
+        verdict: Verdict::Answered,
+        attempts: trace.attempts,
+    };
+    let sent = relay::send(caller, &told, served.reply).await;
     if let Some((in_flight, permit)) = held {
         let outcome = if sent.is_ok() { outcome } else { Outcome::Cancelled };
         in_flight.finish(outcome);
@@ -98,7 +104,7 @@
         .map_err(|rejection| refusal::turn_away(&rejection))?;
     trace.borrow_mut().waited = permit.waited;
     service.state.borrow_mut().retries.first_try(plane.now());
-    match try_until_answered(&dispatch).await {
+    match try_until_answered(&dispatch, &permit).await {
         Ok(served) => Ok((permit, served)),
         Err(failure) => {
             permit.finish(failure.outcome);
@@ -113,13 +119,16 @@
     outcome: Outcome,
 }
 
-async fn try_until_answered(dispatch: &Dispatch<'_>) -> Result<Served, Unanswered> {
+async fn try_until_answered(
+    dispatch: &Dispatch<'_>,
+    permit: &Permit,
+) -> Result<Served, Unanswered> {
     let mut ran = Verdict::NotRun;
     loop {
         let Some(slot) = dispatch.choose() else {
             return Err(Unanswered { answer: refusal::no_backend(ran), outcome: Outcome::Shed });
         };
-        match try_hedged(dispatch, slot).await {
+        match try_hedged(dispatch, permit, slot).await {
             Ok(served) => {
                 // A server that fails fast is tried past, but its answer is an answer.
                 let is_final = !served.reply.status.is_server_error()
@@ -144,9 +153,9 @@
 
 /// Tries the backend server in `slot`, and a second one when the first is slower than most: the
 /// first answer wins and the other attempt is cancelled, which closes its connection.
-async fn try_hedged(dispatch: &Dispatch<'_>, slot: Slot) -> Result<Served, Fault> {
+async fn try_hedged(dispatch: &Dispatch<'_>, permit: &Permit, slot: Slot) -> Result<Served, Fault> {
     let started = dispatch.plane.now();
-    let first = pin!(dispatch.attempt(slot, || true));
+    let first = pin!(dispatch.attempt(permit, slot, || true));
     let Some(delay) = dispatch.hedge_delay() else { return first.await };
     let first = match select(first, pin!(monoio::time::sleep(delay))).await {
         Either::Left((result, _)) => return result,
@@ -158,7 +167,7 @@
     let Some(other) = dispatch.choose().filter(|other| *other != slot) else {
         return first.await;
     };
-    let second = pin!(dispatch.attempt(other, || true));
+    let second = pin!(dispatch.attempt(permit, other, || true));
     match select(first, second).await {
         Either::Left((Ok(served), _)) | Either::Right((Ok(served), _)) => Ok(served),
         Either::Left((Err(_), second)) => second.await,
--- a/crates/galenapath-entry/src/data/permit.rs
+++ b/crates/galenapath-entry/src/data/permit.rs
@@ -7,6 +7,7 @@
 use futures::future::{Either, select};
 use galenapath_policy::{Decision, Offer, Outcome, Rejection, Slot, Step, Ticket};
 use galenapath_protocol::Micros;
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     started: Micros,
     /// Time that the request waited.
     pub(super) waited: Micros,
+    /// Whether an attempt has begun; until then the request counts as unsent.
+    is_sent: Cell<bool>,
     is_done: bool,
 }
 
@@ -38,9 +41,8 @@
             Offered::Start => {}
             Offered::Reject(rejection) => return Err(rejection),
             Offered::Wait(rx) => {
-                let waiting = Waiting { plane, service, ticket };
-                waiting.wait(rx).await?;
-                std::mem::forget(waiting);
+                let waiting = Waiting { plane, service, ticket, rx, is_over: false };
+                waiting.wait().await?;
             }
         }
         let started = plane.now();
@@ -52,10 +54,17 @@
             ticket,
             started,
             waited,
+            is_sent: Cell::new(false),
             is_done: false,
         })
     }
 
+    fn mark_sent(&self) {
+        if !self.is_sent.replace(true) {
+            self.service.state.borrow_mut().unsent -= 1;
+        }
+    }
+
     /// The request has ended.
     pub(super) fn finish(mut self, outcome: Outcome) {
         self.release(outcome);
@@ -65,6 +74,7 @@
         if std::mem::replace(&mut self.is_done, true) {
             return;
         }
+        self.mark_sent();
         let now = self.plane.now();
         let latency = now - self.started;
         self.service.state.borrow_mut().admission.finish(now, self.ticket, outcome, latency);
@@ -91,7 +101,10 @@
     let workspace = state.admission.workspace(&meta.workspace);
     let offer = Offer { ticket: meta.number, class, workspace, deadline: meta.deadline };
     match state.admission.offer(now, offer) {
-        Decision::Start => Offered::Start,
+        Decision::Start => {
+            state.unsent += 1;
+            Offered::Start
+        }
         Decision::Reject(rejection) => Offered::Reject(rejection),
         Decision::Wait => {
             let (tx, rx) = oneshot::channel();
@@ -104,24 +117,36 @@
     }
 }
 
-/// A request in the queue. Dropping it takes it out.
+/// A request in the queue. Dropping it takes it out, also where it was let in and nobody has taken
+/// note of that yet.
 struct Waiting<'a> {
     plane: &'a Rc<DataPlane>,
     service: &'a Rc<Service>,
     ticket: Ticket,
+    rx: oneshot::Receiver<Step>,
+    /// Whether the wait has ended and its end was taken note of.
+    is_over: bool,
 }
 
 impl Waiting<'_> {
-    async fn wait(&self, mut step: oneshot::Receiver<Step>) -> Result<(), Rejection> {
-        loop {
+    async fn wait(mut self) -> Result<(), Rejection> {
+        let step = loop {
             let sleep = pin!(monoio::time::sleep(self.until_wake()));
-            match select(&mut step, sleep).await {
-                Either::Left((Ok(Step::Start(_)), _)) => return Ok(()),
-                Either::Left((Ok(Step::Reject(_, rejection)), _)) => return Err(rejection),
-                // The sender lives in the service until it has sent.
-                Either::Left((Err(_), _)) => return Ok(()),
+            match select(&mut self.rx, sleep).await {
+                Either::Left((step, _)) => break step.ok(),
                 Either::Right(_) => self.service.poll(self.plane.now()),
             }
+        };
+        self.end(step)
+    }
+
+    /// Takes note of the end of the wait.
+    fn end(&mut self, step: Option<Step>) -> Result<(), Rejection> {
+        self.is_over = true;
+        match step {
+            Some(Step::Reject(_, rejection)) => Err(rejection),
+            // The sender lives in the service until it has sent.
+            Some(Step::Start(_)) | None => Ok(()),
         }
     }
 
@@ -135,10 +160,19 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
         let now = self.plane.now();
         let mut state = self.service.state.borrow_mut();
-        state.waiters.remove(&self.ticket);
+        if state.waiters.remove(&self.ticket).is_none()
+            && matches!(self.rx.try_recv(), Ok(Some(Step::Start(_))))
+        {
+            state.unsent -= 1;
+        }
         state.admission.cancel(now, self.ticket);
+        drop(state);
+        self.service.poll(now);
     }
 }
 
@@ -153,13 +187,12 @@
 }
 
 impl InFlight {
-    /// Counts an attempt at `slot`.
-    pub(super) fn start(plane: &Rc<DataPlane>, service: &Rc<Service>, slot: Slot) -> Self {
+    /// Counts an attempt of an admitted request at `slot`.
+    pub(super) fn start(permit: &Permit, slot: Slot) -> Self {
+        permit.mark_sent();
+        let (plane, service) = (&permit.plane, &permit.service);
         let started = plane.now();
-        let mut state = service.state.borrow_mut();
-        state.balancer.start(started, slot);
-        state.in_flight += 1;
-        drop(state);
+        service.state.borrow_mut().balancer.start(started, slot);
         Self { plane: Rc::clone(plane), service: Rc::clone(service), slot, started, is_done: false }
     }
 
@@ -179,10 +212,7 @@
         }
         let now = self.plane.now();
         let latency = now - self.started;
-        let mut state = self.service.state.borrow_mut();
-        state.balancer.finish(now, self.slot, outcome, latency);
-        state.in_flight -= 1;
-        drop(state);
+        self.service.state.borrow_mut().balancer.finish(now, self.slot, outcome, latency);
         let label = match outcome {
             Outcome::Answered => "answered",
             Outcome::Shed => "shed",
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -4,29 +4,42 @@
 use super::attempt::{Reply, Rest};
 use super::caller::{Caller, read_piece};
 use super::headers;
+use super::request::RequestId;
 use galenapath_http::{Framing, HttpError, put_response};
-use galenapath_protocol::{BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
+use galenapath_protocol::{
+    ATTEMPT_HEADER, BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict,
+};
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
-use std::fmt::Display;
 use std::time::Duration;
 
 /// Longest pause inside a body, on either side, before the answer is given up.
 const BODY_PAUSE: Duration = Duration::from_secs(30);
 
+/// What the headers of an answer tell about it.
+pub(super) struct Told<'a> {
+    /// Identifier of the request.
+    pub(super) id: RequestId,
+    /// Who answered.
+    pub(super) backend: &'a BackendId,
+    /// Verdict on the request.
+    pub(super) verdict: Verdict,
+    /// Attempts made over the whole chain of calls.
+    pub(super) attempts: u32,
+}
+
 /// Sends an answer on. An error means that the caller did not get all of it and that its
 /// connection has to be closed, which tells the caller so.
 pub(super) async fn send(
     caller: &mut Caller,
-    id: &dyn Display,
-    backend: &BackendId,
-    verdict: Verdict,
+    told: &Told<'_>,
     mut reply: Reply,
 ) -> Result<(), HttpError> {
     headers::strip(&mut reply.headers);
-    headers::set(&mut reply.headers, VERDICT_HEADER, verdict.as_str());
-    headers::set(&mut reply.headers, REQUEST_ID_HEADER, &id.to_string());
-    headers::set(&mut reply.headers, BACKEND_HEADER, &backend.0);
+    headers::set(&mut reply.headers, VERDICT_HEADER, told.verdict.as_str());
+    headers::set(&mut reply.headers, REQUEST_ID_HEADER, &told.id.to_string());
+    headers::set(&mut reply.headers, BACKEND_HEADER, &told.backend.0);
+    headers::set(&mut reply.headers, ATTEMPT_HEADER, &told.attempts.to_string());
     match reply.rest {
         None if caller.method == Method::HEAD => {
             send_head_only(caller, reply.status, reply.headers).await
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -44,8 +44,9 @@
     pub(super) retries: RetryBudget,
     pub(super) hedges: HedgePolicy,
     pub(super) waiters: FastMap<Ticket, oneshot::Sender<Step>>,
-    /// Attempts in flight at backend servers.
-    pub(super) in_flight: u32,
+    /// Requests that were let in and of which no attempt has begun: the balancer still counts
+    /// their slots as free.
+    pub(super) unsent: u32,
     backends: FastMap<BackendId, Rc<Backend>>,
     classes: FastMap<String, ClassIndex>,
     fleet_version: Option<u64>,
@@ -67,7 +68,7 @@
             retries: RetryBudget::new(RetryConfig::default()),
             hedges: HedgePolicy::new(HedgeConfig::default()),
             waiters: FastMap::default(),
-            in_flight: 0,
+            unsent: 0,
             backends: FastMap::default(),
             classes: FastMap::default(),
             fleet_version: None,
@@ -144,8 +145,9 @@
         self.balancer.set_waiting(waiting);
         let free = self.balancer.free_slots(now);
         let crosses = free == 0 && self.balancer.choose_crossing(now).is_some();
-        let room = free.max(u32::from(crosses));
-        self.admission.set_capacity(now, self.in_flight.saturating_add(room));
+        let room = free.max(u32::from(crosses)).saturating_sub(self.unsent);
+        let admitted = u32::try_from(self.admission.in_flight()).unwrap_or(u32::MAX);
+        self.admission.set_capacity(now, admitted.saturating_add(room));
     }
 
     fn set_classes(&mut self, service: &str, config: &Config) {
@@ -207,8 +209,10 @@
     fn deliver(&mut self, now: Micros, step: Step) {
         let (Step::Start(ticket) | Step::Reject(ticket, _)) = step;
         let is_taken = self.waiters.remove(&ticket).is_some_and(|tx| tx.send(step).is_ok());
-        if !is_taken && matches!(step, Step::Start(_)) {
-            self.admission.cancel(now, ticket);
+        match step {
+            Step::Start(_) if is_taken => self.unsent += 1,
+            Step::Start(_) => self.admission.cancel(now, ticket),
+            Step::Reject(..) => {}
         }
     }
 }
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -13,7 +13,7 @@
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
-use super::relay::{self, within_pause};
+use super::relay::{self, Told, within_pause};
 use super::request::RequestMeta;
 use super::service::Service;
 use bytes::Bytes;
@@ -52,7 +52,7 @@
         let answer = refusal::no_backend(Verdict::NotRun);
         return refuse(plane, caller, meta, trace, &answer).await;
     };
-    let in_flight = InFlight::start(plane, service, slot);
+    let in_flight = InFlight::start(&permit, slot);
     let target = Target { plane, service, slot, backend: &backend, deadline: meta.deadline };
     match send(&target, caller, meta, &req, start, state).await {
         Ok(reply) => {
@@ -60,7 +60,13 @@
             trace.tried(&backend.id, reply.status);
             observe_latency(plane, meta);
             let (status, outcome) = (reply.status, outcome_of(reply.status));
-            let sent = relay::send(caller, &meta.id, &backend.id, Verdict::Answered, reply).await;
+            let told = Told {
+                id: meta.id,
+                backend: &backend.id,
+                verdict: Verdict::Answered,
+                attempts: meta.attempts.max(1),
+            };
+            let sent = relay::send(caller, &told, reply).await;
             in_flight.finish(outcome);
             permit.finish(outcome);
             remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
