--- /dev/null
+++ b/crates/galenapath-dev/examples/slopes/proc_files.rs
@@ -0,0 +1,29 @@
+//! What the kernel tells of a process.
+
+use std::fs;
+
+/// Clock ticks per second in `/proc`, fixed by the kernel's interface to user space.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Processor time of the threads that control uses, in seconds: all but the data thread.
+pub fn control_cpu(pid: u32) -> f64 {
+    let Ok(tasks) = fs::read_dir(format!("/proc/{pid}/task")) else { return 0.0 };
+    let stats =
+        tasks.flatten().filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
+    stats.filter(|stat| !stat.contains("(data)")).map(|stat| ticks(&stat) / TICKS_PER_S).sum()
+}
+
+/// Time in user and kernel mode, fields 14 and 15; the name in brackets may hold blanks.
+fn ticks(stat: &str) -> f64 {
+    let after_name = stat.rsplit(") ").next().unwrap_or("");
+    let fields = after_name.split_whitespace().skip(11).take(2);
+    fields.filter_map(|field| field.parse::<f64>().ok()).sum()
+}
+
+/// Resident memory in MiB.
+pub fn rss_mib(pid: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) / 1024.0
+}
