Admission: the load told to peers leaves out what would yield

Change: Admission::take_load, requests let in, of each workspace at most twice the mean; the bench tells peers that.

--- a/crates/galenapath-policy/benches/decisions/sim/admit.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/admit.rs
@@ -54,6 +54,11 @@
         self.admission.offer(now, offer)
     }
 
+    /// The load since the last call, as peers are told of it.
+    pub(super) fn take_load(&mut self) -> f64 {
+        self.admission.take_load()
+    }
+
     /// An attempt came back; `ended` tells how if it was the last one.
     pub(super) fn answered(&mut self, now: Micros, req: usize, ended: Option<(Outcome, Micros)>) {
         self.in_flight -= 1;
@@ -110,8 +115,6 @@
         let Some(gate) = &mut entry.gate else { return };
         match slot {
             Some(slot) => {
-                // Peers are told of work, and what is turned away makes none.
-                entry.arrived += u64::from(self.reqs[req].tries == 0);
                 gate.in_flight += 1;
                 self.send(req, slot);
             }
--- a/crates/galenapath-policy/benches/decisions/sim/members.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/members.rs
@@ -77,7 +77,7 @@
         let entry = &self.entries[instance];
         let sharers = self.dispatching.iter().filter(|&&i| self.entries[i].domain == entry.domain);
         let slots = f64::from(entry.slots_before) / sharers.count().max(1) as f64;
-        DispatcherLoad { rate: entry.arrived_before as f64, slots }
+        DispatcherLoad { rate: entry.load_before, slots }
     }
 }
 
--- a/crates/galenapath-policy/benches/decisions/sim/mod.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/mod.rs
@@ -66,9 +66,9 @@
     /// Takes the place of `queue` for a player with admission.
     gate: Option<Gate>,
     lag: Time,
-    /// Requests that arrived in this window and in the one before.
+    /// Requests that arrived in this window, and the load of the one before.
     arrived: u64,
-    arrived_before: u64,
+    load_before: f64,
     /// Slots of its failure domain that it could use at the end of that window.
     slots_before: f32,
     live: bool,
@@ -160,7 +160,7 @@
             queue: VecDeque::new(),
             gate: self.player.admission.then(|| Gate::new(&self.scenario, seed)),
             arrived: 0,
-            arrived_before: 0,
+            load_before: 0.0,
             slots_before: 0.0,
             lag: self.rng.random_range(0..LIST_LAG),
             live: true,
@@ -355,7 +355,8 @@
         }
         if self.now % LOAD_WINDOW < TICK {
             let entry = &mut self.entries[instance];
-            entry.arrived_before = std::mem::take(&mut entry.arrived);
+            let arrived = std::mem::take(&mut entry.arrived) as f64;
+            entry.load_before = entry.gate.as_mut().map_or(arrived, Gate::take_load);
             entry.slots_before = entry.balancer.home_slots(Micros(self.now));
         }
         self.at(self.now + TICK, Event::Tick { instance });
--- a/crates/galenapath-policy/src/admission/controller.rs
+++ b/crates/galenapath-policy/src/admission/controller.rs
@@ -14,6 +14,7 @@
 use super::lane::Lane;
 use super::limit::ConcurrencyLimit;
 use super::offer::{ClassPolicy, Offer, Ticket, WorkLength, WorkspaceIndex};
+use super::own_load::OwnLoad;
 use super::returns::ReturnSchedule;
 use super::workspaces::WorkspaceTable;
 use crate::outcome::Outcome;
@@ -40,6 +41,7 @@
     /// Steps decided since the last `poll`.
     pub(super) pending: Vec<Step>,
     pub(super) returns: ReturnSchedule,
+    own_load: OwnLoad,
     /// Whether long work was started last, while both lengths waited.
     long_went_last: bool,
     draining: bool,
@@ -72,6 +74,7 @@
             give_ups: BTreeSet::new(),
             pending: Vec::new(),
             returns: ReturnSchedule::new(cfg.min_retry_after, cfg.max_retry_after, seed),
+            own_load: OwnLoad::default(),
             long_went_last: false,
             draining: false,
             cfg,
@@ -119,6 +122,7 @@
             return self.turn_away(now, length, RejectReason::DeadlinePassed);
         }
         if self.lane(length).queue().is_empty() && self.has_slot(length) {
+            self.own_load.let_in(offer.workspace);
             self.start(offer.ticket, Running { class: offer.class, length });
             return Decision::Start;
         }
@@ -174,6 +178,13 @@
         self.pending.retain(|step| step.ticket() != ticket);
     }
 
+    /// The load to tell peers for the choice of addresses: requests let in since the last call, of
+    /// each workspace at most twice the mean of all. What was turned away makes no work, and what a
+    /// workspace has beyond the others makes room for them.
+    pub fn take_load(&mut self) -> f64 {
+        self.own_load.take()
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.running.len()
@@ -299,7 +310,9 @@
         while let Some(length) = self.next_length() {
             let Some(waiting) = self.lane_mut(length).pop(now) else { return };
             self.long_went_last = length == WorkLength::Long;
-            self.forget_place(waiting.ticket);
+            if let Some(place) = self.forget_place(waiting.ticket) {
+                self.own_load.let_in(place.workspace);
+            }
             self.start(waiting.ticket, Running { class: waiting.class, length });
             self.pending.push(Step::Start(waiting.ticket));
             self.note_wait(now, length);
--- a/crates/galenapath-policy/src/admission/mod.rs
+++ b/crates/galenapath-policy/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod offer;
 mod overload;
+mod own_load;
 mod recent;
 mod returns;
 mod turn_away;
--- a/crates/galenapath-policy/tests/admission.rs
+++ b/crates/galenapath-policy/tests/admission.rs
@@ -192,6 +192,18 @@
     assert_eq!([index("a"), index("b"), index("c")], known);
 }
 
+#[test]
+fn take_load_heavy_workspace_bounded() {
+    let mut model = Model::new();
+    model.admission.set_capacity(Micros::ZERO, 100);
+    for workspace in [0, 0, 0, 0, 0, 0, 1, 2] {
+        model.offer(workspace, SHORT, 200);
+    }
+    let twice_the_mean = 2.0 * 8.0 / 3.0;
+    assert_eq!(model.admission.take_load(), twice_the_mean + 2.0);
+    assert_eq!(model.admission.take_load(), 0.0);
+}
+
 /// Starts per work length in a service whose queue holds both all the time.
 #[test]
 fn long_work_not_starved() {
