--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -5,12 +5,13 @@
 use super::backend::Backend;
 use super::crash::{self, Clearance, Trial};
 use super::explain::Trace;
-use super::permit::InFlight;
+use super::permit::{InFlight, Permit};
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
 use super::request::{RequestMeta, number};
 use super::service::{Service, State};
+use galenapath_config::ClassKind;
 use galenapath_policy::{AttemptCount, MAX_ATTEMPTS, Slot, may_retry};
 use galenapath_protocol::{ATTEMPT_HEADER, BackendId, Micros, Verdict};
 use std::cell::{Cell, RefCell};
@@ -112,16 +113,22 @@
     /// Chooses the next backend server; one tried before only where no other is left.
     pub(super) fn choose(&self) -> Option<Slot> {
         let now = self.plane.now();
-        let mut exclude = self.tried.borrow().clone();
+        let exclude = self.tried.borrow().clone();
         if self.trial.is_some() {
             return self.choose_alone(exclude);
         }
         let mut state = self.service.state.borrow_mut();
-        if let Some(slot) = state.balancer.choose(now, &exclude) {
+        let balancer = &mut state.balancer;
+        if exclude.is_empty()
+            && balancer.free_slots(now) == 0
+            && let Some(slot) = balancer.choose_crossing(now)
+        {
             return Some(slot);
         }
-        exclude.clear();
-        state.balancer.choose(now, &exclude)
+        // A filing that fails cannot be sent again, so it is no trial for a server in doubt.
+        let is_filing = self.meta.class.kind == ClassKind::Filing;
+        let proven = if is_filing { balancer.choose_proven(now, &exclude) } else { None };
+        proven.or_else(|| balancer.choose(now, &exclude)).or_else(|| balancer.choose(now, &[]))
     }
 
     /// Chooses a backend server on which nothing else runs.
@@ -140,11 +147,13 @@
     /// leave; `false` withdraws the request.
     pub(super) async fn attempt(
         &self,
+        permit: &Permit,
         slot: Slot,
         before_send: impl FnOnce() -> bool,
     ) -> Result<Served, Fault> {
         self.tried.borrow_mut().push(slot);
-        let in_flight = InFlight::start(self.plane, self.service, slot);
+        self.trace.borrow_mut().attempts = self.attempts.get().made();
+        let in_flight = InFlight::start(permit, slot);
         let Some(backend) = self.service.backend(slot) else {
             return Err(Fault::Connect(std::io::ErrorKind::NotFound.into()));
         };
@@ -184,6 +193,7 @@
             let mut attempts = self.attempts.get();
             attempts.reported(u32::try_from(count).unwrap_or(u32::MAX));
             self.attempts.set(attempts);
+            self.trace.borrow_mut().attempts = attempts.made();
         }
     }
 }
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -1,35 +1,48 @@
 //! Passing a backend server's answer on to the caller.
 
-use super::answer::{OwnAnswer, has_no_body, send_whole};
+use super::answer::{About, OwnAnswer, has_no_body, send_whole};
 use super::attempt::{Reply, Rest};
 use super::caller::{Caller, read_piece};
 use super::headers;
+use super::request::RequestId;
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_http::{Framing, HttpError, put_response};
-use galenapath_protocol::{BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
+use galenapath_protocol::{
+    ATTEMPT_HEADER, BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict,
+};
 use http::header::HeaderMap;
 use http::{Method, StatusCode};
-use std::fmt::Display;
 use std::pin::pin;
 use std::time::Duration;
 
 /// Longest pause inside a body, on either side, before the answer is given up.
 const BODY_PAUSE: Duration = Duration::from_secs(30);
 
+/// What the headers of an answer tell about it.
+pub(super) struct Told<'a> {
+    /// Identifier of the request.
+    pub(super) id: RequestId,
+    /// Who answered.
+    pub(super) backend: &'a BackendId,
+    /// Verdict on the request.
+    pub(super) verdict: Verdict,
+    /// Attempts made over the whole chain of calls.
+    pub(super) attempts: u32,
+}
+
 /// Sends an answer on. An error means that the caller did not get all of it and that its
 /// connection has to be closed, which tells the caller so.
 pub(super) async fn send(
     caller: &mut Caller,
-    id: &dyn Display,
-    backend: &BackendId,
-    verdict: Verdict,
+    told: &Told<'_>,
     mut reply: Reply,
 ) -> Result<(), HttpError> {
     headers::strip(&mut reply.headers);
-    headers::set(&mut reply.headers, VERDICT_HEADER, verdict.as_str());
-    headers::set(&mut reply.headers, REQUEST_ID_HEADER, &id.to_string());
-    headers::set(&mut reply.headers, BACKEND_HEADER, &backend.0);
+    headers::set(&mut reply.headers, VERDICT_HEADER, told.verdict.as_str());
+    headers::set(&mut reply.headers, REQUEST_ID_HEADER, &told.id.to_string());
+    headers::set(&mut reply.headers, BACKEND_HEADER, &told.backend.0);
+    headers::set(&mut reply.headers, ATTEMPT_HEADER, &told.attempts.to_string());
     match reply.rest {
         None if caller.method == Method::HEAD => {
             caller.set_connection(&mut reply.headers);
@@ -39,7 +52,7 @@
         Some(rest) => {
             let head =
                 LargeHead { status: reply.status, headers: reply.headers, framing: reply.framing };
-            send_large(caller, id, head, &reply.start, rest).await
+            send_large(caller, told, head, &reply.start, rest).await
         }
     }
 }
@@ -70,15 +83,16 @@
 
 /// Turns away a caller who could not tell the end of the answer from a break: HTTP/1.0 knows no
 /// chunks, and the length is not known before the end.
-async fn refuse_http_10(caller: &mut Caller, id: &dyn Display) -> Result<(), HttpError> {
+async fn refuse_http_10(caller: &mut Caller, told: &Told<'_>) -> Result<(), HttpError> {
     let text = "the answer has no known length; ask for it with HTTP/1.1";
     let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
-    OwnAnswer::may_have_run(status, "http_version", text).send(caller, Some(id)).await
+    let about = About { id: told.id, attempts: told.attempts };
+    OwnAnswer::may_have_run(status, "http_version", text).send(caller, Some(about)).await
 }
 
 async fn send_large(
     caller: &mut Caller,
-    id: &dyn Display,
+    told: &Told<'_>,
     mut head: LargeHead,
     start: &[u8],
     mut rest: Rest,
@@ -90,7 +104,7 @@
         other => other,
     };
     if caller.is_http_10 && framing == Framing::Chunked {
-        return refuse_http_10(caller, id).await;
+        return refuse_http_10(caller, told).await;
     }
     caller.set_connection(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -8,17 +8,22 @@
 use futures::channel::oneshot;
 use galenapath_config::{ClassKind, Config};
 use galenapath_policy::{
-    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ClassIndex,
-    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket,
-    WorkLength,
+    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy,
+    ClassIndex, ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step,
+    Ticket, WorkLength,
 };
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
+use galenapath_settings::Choice;
 use std::cell::RefCell;
 use std::rc::Rc;
 
 /// Slots assumed of a backend server that has not yet told.
 const ASSUMED_SLOTS: u32 = 6;
 
+/// Least number of instances among which probes are split: an instance that has just started does
+/// not know the others yet, and today's deployments have 16.
+const LEAST_PROBE_SHARERS: u32 = 16;
+
 /// Time between two looks at the service's rate.
 const RATE_INTERVAL: Micros = Micros::from_secs(1);
 
@@ -39,8 +44,9 @@
     pub(super) retries: RetryBudget,
     pub(super) hedges: HedgePolicy,
     pub(super) waiters: FastMap<Ticket, oneshot::Sender<Step>>,
-    /// Attempts in flight at backend servers.
-    pub(super) in_flight: u32,
+    /// Requests that were let in and of which no attempt has begun: the balancer still counts
+    /// their slots as free.
+    pub(super) unsent: u32,
     backends: FastMap<BackendId, Rc<Backend>>,
     classes: FastMap<String, ClassIndex>,
     fleet_version: Option<u64>,
@@ -57,12 +63,12 @@
         let seed = hash64(shared.incarnation.0, name.as_bytes());
         let domain = shared.settings.instance.domain.clone();
         let state = State {
-            balancer: Balancer::new(BalancerConfig::default(), domain, seed),
+            balancer: Balancer::new(balancer_config(shared), domain, seed),
             admission: Admission::new(AdmissionConfig::default(), seed),
             retries: RetryBudget::new(RetryConfig::default()),
             hedges: HedgePolicy::new(HedgeConfig::default()),
             waiters: FastMap::default(),
-            in_flight: 0,
+            unsent: 0,
             backends: FastMap::default(),
             classes: FastMap::default(),
             fleet_version: None,
@@ -105,11 +111,7 @@
         let mut steps = Vec::new();
         loop {
             let mut state = self.state.borrow_mut();
-            let slots = state.balancer.free_slots(now);
-            let in_flight = state.in_flight;
-            let waiting = u32::try_from(state.admission.waiting()).unwrap_or(u32::MAX);
-            state.balancer.set_waiting(waiting);
-            state.admission.set_capacity(now, in_flight.saturating_add(slots));
+            state.tell_capacity(now);
             state.admission.poll(now, &mut steps);
             if steps.is_empty() {
                 return;
@@ -136,6 +138,18 @@
 }
 
 impl State {
+    /// Tells admission and the balancer about each other. Where no slot is free, one more request
+    /// may come in if it had better cross to another failure domain than wait.
+    fn tell_capacity(&mut self, now: Micros) {
+        let waiting = u32::try_from(self.admission.waiting()).unwrap_or(u32::MAX);
+        self.balancer.set_waiting(waiting);
+        let free = self.balancer.free_slots(now);
+        let crosses = free == 0 && self.balancer.choose_crossing(now).is_some();
+        let room = free.max(u32::from(crosses)).saturating_sub(self.unsent);
+        let admitted = u32::try_from(self.admission.in_flight()).unwrap_or(u32::MAX);
+        self.admission.set_capacity(now, admitted.saturating_add(room));
+    }
+
     fn set_classes(&mut self, service: &str, config: &Config) {
         self.config_version = Some(config.version().0);
         let of_service = config.classes().filter(|class| class.service == service);
@@ -164,6 +178,7 @@
         }
         self.dispatching.update(now, service, own, members, over);
         self.balancer.set_dispatchers(now, self.dispatching.number());
+        self.balancer.set_probe_sharers(now, probe_sharers(members));
         // The share may have changed, so the list of backend servers is taken in again.
         if self.share != self.dispatching.share(now) {
             self.fleet_version = None;
@@ -194,8 +209,10 @@
     fn deliver(&mut self, now: Micros, step: Step) {
         let (Step::Start(ticket) | Step::Reject(ticket, _)) = step;
         let is_taken = self.waiters.remove(&ticket).is_some_and(|tx| tx.send(step).is_ok());
-        if !is_taken && matches!(step, Step::Start(_)) {
-            self.admission.cancel(now, ticket);
+        match step {
+            Step::Start(_) if is_taken => self.unsent += 1,
+            Step::Start(_) => self.admission.cancel(now, ticket),
+            Step::Reject(..) => {}
         }
     }
 }
@@ -208,3 +225,21 @@
         connection_share: share,
     }
 }
+
+fn balancer_config(shared: &Shared) -> BalancerConfig {
+    let policy = match shared.settings.choice {
+        Choice::Galenapath => ChoicePolicy::Galenapath,
+        Choice::Random => ChoicePolicy::Random,
+        Choice::RoundRobin => ChoicePolicy::RoundRobin,
+        Choice::LeastInFlight => ChoicePolicy::LeastInFlight,
+        Choice::PowerOfTwo => ChoicePolicy::PowerOfTwo,
+    };
+    BalancerConfig { policy, ..BalancerConfig::default() }
+}
+
+/// Instances among which probes are split. While instances are replaced, old and new ones probe by
+/// lists that differ, so each counts twice as many as it sees.
+fn probe_sharers(members: &MemberView) -> u32 {
+    let usable = u32::try_from(members.usable.len()).unwrap_or(u32::MAX);
+    usable.saturating_mul(2).max(LEAST_PROBE_SHARERS)
+}
--- a/crates/galenapath-policy/benches/decisions/sim/admit.rs
+++ b/crates/galenapath-policy/benches/decisions/sim/admit.rs
@@ -54,6 +54,11 @@
         self.admission.offer(now, offer)
     }
 
+    /// The load since the last call, as peers are told of it.
+    pub(super) fn take_load(&mut self) -> f64 {
+        self.admission.take_load()
+    }
+
     /// An attempt came back; `ended` tells how if it was the last one.
     pub(super) fn answered(&mut self, now: Micros, req: usize, ended: Option<(Outcome, Micros)>) {
         self.in_flight -= 1;
