--- a/crates/galenapath-dev/src/backend/answer.rs
+++ b/crates/galenapath-dev/src/backend/answer.rs
@@ -7,7 +7,6 @@
 use crate::wire::{Conn, WireError, answer_head};
 use galenapath_protocol::{REPORT_HEADER, REQUEST_ID_HEADER};
 use http::StatusCode;
-use monoio::time::sleep;
 
 /// The backend server's own word that it did not run the request.
 pub const NOT_RUN_HEADER: &str = "galenapath-not-run";
@@ -87,7 +86,7 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> Result<After, WireError> {
-    sleep(server.delay).await;
+    server.pass_way().await;
     let mut buf = head(server, status, headers, body.len() as u64).into_bytes();
     let (halfway, garbage, too_much) = {
         let faults = server.faults.borrow();
@@ -107,7 +106,7 @@
 }
 
 async fn stream(conn: &mut Conn, server: &Server, job: &Job, len: u64) -> Result<After, WireError> {
-    sleep(server.delay).await;
+    server.pass_way().await;
     let halfway = server.faults.borrow().stop_halfway;
     let sent = if halfway { len / 2 } else { len };
     conn.write(head(server, StatusCode::OK, &[], len)).await?;
--- a/crates/galenapath-dev/src/backend/connection.rs
+++ b/crates/galenapath-dev/src/backend/connection.rs
@@ -1,7 +1,7 @@
 //! One caller's connection: reads requests, runs them in slots, answers.
 
 use super::answer::{self, After};
-use super::server::Server;
+use super::server::{Server, wait};
 use super::slots::{Full, SlotGuard};
 use crate::wire::{Conn, Framing, WireError};
 use futures::future::{Either, select};
@@ -77,7 +77,7 @@
     loop {
         let job = Job::read(&mut conn).await?;
         server.thaw().await;
-        sleep(server.delay).await;
+        server.pass_way().await;
         let after = if job.head.uri.path() == PROBE_PATH {
             count_probe(server);
             answer::report_only(&mut conn, server).await?
@@ -120,11 +120,11 @@
     count_execution(server, job);
     let time = server.work_time(job.number("work_ms"));
     if is_marked(server, job) {
-        sleep(time).await;
+        wait(time).await;
         server.crash_now();
         return Ok(After::Close);
     }
-    match bounded(conn, job, sleep(time)).await {
+    match bounded(conn, job, wait(time)).await {
         Step::Done(()) => {}
         Step::Cancelled => return Ok(cancelled(server)),
         Step::Expired => {
--- a/crates/galenapath-dev/src/backend/server.rs
+++ b/crates/galenapath-dev/src/backend/server.rs
@@ -148,9 +148,14 @@
         }
     }
 
+    /// Waits as long as the way between callers and the server takes.
+    pub async fn pass_way(&self) {
+        wait(self.delay).await;
+    }
+
     /// Waits as long as opening a connection takes.
     pub async fn open_connection(&self) {
-        sleep(self.opts.accept_time).await;
+        wait(self.opts.accept_time).await;
     }
 
     /// Begins to leave; later calls change nothing.
@@ -235,3 +240,10 @@
         self.server.counters.borrow_mut().connections_open -= 1;
     }
 }
+
+/// Waits; not at all for no time, since timers are no finer than a millisecond.
+pub async fn wait(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
