Test: any bytes from callers leave the instance running

200 cases of random bytes and parts of requests, among them numbers at the end of their range and headers that are not text. No fault found.

--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
 use std::io::Write;
 use std::ops::ControlFlow;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -247,3 +249,42 @@
         assert!(gone.elapsed() < Duration::from_secs(2), "{:.20}: {:?}", req, gone.elapsed());
     }
 }
+
+/// Parts that make random bytes look like requests now and then.
+fn part() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        Just(b"GET /a HTTP/1.1\r\nHost: s\r\n".to_vec()),
+        Just(b"POST http://s:99999/b HTTP/1.1\r\n".to_vec()),
+        Just(b"HEAD * HTTP/1.0\r\nHost: s:\r\n".to_vec()),
+        Just(b"CONNECT s:1 HTTP/1.1\r\nHost: s\r\n".to_vec()),
+        Just(b"GET /v1/entries?service=s&service HTTP/1.1\r\n".to_vec()),
+        Just(b"Galenapath-Deadline-Ms: 4294967295\r\n".to_vec()),
+        Just(b"Galenapath-Workspace: \xff\xfe\r\n".to_vec()),
+        Just(b"Galenapath-Hops: 4294967295\r\nGalenapath-Attempt: 4294967295\r\n".to_vec()),
+        Just(b"Connection: host, close, \xe9\r\n".to_vec()),
+        Just(b"Content-Length: 3\r\n".to_vec()),
+        Just(b"Content-Length: 18446744073709551615\r\n".to_vec()),
+        Just(b"Transfer-Encoding: chunked\r\n".to_vec()),
+        Just(b"\r\n".to_vec()),
+        Just(b"3\r\nabc\r\n0\r\n\r\n".to_vec()),
+        prop::collection::vec(any::<u8>(), 0..60),
+    ]
+}
+
+#[test]
+fn callers_any_bytes_survived() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    let parts = prop::collection::vec(part(), 1..10);
+    TestRunner::new(config)
+        .run(&parts, |parts| {
+            let mut client = Client::connect(instance.callers);
+            // The instance may close before it has read everything.
+            let _ = client.io.write_all(&parts.concat());
+            let _ = client.io.shutdown(std::net::Shutdown::Write);
+            while client.answer_to("HEAD").status != 0 {}
+            prop_assert_eq!(get(instance.callers, "/alive", "").text(), "/alive");
+            Ok(())
+        })
+        .unwrap();
+}
