--- a/crates/galenapath-config/src/check.rs
+++ b/crates/galenapath-config/src/check.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 /// Most characters in a name or an identifier.
-const MAX_NAME: usize = 64;
+pub(crate) const MAX_NAME: usize = 64;
 /// Most bytes in a path prefix.
 const MAX_PREFIX: usize = 256;
 /// Most methods of a class.
--- a/crates/galenapath-config/src/class.rs
+++ b/crates/galenapath-config/src/class.rs
@@ -33,7 +33,21 @@
     Transfer,
 }
 
+/// Upper bound of what a class takes in a snapshot beside its texts, in bytes.
+const CLASS_BYTES: usize = 190;
+
+/// Upper bound of what a method takes in a snapshot beside its text, in bytes.
+const METHOD_BYTES: usize = 3;
+
 impl Class {
+    /// Upper bound of what the class takes in a snapshot, in bytes.
+    pub(crate) fn snapshot_bytes(&self) -> usize {
+        let methods: usize = self.methods.iter().map(|m| m.len() + METHOD_BYTES).sum();
+        // A path may hold characters that JSON escapes.
+        let path = 2 * self.path_prefix.len();
+        CLASS_BYTES + self.name.len() + self.service.len() + path + methods
+    }
+
     /// Whether the class covers `method`.
     pub fn has_method(&self, method: &str) -> bool {
         self.methods.is_empty() || self.methods.iter().any(|m| m == method)
--- a/crates/galenapath-config/src/config.rs
+++ b/crates/galenapath-config/src/config.rs
@@ -1,9 +1,16 @@
 //! The configuration at one version.
 
+use crate::check::MAX_NAME;
 use crate::{ChangeId, ChangeRecord, Class, Version};
 use std::collections::BTreeMap;
 use thiserror::Error;
 
+/// Upper bound of what a snapshot holds beside classes and marks, in bytes.
+const ENVELOPE_BYTES: usize = 100;
+
+/// Upper bound of what a mark takes in a snapshot beside its texts, in bytes.
+const MARK_BYTES: usize = 60;
+
 /// All classes, at one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Config {
@@ -91,6 +98,15 @@
         self.marks.get(name).map_or(Version(0), |mark| mark.revision)
     }
 
+    /// Upper bound of the size of a snapshot once `class` is in, in bytes.
+    pub(crate) fn snapshot_bytes_with(&self, class: &Class) -> usize {
+        let classes: usize = self.classes.values().map(Class::snapshot_bytes).sum();
+        let mark = |(name, mark): (&String, &Mark)| name.len() + mark.id.0.len() + MARK_BYTES;
+        let marks: usize = self.marks.iter().map(mark).sum();
+        let new = class.snapshot_bytes() + class.name.len() + MAX_NAME + MARK_BYTES;
+        ENVELOPE_BYTES + classes + marks + new
+    }
+
     /// The class that a request belongs to: among the classes of its service that cover its method
     /// and path, the one with the longest prefix. Allocates nothing.
     pub fn classify(&self, service: &str, method: &str, path: &str) -> Option<&Class> {
--- a/crates/galenapath-config/src/lib.rs
+++ b/crates/galenapath-config/src/lib.rs
@@ -38,6 +38,6 @@
 pub use convert::{DecodeError, mark_wire, mark_wires};
 pub use head::{AuditPage, HEAD_KEY, Head, Limits, page_key, page_of, snapshot_key};
 pub use ident::{ChangeId, Version};
-pub use propose::{Cut, MAX_NAMES, Proposal, Refusal, propose};
+pub use propose::{Cut, MAX_SNAPSHOT_BYTES, Proposal, Refusal, propose};
 pub use replica::{Applied, Replica};
 pub use target::{Share, Target};
--- a/crates/galenapath-config/src/propose.rs
+++ b/crates/galenapath-config/src/propose.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// Most names of classes, removed ones included: a snapshot stays under the store's 1 MB.
-pub const MAX_NAMES: usize = 1_024;
+/// Largest snapshot in bytes: the store holds values up to a megabyte, and a margin stays for the
+/// revisions, which grow by a digit with each tenfold of changes.
+pub const MAX_SNAPSHOT_BYTES: usize = 1_000_000;
 
 /// The head that accepts a change, once it is swapped in.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -76,9 +77,9 @@
         /// The other class.
         other: String,
     },
-    /// Too many names of classes are in use, removed ones included.
-    #[error("there are {MAX_NAMES} names of classes already")]
-    TooManyNames,
+    /// The classes, and what is kept of removed ones, would not fit a value of the store.
+    #[error("the configuration would be larger than {MAX_SNAPSHOT_BYTES} bytes")]
+    TooLarge,
     /// A field cannot be accepted.
     #[error(transparent)]
     Invalid(#[from] Invalid),
@@ -161,9 +162,8 @@
     if let Some(other) = config.classes().find(|other| other.overlaps(new)) {
         return Err(Refusal::Overlap { other: other.name.clone() });
     }
-    let known = config.marks().contains_key(&new.name);
-    if !known && config.marks().len() >= MAX_NAMES {
-        return Err(Refusal::TooManyNames);
+    if config.snapshot_bytes_with(new) > MAX_SNAPSHOT_BYTES {
+        return Err(Refusal::TooLarge);
     }
     Ok(Class { revision, ..new.clone() })
 }
--- a/crates/galenapath-config/tests/propose.rs
+++ b/crates/galenapath-config/tests/propose.rs
@@ -5,7 +5,8 @@
 mod support;
 
 use galenapath_config::{
-    Chain, Change, ChangeId, Class, Limits, Mark, Refusal, Version, encode_head, propose,
+    Chain, Change, ChangeId, Class, Limits, Mark, Refusal, Version, encode_head, encode_snapshot,
+    propose,
 };
 use support::{accept, class, create, long_chain, remove, request, set_target};
 
@@ -77,6 +78,39 @@
     assert_eq!(unknown, Refusal::NoSuchClass { class: "maps".into() });
 }
 
+/// Creates classes until one is refused; the number and the size of the last snapshot.
+fn fill(named: impl Fn(usize) -> Class) -> (usize, usize) {
+    let mut chain = Chain::default();
+    for n in 0.. {
+        let req = request(&format!("{n:064}"), 0, Change::CreateClass(named(n)));
+        match propose(&chain, &req, 0, Limits::DEFAULT) {
+            Ok(proposal) => chain = Chain::follow(chain.config(), proposal.head).unwrap(),
+            Err(Refusal::TooLarge) => break,
+            Err(refusal) => panic!("{refusal}"),
+        }
+    }
+    let classes = chain.config().classes().count();
+    (classes, encode_snapshot(chain.config()).unwrap().len())
+}
+
+#[test]
+fn propose_full_snapshot_fits_a_value() {
+    let large = |n: usize| Class {
+        service: format!("{n:064}"),
+        methods: (0..16).map(|_| "M".repeat(64)).collect(),
+        path_prefix: format!("/{}", "\\".repeat(255)),
+        ..class(&format!("{n:064}"), "/")
+    };
+    let small = |n: usize| Class {
+        service: format!("service-{n}"),
+        ..class(&format!("service-{n}-lookup"), "/")
+    };
+    for (what, (classes, bytes)) in [("largest", fill(large)), ("usual", fill(small))] {
+        println!("{what} classes: {classes} in {bytes} bytes");
+        assert!(bytes < 1 << 20);
+    }
+}
+
 #[test]
 fn propose_largest_head_fits_a_value() {
     let longest = "n".repeat(64);
--- a/crates/galenapath-entry/src/control/operators/changes.rs
+++ b/crates/galenapath-entry/src/control/operators/changes.rs
@@ -83,7 +83,7 @@
         }
         Refusal::AlreadyAccepted { .. }
         | Refusal::IdReused { .. }
-        | Refusal::TooManyNames
+        | Refusal::TooLarge
         | Refusal::Invalid(_) => invalid(message),
     }
 }
