Peers send the records that an instance lacks, not the whole configuration

Change: the asker names its version and gets the records after it where the tail reaches back, all of it otherwise. A replica that extends its chain cuts its tail where the store does and so holds the store's own head.

Ruled out: sending heads without the configuration, which is 14 KB for each change.

--- a/crates/galenapath-config/src/chain.rs
+++ b/crates/galenapath-config/src/chain.rs
@@ -1,6 +1,6 @@
 //! A head together with the configuration that it describes.
 
-use crate::{Broken, Config, Head, Version};
+use crate::{Broken, ChangeRecord, Config, Head, Limits, Version};
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -44,6 +44,18 @@
         Ok(Self { head, config })
     }
 
+    /// The chain after `records`, of which the first must be the next. The head is the one that the
+    /// store has at that version: its tail is cut at the same places.
+    pub fn extended(&self, records: &[ChangeRecord], limits: Limits) -> Result<Self, Broken> {
+        let config = Arc::new(self.config.after(records)?);
+        let add = |head: Head, record: &ChangeRecord| match head.cut(limits) {
+            Some((cut, _)) => cut.with(record.clone()),
+            None => head.with(record.clone()),
+        };
+        let head = records.iter().fold(self.head.clone(), add);
+        Ok(Self { head, config })
+    }
+
     /// The head.
     pub fn head(&self) -> &Head {
         &self.head
--- a/crates/galenapath-config/src/replica.rs
+++ b/crates/galenapath-config/src/replica.rs
@@ -1,6 +1,6 @@
 //! What one instance knows of the configuration.
 
-use crate::{Chain, Config, FollowError, Head, Version};
+use crate::{Chain, ChangeRecord, Config, FollowError, Head, Limits, Version};
 use std::sync::Arc;
 
 /// An instance's copy of the configuration. Its version never goes down.
@@ -64,6 +64,19 @@
         }
     }
 
+    /// Takes over records that follow each other; those that it knows are passed over.
+    pub fn extend(&mut self, records: &[ChangeRecord], limits: Limits) -> Applied {
+        let known = records.partition_point(|record| record.version <= self.version());
+        let newer = &records[known..];
+        if newer.is_empty() {
+            return Applied::Stale;
+        }
+        match self.chain.extended(newer, limits) {
+            Ok(chain) => self.install(chain),
+            Err(_) => Applied::Diverged,
+        }
+    }
+
     fn install(&mut self, chain: Chain) -> Applied {
         if self.contradicts(chain.head()) {
             return Applied::Diverged;
--- a/crates/galenapath-config/tests/replica.rs
+++ b/crates/galenapath-config/tests/replica.rs
@@ -4,8 +4,10 @@
 
 mod support;
 
-use galenapath_config::{Applied, Chain, Limits, Replica, Version, decode_head, encode_head};
-use galenapath_config::{decode_snapshot, encode_snapshot};
+use galenapath_config::{
+    Applied, AuditPage, Chain, Limits, Replica, Version, decode_head, decode_snapshot, encode_head,
+    encode_page, encode_snapshot,
+};
 use proptest::prelude::*;
 use support::{accept, create, long_chain, set_target};
 
@@ -46,6 +48,23 @@
     assert_eq!(replica.config(), one.config());
 }
 
+/// What a peer sends for one change, next to the whole configuration.
+#[test]
+fn extend_costs_the_changes_size() {
+    let mut chain = Chain::default();
+    for n in 0..1_400 {
+        chain =
+            accept(&chain, &create(&format!("{n:016}"), &format!("service-{n}")), Limits::DEFAULT);
+    }
+    let chain = accept(&chain, &set_target("x", 7, "service-6", 9), Limits::DEFAULT);
+    let head = encode_head(chain.head()).unwrap().len();
+    let snapshot = encode_snapshot(chain.config()).unwrap().len();
+    let last = chain.head().tail().last().unwrap().clone();
+    let change = encode_page(&AuditPage { records: vec![last] }).unwrap().len();
+    println!("1400 classes: head {head}, snapshot {snapshot}, one change {change} bytes");
+    assert!(change < 1_024);
+}
+
 proptest! {
     /// Whatever heads arrive in whatever order, the version never goes down and the configuration
     /// is the chain's at that version.
@@ -70,6 +89,28 @@
         }
     }
 
+    /// Records alone lead to the very head that the store has, from any version on, also where some
+    /// of them are known.
+    #[test]
+    fn extend_any_range_gives_the_stores_head(from in 0usize..20, to in 0usize..20, back in 0u64..3) {
+        let chains = long_chain(19, SMALL);
+        let records: Vec<_> =
+            chains.iter().map(|chain| chain.head().tail().last().unwrap().clone()).collect();
+        let mut replica = Replica::default();
+        replica.apply_from(chains[from].config(), chains[from].head().clone());
+        let first = (from + 1).saturating_sub(back as usize);
+        let offered = records.get(first..=to).unwrap_or_default();
+        let applied = replica.extend(offered, SMALL);
+        prop_assert_eq!(applied == Applied::Stale, to <= from);
+        prop_assert_eq!(replica.chain(), &chains[from.max(to)]);
+        if to > from + 1 {
+            let mut behind = Replica::default();
+            behind.apply_from(chains[from].config(), chains[from].head().clone());
+            prop_assert_eq!(behind.extend(&records[from + 2..=to], SMALL), Applied::Diverged);
+            prop_assert_eq!(behind.chain(), &chains[from]);
+        }
+    }
+
     /// What is written to the store reads back as it was.
     #[test]
     fn encode_then_decode_is_same(changes in 0u64..20) {
--- a/crates/galenapath-entry/src/control/configuration.rs
+++ b/crates/galenapath-entry/src/control/configuration.rs
@@ -2,8 +2,8 @@
 
 use super::plane::ControlPlane;
 use galenapath_config::{
-    Applied, Config, HEAD_KEY, Head, Version, decode_head, decode_snapshot, encode_head,
-    encode_snapshot, snapshot_key,
+    Applied, AuditPage, Config, HEAD_KEY, Head, Limits, Version, decode_head, decode_page,
+    decode_snapshot, encode_head, encode_page, encode_snapshot, snapshot_key,
 };
 use galenapath_peers::{ConfigWire, PeerCall};
 use galenapath_platform::{Platform, StoreIndex};
@@ -122,31 +122,44 @@
     }
 }
 
-/// Takes over the configuration of the peer at `from`, which is ahead.
+/// Takes over what the peer at `from`, which is ahead, has beyond this instance's version.
 pub(super) async fn pull(plane: Rc<ControlPlane>, from: SocketAddr) {
     let (reply, answer) = flume::bounded(1);
-    if plane.wiring.calls.send_async(PeerCall::Config { to: from, reply }).await.is_err() {
+    let after = plane.replica.borrow().version().0;
+    let call = PeerCall::Config { to: from, after, reply };
+    if plane.wiring.calls.send_async(call).await.is_err() {
         return;
     }
     let Ok(Ok(wire)) = answer.recv_async().await else { return };
-    let head = decode_head(wire.head.as_bytes());
-    let config = decode_snapshot(wire.snapshot.as_bytes());
-    let (Ok(head), Ok(config)) = (head, config) else {
+    let Some(applied) = take_document(&plane, &wire) else {
         plane.shared.metrics.fault("bad_peer_configuration");
         return;
     };
-    let applied = plane.replica.borrow_mut().apply_from(&Arc::new(config), head);
     settle(&plane, &applied);
 }
 
-/// The configuration for a peer.
-pub(super) fn document(plane: &ControlPlane) -> ConfigWire {
+/// Takes over a peer's document; `None` where it cannot be read.
+fn take_document(plane: &ControlPlane, wire: &ConfigWire) -> Option<Applied> {
+    if let Some(records) = &wire.records {
+        let page = decode_page(records.as_bytes()).ok()?;
+        return Some(plane.replica.borrow_mut().extend(&page.records, Limits::DEFAULT));
+    }
+    let head = decode_head(wire.head.as_ref()?.as_bytes()).ok()?;
+    let config = decode_snapshot(wire.snapshot.as_ref()?.as_bytes()).ok()?;
+    Some(plane.replica.borrow_mut().apply_from(&Arc::new(config), head))
+}
+
+/// The configuration for a peer at version `after`: the records that it lacks where the tail has
+/// them all, so that a change costs its own size and not the configuration's.
+pub(super) fn document(plane: &ControlPlane, after: Version) -> ConfigWire {
     let replica = plane.replica.borrow();
-    let text = |bytes: Result<Vec<u8>, serde_json::Error>| {
-        bytes.ok().and_then(|bytes| String::from_utf8(bytes).ok()).unwrap_or_default()
-    };
-    ConfigWire {
-        head: text(encode_head(replica.chain().head())),
-        snapshot: text(encode_snapshot(replica.config())),
+    let head = replica.chain().head();
+    let text = |bytes: Result<Vec<u8>, serde_json::Error>| String::from_utf8(bytes.ok()?).ok();
+    if after >= head.before_tail() {
+        let newer = head.tail().iter().filter(|record| record.version > after);
+        let page = AuditPage { records: newer.cloned().collect() };
+        return ConfigWire { records: text(encode_page(&page)), head: None, snapshot: None };
     }
+    let snapshot = text(encode_snapshot(replica.config()));
+    ConfigWire { records: None, head: text(encode_head(head)), snapshot }
 }
--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -139,8 +139,8 @@
     while let Ok(request) = plane.wiring.requests.recv_async().await {
         match request {
             PeerRequest::Exchange { news: heard, reply } => answer_exchange(&plane, &heard, &reply),
-            PeerRequest::Config { reply } => {
-                let _ = reply.try_send(configuration::document(&plane));
+            PeerRequest::Config { after, reply } => {
+                let _ = reply.try_send(configuration::document(&plane, Version(after)));
             }
             PeerRequest::HandOver { outcomes, reply } => {
                 let _ = reply.try_send(stop::adopt(&plane, &outcomes));
--- a/crates/galenapath-peers/src/call.rs
+++ b/crates/galenapath-peers/src/call.rs
@@ -20,6 +20,8 @@
     Config {
         /// The peer's address.
         to: SocketAddr,
+        /// Version that the instance has.
+        after: u64,
         /// Where it goes.
         reply: Sender<Result<ConfigWire, PeerError>>,
     },
@@ -45,6 +47,8 @@
     },
     /// Tell the configuration.
     Config {
+        /// Version that the peer has.
+        after: u64,
         /// Where it goes.
         reply: Sender<ConfigWire>,
     },
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -8,13 +8,18 @@
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
 }
-///The configuration as the sender has it.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+///The configuration as the sender has it: the records that the asker lacks, or all of it where the asker is too far behind.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct ConfigWire {
     ///JSON document of the head of the chain of changes.
-    pub head: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub head: ::std::option::Option<::std::string::String>,
+    ///JSON document of the records after the asker's version; alone where it is there.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub records: ::std::option::Option<::std::string::String>,
     ///JSON document of the configuration at that head.
-    pub snapshot: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub snapshot: ::std::option::Option<::std::string::String>,
 }
 ///A backend server that crashed and the requests that it was running.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/galenapath-peers/src/rpc.rs
+++ b/crates/galenapath-peers/src/rpc.rs
@@ -7,8 +7,8 @@
 pub(crate) trait Peer {
     /// Tells news and hears the peer's; also the probe of failure detection.
     async fn exchange(news: ExchangeWire) -> ExchangeWire;
-    /// The configuration as the peer has it.
-    async fn config() -> ConfigWire;
+    /// What the peer's configuration has beyond version `after`, or all of it.
+    async fn config(after: u64) -> ConfigWire;
     /// Takes over the outcomes of an incarnation that stops; whether they were taken.
     async fn hand_over(outcomes: HandOverWire) -> bool;
 }
--- a/crates/galenapath-peers/src/server.rs
+++ b/crates/galenapath-peers/src/server.rs
@@ -47,9 +47,9 @@
         self.ask(PeerRequest::Exchange { news, reply }, replies).await
     }
 
-    async fn config(self, _: Context) -> ConfigWire {
+    async fn config(self, _: Context, after: u64) -> ConfigWire {
         let (reply, replies) = flume::bounded(1);
-        self.ask(PeerRequest::Config { reply }, replies).await
+        self.ask(PeerRequest::Config { after, reply }, replies).await
     }
 
     async fn hand_over(self, _: Context, outcomes: HandOverWire) -> bool {
