--- a/crates/galenapath-dev/src/store/faults.rs
+++ b/crates/galenapath-dev/src/store/faults.rs
@@ -14,6 +14,8 @@
     pub slow_ms: u64,
     /// Writes that take effect while their connection closes without an answer.
     pub lose_replies: LoseReplies,
+    /// The store goes down right after its next write has taken effect.
+    pub down_after_write: bool,
     /// Calls that are refused with status 500, without effect.
     pub deny: Deny,
     /// Time in milliseconds that a change needs to show in the list; overrides the option.
--- a/crates/galenapath-dev/src/store/server.rs
+++ b/crates/galenapath-dev/src/store/server.rs
@@ -108,6 +108,11 @@
     }
     let reply = carry_out(state, route, body).await;
     let mut state = state.borrow_mut();
+    if kind.writes() && state.faults.down_after_write {
+        state.faults.down_after_write = false;
+        state.faults.down = true;
+        state.fault_waiters.wake();
+    }
     if kind.writes() && state.faults.lose_replies.take() {
         state.counters.lost_replies += 1;
         return Reply::Close;
--- a/tests/operators/cluster.rs
+++ b/tests/operators/cluster.rs
@@ -1,12 +1,14 @@
 //! A store and entry instances as processes, and plain HTTP calls on them.
 
+#![allow(dead_code, reason = "each test binary uses some")]
+
 use galenapath_dev::scenario::Programs;
 use galenapath_dev::store::Counters;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -116,6 +118,19 @@
         self.get(n, "/v1/status").json()["version"].as_u64().unwrap()
     }
 
+    /// Runs `galenactl` against an instance, with the token.
+    pub fn galenactl(&self, n: usize, words: &[&str]) -> Output {
+        let mut command = Command::new(&self.programs.operator);
+        command.arg("--instance").arg(self.instances[n].to_string());
+        command.arg("--token-file").arg(self.dir.join("token"));
+        command.args(words).output().unwrap()
+    }
+
+    /// A file of the cluster's directory.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
     pub fn counters(&self) -> Counters {
         let answer = call(self.store, "GET", "/admin/counters", "", b"");
         serde_json::from_slice(&answer.body).unwrap()
