--- a/tests/galenactl.rs
+++ b/tests/galenactl.rs
@@ -51,7 +51,7 @@
     ];
     for command in commands {
         let help = ends(&alone(&[command, &["--help"]].concat()), 0);
-        let example = format!("{}", command.join(" "));
+        let example = command.join(" ");
         let after = help.split("Example:").nth(1).unwrap_or_else(|| panic!("{help}"));
         assert!(after.contains(&example), "{help}");
     }
