--- a/crates/galenapath-dev/src/backend/body.rs
+++ b/crates/galenapath-dev/src/backend/body.rs
@@ -1,6 +1,6 @@
 //! Bodies that show which request they belong to.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use galenapath_protocol::hash64;
 
 /// Largest part of a body that is made at once, in bytes; a multiple of the word.
@@ -18,10 +18,18 @@
     seed.wrapping_add(index)
 }
 
-/// Byte at `offset` of the pattern, so that a reader may check parts of any length.
-pub const fn pattern_byte(seed: u64, offset: u64) -> u8 {
-    let word = pattern_word(seed, offset / WORD_LEN).to_le_bytes();
-    word[(offset % WORD_LEN) as usize]
+/// The pattern's bytes from `offset` on, so that a reader may check parts of any length.
+pub fn pattern_bytes(seed: u64, offset: u64, len: usize) -> Vec<u8> {
+    let first = offset / WORD_LEN;
+    let skipped = (offset % WORD_LEN) as usize;
+    let words = (skipped + len).div_ceil(WORD_LEN as usize) as u64;
+    let mut buf = Vec::with_capacity((words * WORD_LEN) as usize);
+    for index in first..first + words {
+        buf.extend_from_slice(&pattern_word(seed, index).to_le_bytes());
+    }
+    buf.drain(..skipped);
+    buf.truncate(len);
+    buf
 }
 
 /// The pattern's bytes, made part by part.
@@ -46,13 +54,8 @@
         if len == 0 {
             return None;
         }
-        let first = self.offset / WORD_LEN;
-        let mut buf = BytesMut::with_capacity(PART_LEN as usize);
-        for index in first..first + len.div_ceil(WORD_LEN) {
-            buf.extend_from_slice(&pattern_word(self.seed, index).to_le_bytes());
-        }
-        buf.truncate(len as usize);
+        let buf = pattern_bytes(self.seed, self.offset, len as usize);
         self.offset += len;
-        Some(buf.freeze())
+        Some(buf.into())
     }
 }
--- a/crates/galenapath-dev/src/backend/mod.rs
+++ b/crates/galenapath-dev/src/backend/mod.rs
@@ -17,7 +17,7 @@
 mod work;
 
 pub use answer::NOT_RUN_HEADER;
-pub use body::{pattern_byte, pattern_seed};
+pub use body::{pattern_bytes, pattern_seed};
 pub use connection::PROBE_PATH;
 pub use counters::{Counters, KeyCounts, PeakRate};
 pub use faults::{Faults, FaultsChange, ReportFault};
--- a/crates/galenapath-dev/src/load/check.rs
+++ b/crates/galenapath-dev/src/load/check.rs
@@ -1,6 +1,6 @@
 //! Whether a body belongs to its request.
 
-use crate::backend::{pattern_byte, pattern_seed};
+use crate::backend::{pattern_bytes, pattern_seed};
 
 /// Longest body without a declared pattern that is kept for the check.
 const SUMMARY_LIMIT: usize = 64 * 1024;
@@ -34,8 +34,7 @@
     /// Takes the next part.
     pub fn update(&mut self, part: &[u8]) {
         if self.bytes.is_some() {
-            let expected = (self.offset..).map(|offset| pattern_byte(self.seed, offset));
-            self.wrong |= part.iter().zip(expected).any(|(got, want)| *got != want);
+            self.wrong |= part != pattern_bytes(self.seed, self.offset, part.len());
             self.offset += part.len() as u64;
         } else if self.summary.len() + part.len() > SUMMARY_LIMIT {
             self.wrong = true;
--- a/crates/galenapath-dev/tests/backend.rs
+++ b/crates/galenapath-dev/tests/backend.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use galenapath_dev::backend::{
     NOT_RUN_HEADER, Options, PROBE_PATH, ParseSpecError, Process, ServerSpec, Slots, Work,
-    pattern_byte, pattern_seed,
+    pattern_bytes, pattern_seed,
 };
 use galenapath_dev::wire::{Answer, Conn, Framing, WireError, exchange, request_head};
 use galenapath_protocol::{LoadReport, REPORT_HEADER};
@@ -220,10 +220,8 @@
         let mut framing = Framing::of_answer(&Method::GET, head.status, &head.headers);
         let mut offset = 0;
         while let Some(part) = conn.read_part(&mut framing).await.unwrap() {
-            for byte in part {
-                assert_eq!(byte, pattern_byte(pattern_seed(path), offset));
-                offset += 1;
-            }
+            assert_eq!(part, pattern_bytes(pattern_seed(path), offset, part.len()));
+            offset += part.len() as u64;
         }
         assert_eq!(offset, 1_000_003);
     });
--- a/crates/galenapath-dev/tests/load.rs
+++ b/crates/galenapath-dev/tests/load.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use clap::Parser;
-use galenapath_dev::backend::{self, Process, pattern_byte, pattern_seed};
+use galenapath_dev::backend::{self, Process, pattern_bytes, pattern_seed};
 use galenapath_dev::load::{
     Arrivals, BodyCheck, ClassLoad, Options, Outcome, ParseClassError, Row, Tally, run,
 };
@@ -43,7 +43,7 @@
 
 #[test]
 fn body_check_other_path_refused() {
-    let body: Vec<u8> = (0..100).map(|i| pattern_byte(pattern_seed("/a?bytes=100"), i)).collect();
+    let body = pattern_bytes(pattern_seed("/a?bytes=100"), 0, 100);
     let mut check = BodyCheck::new("/a?bytes=100", "", Some(100));
     check.update(&body);
     assert!(check.is_right());
@@ -52,10 +52,18 @@
     assert!(!check.is_right());
 }
 
+#[test]
+fn body_check_parts_of_any_length_taken() {
+    let body = pattern_bytes(pattern_seed("/a"), 0, 100);
+    let mut check = BodyCheck::new("/a", "", Some(100));
+    body.chunks(7).for_each(|part| check.update(part));
+    assert!(check.is_right());
+}
+
 #[test]
 fn body_check_truncated_refused() {
     let mut check = BodyCheck::new("/a", "", Some(100));
-    check.update(&[pattern_byte(pattern_seed("/a"), 0)]);
+    check.update(&pattern_bytes(pattern_seed("/a"), 0, 1));
     assert!(!check.is_right());
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -120,6 +120,7 @@
     scenario_store_down_new_instance_serves: "store-down-new-instance-serves",
     scenario_store_slow: "store-slow",
     scenario_straggler: "straggler",
+    scenario_transfer_among_lookups: "transfer-among-lookups",
     scenario_transfer_cut: "transfer-cut",
     scenario_transfer_large: "transfer-large",
     scenario_two_servers_lost: "two-servers-lost",
