--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -1,6 +1,6 @@
 //! One caller's connection.
 
-use super::answer::OwnAnswer;
+use super::answer::{About, OwnAnswer};
 use super::plane::DataPlane;
 use super::request::{RequestId, RequestMeta, text};
 use super::{entries, filing, lookup, stream};
@@ -12,6 +12,7 @@
 use http::header::{CONNECTION, EXPECT, HOST};
 use http::{HeaderMap, Method, StatusCode, Version};
 use monoio::net::TcpStream;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,7 +46,8 @@
                 return;
             }
         };
-        let result = serve_one(&plane, &mut caller, head).await;
+        // Boxed, so that an idle connection does not hold the room of a request in progress.
+        let result = Box::pin(serve_one(&plane, &mut caller, head)).await;
         if result.is_err() || !caller.keep_alive {
             caller.connection.shutdown().await;
             return;
@@ -56,6 +58,9 @@
 /// Answers a request whose head cannot be used, where an answer makes sense, and closes.
 async fn refuse(plane: &DataPlane, caller: &mut Caller, e: &HttpError) {
     let (status, reason) = match e {
+        HttpError::Io(e) if e.kind() == ErrorKind::TimedOut => {
+            (StatusCode::REQUEST_TIMEOUT, "body_timeout")
+        }
         HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => return,
         HttpError::HeadTooLarge { .. } => {
             (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
@@ -122,7 +127,14 @@
     let limit =
         if is_filing { plane.shared.settings.limits.filing_bytes as u64 } else { BUFFERED_BODY };
     let pause = plane.shared.settings.limits.idle_timeout;
-    match read_body(caller, meta.framing, limit, pause).await? {
+    let body = match read_body(caller, meta.framing, limit, pause).await {
+        Ok(body) => body,
+        Err(e) => {
+            refuse(plane, caller, &e).await;
+            return Err(e);
+        }
+    };
+    match body {
         BodyRead::Whole(body) if is_filing => {
             filing::serve(plane, caller, &service, &meta, head, body).await
         }
@@ -131,7 +143,7 @@
             caller.keep_alive = false;
             let text = format!("the body of a filing may have {limit} bytes at most");
             OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "filing_too_large", &text)
-                .send(caller, Some(&meta.id))
+                .send(caller, Some(About { id: meta.id, attempts: 0 }))
                 .await
         }
         BodyRead::TooLarge { start, state } => {
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -8,11 +8,12 @@
 use futures::channel::oneshot;
 use galenapath_config::{ClassKind, Config};
 use galenapath_policy::{
-    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ClassIndex,
-    ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step, Ticket,
-    WorkLength,
+    Admission, AdmissionConfig, BackendSpec, BackendState, Balancer, BalancerConfig, ChoicePolicy,
+    ClassIndex, ClassPolicy, HedgeConfig, HedgePolicy, RetryBudget, RetryConfig, Slot, Step,
+    Ticket, WorkLength,
 };
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
+use galenapath_settings::Choice;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -43,8 +44,9 @@
     pub(super) retries: RetryBudget,
     pub(super) hedges: HedgePolicy,
     pub(super) waiters: FastMap<Ticket, oneshot::Sender<Step>>,
-    /// Attempts in flight at backend servers.
-    pub(super) in_flight: u32,
+    /// Requests that were let in and of which no attempt has begun: the balancer still counts
+    /// their slots as free.
+    pub(super) unsent: u32,
     backends: FastMap<BackendId, Rc<Backend>>,
     classes: FastMap<String, ClassIndex>,
     fleet_version: Option<u64>,
@@ -61,12 +63,12 @@
         let seed = hash64(shared.incarnation.0, name.as_bytes());
         let domain = shared.settings.instance.domain.clone();
         let state = State {
-            balancer: Balancer::new(BalancerConfig::default(), domain, seed),
+            balancer: Balancer::new(balancer_config(shared), domain, seed),
             admission: Admission::new(AdmissionConfig::default(), seed),
             retries: RetryBudget::new(RetryConfig::default()),
             hedges: HedgePolicy::new(HedgeConfig::default()),
             waiters: FastMap::default(),
-            in_flight: 0,
+            unsent: 0,
             backends: FastMap::default(),
             classes: FastMap::default(),
             fleet_version: None,
@@ -143,8 +145,9 @@
         self.balancer.set_waiting(waiting);
         let free = self.balancer.free_slots(now);
         let crosses = free == 0 && self.balancer.choose_crossing(now).is_some();
-        let room = free.max(u32::from(crosses));
-        self.admission.set_capacity(now, self.in_flight.saturating_add(room));
+        let room = free.max(u32::from(crosses)).saturating_sub(self.unsent);
+        let admitted = u32::try_from(self.admission.in_flight()).unwrap_or(u32::MAX);
+        self.admission.set_capacity(now, admitted.saturating_add(room));
     }
 
     fn set_classes(&mut self, service: &str, config: &Config) {
@@ -206,8 +209,10 @@
     fn deliver(&mut self, now: Micros, step: Step) {
         let (Step::Start(ticket) | Step::Reject(ticket, _)) = step;
         let is_taken = self.waiters.remove(&ticket).is_some_and(|tx| tx.send(step).is_ok());
-        if !is_taken && matches!(step, Step::Start(_)) {
-            self.admission.cancel(now, ticket);
+        match step {
+            Step::Start(_) if is_taken => self.unsent += 1,
+            Step::Start(_) => self.admission.cancel(now, ticket),
+            Step::Reject(..) => {}
         }
     }
 }
@@ -221,6 +226,17 @@
     }
 }
 
+fn balancer_config(shared: &Shared) -> BalancerConfig {
+    let policy = match shared.settings.choice {
+        Choice::Galenapath => ChoicePolicy::Galenapath,
+        Choice::Random => ChoicePolicy::Random,
+        Choice::RoundRobin => ChoicePolicy::RoundRobin,
+        Choice::LeastInFlight => ChoicePolicy::LeastInFlight,
+        Choice::PowerOfTwo => ChoicePolicy::PowerOfTwo,
+    };
+    BalancerConfig { policy, ..BalancerConfig::default() }
+}
+
 /// Instances among which probes are split. While instances are replaced, old and new ones probe by
 /// lists that differ, so each counts twice as many as it sees.
 fn probe_sharers(members: &MemberView) -> u32 {
