--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -110,6 +110,7 @@
     scenario_not_run_no_backend: "not-run-no-backend",
     scenario_not_run_saturated: "not-run-saturated",
     scenario_overload_recovers: "overload-recovers",
+    scenario_poison_and_store_down: "poison-and-store-down",
     scenario_poison_bystanders: "poison-bystanders",
     scenario_poison_resent: "poison-resent",
     scenario_reports_lie: "reports-lie",
