--- a/crates/galenapath-entry/src/data/answer.rs
+++ b/crates/galenapath-entry/src/data/answer.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::{ATTEMPT_HEADER, Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
-use http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
 
 /// Header with the exact time after which a caller may come back, in milliseconds; `Retry-After`
@@ -84,9 +84,7 @@
     mut headers: HeaderMap,
     body: &[u8],
 ) -> Result<(), HttpError> {
-    if !caller.keep_alive {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
+    caller.set_connection(&mut headers);
     let framing = if body.is_empty() { Framing::None } else { Framing::Length(body.len() as u64) };
     let is_head = caller.method == Method::HEAD;
     let out: &mut BytesMut = caller.connection.output();
