Peers speak MessagePack

Cause: an idle instance sent and received 3,965 bytes a second between peers as JSON, the whole of 4 KB/s (slopes, 4 instances). Change: MessagePack by tokio-serde. Two releases whose messages differ do not understand each other: a field is only added at the end, or the instances are replaced region by region.

--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -147,13 +147,12 @@
 ///The known outcome of one filing.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OutcomeWire {
-    ///Body of a kept answer, in hexadecimal; absent where only the status is known.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    ///Body of a kept answer, in hexadecimal; null where only the status is known.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub body: ::std::option::Option<::std::string::String>,
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
     ///Headers of a kept answer.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub headers: ::std::vec::Vec<HeaderWire>,
     ///Identity of the idempotency key, in hexadecimal.
     pub key: ::std::string::String,
--- a/crates/galenapath-peers/src/pool.rs
+++ b/crates/galenapath-peers/src/pool.rs
@@ -11,7 +11,7 @@
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
 use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Json;
+use tarpc::tokio_serde::formats::MessagePack;
 use tokio::task::spawn_local;
 
 /// Longest time for a call, connecting included. Longer than a crossing between regions, shorter
@@ -84,7 +84,7 @@
 
 async fn connect(to: SocketAddr) -> Result<PeerClient, PeerError> {
     let unreachable = |reason: String| PeerError::Unreachable { to, reason };
-    let mut connect = tcp::connect(to, Json::default);
+    let mut connect = tcp::connect(to, MessagePack::default);
     connect.config_mut().max_frame_length(MAX_FRAME);
     let transport = tokio::time::timeout(CALL_TIMEOUT, connect)
         .await
--- a/crates/galenapath-peers/src/server.rs
+++ b/crates/galenapath-peers/src/server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Json;
+use tarpc::tokio_serde::formats::MessagePack;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -78,7 +78,7 @@
         let mut codec = tarpc::tokio_util::codec::LengthDelimitedCodec::new();
         codec.set_max_frame_length(MAX_FRAME);
         let framed = codec_framed(io, codec);
-        let transport = tarpc::serde_transport::new(framed, Json::default());
+        let transport = tarpc::serde_transport::new(framed, MessagePack::default());
         let handler = Handler { requests: requests.clone() };
         let held = connections.clone();
         spawn_local(async move {
