--- a/crates/galenapath-dev/examples/slopes/deployment.rs
+++ b/crates/galenapath-dev/examples/slopes/deployment.rs
@@ -28,7 +28,8 @@
 /// The running programs.
 pub struct Deployment {
     programs: PathBuf,
-    dir: PathBuf,
+    /// Directory of settings and logs.
+    pub dir: PathBuf,
     /// First bytes of the instances' addresses.
     pub net: String,
     /// Address of the store.
@@ -87,7 +88,8 @@
         Ok(())
     }
 
-    fn address(&self, n: usize) -> String {
+    /// Address of an instance, without port.
+    pub fn address(&self, n: usize) -> String {
         format!("{}.{}", self.net, n + 1)
     }
 
@@ -198,7 +200,8 @@
     }
 }
 
-fn spawn(command: &mut Command, output: &Path) -> Result<Guard, Box<dyn Error>> {
+/// Starts a program; its output goes to files.
+pub fn spawn(command: &mut Command, output: &Path) -> Result<Guard, Box<dyn Error>> {
     let out = File::create(output.with_extension("out"))?;
     let err = File::create(output.with_extension("err"))?;
     Ok(Guard(command.stdin(Stdio::null()).stdout(out).stderr(err).spawn()?))
--- /dev/null
+++ b/crates/galenapath-dev/examples/slopes/in_process.rs
@@ -0,0 +1,98 @@
+//! Cost of the shipped state machines at sizes that do not fit one machine as processes.
+
+use crate::table::Row;
+use galenapath_config::{
+    ChangeId, Class, ClassKind, Config, Mark, Share, Target, Version, decode_snapshot,
+    encode_snapshot,
+};
+use galenapath_membership::{Member, MemberStatus, Members, MembershipConfig};
+use galenapath_protocol::{DomainId, Incarnation, InstanceId, Micros, hash64};
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Messages timed per size.
+const ROUNDS: u64 = 10_000;
+
+/// The configuration by the number of classes.
+pub fn by_classes(sizes: &[usize]) -> Result<Vec<Row>, Box<dyn Error>> {
+    sizes.iter().map(|&size| measure_classes(size)).collect()
+}
+
+fn measure_classes(size: usize) -> Result<Row, Box<dyn Error>> {
+    let version = Version(size as u64);
+    let mark = |n: usize| Mark {
+        revision: version,
+        id: ChangeId(format!("01980000-0000-7000-8000-{n:012}")),
+    };
+    let marks: BTreeMap<String, Mark> = (0..size).map(|n| (name(n), mark(n))).collect();
+    let config = Config::new(version, (0..size).map(|n| class(n, version)), marks)?;
+    let began = Instant::now();
+    let snapshot = encode_snapshot(&config)?;
+    let encoding = began.elapsed().as_secs_f64() * 1e3;
+    let began = Instant::now();
+    black_box(decode_snapshot(&snapshot)?);
+    let decoding = began.elapsed().as_secs_f64() * 1e3;
+    let columns = vec![
+        ("snapshot_bytes", snapshot.len() as f64),
+        ("encode_ms", encoding),
+        ("decode_ms", decoding),
+    ];
+    Ok(Row { size, columns })
+}
+
+fn name(n: usize) -> String {
+    format!("class-{n}")
+}
+
+fn class(n: usize, revision: Version) -> Class {
+    let share = Share::from_f64(0.99).unwrap_or_else(|| unreachable!("0.99 is a share"));
+    Class {
+        name: name(n),
+        service: format!("service-{}", n / 3),
+        kind: ClassKind::Lookup,
+        methods: vec!["GET".into()],
+        path_prefix: format!("/{}", n % 3),
+        target: Target { latency_ms: 50, share },
+        revision,
+    }
+}
+
+/// The table of entry instances by their number.
+pub fn by_members(sizes: &[usize]) -> Vec<Row> {
+    sizes.iter().map(|&size| measure_members(size)).collect()
+}
+
+fn measure_members(size: usize) -> Row {
+    let list: Vec<Member> = (0..size).map(member).collect();
+    let mut now = Micros::from_secs(1);
+    let mut members = Members::new(MembershipConfig::default(), now, list[0].clone());
+    members.learn(now, &list);
+    let began = Instant::now();
+    for n in 0..ROUNDS {
+        now = now + Micros::from_millis(500);
+        if let Some(probe) = black_box(members.tick(now)) {
+            members.probe_answered(now, probe.incarnation);
+            black_box(members.news(probe.incarnation));
+        }
+        let mut news = list[1 + usize::try_from(n).unwrap_or(0) % (size - 1)].clone();
+        news.beat = n;
+        members.merge(now, &[news]);
+    }
+    let per_round = began.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64;
+    Row { size, columns: vec![("us_per_probe_and_news", per_round)] }
+}
+
+fn member(n: usize) -> Member {
+    let address = |port| ([10, 0, (n / 250) as u8, (n % 250) as u8], port).into();
+    Member {
+        id: InstanceId(format!("entry-{n}")),
+        incarnation: Incarnation(hash64(1, &n.to_le_bytes())),
+        domain: DomainId(format!("region-{}-domain-{}", n % 4, n % 13)),
+        callers: address(7000),
+        peers: address(7001),
+        beat: 0,
+        status: MemberStatus::Live,
+    }
+}
--- a/crates/galenapath-dev/examples/slopes/main.rs
+++ b/crates/galenapath-dev/examples/slopes/main.rs
@@ -4,8 +4,10 @@
 //! `cargo run --release -p galenapath-dev --example slopes -- --out docs/plots`
 
 mod deployment;
+mod in_process;
 mod plot;
 mod proc_files;
+mod requests;
 mod sizes;
 mod sockets;
 mod table;
@@ -30,19 +32,56 @@
     /// Numbers of backend servers, with 4 instances.
     #[arg(long, value_delimiter = ',', default_value = "36,1000,2000,4000,8000")]
     backends: Vec<usize>,
+    /// Rates of requests a second over three instances.
+    #[arg(long, value_delimiter = ',', default_value = "500,1000,2000,4000")]
+    rates: Vec<usize>,
+    /// Numbers of classes, in the process.
+    #[arg(long, value_delimiter = ',', default_value = "175,700,1400,4200")]
+    classes: Vec<usize>,
+    /// Numbers of members, in the process.
+    #[arg(long, value_delimiter = ',', default_value = "16,64,200,400")]
+    members: Vec<usize>,
+    /// Leave out what starts processes.
+    #[arg(long)]
+    in_process: bool,
+    /// Leave out all but the cost of requests.
+    #[arg(long)]
+    requests: bool,
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
     let opts = Options::parse();
     std::fs::create_dir_all(&opts.out)?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
-    runtime.block_on(async {
-        let fleet = sizes::by_instances(&opts.programs, &opts.instances).await?;
-        table::write(&opts.out.join("instances.tsv"), &fleet)?;
-        plot::instances(&opts.out, &fleet)?;
-        let lists = sizes::by_backends(&opts.programs, &opts.backends).await?;
-        table::write(&opts.out.join("backends.tsv"), &lists)?;
-        plot::backends(&opts.out, &lists)?;
-        Ok(())
-    })
+    if !opts.requests {
+        in_process(&opts)?;
+    }
+    if !opts.in_process {
+        runtime.block_on(processes(&opts))?;
+    }
+    Ok(())
+}
+
+fn in_process(opts: &Options) -> Result<(), Box<dyn Error>> {
+    let classes = in_process::by_classes(&opts.classes)?;
+    table::write(&opts.out.join("classes.tsv"), &classes)?;
+    plot::classes(&opts.out, &classes)?;
+    let members = in_process::by_members(&opts.members);
+    table::write(&opts.out.join("members.tsv"), &members)?;
+    plot::members(&opts.out, &members)
+}
+
+async fn processes(opts: &Options) -> Result<(), Box<dyn Error>> {
+    let requests = requests::by_rate(&opts.programs, &opts.rates).await?;
+    table::write(&opts.out.join("requests.tsv"), &requests)?;
+    plot::requests(&opts.out, &requests)?;
+    if opts.requests {
+        return Ok(());
+    }
+    let fleet = sizes::by_instances(&opts.programs, &opts.instances).await?;
+    table::write(&opts.out.join("instances.tsv"), &fleet)?;
+    plot::instances(&opts.out, &fleet)?;
+    let lists = sizes::by_backends(&opts.programs, &opts.backends).await?;
+    table::write(&opts.out.join("backends.tsv"), &lists)?;
+    plot::backends(&opts.out, &lists)
 }
--- a/crates/galenapath-dev/examples/slopes/plot.rs
+++ b/crates/galenapath-dev/examples/slopes/plot.rs
@@ -24,6 +24,21 @@
     Ok(())
 }
 
+/// Plots what depends on the rate of requests.
+pub fn requests(out: &Path, rows: &[Row]) -> Result<(), Box<dyn Error>> {
+    draw(out, "requests", rows, "data_cpu_s_per_s")
+}
+
+/// Plots what depends on the number of classes.
+pub fn classes(out: &Path, rows: &[Row]) -> Result<(), Box<dyn Error>> {
+    draw(out, "classes", rows, "snapshot_bytes")
+}
+
+/// Plots what depends on the number of members.
+pub fn members(out: &Path, rows: &[Row]) -> Result<(), Box<dyn Error>> {
+    draw(out, "members", rows, "us_per_probe_and_news")
+}
+
 fn draw(out: &Path, by: &str, rows: &[Row], name: &str) -> Result<(), Box<dyn Error>> {
     let points: Vec<(f64, f64)> = rows.iter().map(|row| (row.size as f64, row.get(name))).collect();
     let (start, slope) = fit(&points);
--- a/crates/galenapath-dev/examples/slopes/proc_files.rs
+++ b/crates/galenapath-dev/examples/slopes/proc_files.rs
@@ -7,10 +7,19 @@
 
 /// Processor time of the threads that control uses, in seconds: all but the data thread.
 pub fn control_cpu(pid: u32) -> f64 {
+    cpu(pid, |stat| !stat.contains("(data)"))
+}
+
+/// Processor time of the data thread in seconds.
+pub fn data_cpu(pid: u32) -> f64 {
+    cpu(pid, |stat| stat.contains("(data)"))
+}
+
+fn cpu(pid: u32, counts: impl Fn(&str) -> bool) -> f64 {
     let Ok(tasks) = fs::read_dir(format!("/proc/{pid}/task")) else { return 0.0 };
     let stats =
         tasks.flatten().filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
-    stats.filter(|stat| !stat.contains("(data)")).map(|stat| ticks(&stat) / TICKS_PER_S).sum()
+    stats.filter(|stat| counts(stat)).map(|stat| ticks(&stat) / TICKS_PER_S).sum()
 }
 
 /// Time in user and kernel mode, fields 14 and 15; the name in brackets may hold blanks.
