Peers hear of a crash before the caller is told of its failure

Ruled out: the time that suspects take to be judged (it is local). Change: the failed request waits, 20 ms at most, until all peers have answered the news of the crash; only requests whose connection was lost with them on it wait, and the answer then goes at once.

--- a/crates/galenapath-entry/src/control/claims.rs
+++ b/crates/galenapath-entry/src/control/claims.rs
@@ -23,7 +23,9 @@
     while let Ok(event) = plane.wiring.events.recv_async().await {
         match event {
             ControlEvent::Leaving(mark) => gossip::note_leaving(&plane, &mark),
-            ControlEvent::Crash(facts) => gossip::note_crash(&plane, &facts).await,
+            ControlEvent::Crash(note) => {
+                drop(monoio::spawn(gossip::note_crash(Rc::clone(&plane), note)));
+            }
             ControlEvent::Claim(request) => {
                 let (plane, lease) = (Rc::clone(&plane), Rc::clone(&lease));
                 monoio::spawn(async move {
--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -3,8 +3,9 @@
 use super::plane::ControlPlane;
 use super::{configuration, stop};
 use crate::data::DataCommand;
+use crate::shared::CrashNote;
+use futures::future::join_all;
 use galenapath_config::Version;
-use galenapath_filings::SuspectWire;
 use galenapath_membership::{LeavingMark, Member, Probe};
 use galenapath_peers::{
     ExchangeWire, LeavingWire, MemberWire, PeerCall, PeerError, PeerRequest, crashes_and_cleared,
@@ -128,10 +129,12 @@
 }
 
 /// Takes in crashes that the data thread saw and tells every peer at once: a request that crashes
-/// backend servers may be on its way to other instances already.
-pub(super) async fn note_crash(plane: &Rc<ControlPlane>, facts: &[SuspectWire]) {
-    plane.suspects.borrow_mut().merge(plane.now(), facts);
-    tell_all(plane).await;
+/// backend servers may be on its way to other instances already. Replies when all have heard.
+pub(super) async fn note_crash(plane: Rc<ControlPlane>, note: CrashNote) {
+    plane.suspects.borrow_mut().merge(plane.now(), &note.facts);
+    tell_all(&plane).await;
+    // The request that asked may have ended.
+    let _ = note.told.try_send(());
 }
 
 /// Answers what peers ask.
@@ -159,15 +162,13 @@
     let _ = reply.try_send(news(plane, sender.incarnation));
 }
 
-/// Tells every usable peer the news now, without waiting for their turns.
+/// Tells every usable peer the news now, without waiting for their turns. Ends when each has
+/// answered or failed to.
 pub(super) async fn tell_all(plane: &Rc<ControlPlane>) {
     let own = plane.shared.incarnation;
     let peers: Vec<Member> =
         plane.members.borrow().usable().filter(|m| m.incarnation != own).cloned().collect();
-    for peer in peers {
-        let plane = Rc::clone(plane);
-        monoio::spawn(async move {
-            let _ = exchange(&plane, peer.peers, peer.incarnation).await;
-        });
-    }
+    let calls = peers.iter().map(|peer| exchange(plane, peer.peers, peer.incarnation));
+    // A peer that does not answer hears the news by gossip.
+    let _ = join_all(calls).await;
 }
--- a/crates/galenapath-entry/src/control/stop.rs
+++ b/crates/galenapath-entry/src/control/stop.rs
@@ -34,7 +34,8 @@
     plane.shared.set_stage(Stage::Leaving);
     plane.members.borrow_mut().leave(plane.now());
     plane.publish_members();
-    gossip::tell_all(plane).await;
+    let told = Rc::clone(plane);
+    monoio::spawn(async move { gossip::tell_all(&told).await });
     lists::announce_leaving(plane).await;
     wait(plane, GRACE.min(limit / 2)).await;
     plane.shared.set_stage(Stage::Draining);
--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -2,10 +2,12 @@
 
 use super::backend::Backend;
 use super::plane::DataPlane;
-use crate::shared::ControlEvent;
+use crate::shared::{ControlEvent, CrashNote};
+use flume::Receiver;
 use galenapath_filings::{Fingerprint, SuspectVerdict};
 use galenapath_protocol::hash64;
 use std::cell::RefCell;
+use std::time::Duration;
 
 /// Seed of the hash that names a backend server among suspects; the same on every instance.
 const BACKEND_SEED: u64 = 0;
@@ -44,16 +46,34 @@
     }
 }
 
+/// Longest wait for peers to hear of a crash before the caller is told of it: several crossings
+/// between failure domains. A peer that has not answered by then hears by gossip.
+const PEERS_WAIT: Duration = Duration::from_millis(20);
+
+/// Word to the peers about a crash that is on its way.
+pub(super) struct Spreading(Receiver<()>);
+
+impl Spreading {
+    /// Waits until the peers have heard. A caller that sends a request again as soon as it is told
+    /// of its failure would else find an instance that knows of one crash less.
+    pub(super) async fn done(self) {
+        let _ = monoio::time::timeout(PEERS_WAIT, self.0.recv_async()).await;
+    }
+}
+
 /// Notes that a connection was lost with a request on it: everything that runs on the server is
 /// suspected.
-pub(super) fn note_loss(plane: &DataPlane, backend: &Backend) {
+pub(super) fn note_loss(plane: &DataPlane, backend: &Backend) -> Spreading {
     plane.shared.metrics.fault("connection_lost");
     let name = hash64(BACKEND_SEED, backend.id.0.as_bytes());
     let running = backend.running.running.borrow();
     let now = plane.now();
     let mut suspects = plane.suspects.borrow_mut();
     suspects.crashed(now, name, &running);
-    let _ = plane.events.try_send(ControlEvent::Crash(suspects.export(now)));
+    let (told, rx) = flume::bounded(1);
+    let note = CrashNote { facts: suspects.export(now), told };
+    let _ = plane.events.try_send(ControlEvent::Crash(note));
+    Spreading(rx)
 }
 
 /// How a request may run, in view of the crashes known.
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -3,7 +3,7 @@
 use super::answer::OwnAnswer;
 use super::attempt::{Fault, Reply, Target, attempt};
 use super::backend::Backend;
-use super::crash::{self, Clearance, Trial};
+use super::crash::{self, Clearance, Spreading, Trial};
 use super::explain::Trace;
 use super::permit::{InFlight, Permit};
 use super::plane::DataPlane;
@@ -35,6 +35,8 @@
     pub(super) trace: &'a RefCell<Trace>,
     /// Attempts made over the whole chain of calls.
     attempts: Cell<AttemptCount>,
+    /// Word to the peers about the last crash that the request was in.
+    spreading: RefCell<Option<Spreading>>,
     /// Held while the request is a suspect that runs alone.
     trial: Option<Trial<'a>>,
     /// Backend servers tried already; borrowed only between two awaits.
@@ -56,8 +58,17 @@
             Clearance::Refused(verdict) => return Err(refusal::suspect(verdict)),
         };
         let attempts = Cell::new(AttemptCount::received(meta.attempts));
-        let tried = RefCell::default();
-        Ok(Self { plane, service, meta, req, trace, attempts, trial, tried })
+        let (spreading, tried) = Default::default();
+        Ok(Self { plane, service, meta, req, trace, attempts, spreading, trial, tried })
+    }
+
+    /// Waits until the peers have heard of a crash that the request was in. To be called before
+    /// the caller is told that it failed.
+    pub(super) async fn peers_told(&self) {
+        let spreading = self.spreading.borrow_mut().take();
+        if let Some(spreading) = spreading {
+            spreading.done().await;
+        }
     }
 
     /// Whether a further attempt is allowed after one that ended with `verdict`; if so it is
@@ -174,7 +185,7 @@
             }
             Err(fault) => {
                 if fault.is_lost() {
-                    crash::note_loss(self.plane, &backend);
+                    *self.spreading.borrow_mut() = Some(crash::note_loss(self.plane, &backend));
                 }
                 drop(running);
                 self.trace.borrow_mut().tried(&backend.id, &fault);
--- a/crates/galenapath-entry/src/data/filing.rs
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -175,6 +175,7 @@
         }
         Tried::MayHaveRun(fault) => {
             permit.finish(fault.outcome());
+            dispatch.peers_told().await;
             let answer = refusal::failed(&fault, Verdict::MayHaveRun).retry_after(ASK_AGAIN);
             Ended::Unanswered(open.may_have_run(answer))
         }
--- a/crates/galenapath-entry/src/data/lookup.rs
+++ b/crates/galenapath-entry/src/data/lookup.rs
@@ -108,6 +108,7 @@
         Ok(served) => Ok((permit, served)),
         Err(failure) => {
             permit.finish(failure.outcome);
+            dispatch.peers_told().await;
             Err(failure.answer)
         }
     }
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -126,11 +126,19 @@
     /// A backend server said that it is leaving.
     Leaving(LeavingMark),
     /// A backend server seems to have crashed.
-    Crash(Vec<SuspectWire>),
+    Crash(CrashNote),
     /// A caller's own key has to be claimed in the store.
     Claim(ClaimRequest),
 }
 
+/// A crash that the data thread saw.
+pub struct CrashNote {
+    /// What is known of suspects after it.
+    pub facts: Vec<SuspectWire>,
+    /// Gets a message when every peer that answers has heard.
+    pub told: flume::Sender<()>,
+}
+
 /// A claim of a caller's own key.
 pub struct ClaimRequest {
     /// Key in the store.
