Peers speak MessagePack with named fields; a new instance learns backend servers from peers

Besides, backend servers were learned from the platform's list alone. Ruled out: membership (the exchange of news went through). Change: a codec that names fields; PeerCall::Backends, asked until some list is known.

--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -1,7 +1,7 @@
 //! Talking to peers: probes, news, and what peers ask.
 
 use super::plane::ControlPlane;
-use super::{configuration, stop};
+use super::{backends, configuration, stop};
 use crate::data::DataCommand;
 use crate::shared::CrashNote;
 use futures::future::join_all;
@@ -145,6 +145,9 @@
             PeerRequest::Config { after, reply } => {
                 let _ = reply.try_send(configuration::document(&plane, Version(after)));
             }
+            PeerRequest::Backends { reply } => {
+                let _ = reply.try_send(backends::document(&plane));
+            }
             PeerRequest::HandOver { outcomes, reply } => {
                 let _ = reply.try_send(stop::adopt(&plane, &outcomes));
             }
--- a/crates/galenapath-entry/src/control/mod.rs
+++ b/crates/galenapath-entry/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! so that nothing here delays a request.
 
 mod accept;
+mod backends;
 mod claims;
 mod configuration;
 mod gossip;
--- a/crates/galenapath-peers/src/call.rs
+++ b/crates/galenapath-peers/src/call.rs
@@ -1,7 +1,7 @@
 //! What passes between the plane's thread and the rest of the instance.
 
 use crate::PeerError;
-use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+use crate::generated::{BackendsWire, ConfigWire, ExchangeWire, HandOverWire};
 use flume::Sender;
 use std::net::SocketAddr;
 
@@ -25,6 +25,13 @@
         /// Where it goes.
         reply: Sender<Result<ConfigWire, PeerError>>,
     },
+    /// Ask for the backend servers that the peer knows.
+    Backends {
+        /// The peer's address.
+        to: SocketAddr,
+        /// Where they go.
+        reply: Sender<Result<BackendsWire, PeerError>>,
+    },
     /// Hand over outcomes.
     HandOver {
         /// The peer's address.
@@ -52,6 +59,11 @@
         /// Where it goes.
         reply: Sender<ConfigWire>,
     },
+    /// Tell the backend servers.
+    Backends {
+        /// Where they go.
+        reply: Sender<BackendsWire>,
+    },
     /// Take over outcomes.
     HandOver {
         /// The outcomes.
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -1,5 +1,26 @@
 //! Generated from `schema/peers.schema.json` by the codegen example. Do not edit.
 
+///A backend server as the platform lists it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BackendWire {
+    ///Where it listens, IP and port.
+    pub address: ::std::string::String,
+    ///Failure domain.
+    pub domain: ::std::string::String,
+    ///Name of the backend server.
+    pub id: ::std::string::String,
+    ///Whether it takes no new requests.
+    pub leaving: bool,
+    ///Service that it belongs to.
+    pub service: ::std::string::String,
+    ///Start of the run, milliseconds since the Unix epoch.
+    pub started: u64,
+}
+///The platform's list of backend servers as the sender has it; empty where it has none.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BackendsWire {
+    pub backends: ::std::vec::Vec<BackendWire>,
+}
 ///A suspected request that was answered completely.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ClearedWire {
--- a/crates/galenapath-peers/src/lib.rs
+++ b/crates/galenapath-peers/src/lib.rs
@@ -4,6 +4,7 @@
 //! runtime; the rest of the instance reaches it through channels and stays on `monoio`.
 
 mod call;
+mod codec;
 mod convert;
 mod error;
 #[allow(missing_docs, clippy::pedantic)]
@@ -18,7 +19,7 @@
 pub use convert::{crashes_and_cleared, hand_over, outcomes, suspects};
 pub use error::{BadNews, PeerError};
 pub use generated::{
-    ClearedWire, ConfigWire, CrashWire, ExchangeWire, HandOverWire, HeaderWire, LeavingWire,
-    MemberStatusWire, MemberWire, OutcomeWire,
+    BackendWire, BackendsWire, ClearedWire, ConfigWire, CrashWire, ExchangeWire, HandOverWire,
+    HeaderWire, LeavingWire, MemberStatusWire, MemberWire, OutcomeWire,
 };
 pub use plane::{PeerPlane, start};
--- a/crates/galenapath-peers/src/pool.rs
+++ b/crates/galenapath-peers/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::PeerError;
 use crate::call::PeerCall;
+use crate::codec::NamedMessagePack;
 use crate::rpc::PeerClient;
 use crate::server::MAX_FRAME;
 use flume::{Receiver, Sender};
@@ -11,7 +12,6 @@
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
 use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::MessagePack;
 use tokio::task::spawn_local;
 
 /// Longest time for a call, connecting included. Longer than a crossing between regions, shorter
@@ -28,7 +28,10 @@
 impl PeerCall {
     const fn to(&self) -> SocketAddr {
         match self {
-            Self::Exchange { to, .. } | Self::Config { to, .. } | Self::HandOver { to, .. } => *to,
+            Self::Exchange { to, .. }
+            | Self::Config { to, .. }
+            | Self::Backends { to, .. }
+            | Self::HandOver { to, .. } => *to,
         }
     }
 
@@ -37,6 +40,7 @@
         match self {
             Self::Exchange { reply, .. } => drop(reply.try_send(Err(e))),
             Self::Config { reply, .. } => drop(reply.try_send(Err(e))),
+            Self::Backends { reply, .. } => drop(reply.try_send(Err(e))),
             Self::HandOver { reply, .. } => drop(reply.try_send(Err(e))),
         }
     }
@@ -84,7 +88,7 @@
 
 async fn connect(to: SocketAddr) -> Result<PeerClient, PeerError> {
     let unreachable = |reason: String| PeerError::Unreachable { to, reason };
-    let mut connect = tcp::connect(to, MessagePack::default);
+    let mut connect = tcp::connect(to, NamedMessagePack::default);
     connect.config_mut().max_frame_length(MAX_FRAME);
     let transport = tokio::time::timeout(CALL_TIMEOUT, connect)
         .await
@@ -103,6 +107,7 @@
         PeerCall::Exchange { news, reply, .. } => {
             settle(to, client.exchange(cx, news).await, &reply)
         }
+        PeerCall::Backends { reply, .. } => settle(to, client.backends(cx).await, &reply),
         PeerCall::Config { after, reply, .. } => settle(to, client.config(cx, after).await, &reply),
         PeerCall::HandOver { outcomes, reply, .. } => {
             settle(to, client.hand_over(cx, outcomes).await, &reply)
--- a/crates/galenapath-peers/src/rpc.rs
+++ b/crates/galenapath-peers/src/rpc.rs
@@ -1,6 +1,6 @@
 //! The calls between entry instances.
 
-use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+use crate::generated::{BackendsWire, ConfigWire, ExchangeWire, HandOverWire};
 
 /// Calls that an entry instance answers to its peers. All are idempotent.
 #[tarpc::service]
@@ -9,6 +9,8 @@
     async fn exchange(news: ExchangeWire) -> ExchangeWire;
     /// What the peer's configuration has beyond version `after`, or all of it.
     async fn config(after: u64) -> ConfigWire;
+    /// The backend servers as the peer knows them.
+    async fn backends() -> BackendsWire;
     /// Takes over the outcomes of an incarnation that stops; whether they were taken.
     async fn hand_over(outcomes: HandOverWire) -> bool;
 }
--- a/crates/galenapath-peers/src/server.rs
+++ b/crates/galenapath-peers/src/server.rs
@@ -1,7 +1,8 @@
 //! The listening side of the plane.
 
 use crate::PeerRequest;
-use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+use crate::codec::NamedMessagePack;
+use crate::generated::{BackendsWire, ConfigWire, ExchangeWire, HandOverWire};
 use crate::rpc::Peer;
 use flume::{Receiver, Sender};
 use futures::StreamExt;
@@ -9,7 +10,6 @@
 use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::MessagePack;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -52,6 +52,11 @@
         self.ask(PeerRequest::Config { after, reply }, replies).await
     }
 
+    async fn backends(self, _: Context) -> BackendsWire {
+        let (reply, replies) = flume::bounded(1);
+        self.ask(PeerRequest::Backends { reply }, replies).await
+    }
+
     async fn hand_over(self, _: Context, outcomes: HandOverWire) -> bool {
         let (reply, replies) = flume::bounded(1);
         self.ask(PeerRequest::HandOver { outcomes, reply }, replies).await
@@ -78,7 +83,7 @@
         let mut codec = tarpc::tokio_util::codec::LengthDelimitedCodec::new();
         codec.set_max_frame_length(MAX_FRAME);
         let framed = codec_framed(io, codec);
-        let transport = tarpc::serde_transport::new(framed, MessagePack::default());
+        let transport = tarpc::serde_transport::new(framed, NamedMessagePack);
         let handler = Handler { requests: requests.clone() };
         let held = connections.clone();
         spawn_local(async move {
--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -1,8 +1,11 @@
 //! Two planes on loopback.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use flume::Receiver;
 use galenapath_peers::{
-    ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane, PeerRequest, start,
+    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane,
+    PeerRequest, start,
 };
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
@@ -78,3 +81,17 @@
     reply.send(true).unwrap();
     assert!(answer.recv_timeout(LIMIT).unwrap().unwrap());
 }
+
+#[test]
+fn config_absent_fields_stay_in_place() {
+    let (first, second) = (plane(), plane());
+    let (reply, answer) = flume::bounded(1);
+    first.calls.send(PeerCall::Config { to: second.address, after: 7, reply }).unwrap();
+    let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap() else {
+        panic!("another request");
+    };
+    assert_eq!(after, 7);
+    let sent = ConfigWire { head: None, records: None, snapshot: Some("{}".into()) };
+    reply.send(sent.clone()).unwrap();
+    assert_eq!(answer.recv_timeout(LIMIT).unwrap(), Ok(sent));
+}
