--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -114,6 +114,7 @@
     scenario_poison_bystanders: "poison-bystanders",
     scenario_poison_resent: "poison-resent",
     scenario_reports_lie: "reports-lie",
+    scenario_rolling_all: "rolling-all",
     scenario_rolling_backends: "rolling-backends",
     scenario_rolling_instances: "rolling-instances",
     scenario_store_down_lookups: "store-down-lookups",
