--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -8,13 +8,18 @@
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
 }
-///The configuration as the sender has it.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+///The configuration as the sender has it: the records that the asker lacks, or all of it where the asker is too far behind.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 pub struct ConfigWire {
     ///JSON document of the head of the chain of changes.
-    pub head: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub head: ::std::option::Option<::std::string::String>,
+    ///JSON document of the records after the asker's version; alone where it is there.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub records: ::std::option::Option<::std::string::String>,
     ///JSON document of the configuration at that head.
-    pub snapshot: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub snapshot: ::std::option::Option<::std::string::String>,
 }
 ///A backend server that crashed and the requests that it was running.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -147,13 +152,12 @@
 ///The known outcome of one filing.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OutcomeWire {
-    ///Body of a kept answer, in hexadecimal; absent where only the status is known.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    ///Body of a kept answer, in hexadecimal; null where only the status is known.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub body: ::std::option::Option<::std::string::String>,
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
     ///Headers of a kept answer.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub headers: ::std::vec::Vec<HeaderWire>,
     ///Identity of the idempotency key, in hexadecimal.
     pub key: ::std::string::String,
