--- a/crates/galenapath-config/tests/model.rs
+++ b/crates/galenapath-config/tests/model.rs
@@ -5,6 +5,8 @@
 
 #![expect(clippy::unwrap_used, reason = "helpers of tests fail as the tests do")]
 
+#[path = "model/rules.rs"]
+mod rules;
 #[path = "model/store.rs"]
 mod store;
 mod support;
--- a/crates/galenapath-config/tests/model/world.rs
+++ b/crates/galenapath-config/tests/model/world.rs
@@ -354,48 +354,6 @@
             _ => self.violation = Some("an accepted change was overwritten"),
         }
     }
-
-    fn broken_rule(&self) -> Option<&'static str> {
-        let newest = self.history.last().unwrap();
-        if self.store.load().as_ref() != Some(&**newest) {
-            return Some("the store does not give the newest configuration");
-        }
-        let Some(audit) = self.store.audit() else {
-            return Some("the audit trail has a hole");
-        };
-        let replayed = Config::default().after(&audit);
-        if replayed.as_ref() != Ok(newest.config()) {
-            return Some("the audit trail does not give the configuration");
-        }
-        for instance in &self.instances {
-            let version = instance.replica.version().0 as usize;
-            if instance.replica.config() != self.history[version].config() {
-                return Some("a replica differs from the chain at its version");
-            }
-        }
-        self.operators.iter().find_map(|operator| {
-            let mut own = audit.iter().filter(|r| r.id.0.starts_with(&operator.req.id.0[..1]));
-            let (first, second) = (own.next(), own.next());
-            let accepted = first.map(|record| record.version);
-            let base = first.map(|r| r.from.as_ref().map_or(Version(0), |class| class.revision));
-            match &operator.told {
-                _ if second.is_some() => Some("a change was accepted twice"),
-                // A tool that looks anew for each try has no one base to compare with.
-                _ if self.mutation != Mutation::NewIdOnRetry
-                    && base.is_some_and(|base| base != operator.req.base) =>
-                {
-                    Some("a change was accepted on what its author had not seen")
-                }
-                Told::Accepted(version) if accepted != Some(*version) => {
-                    Some("a change told as accepted is not in the chain")
-                }
-                Told::NotAccepted if accepted.is_some() => {
-                    Some("a change told as not accepted is in the chain")
-                }
-                _ => None,
-            }
-        })
-    }
 }
 
 fn name(action: &Action) -> String {
