--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -1,16 +1,19 @@
 //! Passing a backend server's answer on to the caller.
 
-use super::answer::{has_no_body, send_whole};
+use super::answer::{About, OwnAnswer, has_no_body, send_whole};
 use super::attempt::{Reply, Rest};
 use super::caller::{Caller, read_piece};
 use super::headers;
 use super::request::RequestId;
+use bytes::Bytes;
+use futures::future::{Either, select};
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::{
     ATTEMPT_HEADER, BACKEND_HEADER, BackendId, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict,
 };
-use http::header::{CONNECTION, HeaderMap, HeaderValue};
+use http::header::HeaderMap;
 use http::{Method, StatusCode};
+use std::pin::pin;
 use std::time::Duration;
 
 /// Longest pause inside a body, on either side, before the answer is given up.
@@ -42,13 +45,14 @@
     headers::set(&mut reply.headers, ATTEMPT_HEADER, &told.attempts.to_string());
     match reply.rest {
         None if caller.method == Method::HEAD => {
+            caller.set_connection(&mut reply.headers);
             send_head_only(caller, reply.status, reply.headers).await
         }
         None => send_whole(caller, reply.status, reply.headers, &reply.start).await,
         Some(rest) => {
             let head =
                 LargeHead { status: reply.status, headers: reply.headers, framing: reply.framing };
-            send_large(caller, head, &reply.start, rest).await
+            send_large(caller, told, head, &reply.start, rest).await
         }
     }
 }
@@ -77,8 +81,18 @@
     framing: Framing,
 }
 
+/// Turns away a caller who could not tell the end of the answer from a break: HTTP/1.0 knows no
+/// chunks, and the length is not known before the end.
+async fn refuse_http_10(caller: &mut Caller, told: &Told<'_>) -> Result<(), HttpError> {
+    let text = "the answer has no known length; ask for it with HTTP/1.1";
+    let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+    let about = About { id: told.id, attempts: told.attempts };
+    OwnAnswer::may_have_run(status, "http_version", text).send(caller, Some(about)).await
+}
+
 async fn send_large(
     caller: &mut Caller,
+    told: &Told<'_>,
     mut head: LargeHead,
     start: &[u8],
     mut rest: Rest,
@@ -89,12 +103,13 @@
         Framing::UntilClose => Framing::Chunked,
         other => other,
     };
-    if !caller.keep_alive {
-        head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    if caller.is_http_10 && framing == Framing::Chunked {
+        return refuse_http_10(caller, told).await;
     }
+    caller.set_connection(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
     within_pause(caller.connection.write_body(framing, start)).await?;
-    while let Some(piece) = read_piece(&mut rest.connection, &mut rest.state, BODY_PAUSE).await? {
+    while let Some(piece) = next_piece(caller, &mut rest).await? {
         within_pause(caller.connection.write_body(framing, &piece)).await?;
     }
     within_pause(caller.connection.finish_body(framing)).await?;
@@ -104,6 +119,16 @@
     Ok(())
 }
 
+/// The next piece of an answer, unless the caller goes away first.
+async fn next_piece(caller: &mut Caller, rest: &mut Rest) -> Result<Option<Bytes>, HttpError> {
+    let piece = pin!(read_piece(&mut rest.connection, &mut rest.state, BODY_PAUSE));
+    let gone = pin!(caller.connection.closed());
+    match select(piece, gone).await {
+        Either::Left((piece, _)) => piece,
+        Either::Right(_) => Err(HttpError::Closed),
+    }
+}
+
 pub(super) async fn within_pause<T>(
     work: impl Future<Output = Result<T, HttpError>>,
 ) -> Result<T, HttpError> {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -5,9 +5,11 @@
 mod support;
 
 use std::io::Write;
+use std::ops::ControlFlow;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get};
+use support::{Answer, Client, FakeServer, Instance, Setup, answer_ok, get, wait_until};
 
 /// A server that answers with the request's path.
 fn echo() -> FakeServer {
@@ -130,6 +132,66 @@
     }
 }
 
+#[test]
+fn callers_head_without_body() {
+    let instance = Instance::start(&Setup::lookup(&FakeServer::start(|io, req| {
+        let _ = io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n");
+        assert!(req.line.starts_with("HEAD"));
+        ControlFlow::Continue(())
+    })));
+    let mut client = Client::connect(instance.callers);
+    client.send("HEAD /a HTTP/1.1\r\nHost: s\r\n\r\n");
+    client.send("HEAD /b HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    let first = client.answer_to("HEAD");
+    assert_eq!((first.status, first.header("content-length")), (200, Some("5")));
+    let second = client.answer_to("HEAD");
+    assert_eq!((second.status, second.header("connection")), (200, Some("close")));
+    assert!(client.is_closed());
+}
+
+#[test]
+fn callers_old_version_kept_alive_when_asked() {
+    let instance = Instance::start(&Setup::lookup(&echo()));
+    let answer = raw(&instance, "GET /a HTTP/1.0\r\nHost: s\r\n\r\n");
+    assert_eq!((answer.text().as_str(), answer.header("connection")), ("/a", Some("close")));
+    let mut client = Client::connect(instance.callers);
+    for _ in 0..2 {
+        client.send("GET /b HTTP/1.0\r\nHost: s\r\nConnection: keep-alive\r\n\r\n");
+        let answer = client.answer();
+        let connection = answer.header("connection");
+        assert_eq!((answer.text().as_str(), connection), ("/b", Some("keep-alive")));
+    }
+}
+
+#[test]
+fn callers_old_version_never_chunked() {
+    let instance = Instance::start(&Setup::lookup(&FakeServer::start(|io, _| {
+        let _ = io.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let chunk = format!("{:x}\r\n{}\r\n", 100_000, "x".repeat(100_000));
+        let _ = io.write_all(chunk.as_bytes());
+        let _ = io.write_all(b"0\r\n\r\n");
+        ControlFlow::Continue(())
+    })));
+    let answer = raw(&instance, "GET / HTTP/1.0\r\nHost: s\r\n\r\n");
+    assert_eq!((answer.status, answer.verdict()), (505, "may-have-run"));
+    assert_eq!(get(instance.callers, "/", "").body.len(), 100_000);
+}
+
+#[test]
+fn callers_expect_continue_told() {
+    let server = FakeServer::start(|io, req| answer_ok(io, req.body.len().to_string().as_bytes()));
+    let instance = Instance::start(&Setup::lookup(&server));
+    for len in [10, 300_000] {
+        let mut client = Client::connect(instance.callers);
+        client.send(&format!(
+            "POST / HTTP/1.1\r\nHost: s\r\nExpect: 100-continue\r\nContent-Length: {len}\r\n\r\n"
+        ));
+        assert_eq!(client.answer().status, 100);
+        client.send(&"x".repeat(len));
+        assert_eq!(client.answer().text(), len.to_string());
+    }
+}
+
 #[test]
 fn callers_forged_headers_stripped() {
     let seen = Arc::new(Mutex::new(String::new()));
@@ -149,3 +211,39 @@
     assert!(!seen.contains("forged") && !seen.contains("77"), "{seen}");
     assert_eq!(seen.matches("galenapath-deadline-ms").count(), 1, "{seen}");
 }
+
+#[test]
+fn callers_gone_slot_freed() {
+    let closed = Arc::new(AtomicUsize::new(0));
+    let started = Arc::new(AtomicUsize::new(0));
+    let server = {
+        let (closed, started) = (Arc::clone(&closed), Arc::clone(&started));
+        FakeServer::start(move |io, req| {
+            if req.path() == "/large" {
+                let _ = io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 900000\r\n\r\n");
+                let _ = io.write_all(&[b'x'; 100_000]);
+            }
+            started.fetch_add(1, Ordering::SeqCst);
+            // Never answers; sees the instance close.
+            let _ = std::io::Read::read(io, &mut [0]);
+            closed.fetch_add(1, Ordering::SeqCst);
+            ControlFlow::Break(())
+        })
+    };
+    let instance = Instance::start(&Setup::lookup(&server));
+    let body = "x".repeat(100_000);
+    let requests = [
+        "GET /small HTTP/1.1\r\nHost: s\r\n\r\n".to_owned(),
+        "GET /large HTTP/1.1\r\nHost: s\r\n\r\n".to_owned(),
+        format!("POST /up HTTP/1.1\r\nHost: s\r\nContent-Length: 100000\r\n\r\n{body}"),
+    ];
+    for (n, req) in requests.iter().enumerate() {
+        let mut client = Client::connect(instance.callers);
+        client.send(req);
+        wait_until("the request at the server", || started.load(Ordering::SeqCst) > n);
+        let gone = Instant::now();
+        drop(client);
+        wait_until("the slot", || closed.load(Ordering::SeqCst) > n);
+        assert!(gone.elapsed() < Duration::from_secs(2), "{:.20}: {:?}", req, gone.elapsed());
+    }
+}
