Tests of running instances use a loopback address of their own

class_store_down_is_5_then_accepted failed once in a run of the whole workspace: its instance's port was taken between the choice and the start ("address already in use"), because it came from the range of outgoing connections. Ports now lie below that range on an address that each cluster has for itself, and a failed wait shows the instances' logs.

--- a/tests/operators/cluster.rs
+++ b/tests/operators/cluster.rs
@@ -6,7 +6,7 @@
 use galenapath_dev::store::Counters;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,6 +14,7 @@
 
 pub const TOKEN: &str = "a-token-of-the-operators";
 const LIMIT: Duration = Duration::from_secs(30);
+const FIRST_PORT: u16 = 10_000;
 const POLL: Duration = Duration::from_millis(5);
 
 static CLUSTERS: AtomicU32 = AtomicU32::new(0);
@@ -50,6 +51,7 @@
     /// Operators' addresses.
     pub instances: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
+    addresses: Addresses,
     processes: Vec<Process>,
 }
 
@@ -72,6 +74,7 @@
             store: address,
             instances: Vec::new(),
             seeds: Vec::new(),
+            addresses: Addresses::new(number),
             processes: vec![store],
         };
         (0..instances).for_each(|_| cluster.add_instance());
@@ -81,7 +84,8 @@
 
     pub fn add_instance(&mut self) {
         let n = self.instances.len();
-        let [callers, peers, operators] = [free_port(), free_port(), free_port()];
+        let addresses = &mut self.addresses;
+        let [callers, peers, operators] = [addresses.take(), addresses.take(), addresses.take()];
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let settings = format!(
             "[instance]\nname = \"e{n}\"\ndomain = \"d{}\"\n[listen]\ncallers = \"{callers}\"\n\
@@ -140,11 +144,18 @@
     pub fn wait(&self, holds: impl Fn(&Self) -> bool) {
         let began = Instant::now();
         while !holds(self) {
-            assert!(began.elapsed() < LIMIT, "not within {LIMIT:?}");
+            assert!(began.elapsed() < LIMIT, "not within {LIMIT:?}: {}", self.logs());
             std::thread::sleep(POLL);
         }
     }
 
+    fn logs(&self) -> String {
+        let log = |n| std::fs::read_to_string(self.dir.join(format!("e{n}.log")));
+        (0..self.instances.len())
+            .map(|n| format!("e{n}: {}\n", log(n).unwrap_or_default()))
+            .collect()
+    }
+
     fn metric_everywhere(&self, name: &str, value: u64) -> bool {
         let line = format!("galenapath_{name} {value}");
         let has = |n| {
@@ -188,6 +199,27 @@
     Some(Answer { status, head, body })
 }
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Addresses on a loopback IP of the cluster's own, below the ports that the system gives to
+/// outgoing connections, so that nothing else takes one between here and the instance's start.
+struct Addresses {
+    ip: Ipv4Addr,
+    next: u16,
+}
+
+impl Addresses {
+    fn new(number: u32) -> Self {
+        let seed = [std::process::id().to_be_bytes(), number.to_be_bytes()].concat();
+        let [a, b, c, ..] = galenapath_protocol::hash64(0, &seed).to_be_bytes();
+        Self { ip: Ipv4Addr::new(127, a.clamp(1, 254), b, c.clamp(2, 254)), next: FIRST_PORT }
+    }
+
+    fn take(&mut self) -> SocketAddr {
+        loop {
+            let address = SocketAddr::new(self.ip.into(), self.next);
+            self.next += 1;
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    }
 }
