--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -2,7 +2,8 @@
 
 use flume::Receiver;
 use galenapath_peers::{
-    ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane, PeerRequest, start,
+    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane,
+    PeerRequest, start,
 };
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
@@ -78,3 +79,24 @@
     reply.send(true).unwrap();
     assert!(answer.recv_timeout(LIMIT).unwrap().unwrap());
 }
+
+/// Both forms of the document, each with fields left empty.
+#[test]
+fn config_either_form_arrives_unchanged() {
+    let (first, second) = (plane(), plane());
+    let text = |text: &str| Some(text.to_owned());
+    let records = ConfigWire { records: text("{}"), head: None, snapshot: None };
+    let all = ConfigWire { records: None, head: text("{}"), snapshot: text("[]") };
+    for document in [records, all] {
+        let (reply, answer) = flume::bounded(1);
+        let call = PeerCall::Config { to: second.address, after: 7, reply };
+        first.calls.send(call).unwrap();
+        let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap()
+        else {
+            panic!("another call arrived");
+        };
+        assert_eq!(after, 7);
+        reply.send(document.clone()).unwrap();
+        assert_eq!(answer.recv_timeout(LIMIT).unwrap().unwrap(), document);
+    }
+}
