--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -82,16 +82,23 @@
     assert!(answer.recv_timeout(LIMIT).unwrap().unwrap());
 }
 
+/// Both forms of the document, each with fields left empty.
 #[test]
-fn config_absent_fields_stay_in_place() {
+fn config_either_form_arrives_unchanged() {
     let (first, second) = (plane(), plane());
-    let (reply, answer) = flume::bounded(1);
-    first.calls.send(PeerCall::Config { to: second.address, after: 7, reply }).unwrap();
-    let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap() else {
-        panic!("another request");
-    };
-    assert_eq!(after, 7);
-    let sent = ConfigWire { head: None, records: None, snapshot: Some("{}".into()) };
-    reply.send(sent.clone()).unwrap();
-    assert_eq!(answer.recv_timeout(LIMIT).unwrap(), Ok(sent));
+    let text = |text: &str| Some(text.to_owned());
+    let records = ConfigWire { records: text("{}"), head: None, snapshot: None };
+    let all = ConfigWire { records: None, head: text("{}"), snapshot: text("[]") };
+    for document in [records, all] {
+        let (reply, answer) = flume::bounded(1);
+        let call = PeerCall::Config { to: second.address, after: 7, reply };
+        first.calls.send(call).unwrap();
+        let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap()
+        else {
+            panic!("another call arrived");
+        };
+        assert_eq!(after, 7);
+        reply.send(document.clone()).unwrap();
+        assert_eq!(answer.recv_timeout(LIMIT).unwrap().unwrap(), document);
+    }
 }
