--- a/crates/galenapath-entry/src/control/lists.rs
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -6,7 +6,6 @@
     Announcement, DOMAIN_META, ListedInstance, Platform, STARTED_META, STATE_META, StoreIndex,
 };
 use galenapath_protocol::{DomainId, FastMap, Incarnation, InstanceId};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,15 +74,9 @@
 
 /// Follows the list of entry instances.
 pub(super) async fn follow_entries(plane: Rc<ControlPlane>) {
-    let is_first = Cell::new(true);
     follow(plane, ENTRY_LIST, |plane, listed| {
         let news: Vec<Member> = listed.iter().filter_map(to_member).collect();
-        let mut members = plane.members.borrow_mut();
-        match is_first.replace(false) {
-            true => members.learn(plane.now(), &news),
-            false => members.merge(plane.now(), &news),
-        }
-        drop(members);
+        plane.members.borrow_mut().learn(plane.now(), &news);
         plane.publish_members();
     })
     .await;
--- a/crates/galenapath-membership/src/members.rs
+++ b/crates/galenapath-membership/src/members.rs
@@ -28,6 +28,9 @@
 /// One probe in this many goes to a member that is gone, if there is one.
 const GONE_PROBE_EVERY: u64 = 8;
 
+/// Times that news from the platform's list is told.
+const LISTED_TELLINGS: u32 = 1;
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
@@ -160,12 +163,17 @@
         }
     }
 
-    /// Takes in what a newcomer reads first from the platform's list. The others know it already,
-    /// so it is not told: with 400 members it would fill the messages of five minutes.
+    /// Takes in the platform's list. Every instance reads it, so its news is told only once, for
+    /// those cut off from the platform; told like a rumor, the start of 64 instances would fill
+    /// every message for half a minute, and that of 400 for five.
     pub fn learn(&mut self, now: Micros, list: &[Member]) {
-        let own = self.rumors.clone();
-        self.merge(now, list);
-        self.rumors = own;
+        for member in list {
+            let before = self.version;
+            self.merge_one(now, member);
+            if self.version != before {
+                self.rumors.push(member.incarnation, LISTED_TELLINGS);
+            }
+        }
     }
 
     /// A probe was answered by the incarnation it was sent to.
--- a/crates/galenapath-membership/tests/members.rs
+++ b/crates/galenapath-membership/tests/members.rs
@@ -180,3 +180,19 @@
     assert!(network.largest_message <= 10);
     assert!(own_is_usable_everywhere(&network));
 }
+
+/// An instance that does not read the list hears of a newcomer that the others have from it.
+#[test]
+fn learn_newcomer_reaches_those_without_list() {
+    let mut network = Network::new(18, 64);
+    network.run(Micros::from_secs(5));
+    let newcomer = network.join();
+    let now = network.now;
+    for node in &mut network.nodes[1..] {
+        node.members.learn(now, &[member(newcomer, 0)]);
+    }
+    let joined = incarnation(&network, newcomer);
+    let took = network.run_until(KNOWN_TO_ALL, |n| n.all_think(joined, Live));
+    println!("a newcomer on the list is known to one without it after {took:?}");
+    assert!(took.is_some());
+}
