Peers: every field of a message is present

Change: null instead of absence, by the schema; a test sends records alone, and one refuses generated fields that may be left out. Ruled out: the list's news told once (the same fault without it).

--- a/crates/galenapath-dev/examples/slopes/deployment.rs
+++ b/crates/galenapath-dev/examples/slopes/deployment.rs
@@ -188,7 +188,8 @@
             }
             sleep(Duration::from_millis(20)).await;
         }
-        Err(format!("{version} is not in force at entry-{n} after 20 s").into())
+        let log = std::fs::read_to_string(self.dir.join(format!("entry-{n}.err")))?;
+        Err(format!("{version} is not in force at entry-{n} after 20 s; its log:\n{log}").into())
     }
 }
 
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -9,16 +9,16 @@
     pub fingerprint: ::std::string::String,
 }
 ///The configuration as the sender has it: the records that the asker lacks, or all of it where the asker is too far behind.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigWire {
     ///JSON document of the head of the chain of changes.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub head: ::std::option::Option<::std::string::String>,
-    ///JSON document of the records after the asker's version; alone where it is there.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    ///JSON document of the records after the asker's version; null where the other two are there.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub records: ::std::option::Option<::std::string::String>,
     ///JSON document of the configuration at that head.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub snapshot: ::std::option::Option<::std::string::String>,
 }
 ///A backend server that crashed and the requests that it was running.
--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -2,7 +2,8 @@
 
 use flume::Receiver;
 use galenapath_peers::{
-    ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane, PeerRequest, start,
+    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane,
+    PeerRequest, start,
 };
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
@@ -10,7 +11,8 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 fn plane() -> PeerPlane {
-    start(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()).unwrap()
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    listener.and_then(start).unwrap_or_else(|e| panic!("no plane: {e}"))
 }
 
 fn news(version: u64) -> ExchangeWire {
@@ -28,7 +30,9 @@
     to: SocketAddr,
 ) -> Receiver<Result<ExchangeWire, galenapath_peers::PeerError>> {
     let (reply, answer) = flume::bounded(1);
-    from.calls.send(PeerCall::Exchange { to, news: news(u64::MAX), reply }).unwrap();
+    from.calls
+        .send(PeerCall::Exchange { to, news: news(u64::MAX), reply })
+        .unwrap_or_else(|e| panic!("the plane has stopped: {e}"));
     answer
 }
 
@@ -78,3 +82,25 @@
     reply.send(true).unwrap();
     assert!(answer.recv_timeout(LIMIT).unwrap().unwrap());
 }
+
+#[test]
+fn config_records_alone_arrive_unchanged() {
+    let (first, second) = (plane(), plane());
+    let (reply, answer) = flume::bounded(1);
+    let call = PeerCall::Config { to: second.address, after: 3, reply };
+    first.calls.send(call).unwrap();
+    let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap() else {
+        panic!("another call arrived");
+    };
+    assert_eq!(after, 3);
+    let records = ConfigWire { records: Some("[]".into()), head: None, snapshot: None };
+    reply.send(records.clone()).unwrap();
+    assert_eq!(answer.recv_timeout(LIMIT).unwrap().unwrap(), records);
+}
+
+/// Fields are encoded by place: one that may be left out shifts those behind it.
+#[test]
+fn schema_every_field_is_required() {
+    let generated = include_str!("../src/generated.rs");
+    assert!(!generated.contains("skip_serializing_if"));
+}
