--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -13,7 +13,8 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 fn plane() -> PeerPlane {
-    start(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()).unwrap()
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    listener.and_then(start).unwrap_or_else(|e| panic!("no plane: {e}"))
 }
 
 fn news(version: u64) -> ExchangeWire {
@@ -31,7 +32,9 @@
     to: SocketAddr,
 ) -> Receiver<Result<ExchangeWire, galenapath_peers::PeerError>> {
     let (reply, answer) = flume::bounded(1);
-    from.calls.send(PeerCall::Exchange { to, news: news(u64::MAX), reply }).unwrap();
+    from.calls
+        .send(PeerCall::Exchange { to, news: news(u64::MAX), reply })
+        .unwrap_or_else(|e| panic!("the plane has stopped: {e}"));
     answer
 }
 
