--- a/crates/galenapath-peers/src/call.rs
+++ b/crates/galenapath-peers/src/call.rs
@@ -1,7 +1,7 @@
 //! What passes between the plane's thread and the rest of the instance.
 
 use crate::PeerError;
-use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+use crate::generated::{BackendsWire, ConfigWire, ExchangeWire, HandOverWire};
 use flume::Sender;
 use std::net::SocketAddr;
 
@@ -20,9 +20,18 @@
     Config {
         /// The peer's address.
         to: SocketAddr,
+        /// Version that the instance has.
+        after: u64,
         /// Where it goes.
         reply: Sender<Result<ConfigWire, PeerError>>,
     },
+    /// Ask for the backend servers that the peer knows.
+    Backends {
+        /// The peer's address.
+        to: SocketAddr,
+        /// Where they go.
+        reply: Sender<Result<BackendsWire, PeerError>>,
+    },
     /// Hand over outcomes.
     HandOver {
         /// The peer's address.
@@ -45,9 +54,16 @@
     },
     /// Tell the configuration.
     Config {
+        /// Version that the peer has.
+        after: u64,
         /// Where it goes.
         reply: Sender<ConfigWire>,
     },
+    /// Tell the backend servers.
+    Backends {
+        /// Where they go.
+        reply: Sender<BackendsWire>,
+    },
     /// Take over outcomes.
     HandOver {
         /// The outcomes.
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -1,5 +1,26 @@
 //! Generated from `schema/peers.schema.json` by the codegen example. Do not edit.
 
+///A backend server as the platform lists it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BackendWire {
+    ///Where it listens, IP and port.
+    pub address: ::std::string::String,
+    ///Failure domain.
+    pub domain: ::std::string::String,
+    ///Name of the backend server.
+    pub id: ::std::string::String,
+    ///Whether it takes no new requests.
+    pub leaving: bool,
+    ///Service that it belongs to.
+    pub service: ::std::string::String,
+    ///Start of the run, milliseconds since the Unix epoch.
+    pub started: u64,
+}
+///The platform's list of backend servers as the sender has it; empty where it has none.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BackendsWire {
+    pub backends: ::std::vec::Vec<BackendWire>,
+}
 ///A suspected request that was answered completely.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ClearedWire {
@@ -8,13 +29,18 @@
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
 }
-///The configuration as the sender has it.
+///The configuration as the sender has it: the records that the asker lacks, or all of it where the asker is too far behind.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigWire {
     ///JSON document of the head of the chain of changes.
-    pub head: ::std::string::String,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub head: ::std::option::Option<::std::string::String>,
+    ///JSON document of the records after the asker's version; alone where it is there.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub records: ::std::option::Option<::std::string::String>,
     ///JSON document of the configuration at that head.
-    pub snapshot: ::std::string::String,
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub snapshot: ::std::option::Option<::std::string::String>,
 }
 ///A backend server that crashed and the requests that it was running.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -147,13 +173,12 @@
 ///The known outcome of one filing.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OutcomeWire {
-    ///Body of a kept answer, in hexadecimal; absent where only the status is known.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    ///Body of a kept answer, in hexadecimal; null where only the status is known.
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub body: ::std::option::Option<::std::string::String>,
     ///Fingerprint of the request, in hexadecimal.
     pub fingerprint: ::std::string::String,
     ///Headers of a kept answer.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub headers: ::std::vec::Vec<HeaderWire>,
     ///Identity of the idempotency key, in hexadecimal.
     pub key: ::std::string::String,
--- a/crates/galenapath-peers/src/server.rs
+++ b/crates/galenapath-peers/src/server.rs
@@ -1,7 +1,8 @@
 //! The listening side of the plane.
 
 use crate::PeerRequest;
-use crate::generated::{ConfigWire, ExchangeWire, HandOverWire};
+use crate::codec::NamedMessagePack;
+use crate::generated::{BackendsWire, ConfigWire, ExchangeWire, HandOverWire};
 use crate::rpc::Peer;
 use flume::{Receiver, Sender};
 use futures::StreamExt;
@@ -9,7 +10,6 @@
 use std::time::Duration;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Json;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
@@ -47,9 +47,14 @@
         self.ask(PeerRequest::Exchange { news, reply }, replies).await
     }
 
-    async fn config(self, _: Context) -> ConfigWire {
+    async fn config(self, _: Context, after: u64) -> ConfigWire {
         let (reply, replies) = flume::bounded(1);
-        self.ask(PeerRequest::Config { reply }, replies).await
+        self.ask(PeerRequest::Config { after, reply }, replies).await
+    }
+
+    async fn backends(self, _: Context) -> BackendsWire {
+        let (reply, replies) = flume::bounded(1);
+        self.ask(PeerRequest::Backends { reply }, replies).await
     }
 
     async fn hand_over(self, _: Context, outcomes: HandOverWire) -> bool {
@@ -78,7 +83,7 @@
         let mut codec = tarpc::tokio_util::codec::LengthDelimitedCodec::new();
         codec.set_max_frame_length(MAX_FRAME);
         let framed = codec_framed(io, codec);
-        let transport = tarpc::serde_transport::new(framed, Json::default());
+        let transport = tarpc::serde_transport::new(framed, NamedMessagePack);
         let handler = Handler { requests: requests.clone() };
         let held = connections.clone();
         spawn_local(async move {
