A caller that is refused while it sends still gets its answer

Cause: the connection was closed with the caller's bytes unread, which resets it: the caller's next write failed, and a client that stops there never reads why. The sending side is now closed at once and input discarded until the caller closes, for a second or 8 MB at most.

--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -20,6 +20,9 @@
 /// that it can be sent again; larger ones are streamed.
 const BUFFERED_BODY: u64 = 64 * 1024;
 
+/// How long a caller that goes on sending is listened to while its connection closes.
+const CLOSING_TIME: Duration = Duration::from_secs(1);
+
 /// A connection from a caller and the request that is being served on it.
 pub(super) struct Caller {
     pub(super) connection: Connection,
@@ -68,13 +71,14 @@
             Ok(head) => head,
             Err(e) => {
                 refuse(&plane, &mut caller, &e).await;
+                caller.connection.close(CLOSING_TIME).await;
                 return;
             }
         };
         // Boxed, so that an idle connection does not hold the room of a request in progress.
         let result = Box::pin(serve_one(&plane, &mut caller, head)).await;
         if result.is_err() || !caller.keep_alive {
-            caller.connection.shutdown().await;
+            caller.connection.close(CLOSING_TIME).await;
             return;
         }
     }
@@ -98,9 +102,8 @@
     plane.shared.metrics.fault(reason);
     caller.keep_alive = false;
     let answer = OwnAnswer::not_run(status, reason, &e.to_string());
-    if answer.send(caller, None).await.is_ok() {
-        caller.connection.shutdown().await;
-    }
+    // The connection is closed in any case.
+    let _ = answer.send(caller, None).await;
 }
 
 async fn serve_one(
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -23,6 +23,9 @@
 /// Most bytes that a peer may send ahead of its turn while `closed` waits.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
+/// Most bytes that are discarded from a peer that goes on sending while the connection closes.
+const MAX_DISCARDED: usize = 8 * 1024 * 1024;
+
 /// How long a head may take.
 #[derive(Clone, Copy, Debug)]
 pub struct HeadTimes {
@@ -237,9 +240,23 @@
         is_ready || self.has_unread()
     }
 
-    /// Closes the sending side, so that the peer sees the end of the last message.
-    pub async fn shutdown(&mut self) {
+    /// Closes the sending side, so that the peer sees the end of the last message, and discards what
+    /// the peer still sends for `limit` at most. A connection that is closed with input unread is
+    /// reset, which can take the last message from the peer.
+    pub async fn close(&mut self, limit: Duration) {
         let _ = self.io.shutdown().await;
+        let _ = monoio::time::timeout(limit, self.discard()).await;
+    }
+
+    async fn discard(&mut self) {
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED {
+            self.input.clear();
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(n) => discarded += n,
+            }
+        }
     }
 }
 
