--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::ops::ControlFlow;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -282,7 +282,13 @@
             // The instance may close before it has read everything.
             let _ = client.io.write_all(&parts.concat());
             let _ = client.io.shutdown(std::net::Shutdown::Write);
-            while client.answer_to("HEAD").status != 0 {}
+            // What the bytes ask for decides how many answers there are and whether they have bodies.
+            let mut answers = Vec::new();
+            // Closing with bytes unread resets the connection; anything else is a hang or a fault.
+            if let Err(e) = client.io.read_to_end(&mut answers) {
+                prop_assert_eq!(e.kind(), ErrorKind::ConnectionReset);
+            }
+            prop_assert!(answers.is_empty() || answers.starts_with(b"HTTP/1.1 "));
             prop_assert_eq!(get(instance.callers, "/alive", "").text(), "/alive");
             Ok(())
         })
