--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -1,8 +1,11 @@
 //! Two planes on loopback.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use flume::Receiver;
 use galenapath_peers::{
-    ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane, PeerRequest, start,
+    ConfigWire, ExchangeWire, HandOverWire, LeavingWire, OutcomeWire, PeerCall, PeerPlane,
+    PeerRequest, start,
 };
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
@@ -10,7 +13,8 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 fn plane() -> PeerPlane {
-    start(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()).unwrap()
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    listener.and_then(start).unwrap_or_else(|e| panic!("no plane: {e}"))
 }
 
 fn news(version: u64) -> ExchangeWire {
@@ -28,7 +32,9 @@
     to: SocketAddr,
 ) -> Receiver<Result<ExchangeWire, galenapath_peers::PeerError>> {
     let (reply, answer) = flume::bounded(1);
-    from.calls.send(PeerCall::Exchange { to, news: news(u64::MAX), reply }).unwrap();
+    from.calls
+        .send(PeerCall::Exchange { to, news: news(u64::MAX), reply })
+        .unwrap_or_else(|e| panic!("the plane has stopped: {e}"));
     answer
 }
 
@@ -78,3 +84,24 @@
     reply.send(true).unwrap();
     assert!(answer.recv_timeout(LIMIT).unwrap().unwrap());
 }
+
+/// Both forms of the document, each with fields left empty.
+#[test]
+fn config_either_form_arrives_unchanged() {
+    let (first, second) = (plane(), plane());
+    let text = |text: &str| Some(text.to_owned());
+    let records = ConfigWire { records: text("{}"), head: None, snapshot: None };
+    let all = ConfigWire { records: None, head: text("{}"), snapshot: text("[]") };
+    for document in [records, all] {
+        let (reply, answer) = flume::bounded(1);
+        let call = PeerCall::Config { to: second.address, after: 7, reply };
+        first.calls.send(call).unwrap();
+        let PeerRequest::Config { after, reply } = second.requests.recv_timeout(LIMIT).unwrap()
+        else {
+            panic!("another call arrived");
+        };
+        assert_eq!(after, 7);
+        reply.send(document.clone()).unwrap();
+        assert_eq!(answer.recv_timeout(LIMIT).unwrap().unwrap(), document);
+    }
+}
