Few instances watch the platform's lists; the others get changes from peers

Change: TrackedList keeps the positions and changes of a list and makes deltas for peers that are behind; three instances watch, the others read each 300 s in case; a probe carries the list's position. Found by its property test: a delta may only start from a position that the sender has been at. One from in between misses an entry that was changed and changed back.

--- a/crates/galenapath-entry/src/control/backends.rs
+++ b/crates/galenapath-entry/src/control/backends.rs
@@ -1,60 +1,56 @@
-//! The backend servers from peers, for an instance that starts while the platform is down.
+//! The list of backend servers from peers: changes for an instance that does not watch the
+//! platform's list, all of it for one that starts while the platform is down.
 
 use super::plane::ControlPlane;
+use galenapath_membership::ListDelta;
 use galenapath_peers::{BackendWire, BackendsWire, PeerCall};
 use galenapath_platform::{
     DOMAIN_META, ListedInstance, SERVICE_META, STARTED_META, STATE_LEAVING, STATE_META,
 };
 use galenapath_protocol::FastMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Time given to the platform before peers are asked, and between two peers.
-const PAUSE: Duration = Duration::from_millis(500);
 
 /// Value of the state of a server that takes requests.
 const STATE_LIVE: &str = "live";
 
-/// Asks peers, one after the other, until some list of backend servers is known. The platform's
-/// own list replaces it as soon as it can be read.
-pub(super) async fn pull_until_known(plane: Rc<ControlPlane>) {
-    for turn in 0_usize.. {
-        monoio::time::sleep(PAUSE).await;
-        if plane.shared.fleet.load().version > 0 {
-            return;
-        }
-        let Some(to) = peer(&plane, turn) else { continue };
-        let Some(listed) = pull(&plane, to).await else { continue };
-        // The platform may have answered during the call.
-        if plane.shared.fleet.load().version == 0 {
-            log::info!(peer:% = to, backends = listed.len(); "backend servers learned from a peer");
-            *plane.backends.borrow_mut() = listed;
-            plane.publish_fleet();
-        }
+/// Takes over what the peer at `from`, which is ahead, has. One peer is asked at a time.
+pub(super) async fn pull(plane: Rc<ControlPlane>, from: SocketAddr) {
+    if plane.is_pulling.replace(true) {
+        return;
+    }
+    let delta = ask(&plane, from).await;
+    plane.is_pulling.set(false);
+    let Some(delta) = delta else { return };
+    let (to, changes) = (delta.to, delta.put.len() + delta.removed.len());
+    if plane.backends.borrow_mut().apply(delta) {
+        log::debug!(peer:% = from, position = to, changes; "backend servers learned from a peer");
+        plane.publish_fleet();
     }
 }
 
-fn peer(plane: &ControlPlane, turn: usize) -> Option<SocketAddr> {
-    let own = plane.shared.incarnation;
-    let members = plane.members.borrow();
-    let peers: Vec<SocketAddr> =
-        members.usable().filter(|m| m.incarnation != own).map(|m| m.peers).collect();
-    peers.get(turn % peers.len().max(1)).copied()
-}
-
-/// The list of one peer; `None` where it has none or does not answer.
-async fn pull(plane: &ControlPlane, to: SocketAddr) -> Option<Vec<ListedInstance>> {
+async fn ask(plane: &ControlPlane, to: SocketAddr) -> Option<ListDelta<ListedInstance>> {
+    let after = plane.backends.borrow().position();
     let (reply, answer) = flume::bounded(1);
-    plane.wiring.calls.send_async(PeerCall::Backends { to, reply }).await.ok()?;
+    plane.wiring.calls.send_async(PeerCall::Backends { to, after, reply }).await.ok()?;
     let wire = answer.recv_async().await.ok()?.ok()?;
-    let listed: Vec<ListedInstance> = wire.backends.iter().filter_map(from_wire).collect();
-    (!listed.is_empty()).then_some(listed)
+    let put = wire.put.iter().filter_map(from_wire);
+    let put: BTreeMap<String, ListedInstance> = put.map(|b| (b.id.clone(), b)).collect();
+    Some(ListDelta { from: wire.from, to: wire.to, put, removed: wire.removed })
 }
 
-/// The backend servers for a peer.
-pub(super) fn document(plane: &ControlPlane) -> BackendsWire {
-    BackendsWire { backends: plane.backends.borrow().iter().map(to_wire).collect() }
+/// What a peer whose list is at position `after` lacks.
+pub(super) fn changes(plane: &ControlPlane, after: u64) -> BackendsWire {
+    match plane.backends.borrow().delta_after(after) {
+        Some(delta) => BackendsWire {
+            from: delta.from,
+            to: delta.to,
+            put: delta.put.values().map(to_wire).collect(),
+            removed: delta.removed,
+        },
+        None => BackendsWire { from: after, to: after, put: Vec::new(), removed: Vec::new() },
+    }
 }
 
 fn to_wire(listed: &ListedInstance) -> BackendWire {
--- a/crates/galenapath-entry/src/control/configuration.rs
+++ b/crates/galenapath-entry/src/control/configuration.rs
@@ -61,7 +61,7 @@
 }
 
 /// Whether this instance is among the first of the usable ones in a random order that all share.
-fn is_watcher(plane: &ControlPlane) -> bool {
+pub(super) fn is_watcher(plane: &ControlPlane) -> bool {
     let rank = |incarnation: Incarnation| hash64(WATCH_SEED, &incarnation.0.to_be_bytes());
     let own = rank(plane.shared.incarnation);
     let members = plane.members.borrow();
--- a/crates/galenapath-entry/src/control/gossip.rs
+++ b/crates/galenapath-entry/src/control/gossip.rs
@@ -93,6 +93,7 @@
         crashes,
         cleared,
         config_version: plane.replica.borrow().version().0,
+        list_position: plane.backends.borrow().position(),
     }
 }
 
@@ -114,6 +115,9 @@
     if let Some(sender) = news.members.first() {
         plane.note_peer_version(Incarnation(sender.incarnation), Version(news.config_version));
     }
+    if news.list_position > plane.backends.borrow().position() {
+        monoio::spawn(backends::pull(Rc::clone(plane), from));
+    }
     if news.config_version > plane.replica.borrow().version().0 {
         monoio::spawn(configuration::pull(Rc::clone(plane), from));
     }
@@ -145,8 +149,8 @@
             PeerRequest::Config { after, reply } => {
                 let _ = reply.try_send(configuration::document(&plane, Version(after)));
             }
-            PeerRequest::Backends { reply } => {
-                let _ = reply.try_send(backends::document(&plane));
+            PeerRequest::Backends { after, reply } => {
+                let _ = reply.try_send(backends::changes(&plane, after));
             }
             PeerRequest::HandOver { outcomes, reply } => {
                 let _ = reply.try_send(stop::adopt(&plane, &outcomes));
--- a/crates/galenapath-entry/src/control/lists.rs
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -1,11 +1,13 @@
 //! The platform's lists of entry instances and backend servers.
 
+use super::configuration::is_watcher;
 use super::plane::ControlPlane;
 use galenapath_membership::{Member, MemberStatus};
 use galenapath_platform::{
-    Announcement, DOMAIN_META, ListedInstance, Platform, STARTED_META, STATE_META, StoreIndex,
+    Announcement, DOMAIN_META, ListedInstance, Listing, Platform, STARTED_META, STATE_META,
+    StoreIndex,
 };
-use galenapath_protocol::{DomainId, FastMap, Incarnation, InstanceId};
+use galenapath_protocol::{DomainId, FastMap, Incarnation, InstanceId, Micros};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +26,12 @@
 /// Longest wait of a watch. A waiting watch counts as a call, so longer waits cost less.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Time between two looks at whether it is this instance's turn to watch.
+const REVIEW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest time that an instance which does not watch goes without a read of its own.
+const READ_PERIOD: Micros = Micros::from_secs(300);
+
 /// Pause after a failed call, so that a store that is down is not hammered.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -74,8 +82,8 @@
 
 /// Follows the list of entry instances.
 pub(super) async fn follow_entries(plane: Rc<ControlPlane>) {
-    follow(plane, ENTRY_LIST, |plane, listed| {
-        let news: Vec<Member> = listed.iter().filter_map(to_member).collect();
+    follow(plane, ENTRY_LIST, |plane, listing| {
+        let news: Vec<Member> = listing.instances.iter().filter_map(to_member).collect();
         plane.members.borrow_mut().learn(plane.now(), &news);
         plane.publish_members();
     })
@@ -84,32 +92,42 @@
 
 /// Follows the list of backend servers.
 pub(super) async fn follow_backends(plane: Rc<ControlPlane>) {
-    follow(plane, BACKEND_LIST, |plane, listed| {
-        *plane.backends.borrow_mut() = listed;
+    follow(plane, BACKEND_LIST, |plane, listing| {
+        let position = listing.position.0;
+        let list = listing.instances.into_iter().map(|b| (b.id.clone(), b)).collect();
+        plane.backends.borrow_mut().take_list(position, list);
         plane.publish_fleet();
     })
     .await;
 }
 
-async fn follow(
-    plane: Rc<ControlPlane>,
-    name: &str,
-    take: impl Fn(&ControlPlane, Vec<ListedInstance>),
-) {
+/// Reads a list at the start, then watches it where this instance is one of the few that do. The
+/// others learn from their peers, and read seldom, in case that every watcher is cut off.
+async fn follow(plane: Rc<ControlPlane>, name: &str, take: impl Fn(&ControlPlane, Listing)) {
     let mut after: Option<StoreIndex> = None;
+    let mut read_at: Option<Micros> = None;
     loop {
+        let is_due = read_at.is_none_or(|at| plane.now() - at >= READ_PERIOD);
+        if !is_watcher(&plane) {
+            if !is_due {
+                monoio::time::sleep(REVIEW_PAUSE).await;
+                continue;
+            }
+            after = None;
+        }
         let result = plane.platform.list(name, after, WATCH_WAIT).await;
         plane.count_call("list", &result);
-        match result {
-            Ok(listing) => {
-                if after != Some(listing.position) {
-                    take(&plane, listing.instances);
-                }
-                after = Some(listing.position);
-                monoio::time::sleep(LEAST_PAUSE).await;
-            }
-            Err(_) => monoio::time::sleep(FAILURE_PAUSE).await,
+        let Ok(listing) = result else {
+            monoio::time::sleep(FAILURE_PAUSE).await;
+            continue;
+        };
+        read_at = Some(plane.now());
+        let position = listing.position;
+        if after != Some(position) {
+            take(&plane, listing);
         }
+        after = Some(position);
+        monoio::time::sleep(LEAST_PAUSE).await;
     }
 }
 
--- a/crates/galenapath-entry/src/control/plane.rs
+++ b/crates/galenapath-entry/src/control/plane.rs
@@ -7,11 +7,13 @@
 use flume::{Receiver, Sender};
 use galenapath_config::Replica;
 use galenapath_filings::Suspects;
-use galenapath_membership::{LeavingMarks, Member, MemberStatus, Members, MembershipConfig};
+use galenapath_membership::{
+    LeavingMarks, Member, MemberStatus, Members, MembershipConfig, TrackedList,
+};
 use galenapath_peers::{PeerCall, PeerRequest};
 use galenapath_platform::{ConsulPlatform, ListedInstance};
 use galenapath_protocol::{FastMap, Incarnation, Micros};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -55,7 +57,9 @@
     /// Requests suspected of crashing backend servers, as told by the data thread and peers.
     pub(super) suspects: RefCell<Suspects>,
     /// Backend servers as last listed.
-    pub(super) backends: RefCell<Vec<ListedInstance>>,
+    pub(super) backends: RefCell<TrackedList<ListedInstance>>,
+    /// Whether a peer is being asked for its list of backend servers.
+    pub(super) is_pulling: Cell<bool>,
 }
 
 impl ControlPlane {
@@ -84,6 +88,7 @@
             marks: RefCell::default(),
             suspects: RefCell::default(),
             backends: RefCell::default(),
+            is_pulling: Cell::new(false),
         });
         plane.publish_members();
         plane
--- a/crates/galenapath-entry/src/control/publish.rs
+++ b/crates/galenapath-entry/src/control/publish.rs
@@ -22,7 +22,8 @@
     /// Publishes the backend servers.
     pub(super) fn publish_fleet(&self) {
         let version = self.shared.fleet.load().version + 1;
-        let fleet = Fleet::from_list(version, &self.backends.borrow(), &self.marks.borrow());
+        let fleet =
+            Fleet::from_list(version, self.backends.borrow().entries(), &self.marks.borrow());
         self.shared.fleet.store(Arc::new(fleet));
         self.update_ready();
     }
--- a/crates/galenapath-entry/src/control/start.rs
+++ b/crates/galenapath-entry/src/control/start.rs
@@ -1,7 +1,7 @@
 //! The tasks of the control thread.
 
 use super::plane::ControlPlane;
-use super::{backends, claims, configuration, gossip, lists, operators, stop};
+use super::{claims, configuration, gossip, lists, operators, stop};
 use monoio::net::TcpListener;
 use std::rc::Rc;
 
@@ -10,7 +10,6 @@
     monoio::spawn(lists::announce(Rc::clone(&plane)));
     monoio::spawn(lists::follow_entries(Rc::clone(&plane)));
     monoio::spawn(lists::follow_backends(Rc::clone(&plane)));
-    monoio::spawn(backends::pull_until_known(Rc::clone(&plane)));
     monoio::spawn(configuration::follow(Rc::clone(&plane)));
     monoio::spawn(gossip::probe_peers(Rc::clone(&plane)));
     monoio::spawn(gossip::ask_seeds(Rc::clone(&plane)));
--- a/crates/galenapath-entry/src/fleet.rs
+++ b/crates/galenapath-entry/src/fleet.rs
@@ -30,7 +30,11 @@
 
 impl Fleet {
     /// Groups the platform's list by service. Entries without a service are left out.
-    pub fn from_list(version: u64, list: &[ListedInstance], marks: &LeavingMarks) -> Self {
+    pub fn from_list<'a>(
+        version: u64,
+        list: impl Iterator<Item = &'a ListedInstance>,
+        marks: &LeavingMarks,
+    ) -> Self {
         let mut services: FastMap<String, Vec<FleetBackend>> = FastMap::default();
         for listed in list {
             let Some(service) = listed.service() else { continue };
--- a/crates/galenapath-membership/src/lib.rs
+++ b/crates/galenapath-membership/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod config;
 mod leaving;
+mod listing;
 mod member;
 mod members;
 mod rumors;
 
 pub use config::MembershipConfig;
 pub use leaving::{LeavingMark, LeavingMarks};
+pub use listing::{ListDelta, TrackedList};
 pub use member::{Member, MemberStatus};
 pub use members::{Members, Probe};
--- /dev/null
+++ b/crates/galenapath-membership/src/listing.rs
@@ -0,0 +1,161 @@
+//! A list that the platform keeps, with the changes that led to it.
+//!
+//! Load pattern: a list of thousands of backend servers of which a few are replaced each minute.
+//! With every instance reading the whole list at each change, the calls on the store grow with the
+//! fleet and each instance takes in megabytes for one server. Few instances watch the list; the
+//! others ask a peer that is ahead for the changes between its position and theirs.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes remembered. A peer that is further behind gets the whole list. At 440 replacements a
+/// day with three changes each this is more than a day's.
+const REMEMBERED: usize = 2_048;
+
+/// A list at some position of the platform's store, and the changes before it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrackedList<T> {
+    /// Position in the store; zero before the first list.
+    position: u64,
+    entries: BTreeMap<String, T>,
+    /// The last changes, oldest first; their positions never fall.
+    changes: VecDeque<Change>,
+    /// Positions that this list has been at, oldest first; `changes` is complete from the first on.
+    ///
+    /// A peer at any other position may hold an entry that was changed and changed back between
+    /// two of these, of which nothing is known here.
+    seen: VecDeque<u64>,
+}
+
+/// One entry that was put in or taken out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Change {
+    /// Position of the first list that had the change.
+    position: u64,
+    id: String,
+}
+
+/// What makes the list at `from` the list at `to`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListDelta<T> {
+    /// Position that the delta applies to; zero for any, since it holds the whole list then.
+    pub from: u64,
+    /// Position after it.
+    pub to: u64,
+    /// Entries to put in.
+    pub put: BTreeMap<String, T>,
+    /// Entries to take out.
+    pub removed: Vec<String>,
+}
+
+impl<T> Default for TrackedList<T> {
+    fn default() -> Self {
+        Self {
+            position: 0,
+            entries: BTreeMap::new(),
+            changes: VecDeque::new(),
+            seen: VecDeque::new(),
+        }
+    }
+}
+
+impl<T: Clone + PartialEq> TrackedList<T> {
+    /// Position in the store; zero before the first list.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// The entries, ordered by their names.
+    pub fn entries(&self) -> impl Iterator<Item = &T> {
+        self.entries.values()
+    }
+
+    /// Takes in the whole list as the platform gave it; returns whether anything changed.
+    ///
+    /// A position below the own one means that the store was set back. The list is taken then too,
+    /// and the changes before it are forgotten.
+    pub fn take_list(&mut self, position: u64, list: BTreeMap<String, T>) -> bool {
+        if position < self.position {
+            self.changes.clear();
+            self.seen.clear();
+        }
+        let is_first = self.seen.is_empty();
+        let before = std::mem::replace(&mut self.entries, list);
+        if is_first {
+            self.move_to(position, Vec::new());
+            return true;
+        }
+        let removed = before.keys().filter(|id| !self.entries.contains_key(*id));
+        let put = self.entries.iter().filter(|(id, entry)| before.get(*id) != Some(*entry));
+        let changed: Vec<String> = removed.chain(put.map(|(id, _)| id)).cloned().collect();
+        let has_changed = !changed.is_empty();
+        self.move_to(position, changed);
+        has_changed
+    }
+
+    /// What a peer at position `after` lacks; `None` where it lacks nothing.
+    pub fn delta_after(&self, after: u64) -> Option<ListDelta<T>> {
+        if after >= self.position {
+            return None;
+        }
+        if !self.seen.contains(&after) {
+            let put = self.entries.clone();
+            return Some(ListDelta { from: 0, to: self.position, put, removed: Vec::new() });
+        }
+        let mut put = BTreeMap::new();
+        let mut removed = Vec::new();
+        for change in self.changes.iter().filter(|change| change.position > after) {
+            match self.entries.get(&change.id) {
+                Some(entry) => drop(put.insert(change.id.clone(), entry.clone())),
+                None => removed.push(change.id.clone()),
+            }
+        }
+        removed.sort();
+        removed.dedup();
+        Some(ListDelta { from: after, to: self.position, put, removed })
+    }
+
+    /// Takes in what a peer sent; returns whether the list moved on. A delta that is old, or that
+    /// starts from another position, changes nothing.
+    pub fn apply(&mut self, delta: ListDelta<T>) -> bool {
+        let fits = delta.from == 0 || delta.from == self.position;
+        if delta.to <= self.position || !fits {
+            return false;
+        }
+        if delta.from == 0 {
+            self.take_list(delta.to, delta.put);
+            return true;
+        }
+        let mut changed = Vec::new();
+        for id in delta.removed {
+            self.entries.remove(&id);
+            changed.push(id);
+        }
+        for (id, entry) in delta.put {
+            changed.push(id.clone());
+            self.entries.insert(id, entry);
+        }
+        self.move_to(delta.to, changed);
+        true
+    }
+
+    /// Moves to `position` and remembers the changes that led there.
+    fn move_to(&mut self, position: u64, changed: Vec<String>) {
+        self.position = position;
+        if self.seen.back() != Some(&position) {
+            self.seen.push_back(position);
+        }
+        self.changes.extend(changed.into_iter().map(|id| Change { position, id }));
+        while self.changes.len() > REMEMBERED || self.seen.len() > REMEMBERED {
+            self.forget_oldest();
+        }
+    }
+
+    /// Forgets the oldest position and the changes that led from it to the next.
+    fn forget_oldest(&mut self) {
+        self.seen.pop_front();
+        let Some(&oldest) = self.seen.front() else { return self.changes.clear() };
+        while self.changes.front().is_some_and(|change| change.position <= oldest) {
+            self.changes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-membership/tests/listing.rs
@@ -0,0 +1,139 @@
+//! Tests of the tracked list.
+
+use galenapath_membership::TrackedList;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+type List = BTreeMap<String, u32>;
+
+fn list(entries: &[(&str, u32)]) -> List {
+    entries.iter().map(|(id, value)| ((*id).to_owned(), *value)).collect()
+}
+
+fn held(tracked: &TrackedList<u32>) -> Vec<u32> {
+    tracked.entries().copied().collect()
+}
+
+#[test]
+fn delta_after_holds_changes_only() {
+    let mut ahead = TrackedList::default();
+    ahead.take_list(5, list(&[("a", 1), ("b", 1), ("c", 1)]));
+    ahead.take_list(9, list(&[("a", 1), ("b", 2), ("d", 1)]));
+    let delta = ahead.delta_after(5).unwrap();
+    assert_eq!(delta.put, list(&[("b", 2), ("d", 1)]));
+    assert_eq!(delta.removed, ["c"]);
+    assert_eq!(ahead.delta_after(9), None);
+}
+
+#[test]
+fn delta_after_unknown_position_holds_all() {
+    let mut ahead = TrackedList::default();
+    ahead.take_list(5, list(&[("a", 1)]));
+    let delta = ahead.delta_after(3).unwrap();
+    assert_eq!((delta.from, delta.put), (0, list(&[("a", 1)])));
+}
+
+#[test]
+fn apply_old_delta_changes_nothing() {
+    let mut ahead = TrackedList::default();
+    ahead.take_list(5, list(&[("a", 1)]));
+    let old = ahead.delta_after(0).unwrap();
+    ahead.take_list(6, list(&[("b", 1)]));
+    assert!(!ahead.apply(old));
+    assert_eq!(held(&ahead), [1]);
+    assert_eq!(ahead.position(), 6);
+}
+
+#[test]
+fn apply_delta_from_later_position_refused() {
+    let mut ahead = TrackedList::default();
+    ahead.take_list(5, list(&[("a", 1)]));
+    ahead.take_list(6, list(&[("a", 1), ("b", 1)]));
+    let mut behind = TrackedList::default();
+    behind.take_list(3, list(&[("z", 1)]));
+    assert!(!behind.apply(ahead.delta_after(5).unwrap()));
+    assert_eq!(behind.position(), 3);
+}
+
+#[test]
+fn take_list_set_back_is_taken() {
+    let mut tracked = TrackedList::default();
+    tracked.take_list(50, list(&[("a", 1)]));
+    tracked.take_list(2, list(&[("b", 2)]));
+    assert_eq!((tracked.position(), held(&tracked)), (2, vec![2]));
+}
+
+#[test]
+fn delta_after_bounded_memory_falls_back_to_all() {
+    let mut tracked = TrackedList::default();
+    for position in 1..5_000 {
+        tracked.take_list(position, list(&[("a", position as u32)]));
+    }
+    assert_eq!(tracked.delta_after(1).unwrap().from, 0);
+    assert_eq!(tracked.delta_after(4_990).unwrap().from, 4_990);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A node reads the platform's list at some position.
+    Read { node: usize, position: usize },
+    /// A node pulls from another; the message may be delivered later.
+    Ask { node: usize, from: usize },
+    /// The oldest message on the way is delivered.
+    Deliver,
+    /// The newest message on the way is delivered.
+    DeliverNewest,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..3_usize, 0..12_usize).prop_map(|(node, position)| Step::Read { node, position }),
+        (0..3_usize, 0..3_usize).prop_map(|(node, from)| Step::Ask { node, from }),
+        (0..3_usize, 0..3_usize).prop_map(|(node, from)| Step::Ask { node, from }),
+        Just(Step::Deliver),
+        Just(Step::DeliverNewest),
+    ]
+}
+
+proptest! {
+    /// Whatever nodes read, ask and get late or out of order, a node's list is always the
+    /// platform's list at the node's position.
+    #[test]
+    fn apply_any_order_is_the_list_at_the_position(
+        lists in prop::collection::vec(prop::collection::btree_map("[a-e]", 0..3_u32, 0..5), 12),
+        steps in prop::collection::vec(step(), 0..60),
+    ) {
+        let mut nodes: Vec<TrackedList<u32>> = vec![TrackedList::default(); 3];
+        let mut on_the_way = Vec::new();
+        for step in steps {
+            match step {
+                Step::Read { node, position } => {
+                    // Reads of one node go forward, as a watch does.
+                    if position as u64 + 1 >= nodes[node].position() {
+                        nodes[node].take_list(position as u64 + 1, lists[position].clone());
+                    }
+                }
+                Step::Ask { node, from } => {
+                    let delta = nodes[from].delta_after(nodes[node].position());
+                    on_the_way.extend(delta.map(|delta| (node, delta)));
+                }
+                Step::Deliver if !on_the_way.is_empty() => {
+                    let (node, delta) = on_the_way.remove(0);
+                    nodes[node].apply(delta);
+                }
+                Step::DeliverNewest => {
+                    if let Some((node, delta)) = on_the_way.pop() {
+                        nodes[node].apply(delta);
+                    }
+                }
+                Step::Deliver => {}
+            }
+            for node in &nodes {
+                if let Some(at) = (node.position() as usize).checked_sub(1) {
+                    let expected: Vec<u32> = lists[at].values().copied().collect();
+                    prop_assert_eq!(held(node), expected);
+                }
+            }
+        }
+    }
+}
--- a/crates/galenapath-peers/src/call.rs
+++ b/crates/galenapath-peers/src/call.rs
@@ -25,10 +25,12 @@
         /// Where it goes.
         reply: Sender<Result<ConfigWire, PeerError>>,
     },
-    /// Ask for the backend servers that the peer knows.
+    /// Ask for what the own list of backend servers lacks.
     Backends {
         /// The peer's address.
         to: SocketAddr,
+        /// Position of the own list.
+        after: u64,
         /// Where they go.
         reply: Sender<Result<BackendsWire, PeerError>>,
     },
@@ -59,8 +61,10 @@
         /// Where it goes.
         reply: Sender<ConfigWire>,
     },
-    /// Tell the backend servers.
+    /// Tell what a peer's list of backend servers lacks.
     Backends {
+        /// Position of the peer's list.
+        after: u64,
         /// Where they go.
         reply: Sender<BackendsWire>,
     },
--- a/crates/galenapath-peers/src/generated.rs
+++ b/crates/galenapath-peers/src/generated.rs
@@ -16,10 +16,17 @@
     ///Start of the run, milliseconds since the Unix epoch.
     pub started: u64,
 }
-///The platform's list of backend servers as the sender has it; empty where it has none.
+///What the asker's list of backend servers lacks; nothing where `to` is not ahead of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct BackendsWire {
-    pub backends: ::std::vec::Vec<BackendWire>,
+    ///Position that the changes start from; zero where `put` is the whole list.
+    pub from: u64,
+    ///Backend servers that came or changed.
+    pub put: ::std::vec::Vec<BackendWire>,
+    ///Names of those that went.
+    pub removed: ::std::vec::Vec<::std::string::String>,
+    ///Position after the changes.
+    pub to: u64,
 }
 ///A suspected request that was answered completely.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -63,6 +70,9 @@
     pub crashes: ::std::vec::Vec<CrashWire>,
     ///Backend servers newly known to be leaving.
     pub leaving: ::std::vec::Vec<LeavingWire>,
+    ///Position of the list of backend servers that the sender has.
+    #[serde(default)]
+    pub list_position: u64,
     ///News of entry instances; the sender first.
     pub members: ::std::vec::Vec<MemberWire>,
 }
--- a/crates/galenapath-peers/src/pool.rs
+++ b/crates/galenapath-peers/src/pool.rs
@@ -107,7 +107,9 @@
         PeerCall::Exchange { news, reply, .. } => {
             settle(to, client.exchange(cx, news).await, &reply)
         }
-        PeerCall::Backends { reply, .. } => settle(to, client.backends(cx).await, &reply),
+        PeerCall::Backends { after, reply, .. } => {
+            settle(to, client.backends(cx, after).await, &reply)
+        }
         PeerCall::Config { after, reply, .. } => settle(to, client.config(cx, after).await, &reply),
         PeerCall::HandOver { outcomes, reply, .. } => {
             settle(to, client.hand_over(cx, outcomes).await, &reply)
--- a/crates/galenapath-peers/src/rpc.rs
+++ b/crates/galenapath-peers/src/rpc.rs
@@ -9,8 +9,8 @@
     async fn exchange(news: ExchangeWire) -> ExchangeWire;
     /// What the peer's configuration has beyond version `after`, or all of it.
     async fn config(after: u64) -> ConfigWire;
-    /// The backend servers as the peer knows them.
-    async fn backends() -> BackendsWire;
+    /// What the peer's list of backend servers has beyond position `after`, or all of it.
+    async fn backends(after: u64) -> BackendsWire;
     /// Takes over the outcomes of an incarnation that stops; whether they were taken.
     async fn hand_over(outcomes: HandOverWire) -> bool;
 }
--- a/crates/galenapath-peers/src/server.rs
+++ b/crates/galenapath-peers/src/server.rs
@@ -52,9 +52,9 @@
         self.ask(PeerRequest::Config { after, reply }, replies).await
     }
 
-    async fn backends(self, _: Context) -> BackendsWire {
+    async fn backends(self, _: Context, after: u64) -> BackendsWire {
         let (reply, replies) = flume::bounded(1);
-        self.ask(PeerRequest::Backends { reply }, replies).await
+        self.ask(PeerRequest::Backends { after, reply }, replies).await
     }
 
     async fn hand_over(self, _: Context, outcomes: HandOverWire) -> bool {
--- a/crates/galenapath-peers/tests/plane.rs
+++ b/crates/galenapath-peers/tests/plane.rs
@@ -24,6 +24,7 @@
         crashes: Vec::new(),
         cleared: Vec::new(),
         config_version: version,
+        list_position: 9,
     }
 }
 
