Streams rest a millisecond after every 256 KiB

Cause: monoio looks at its timers, and at other tasks, only when a task waits; a stream whose reads and writes succeed at once held up admission's wakes, hedges and every other request on the thread. Found in the stand-ins, whose timers stood still during a 300 MB answer. Change: Pace, in the relay of answers and of streamed requests.

--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -19,6 +19,31 @@
 /// Longest pause inside a body, on either side, before the answer is given up.
 const BODY_PAUSE: Duration = Duration::from_secs(30);
 
+/// A stream rests after this many bytes, so that the thread's timers and other requests get their
+/// turn: as long as reads and writes succeed at once, a task is not interrupted. 256 KiB take the
+/// thread about 0.1 ms.
+const REST_BYTES: usize = 256 * 1024;
+
+/// Length of a rest. One stream then passes 250 MB a second at most.
+const REST: Duration = Duration::from_millis(1);
+
+/// Counts the bytes of a stream and rests when it is time.
+#[derive(Default)]
+pub(super) struct Pace {
+    since_rest: usize,
+}
+
+impl Pace {
+    /// Notes that `bytes` were passed on.
+    pub(super) async fn passed(&mut self, bytes: usize) {
+        self.since_rest += bytes;
+        if self.since_rest >= REST_BYTES {
+            self.since_rest = 0;
+            monoio::time::sleep(REST).await;
+        }
+    }
+}
+
 /// What the headers of an answer tell about it.
 pub(super) struct Told<'a> {
     /// Identifier of the request.
@@ -109,8 +134,10 @@
     caller.set_connection(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
     within_pause(caller.connection.write_body(framing, start)).await?;
+    let mut pace = Pace::default();
     while let Some(piece) = next_piece(caller, &mut rest).await? {
         within_pause(caller.connection.write_body(framing, &piece)).await?;
+        pace.passed(piece.len()).await;
     }
     within_pause(caller.connection.finish_body(framing)).await?;
     if head.framing != Framing::UntilClose {
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -13,7 +13,7 @@
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
-use super::relay::{self, Told, within_pause};
+use super::relay::{self, Pace, Told, within_pause};
 use super::request::RequestMeta;
 use super::service::Service;
 use bytes::Bytes;
@@ -99,10 +99,12 @@
     put_request(connection.output(), &req.method, &req.path, &req.headers, framing);
     within_pause(connection.write_body(framing, &start)).await.map_err(Fault::Http)?;
     let pause = target.plane.shared.settings.limits.idle_timeout;
+    let mut pace = Pace::default();
     loop {
         let piece = read_piece(&mut caller.connection, &mut state, pause);
         let Some(piece) = piece.await.map_err(Fault::Caller)? else { break };
         within_pause(connection.write_body(framing, &piece)).await.map_err(Fault::Http)?;
+        pace.passed(piece.len()).await;
     }
     within_pause(connection.finish_body(framing)).await.map_err(Fault::Http)?;
     let head = {
