One Call holds what a request's way through the instance needs

Read-through: lookup, filing, stream and forward each took plane, service, request and trace apart, and ended a request in three ways of their own. Call bundles them and has the one end; the comment on OpenRecord said the opposite of what its Drop does.

--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -226,3 +226,8 @@
         let _ = target.plane.events.try_send(ControlEvent::Leaving(mark));
     }
 }
+
+/// What an answered request says about the backend server.
+pub(super) fn outcome_of(status: StatusCode) -> Outcome {
+    if status.is_server_error() { Outcome::FastFailure } else { Outcome::Answered }
+}
--- /dev/null
+++ b/crates/galenapath-entry/src/data/call.rs
@@ -0,0 +1,63 @@
+//! One request of a known class on its way through the instance.
+
+use super::answer::{About, OwnAnswer};
+use super::caller::Caller;
+use super::explain::Trace;
+use super::plane::DataPlane;
+use super::request::RequestMeta;
+use super::service::Service;
+use galenapath_http::HttpError;
+use galenapath_protocol::Verdict;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A request and what is needed to serve it.
+pub(super) struct Call {
+    pub(super) plane: Rc<DataPlane>,
+    pub(super) service: Rc<Service>,
+    pub(super) meta: RequestMeta,
+    /// What happens to it; borrowed only between two awaits, and empty once it has ended.
+    pub(super) trace: RefCell<Trace>,
+}
+
+impl Call {
+    pub(super) fn new(plane: &Rc<DataPlane>, service: Rc<Service>, meta: RequestMeta) -> Self {
+        let trace = RefCell::new(Trace::new(meta.id));
+        Self { plane: Rc::clone(plane), service, meta, trace }
+    }
+
+    /// Ends the request with an own answer.
+    pub(super) async fn refuse(
+        &self,
+        caller: &mut Caller,
+        answer: &OwnAnswer,
+    ) -> Result<(), HttpError> {
+        let metrics = &self.plane.shared.metrics;
+        let class = self.meta.class.name.as_str();
+        metrics.rejections.with_label_values(&[class, answer.reason]).inc();
+        let about = About { id: self.meta.id, attempts: self.trace.borrow().attempts };
+        self.ended(answer.status.as_u16(), answer.verdict, answer.reason);
+        answer.send(caller, Some(about)).await
+    }
+
+    /// Counts, logs and remembers the end of the request.
+    pub(super) fn ended(&self, status: u16, verdict: Verdict, reason: &str) {
+        let meta = &self.meta;
+        self.plane.shared.metrics.answered(&meta.class.name, verdict);
+        log::debug!(
+            request:% = meta.id, class = meta.class.name.as_str(),
+            workspace = meta.workspace.as_str(), status, verdict = verdict.as_str(), reason;
+            "request ended"
+        );
+        let trace = self.trace.replace(Trace::new(meta.id));
+        let explanation = trace.explain(meta, self.plane.now(), status, verdict, reason);
+        self.plane.history.borrow_mut().push(meta.number, explanation);
+    }
+
+    /// Counts the time until the answer was there.
+    pub(super) fn observe_latency(&self) {
+        let took = (self.plane.now() - self.meta.arrived).as_millis_f64() / 1_000.0;
+        let latency = &self.plane.shared.metrics.latency;
+        latency.with_label_values(&[&self.meta.class.name]).observe(took);
+    }
+}
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -1,6 +1,7 @@
 //! One caller's connection.
 
-use super::answer::{About, OwnAnswer};
+use super::answer::OwnAnswer;
+use super::call::Call;
 use super::plane::DataPlane;
 use super::request::{RequestId, RequestMeta, text};
 use super::{entries, filing, lookup, stream};
@@ -163,20 +164,19 @@
             return Err(e);
         }
     };
+    let call = Call::new(plane, service, meta);
     match body {
-        BodyRead::Whole(body) if is_filing => {
-            filing::serve(plane, caller, &service, &meta, head, body).await
-        }
-        BodyRead::Whole(body) => lookup::serve(plane, caller, &service, &meta, head, body).await,
+        BodyRead::Whole(body) if is_filing => filing::serve(&call, caller, head, body).await,
+        BodyRead::Whole(body) => lookup::serve(&call, caller, head, body).await,
         BodyRead::TooLarge { .. } if is_filing => {
             caller.keep_alive = false;
             let text = format!("the body of a filing may have {limit} bytes at most");
-            OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "filing_too_large", &text)
-                .send(caller, Some(About { id: meta.id, attempts: 0 }))
-                .await
+            let answer =
+                OwnAnswer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "filing_too_large", &text);
+            call.refuse(caller, &answer).await
         }
         BodyRead::TooLarge { start, state } => {
-            stream::serve(plane, caller, &service, &meta, head, start, state).await
+            stream::serve(&call, caller, head, start, state).await
         }
     }
 }
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -3,19 +3,17 @@
 use super::answer::OwnAnswer;
 use super::attempt::{Fault, Reply, Target, attempt};
 use super::backend::Backend;
+use super::call::Call;
 use super::crash::{self, Clearance, Spreading, Trial};
-use super::explain::Trace;
 use super::permit::{InFlight, Permit};
-use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
-use super::request::{RequestMeta, number};
-use super::service::{Service, State};
+use super::request::number;
+use super::service::State;
 use galenapath_config::ClassKind;
 use galenapath_policy::{AttemptCount, MAX_ATTEMPTS, Slot, may_retry};
 use galenapath_protocol::{ATTEMPT_HEADER, BackendId, Micros, Verdict};
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::time::Duration;
 
 /// An answer and the attempt that it came from.
@@ -27,12 +25,8 @@
 
 /// A request on its way to backend servers.
 pub(super) struct Dispatch<'a> {
-    pub(super) plane: &'a Rc<DataPlane>,
-    pub(super) service: &'a Rc<Service>,
-    pub(super) meta: &'a RequestMeta,
-    pub(super) req: &'a Prepared,
-    /// What happens to the request; borrowed only between two awaits.
-    pub(super) trace: &'a RefCell<Trace>,
+    pub(super) call: &'a Call,
+    req: &'a Prepared,
     /// Attempts made over the whole chain of calls.
     attempts: Cell<AttemptCount>,
     /// Word to the peers about the last crash that the request was in.
@@ -45,21 +39,15 @@
 
 impl<'a> Dispatch<'a> {
     /// Judges whether the request may run at all.
-    pub(super) fn new(
-        plane: &'a Rc<DataPlane>,
-        service: &'a Rc<Service>,
-        meta: &'a RequestMeta,
-        req: &'a Prepared,
-        trace: &'a RefCell<Trace>,
-    ) -> Result<Self, OwnAnswer> {
-        let trial = match crash::clearance(plane, req.fingerprint) {
+    pub(super) fn new(call: &'a Call, req: &'a Prepared) -> Result<Self, OwnAnswer> {
+        let trial = match crash::clearance(&call.plane, req.fingerprint) {
             Clearance::Free => None,
             Clearance::Alone(trial) => Some(trial),
             Clearance::Refused(verdict) => return Err(refusal::suspect(verdict)),
         };
-        let attempts = Cell::new(AttemptCount::received(meta.attempts));
+        let attempts = Cell::new(AttemptCount::received(call.meta.attempts));
         let (spreading, tried) = Default::default();
-        Ok(Self { plane, service, meta, req, trace, attempts, spreading, trial, tried })
+        Ok(Self { call, req, attempts, spreading, trial, tried })
     }
 
     /// Waits until the peers have heard of a crash that the request was in. To be called before
@@ -74,14 +62,14 @@
     /// Whether a further attempt is allowed after one that ended with `verdict`; if so it is
     /// counted.
     pub(super) fn may_go_on(&self, verdict: Verdict) -> bool {
-        let now = self.plane.now();
-        let kind = refusal::kind_of(self.meta.class.kind);
-        let left = self.meta.deadline - now;
+        let now = self.call.plane.now();
+        let kind = refusal::kind_of(self.call.meta.class.kind);
+        let left = self.call.meta.deadline - now;
         let is_allowed = may_retry(kind, verdict, self.attempts.get().made(), left)
-            && self.service.state.borrow_mut().retries.try_retry(now);
+            && self.call.service.state.borrow_mut().retries.try_retry(now);
         if is_allowed {
             self.count_attempt();
-            self.plane.shared.metrics.retries.inc();
+            self.call.plane.shared.metrics.retries.inc();
         }
         is_allowed
     }
@@ -98,37 +86,37 @@
         if self.trial.is_some() {
             return None;
         }
-        let kind = refusal::kind_of(self.meta.class.kind);
-        self.service.state.borrow().hedges.delay(kind).map(Duration::from)
+        let kind = refusal::kind_of(self.call.meta.class.kind);
+        self.call.service.state.borrow().hedges.delay(kind).map(Duration::from)
     }
 
     /// Whether a second copy of an attempt that began at `started` may go out now; if so it is
     /// counted.
     pub(super) fn may_hedge(&self, started: Micros) -> bool {
-        let now = self.plane.now();
-        let kind = refusal::kind_of(self.meta.class.kind);
-        let mut state = self.service.state.borrow_mut();
+        let now = self.call.plane.now();
+        let kind = refusal::kind_of(self.call.meta.class.kind);
+        let mut state = self.call.service.state.borrow_mut();
         let State { hedges, retries, admission, .. } = &mut *state;
         // Without room for it a copy would only take the place of a request that waits.
         let is_allowed = self.attempts.get().made() < MAX_ATTEMPTS
             && admission.has_room()
-            && hedges.try_hedge(now, started, self.meta.deadline, kind, retries);
+            && hedges.try_hedge(now, started, self.call.meta.deadline, kind, retries);
         drop(state);
         if is_allowed {
             self.count_attempt();
-            self.plane.shared.metrics.hedges.inc();
+            self.call.plane.shared.metrics.hedges.inc();
         }
         is_allowed
     }
 
     /// Chooses the next backend server; one tried before only where no other is left.
     pub(super) fn choose(&self) -> Option<Slot> {
-        let now = self.plane.now();
+        let now = self.call.plane.now();
         let exclude = self.tried.borrow().clone();
         if self.trial.is_some() {
             return self.choose_alone(exclude);
         }
-        let mut state = self.service.state.borrow_mut();
+        let mut state = self.call.service.state.borrow_mut();
         let balancer = &mut state.balancer;
         if exclude.is_empty()
             && balancer.free_slots(now) == 0
@@ -137,17 +125,17 @@
             return Some(slot);
         }
         // A filing that fails cannot be sent again, so it is no trial for a server in doubt.
-        let is_filing = self.meta.class.kind == ClassKind::Filing;
+        let is_filing = self.call.meta.class.kind == ClassKind::Filing;
         let proven = if is_filing { balancer.choose_proven(now, &exclude) } else { None };
         proven.or_else(|| balancer.choose(now, &exclude)).or_else(|| balancer.choose(now, &[]))
     }
 
     /// Chooses a backend server on which nothing else runs.
     fn choose_alone(&self, mut exclude: Vec<Slot>) -> Option<Slot> {
-        let now = self.plane.now();
+        let now = self.call.plane.now();
         loop {
-            let slot = self.service.state.borrow_mut().balancer.choose(now, &exclude)?;
-            if self.service.backend(slot).is_some_and(|b| b.running.is_empty()) {
+            let slot = self.call.service.state.borrow_mut().balancer.choose(now, &exclude)?;
+            if self.call.service.backend(slot).is_some_and(|b| b.running.is_empty()) {
                 return Some(slot);
             }
             exclude.push(slot);
@@ -163,17 +151,17 @@
         before_send: impl FnOnce() -> bool,
     ) -> Result<Served, Fault> {
         self.tried.borrow_mut().push(slot);
-        self.trace.borrow_mut().attempts = self.attempts.get().made();
+        self.call.trace.borrow_mut().attempts = self.attempts.get().made();
         let in_flight = InFlight::start(permit, slot);
-        let Some(backend) = self.service.backend(slot) else {
+        let Some(backend) = self.call.service.backend(slot) else {
             return Err(Fault::Connect(std::io::ErrorKind::NotFound.into()));
         };
         let target = Target {
-            plane: self.plane,
-            service: self.service,
+            plane: &self.call.plane,
+            service: &self.call.service,
             slot,
             backend: &backend,
-            deadline: self.meta.deadline,
+            deadline: self.call.meta.deadline,
         };
         let running = backend.running.enter(self.req.fingerprint);
         let result = attempt(&target, self.req, self.attempts.get().made(), before_send).await;
@@ -185,10 +173,11 @@
             }
             Err(fault) => {
                 if fault.is_lost() {
-                    *self.spreading.borrow_mut() = Some(crash::note_loss(self.plane, &backend));
+                    *self.spreading.borrow_mut() =
+                        Some(crash::note_loss(&self.call.plane, &backend));
                 }
                 drop(running);
-                self.trace.borrow_mut().tried(&backend.id, &fault);
+                self.call.trace.borrow_mut().tried(&backend.id, &fault);
                 in_flight.finish(fault.outcome());
                 Err(fault)
             }
@@ -197,14 +186,14 @@
 
     fn answered(&self, backend: &Backend, reply: &Reply, latency: Micros) {
         let fingerprint = self.req.fingerprint;
-        self.plane.suspects.borrow_mut().answered(self.plane.now(), fingerprint);
-        self.trace.borrow_mut().tried(&backend.id, reply.status);
-        self.service.state.borrow_mut().hedges.observe(latency);
+        self.call.plane.suspects.borrow_mut().answered(self.call.plane.now(), fingerprint);
+        self.call.trace.borrow_mut().tried(&backend.id, reply.status);
+        self.call.service.state.borrow_mut().hedges.observe(latency);
         if let Some(count) = number(&reply.headers, ATTEMPT_HEADER) {
             let mut attempts = self.attempts.get();
             attempts.reported(u32::try_from(count).unwrap_or(u32::MAX));
             self.attempts.set(attempts);
-            self.trace.borrow_mut().attempts = attempts.made();
+            self.call.trace.borrow_mut().attempts = attempts.made();
         }
     }
 }
--- a/crates/galenapath-entry/src/data/filing.rs
+++ b/crates/galenapath-entry/src/data/filing.rs
@@ -1,17 +1,15 @@
 //! Filings: requests that run at most once.
 
 use super::answer::{OwnAnswer, send_whole};
-use super::attempt::{Fault, Reply};
+use super::attempt::{Fault, Reply, outcome_of};
+use super::call::Call;
 use super::caller::Caller;
 use super::dispatch::{Dispatch, Served};
-use super::ending::{observe_latency, outcome_of, refuse, remember};
-use super::explain::Trace;
 use super::permit::Permit;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::relay::Told;
 use super::request::RequestMeta;
-use super::service::Service;
 use super::{filing_wait, forward, headers, refusal, relay};
 use bytes::Bytes;
 use galenapath_filings::{Admit, AfterAttempt, Answer, AttemptEnd, End, FilingKey, RecordId};
@@ -19,42 +17,34 @@
 use galenapath_policy::Outcome;
 use galenapath_protocol::{Micros, REQUEST_ID_HEADER, VERDICT_HEADER, Verdict};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use std::cell::RefCell;
-use std::rc::Rc;
 
 /// When a caller whose filing may have run should ask again with the same key.
 const ASK_AGAIN: Micros = Micros::from_secs(2);
 
 /// Serves a filing.
 pub(super) async fn serve(
-    plane: &Rc<DataPlane>,
+    call: &Call,
     caller: &mut Caller,
-    service: &Rc<Service>,
-    meta: &RequestMeta,
     head: RequestHead,
     body: Bytes,
 ) -> Result<(), HttpError> {
-    let trace = Trace::new(meta.id);
-    let key = match key_of(meta) {
+    let key = match key_of(&call.meta) {
         Ok(key) => key,
-        Err(answer) => return refuse(plane, caller, meta, trace, &answer).await,
+        Err(answer) => return call.refuse(caller, &answer).await,
     };
-    let req = Prepared::new(plane, meta, head, body);
-    let admit = filing_wait::admit(plane, meta, &key, &req).await;
-    count(plane, &admit);
+    let req = Prepared::new(&call.plane, &call.meta, head, body);
+    let admit = filing_wait::admit(&call.plane, &call.meta, &key, &req).await;
+    count(&call.plane, &admit);
     match admit {
+        // Once dispatched, a filing runs to its end even when the caller goes away: its outcome is
+        // what a resend asks for.
         Admit::Run(id) => {
-            // Once dispatched, a filing runs to its end even when the caller goes away: its
-            // outcome is what a resend asks for.
-            let trace = RefCell::new(trace);
-            let ended = run(plane, service, meta, &req, id, &trace).await;
-            finish(plane, caller, meta, trace.into_inner(), ended).await
+            let ended = run(call, &req, id).await;
+            finish(call, caller, ended).await
         }
-        Admit::Replay(answer) => replay(plane, caller, meta, trace, &answer).await,
-        Admit::Forward(incarnation) => {
-            forward::serve(plane, caller, meta, trace, &req, incarnation).await
-        }
-        other => refuse(plane, caller, meta, trace, &refusal_of(&other)).await,
+        Admit::Replay(answer) => replay(call, caller, &answer).await,
+        Admit::Forward(incarnation) => forward::serve(call, caller, &req, incarnation).await,
+        other => call.refuse(caller, &refusal_of(&other)).await,
     }
 }
 
@@ -139,27 +129,18 @@
     Unanswered(OwnAnswer),
 }
 
-async fn run(
-    plane: &Rc<DataPlane>,
-    service: &Rc<Service>,
-    meta: &RequestMeta,
-    req: &Prepared,
-    id: RecordId,
-    trace: &RefCell<Trace>,
-) -> Ended {
-    let open = OpenRecord { plane, id, is_resolved: false };
-    let dispatch = match Dispatch::new(plane, service, meta, req, trace) {
+async fn run(call: &Call, req: &Prepared, id: RecordId) -> Ended {
+    let open = OpenRecord { plane: &call.plane, id, is_resolved: false };
+    let dispatch = match Dispatch::new(call, req) {
         Ok(dispatch) => dispatch,
         Err(answer) => return Ended::Unanswered(open.not_run(answer)),
     };
-    let permit = match Permit::acquire(plane, service, meta).await {
+    let permit = match Permit::acquire(call).await {
         Ok(permit) => permit,
         Err(rejection) => {
             return Ended::Unanswered(open.not_run(refusal::turn_away(&rejection)));
         }
     };
-    trace.borrow_mut().waited = permit.waited;
-    service.state.borrow_mut().retries.first_try(plane.now());
     match try_until_final(&dispatch, &permit, id).await {
         Tried::Answered(served) => {
             open.answered(&served.reply);
@@ -190,7 +171,7 @@
 
 /// Tries backend servers for as long as the attempts before certainly did not run the filing.
 async fn try_until_final(dispatch: &Dispatch<'_>, permit: &Permit, id: RecordId) -> Tried {
-    let plane = dispatch.plane;
+    let plane = &dispatch.call.plane;
     loop {
         let Some(slot) = dispatch.choose() else { return Tried::NotRun(None) };
         let mut was_sent = false;
@@ -221,7 +202,8 @@
     }
 }
 
-/// A record that has to be resolved. Dropping it unresolved counts as "may have run".
+/// A record that has to be resolved. Dropping it unresolved says that it did not run, which the
+/// table takes back where bytes may have left.
 struct OpenRecord<'a> {
     plane: &'a DataPlane,
     id: RecordId,
@@ -274,41 +256,24 @@
     }
 }
 
-async fn finish(
-    plane: &Rc<DataPlane>,
-    caller: &mut Caller,
-    meta: &RequestMeta,
-    trace: Trace,
-    ended: Ended,
-) -> Result<(), HttpError> {
+async fn finish(call: &Call, caller: &mut Caller, ended: Ended) -> Result<(), HttpError> {
     let (served, permit) = match ended {
-        Ended::Unanswered(answer) => return refuse(plane, caller, meta, trace, &answer).await,
+        Ended::Unanswered(answer) => return call.refuse(caller, &answer).await,
         Ended::Answered { served, permit } => (*served, permit),
     };
-    observe_latency(plane, meta);
+    call.observe_latency();
     let status = served.reply.status;
     let outcome = outcome_of(status);
-    let told = Told {
-        id: meta.id,
-        backend: &served.backend,
-        verdict: Verdict::Answered,
-        attempts: trace.attempts,
-    };
+    let told = Told::answered(call, &served.backend);
     let sent = relay::send(caller, &told, served.reply).await;
     served.in_flight.finish(outcome);
     permit.finish(outcome);
-    remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
+    call.ended(status.as_u16(), Verdict::Answered, "answered");
     sent
 }
 
 /// Gives a resend the answer that the filing had.
-async fn replay(
-    plane: &DataPlane,
-    caller: &mut Caller,
-    meta: &RequestMeta,
-    trace: Trace,
-    answer: &Answer,
-) -> Result<(), HttpError> {
+async fn replay(call: &Call, caller: &mut Caller, answer: &Answer) -> Result<(), HttpError> {
     let mut head = HeaderMap::new();
     for (name, value) in &answer.headers {
         if let (Ok(name), Ok(value)) =
@@ -318,8 +283,8 @@
         }
     }
     headers::set(&mut head, VERDICT_HEADER, Verdict::Answered.as_str());
-    headers::set(&mut head, REQUEST_ID_HEADER, &meta.id.to_string());
+    headers::set(&mut head, REQUEST_ID_HEADER, &call.meta.id.to_string());
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-    remember(plane, meta, trace, answer.status, Verdict::Answered, "replayed");
+    call.ended(answer.status, Verdict::Answered, "replayed");
     send_whole(caller, status, head, &answer.body).await
 }
--- a/crates/galenapath-entry/src/data/forward.rs
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -7,9 +7,8 @@
 use super::answer::OwnAnswer;
 use super::attempt::read_final_head;
 use super::attempt::{BUFFERED_ANSWER, Reply};
+use super::call::Call;
 use super::caller::Caller;
-use super::ending::{refuse, remember};
-use super::explain::Trace;
 use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::relay::Told;
@@ -25,7 +24,6 @@
 };
 use http::StatusCode;
 use monoio::net::TcpStream;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// Successors that are asked for an outcome; as many as get it at a planned stop.
@@ -42,28 +40,26 @@
 
 /// Passes a filing on and its answer back.
 pub(super) async fn serve(
-    plane: &Rc<DataPlane>,
+    call: &Call,
     caller: &mut Caller,
-    meta: &RequestMeta,
-    mut trace: Trace,
     req: &Prepared,
     incarnation: Incarnation,
 ) -> Result<(), HttpError> {
-    if meta.hops == 0 {
-        for member in holders(plane, incarnation) {
-            let name = BackendId(format!("instance {}", member.id));
-            match pass_on(plane, meta, req, &member).await {
-                Ok(reply) => {
-                    trace.tried(&name, reply.status);
-                    let (status, verdict) = (reply.status, verdict_of(&reply));
-                    remember(plane, meta, trace, status.as_u16(), verdict, "passed on");
-                    let attempts = number(&reply.headers, ATTEMPT_HEADER).unwrap_or(1);
-                    let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
-                    let told = Told { id: meta.id, backend: &name, verdict, attempts };
-                    return relay::send(caller, &told, reply).await;
-                }
-                Err(e) => trace.tried(&name, e),
+    let Call { plane, meta, trace, .. } = call;
+    let holders = if meta.hops == 0 { holders(plane, incarnation) } else { Vec::new() };
+    for member in holders {
+        let name = BackendId(format!("instance {}", member.id));
+        match pass_on(plane, meta, req, &member).await {
+            Ok(reply) => {
+                trace.borrow_mut().tried(&name, reply.status);
+                let (status, verdict) = (reply.status, verdict_of(&reply));
+                call.ended(status.as_u16(), verdict, "passed on");
+                let attempts = number(&reply.headers, ATTEMPT_HEADER).unwrap_or(1);
+                let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
+                let told = Told { id: meta.id, backend: &name, verdict, attempts };
+                return relay::send(caller, &told, reply).await;
             }
+            Err(e) => trace.borrow_mut().tried(&name, e),
         }
     }
     let answer = OwnAnswer::may_have_run(
@@ -71,7 +67,7 @@
         "owner_gone",
         "the instance that may run this key cannot be reached; the filing may have run",
     );
-    refuse(plane, caller, meta, trace, &answer.retry_after(ASK_AGAIN)).await
+    call.refuse(caller, &answer.retry_after(ASK_AGAIN)).await
 }
 
 /// The instances to ask: the incarnation itself, or its successors where it is gone.
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -3,12 +3,12 @@
 mod answer;
 mod attempt;
 mod backend;
+mod call;
 mod caller;
 mod commands;
 mod crash;
 mod dispatch;
 mod dispatching;
-mod ending;
 mod entries;
 mod explain;
 mod filing;
--- a/crates/galenapath-entry/src/data/permit.rs
+++ b/crates/galenapath-entry/src/data/permit.rs
@@ -1,5 +1,6 @@
 //! Admission of one request, and the guards that release what it holds.
 
+use super::call::Call;
 use super::plane::DataPlane;
 use super::request::RequestMeta;
 use super::service::Service;
@@ -21,8 +22,6 @@
     service: Rc<Service>,
     ticket: Ticket,
     started: Micros,
-    /// Time that the request waited.
-    pub(super) waited: Micros,
     /// Whether an attempt has begun; until then the request counts as unsent.
     is_sent: Cell<bool>,
     is_done: bool,
@@ -30,11 +29,8 @@
 
 impl Permit {
     /// Waits until the request is let in or turned away.
-    pub(super) async fn acquire(
-        plane: &Rc<DataPlane>,
-        service: &Rc<Service>,
-        meta: &RequestMeta,
-    ) -> Result<Self, Rejection> {
+    pub(super) async fn acquire(call: &Call) -> Result<Self, Rejection> {
+        let Call { plane, service, meta, trace } = call;
         let arrived = plane.now();
         let ticket = meta.number;
         match offer(service, arrived, meta) {
@@ -48,12 +44,13 @@
         let started = plane.now();
         let waited = started - arrived;
         plane.shared.metrics.wait.observe(waited.as_millis_f64() / 1_000.0);
+        trace.borrow_mut().waited = waited;
+        service.state.borrow_mut().retries.first_try(started);
         Ok(Self {
             plane: Rc::clone(plane),
             service: Rc::clone(service),
             ticket,
             started,
-            waited,
             is_sent: Cell::new(false),
             is_done: false,
         })
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{About, OwnAnswer, has_no_body, send_whole};
 use super::attempt::{Reply, Rest};
+use super::call::Call;
 use super::caller::{Caller, read_piece};
 use super::headers;
 use super::request::RequestId;
@@ -56,6 +57,14 @@
     pub(super) attempts: u32,
 }
 
+impl<'a> Told<'a> {
+    /// About the answer of a backend server to `call`.
+    pub(super) fn answered(call: &Call, backend: &'a BackendId) -> Self {
+        let attempts = call.trace.borrow().attempts;
+        Self { id: call.meta.id, backend, verdict: Verdict::Answered, attempts }
+    }
+}
+
 /// Sends an answer on. An error means that the caller did not get all of it and that its
 /// connection has to be closed, which tells the caller so.
 pub(super) async fn send(
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -2,84 +2,67 @@
 //!
 //! Such a request is sent once: its body cannot be had a second time.
 
-use super::answer::OwnAnswer;
 use super::attempt::{
-    Fault, Reply, Rest, Target, can_reuse, read_final_head, take_report, time_left,
+    Fault, Reply, Rest, Target, can_reuse, outcome_of, read_final_head, take_report, time_left,
 };
+use super::call::Call;
 use super::caller::{Caller, read_piece};
-use super::ending::{observe_latency, outcome_of, refuse, remember};
-use super::explain::Trace;
 use super::permit::{InFlight, Permit};
-use super::plane::DataPlane;
 use super::prepare::Prepared;
 use super::refusal;
 use super::relay::{self, Pace, Told, within_pause};
 use super::request::RequestMeta;
-use super::service::Service;
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_http::{BodyState, HttpError, RequestHead, put_request, response_framing};
 use galenapath_policy::Outcome;
 use galenapath_protocol::Verdict;
 use std::pin::pin;
-use std::rc::Rc;
 
 /// Longest time to connect to a backend server.
 const CONNECT_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_200);
 
 /// Serves a request whose body is streamed; `start` has been read of it already.
 pub(super) async fn serve(
-    plane: &Rc<DataPlane>,
+    call: &Call,
     caller: &mut Caller,
-    service: &Rc<Service>,
-    meta: &RequestMeta,
     head: RequestHead,
     start: Bytes,
     state: BodyState,
 ) -> Result<(), HttpError> {
     // After a refusal the rest of the body is not read.
     let keep_alive = std::mem::replace(&mut caller.keep_alive, false);
-    let mut trace = Trace::new(meta.id);
+    let Call { plane, service, meta, trace } = call;
     let req = Prepared::new(plane, meta, head, Bytes::new());
-    let permit = match Permit::acquire(plane, service, meta).await {
+    let permit = match Permit::acquire(call).await {
         Ok(permit) => permit,
-        Err(rejection) => {
-            let answer = refusal::turn_away(&rejection);
-            return refuse(plane, caller, meta, trace, &answer).await;
-        }
+        Err(rejection) => return call.refuse(caller, &refusal::turn_away(&rejection)).await,
     };
     let chosen = service.state.borrow_mut().balancer.choose(plane.now(), &[]);
     let Some((slot, backend)) = chosen.and_then(|s| Some((s, service.backend(s)?))) else {
         permit.finish(Outcome::Shed);
-        let answer = refusal::no_backend(Verdict::NotRun);
-        return refuse(plane, caller, meta, trace, &answer).await;
+        return call.refuse(caller, &refusal::no_backend(Verdict::NotRun)).await;
     };
     let in_flight = InFlight::start(&permit, slot);
+    trace.borrow_mut().attempts = meta.attempts.max(1);
     let target = Target { plane, service, slot, backend: &backend, deadline: meta.deadline };
     match send(&target, caller, meta, &req, start, state).await {
         Ok(reply) => {
             caller.keep_alive = keep_alive;
-            trace.tried(&backend.id, reply.status);
-            observe_latency(plane, meta);
+            trace.borrow_mut().tried(&backend.id, reply.status);
+            call.observe_latency();
             let (status, outcome) = (reply.status, outcome_of(reply.status));
-            let told = Told {
-                id: meta.id,
-                backend: &backend.id,
-                verdict: Verdict::Answered,
-                attempts: meta.attempts.max(1),
-            };
-            let sent = relay::send(caller, &told, reply).await;
+            let sent = relay::send(caller, &Told::answered(call, &backend.id), reply).await;
             in_flight.finish(outcome);
             permit.finish(outcome);
-            remember(plane, meta, trace, status.as_u16(), Verdict::Answered, "answered");
+            call.ended(status.as_u16(), Verdict::Answered, "answered");
             sent
         }
         Err(fault) => {
-            trace.tried(&backend.id, &fault);
+            trace.borrow_mut().tried(&backend.id, &fault);
             in_flight.finish(fault.outcome());
             permit.finish(fault.outcome());
-            let answer: OwnAnswer = refusal::failed(&fault, Verdict::NotRun);
-            refuse(plane, caller, meta, trace, &answer).await
+            call.refuse(caller, &refusal::failed(&fault, Verdict::NotRun)).await
         }
     }
 }
