--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -9,6 +9,7 @@
 # capacity, and are stopped. Prints one row for each turn.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 
 pids=()
 dir=$(mktemp -d)
@@ -18,21 +19,10 @@
 }
 trap 'kill_all "${pids[@]}"; rm -rf "$dir"' EXIT
 
-# address NAME PREFIX: waits until NAME has printed `PREFIX ADDRESS`
-address() {
-  local found
-  for _ in $(seq 200); do
-    found=$(sed -n "s/^$2 //p" "$dir/$1.out" | head -n 1)
-    [ -n "$found" ] && { echo "$found"; return; }
-    sleep 0.05
-  done
-  return 1
-}
-
 cargo build --release --quiet --bins --examples -p galenapath -p galenapath-dev
 bin=target/release
 echo "compare-token-$RANDOM" >"$dir/token"
-"$bin/examples/store" >"$dir/store.out" 2>/dev/null & pids+=($!)
+start store "$bin/examples/store"
 store=$(address store listening)
 
 # 19 healthy servers with 6 slots and work of 20 ms on average: 5,700 requests a second.
@@ -41,8 +31,7 @@
 for n in $(seq 20); do
   servers+=(--server "name=s-$n,service=timetable,domain=d$((n % 3 + 1)),work=exponential:20,delay=1ms")
 done
-"$bin/examples/backend" --store "$store" --seed 1 "${servers[@]}" >"$dir/backends.out" 2>/dev/null &
-pids+=($!)
+start backends "$bin/examples/backend" --store "$store" --seed 1 "${servers[@]}"
 admin=$(address backends "listening admin")
 
 # faults JSON: sets faults of backend servers
@@ -80,7 +69,8 @@
 choice = "$1"
 TOML
     cp "$dir/entry.toml" "$dir/entry-$n.toml"
-    "$bin/galenapath" --settings "$dir/entry-$n.toml" 2>"$dir/entry-$n.err" & own+=($!); pids+=($!)
+    start "entry-$n" "$bin/galenapath" --settings "$dir/entry-$n.toml"
+    own+=("$pid")
     entries+=(--entry "$net.$2.$n:7000")
   done
   for _ in $(seq 50); do
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,6 +9,7 @@
 # One-way delays are simulated by the stand-ins, in steps of a millisecond.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 
 deployment=hsinchu
 while [ $# -gt 0 ]; do
@@ -49,24 +50,6 @@
 
 fail() { why=$1; exit 1; }
 
-# start NAME PROGRAM ARGS...: runs in the background, output to files
-start() {
-  local name=$1; shift
-  "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
-  pids+=($!)
-}
-
-# address NAME PREFIX: waits until NAME has printed `PREFIX ADDRESS`
-address() {
-  local found
-  for _ in $(seq 200); do
-    found=$(sed -n "s/^$2 //p" "$dir/$1.out" | head -n 1)
-    [ -n "$found" ] && { echo "$found"; return; }
-    sleep 0.05
-  done
-  return 1
-}
-
 cargo build --release --quiet --bins --examples -p galenapath -p galenapath-dev || fail "build"
 bin=target/release
 began=$SECONDS
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -7,6 +7,7 @@
 # relay on monoio-http and an entry instance. Stops what it started by process id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 
 cargo build --release --quiet --bins --examples -p galenapath -p galenapath-dev
 bin=target/release
@@ -20,36 +21,16 @@
 }
 trap finish EXIT
 
-# start NAME PROGRAM ARGS...: runs in the background; its process id goes to `pid`
-start() {
-  local name=$1; shift
-  "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
-  pid=$!
-  pids+=("$pid")
-}
-
-# find FILE EXPRESSION: waits until sed finds an address
-find_address() {
-  local found
-  for _ in $(seq 200); do
-    found=$(sed -n "$2" "$dir/$1" | head -n 1)
-    [ -n "$found" ] && { echo "$found"; return; }
-    sleep 0.05
-  done
-  echo "overhead: no address in $1" >&2
-  cat "$dir"/*.err >&2
-  return 1
-}
 
 echo "token-$RANDOM$RANDOM" >"$dir/token"
 start store "$bin/examples/store"
-store=$(find_address store.out 's/^listening //p')
+store=$(find_line store.out 's/^listening //p')
 start backend "$bin/examples/backend" --store "$store" --slots 64 --work constant:0 --accept-time 0ms \
   --server name=b1,service=s,domain=d1
-backend=$(find_address backend.out 's/^listening b1 //p')
+backend=$(find_line backend.out 's/^listening b1 //p')
 start relay "$bin/examples/relay" --to "$backend"
 relay_pid=$pid
-relay=$(find_address relay.out 's/^listening //p')
+relay=$(find_line relay.out 's/^listening //p')
 cat >"$dir/entry.toml" <<TOML
 [instance]
 name = "e1"
@@ -65,8 +46,8 @@
 TOML
 start entry "$bin/galenapath" --settings "$dir/entry.toml"
 entry_pid=$pid
-callers=$(find_address entry.err 's/.* listening callers=\([^ ]*\).*/\1/p')
-operators=$(find_address entry.err 's/.* operators=\([^ ]*\).*/\1/p')
+callers=$(find_line entry.err 's/.* listening callers=\([^ ]*\).*/\1/p')
+operators=$(find_line entry.err 's/.* operators=\([^ ]*\).*/\1/p')
 "$bin/galenactl" --instance "$operators" --token-file "$dir/token" class create lookup \
   --service s --kind lookup --path / --latency-ms 50 >"$dir/create.out"
 
