--- a/crates/galenapath-peers/src/pool.rs
+++ b/crates/galenapath-peers/src/pool.rs
@@ -18,9 +18,10 @@
 /// than two probe intervals.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// An idle connection to a peer is closed after this time, so that an instance holds connections
-/// only to peers it talks to.
-const IDLE: Duration = Duration::from_secs(30);
+/// An idle connection to a peer is closed after this time, so that an instance does not hold
+/// connections to peers that are gone. Longer than a round of probes through 520 instances, or each
+/// probe would need a new connection.
+const IDLE: Duration = Duration::from_secs(300);
 
 /// Most calls waiting for one peer.
 const QUEUE: usize = 64;
--- a/crates/galenapath-policy/src/dispatch/count.rs
+++ b/crates/galenapath-policy/src/dispatch/count.rs
@@ -7,7 +7,9 @@
 /// Thresholds of [`DispatcherCount`].
 #[derive(Clone, Debug)]
 pub struct CountConfig {
-    /// Requests per second that one small instance carries with ease, for all its services.
+    /// Requests per second that one small instance carries with ease, for all its services. A
+    /// request takes 84 to 102 microseconds of the data thread (`docs/CAPACITY.md`), so that 6,000
+    /// are 0.5 to 0.6 of a core.
     pub instance_rate: f64,
     /// Part of `instance_rate` per dispatcher above which the number grows.
     pub grow_above: f64,
@@ -17,7 +19,7 @@
 
 impl Default for CountConfig {
     fn default() -> Self {
-        Self { instance_rate: 12_000.0, grow_above: 0.7, shrink_below: 0.5 }
+        Self { instance_rate: 6_000.0, grow_above: 0.7, shrink_below: 0.5 }
     }
 }
 
--- a/crates/galenapath-policy/tests/dispatch/count.rs
+++ b/crates/galenapath-policy/tests/dispatch/count.rs
@@ -1,7 +1,9 @@
 use galenapath_policy::dispatch::{CountConfig, DispatcherCount};
 
+/// The numbers below are for this rate of an instance, whatever the default is.
 fn update(count: &mut DispatcherCount, rate: f64) -> usize {
-    count.update(&CountConfig::default(), rate, 3, 16)
+    let cfg = CountConfig { instance_rate: 12_000.0, ..CountConfig::default() };
+    count.update(&cfg, rate, 3, 16)
 }
 
 #[test]
