--- a/crates/galenapath-policy/tests/balance/balancer.rs
+++ b/crates/galenapath-policy/tests/balance/balancer.rs
@@ -1,6 +1,8 @@
 use crate::support::{MS, report, slot, slots, spec, specs, warm};
-use galenapath_policy::{BackendState, Outcome};
-use galenapath_protocol::Micros;
+use galenapath_policy::{BackendState, Balancer, BalancerConfig, Outcome};
+use galenapath_protocol::{DomainId, Micros};
+use proptest::prelude::*;
+use std::collections::HashMap;
 
 #[test]
 fn set_backends_state_kept_of_those_that_stay() {
@@ -72,3 +74,32 @@
     balancer.mark_leaving(leaving);
     assert_eq!(balancer.next_probe(now + Micros(10_000 * MS)), None);
 }
+
+proptest! {
+    /// Counted at the backend servers: however many dispatchers ask, and whenever, no server gets
+    /// more probes than its budget allows since the start.
+    #[test]
+    fn next_probe_sum_within_budget(
+        dispatchers in 1u32..8,
+        asks in proptest::collection::vec((0usize..8, 0u64..3_000 * MS), 1..500),
+    ) {
+        let cfg = BalancerConfig { dispatchers, probe_rate: 20.0, ..BalancerConfig::default() };
+        let new = |seed| Balancer::new(cfg.clone(), DomainId("here".into()), u64::from(seed));
+        let mut balancers: Vec<_> = (0..dispatchers).map(new).collect();
+        for balancer in &mut balancers {
+            balancer.set_backends(Micros::ZERO, &specs(2, 1));
+        }
+        let mut asks = asks;
+        asks.sort_by_key(|(_, at)| *at);
+        let mut probes = HashMap::new();
+        for (i, at) in asks {
+            let i = i % balancers.len();
+            while let Some(slot) = balancers[i].next_probe(Micros(at)) {
+                let id = balancers[i].backend(slot).unwrap().clone();
+                let count: &mut u64 = probes.entry(id).or_default();
+                *count += 1;
+                prop_assert!(*count * 1_000 * MS <= 20 * at);
+            }
+        }
+    }
+}
--- a/crates/galenapath-policy/tests/balance/choice.rs
+++ b/crates/galenapath-policy/tests/balance/choice.rs
@@ -177,7 +177,12 @@
             now = now + USUAL;
             match op {
                 Op::Send => {
-                    for chosen in [balancer.choose(now, &[]), balancer.choose_crossing(now)] {
+                    for how in 0..3 {
+                        let chosen = match how {
+                            0 => balancer.choose(now, &[]),
+                            1 => balancer.choose_crossing(now),
+                            _ => balancer.choose_proven(now, &[]),
+                        };
                         let Some(slot) = chosen else { continue };
                         let id = balancer.backend(slot).unwrap().clone();
                         let spec = listed.iter().find(|s| s.id == id).unwrap();
