--- a/crates/galenapath-entry/src/control/lists.rs
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -29,8 +29,12 @@
 /// Time between two looks at whether it is this instance's turn to watch.
 const REVIEW_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between the first two reads of an instance that does not watch. It doubles with each read:
+/// where many instances start at once, the first lists lack most of them.
+const FIRST_READ_PERIOD: Micros = Micros::from_secs(2);
+
 /// Longest time that an instance which does not watch goes without a read of its own.
-const READ_PERIOD: Micros = Micros::from_secs(300);
+const LAST_READ_PERIOD: Micros = Micros::from_secs(300);
 
 /// Pause after a failed call, so that a store that is down is not hammered.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
@@ -102,14 +106,14 @@
 }
 
 /// Reads a list at the start, then watches it where this instance is one of the few that do. The
-/// others learn from their peers, and read seldom, in case that every watcher is cut off.
+/// others learn from their peers, and read ever more seldom, in case that every watcher is cut off.
 async fn follow(plane: Rc<ControlPlane>, name: &str, take: impl Fn(&ControlPlane, Listing)) {
     let mut after: Option<StoreIndex> = None;
-    let mut read_at: Option<Micros> = None;
+    let mut next_read = Micros::ZERO;
+    let mut period = FIRST_READ_PERIOD;
     loop {
-        let is_due = read_at.is_none_or(|at| plane.now() - at >= READ_PERIOD);
         if !is_watcher(&plane) {
-            if !is_due {
+            if plane.now() < next_read {
                 monoio::time::sleep(REVIEW_PAUSE).await;
                 continue;
             }
@@ -121,7 +125,8 @@
             monoio::time::sleep(FAILURE_PAUSE).await;
             continue;
         };
-        read_at = Some(plane.now());
+        next_read = plane.now() + period;
+        period = Micros(period.0 * 2).min(LAST_READ_PERIOD);
         let position = listing.position;
         if after != Some(position) {
             take(&plane, listing);
