An instance that knows no others yet takes a small share of connections

A starting instance sees only itself and takes 120 connections to each backend server; three that start within a second pass the server's 240. Change: it starts with what one of 16 instances that does not dispatch may hold, six, and gets more when its view has stood for ten seconds. 16 old and 16 new at once hold 216 at most; the test shows that two with the former share would pass the limit.

--- a/crates/galenapath-entry/src/data/dispatching.rs
+++ b/crates/galenapath-entry/src/data/dispatching.rs
@@ -8,7 +8,7 @@
 use galenapath_protocol::{DomainId, FastSet, Incarnation, Micros};
 
 /// Connections that a backend server takes, from all instances together.
-const BACKEND_CONNECTIONS: u32 = 240;
+const SPLIT: ConnectionSplit = ConnectionSplit { limit: 240 };
 
 /// Longest time that views of two instances differ: the lag of the platform's list, and gossip.
 const SETTLE: Micros = Micros::from_secs(10);
@@ -27,7 +27,7 @@
     pub(super) fn new() -> Self {
         Self {
             count: DispatcherCount::default(),
-            share: SettlingShare::new(SETTLE, BACKEND_CONNECTIONS),
+            share: SettlingShare::new(SETTLE, SPLIT.starting_share()),
             chosen: Vec::new(),
             requests: 0,
         }
@@ -66,9 +66,8 @@
             .into_iter()
             .filter_map(|place| view.usable.get(place).cloned())
             .collect();
-        let split = ConnectionSplit { limit: BACKEND_CONNECTIONS };
         let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let share = split.share(number(instances.len()), number(self.chosen.len()), self.has(own));
+        let share = SPLIT.share(number(instances.len()), number(self.chosen.len()), self.has(own));
         self.share.set(now, share);
     }
 
--- a/crates/galenapath-policy/src/dispatch/connections.rs
+++ b/crates/galenapath-policy/src/dispatch/connections.rs
@@ -18,6 +18,9 @@
 /// server has slots.
 const COMMON_FIFTHS: u32 = 4;
 
+/// Instances of today's deployments.
+const TODAYS_INSTANCES: u32 = 16;
+
 /// Split of one backend server's connections among instances.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionSplit {
@@ -39,6 +42,17 @@
     }
 }
 
+impl ConnectionSplit {
+    /// Most connections of an instance that does not know the others yet: what one of today's 16
+    /// instances that does not dispatch may hold.
+    ///
+    /// An instance that has just started sees only itself and would take the whole half of the
+    /// limit; with several started at once the server's limit would be passed within a second.
+    pub fn starting_share(&self) -> u32 {
+        self.share(TODAYS_INSTANCES, TODAYS_INSTANCES, false)
+    }
+}
+
 /// One instance's share as it changes: lowered at once, raised only after the other instances
 /// must have learned of the change and lowered theirs.
 #[derive(Clone, Debug)]
--- a/crates/galenapath-policy/tests/dispatch/connections.rs
+++ b/crates/galenapath-policy/tests/dispatch/connections.rs
@@ -21,6 +21,15 @@
     assert_eq!(share((400, 3), true), 8);
 }
 
+#[test]
+fn starting_share_all_replaced_at_once_within_limit() {
+    let split = ConnectionSplit { limit: LIMIT };
+    let old = 3 * share((16, 3), true) + 13 * share((16, 3), false);
+    assert!(old + 16 * split.starting_share() <= LIMIT);
+    // What an instance that sees only itself would take else.
+    assert!(old + 2 * share((1, 1), true) > LIMIT);
+}
+
 fn view() -> impl Strategy<Value = (u32, u32)> {
     (1u32..500).prop_flat_map(|n| (Just(n), 1..=n))
 }
