--- a/crates/galenapath-entry/src/control/claims.rs
+++ b/crates/galenapath-entry/src/control/claims.rs
@@ -1,8 +1,7 @@
 //! Claims of callers' own keys in the store.
 
-use super::gossip;
 use super::plane::ControlPlane;
-use crate::shared::{ClaimRequest, ControlEvent};
+use crate::shared::ClaimRequest;
 use bytes::Bytes;
 use galenapath_filings::{ClaimId, ClaimResult};
 use galenapath_platform::{Lease, Platform, PlatformError};
@@ -13,28 +12,15 @@
 /// The lease that new claims are written with, and until when it is used for them. It is taken
 /// for longer than a claim has to stand, so that the last claim written with it stands as long.
 #[derive(Default)]
-struct ClaimLease {
+pub(super) struct ClaimLease {
     current: RefCell<Option<(Lease, Micros)>>,
 }
 
-/// Carries out what the data thread asks for.
-pub(super) async fn serve_events(plane: Rc<ControlPlane>) {
-    let lease = Rc::new(ClaimLease::default());
-    while let Ok(event) = plane.wiring.events.recv_async().await {
-        match event {
-            ControlEvent::Leaving(mark) => gossip::note_leaving(&plane, &mark),
-            ControlEvent::Crash(note) => {
-                drop(monoio::spawn(gossip::note_crash(Rc::clone(&plane), note)));
-            }
-            ControlEvent::Claim(request) => {
-                let (plane, lease) = (Rc::clone(&plane), Rc::clone(&lease));
-                monoio::spawn(async move {
-                    let result = claim(&plane, &lease, &request).await;
-                    let _ = request.reply.try_send(result);
-                });
-            }
-        }
-    }
+/// Claims a key and replies with the store's word.
+pub(super) async fn serve(plane: Rc<ControlPlane>, lease: Rc<ClaimLease>, request: ClaimRequest) {
+    let result = claim(&plane, &lease, &request).await;
+    // The request that asked may have ended.
+    let _ = request.reply.try_send(result);
 }
 
 async fn claim(plane: &ControlPlane, lease: &ClaimLease, request: &ClaimRequest) -> ClaimResult {
--- a/crates/galenapath-entry/src/control/mod.rs
+++ b/crates/galenapath-entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod backends;
 mod claims;
 mod configuration;
+mod events;
 mod gossip;
 mod lists;
 mod operators;
--- a/crates/galenapath-entry/src/control/start.rs
+++ b/crates/galenapath-entry/src/control/start.rs
@@ -1,7 +1,7 @@
 //! The tasks of the control thread.
 
 use super::plane::ControlPlane;
-use super::{claims, configuration, gossip, lists, operators, stop};
+use super::{configuration, events, gossip, lists, operators, stop};
 use monoio::net::TcpListener;
 use std::rc::Rc;
 
@@ -14,7 +14,7 @@
     monoio::spawn(gossip::probe_peers(Rc::clone(&plane)));
     monoio::spawn(gossip::ask_seeds(Rc::clone(&plane)));
     monoio::spawn(gossip::answer_peers(Rc::clone(&plane)));
-    monoio::spawn(claims::serve_events(Rc::clone(&plane)));
+    monoio::spawn(events::serve(Rc::clone(&plane)));
     monoio::spawn(operators::serve(Rc::clone(&plane), operators));
     stop::wait_and_drain(&plane).await;
 }
