--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one backend server.
 
 use super::backend::Backend;
+use super::headers::connection_has;
 use super::plane::DataPlane;
 use super::pool::Pooled;
 use super::prepare::Prepared;
@@ -200,10 +201,7 @@
 
 /// Whether a connection may be used again after a complete answer.
 pub(super) fn can_reuse(framing: Framing, version: http::Version, headers: &HeaderMap) -> bool {
-    let closes = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .any(|value| value.as_bytes().to_ascii_lowercase().windows(5).any(|w| w == b"close"));
+    let closes = connection_has(headers, "close");
     framing != Framing::UntilClose && version == http::Version::HTTP_11 && !closes
 }
 
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -2,6 +2,7 @@
 
 use super::answer::OwnAnswer;
 use super::call::Call;
+use super::headers::connection_has;
 use super::plane::DataPlane;
 use super::request::{RequestId, RequestMeta, text};
 use super::{entries, filing, lookup, stream};
@@ -215,11 +216,9 @@
 }
 
 fn wants_keep_alive(head: &RequestHead) -> bool {
-    let connection = text(&head.headers, CONNECTION.as_str()).unwrap_or("");
-    let has = |token: &str| connection.split(',').any(|t| t.trim().eq_ignore_ascii_case(token));
     match head.version {
-        Version::HTTP_11 => !has("close"),
-        _ => has("keep-alive"),
+        Version::HTTP_11 => !connection_has(&head.headers, "close"),
+        _ => connection_has(&head.headers, "keep-alive"),
     }
 }
 
--- a/crates/galenapath-entry/src/data/headers.rs
+++ b/crates/galenapath-entry/src/data/headers.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// Whether the `Connection` header has `token`.
+pub(super) fn connection_has(headers: &HeaderMap, token: &str) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|found| found.trim().eq_ignore_ascii_case(token))
+}
+
 /// Adds what a backend server gets to know about a request.
 pub(super) fn add_request(headers: &mut HeaderMap, id: RequestId, left: Micros) {
     set(headers, REQUEST_ID_HEADER, &id.to_string());
