--- a/crates/galenapath-codegen/examples/codegen.rs
+++ b/crates/galenapath-codegen/examples/codegen.rs
@@ -23,6 +23,18 @@
         derives: &["PartialEq"],
         replacements: &[],
     },
+    Target {
+        schema: "schema/gateway.schema.json",
+        output: "crates/galenapath-settings/src/generated_gateway.rs",
+        derives: &["PartialEq"],
+        replacements: &[],
+    },
+    Target {
+        schema: "schema/fleet.schema.json",
+        output: "crates/galenapath-gateway/src/fleet/generated.rs",
+        derives: &["PartialEq"],
+        replacements: &[],
+    },
     Target {
         schema: "schema/peers.schema.json",
         output: "crates/galenapath-peers/src/generated.rs",
--- a/crates/galenapath-dev/src/backend/server.rs
+++ b/crates/galenapath-dev/src/backend/server.rs
@@ -197,6 +197,7 @@
             waiting: self.slots.waiting() as u32,
             slots: self.slots.limit() as u32,
             leaving: self.leaving.get().is_some(),
+            pace: 0,
         };
         match self.faults.borrow().reports {
             ReportFault::None => honest,
--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -1,13 +1,13 @@
 //! One attempt at one backend server.
 
 use super::backend::Backend;
-use super::headers::connection_has;
 use super::plane::DataPlane;
 use super::pool::Pooled;
 use super::prepare::Prepared;
 use super::service::Service;
 use crate::shared::ControlEvent;
 use bytes::{Bytes, BytesMut};
+use galenapath_http::connection_has;
 use galenapath_http::{
     BodyState, Connection, Field, Framing, HeadTimes, HttpError, ResponseHead, put_request,
     response_framing,
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -2,12 +2,12 @@
 
 use super::answer::OwnAnswer;
 use super::call::Call;
-use super::headers::connection_has;
 use super::plane::DataPlane;
 use super::request::{RequestId, RequestMeta, text};
 use super::{entries, filing, lookup, stream};
 use bytes::{Bytes, BytesMut};
 use galenapath_config::{Class, ClassKind, Config};
+use galenapath_http::connection_has;
 use galenapath_http::{
     BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, request_framing,
 };
--- a/crates/galenapath-entry/src/data/headers.rs
+++ b/crates/galenapath-entry/src/data/headers.rs
@@ -1,21 +1,12 @@
 //! Which headers pass from one side to the other.
 
 use super::request::RequestId;
+use galenapath_http::strip_hop_by_hop;
 use galenapath_protocol::{
     ATTEMPT_HEADER, BACKEND_HEADER, DEADLINE_HEADER, HOPS_HEADER, Micros, REPORT_HEADER,
     REQUEST_ID_HEADER, VERDICT_HEADER,
 };
-use http::header::{
-    CONNECTION, EXPECT, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, UPGRADE,
-};
-
-/// Headers about one connection, which never pass (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] =
-    [CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, UPGRADE, EXPECT];
-
-/// Older names of hop-by-hop headers.
-const OLD_HOP_BY_HOP: [&str; 2] = ["keep-alive", "proxy-connection"];
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 /// Headers that only galenapath itself may set; what a caller or a backend server sends under
 /// these names is dropped.
@@ -31,32 +22,10 @@
 
 /// Removes headers that must not pass to the other side.
 pub(super) fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP {
+    strip_hop_by_hop(headers);
+    for name in INTERNAL {
         headers.remove(name);
     }
-    for name in OLD_HOP_BY_HOP.iter().chain(&INTERNAL) {
-        headers.remove(*name);
-    }
-}
-
-/// Whether the `Connection` header has `token`.
-pub(super) fn connection_has(headers: &HeaderMap, token: &str) -> bool {
-    headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|found| found.trim().eq_ignore_ascii_case(token))
 }
 
 /// Adds what a backend server gets to know about a request.
--- /dev/null
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -0,0 +1,211 @@
+//! One send of a request to one backend server.
+
+use crate::call::Call;
+use crate::reply::{self, HeadVerdict, Reply, Rest};
+use crate::request::set;
+use crate::service::InFlight;
+use galenapath_http::{
+    BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
+};
+use galenapath_policy::place::Sighting;
+use galenapath_protocol::{Micros, Verdict};
+use galenapath_routes::RouteKind;
+use monoio::net::TcpStream;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a connection: far more than a crossing and a handshake take, less than a caller
+/// can spare.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+
+/// Largest head of an answer, in bytes.
+const HEAD_LIMIT: usize = 16 * 1024;
+
+/// Idle time up to which a kept connection carries a request that must not run twice: one that the
+/// server has just closed would leave open whether it ran.
+const FRESH_IDLE: Micros = Micros::from_millis(500);
+
+/// Why a send has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// No connection; nothing was sent.
+    Unreachable,
+    /// The server says that it did not run the request.
+    Refused,
+    /// Another server has the address and did not run the request.
+    OtherServer,
+    /// The connection broke after the request was sent.
+    Broken,
+    /// An answer that must not be passed on.
+    Bad(&'static str),
+}
+
+impl Fault {
+    /// Whether the request may have run.
+    pub(crate) const fn verdict(self) -> Verdict {
+        match self {
+            Self::Unreachable | Self::Refused | Self::OtherServer => Verdict::NotRun,
+            Self::Broken | Self::Bad(_) => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Short name for logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::OtherServer => "other_server",
+            Self::Broken => "broken",
+            Self::Bad(why) => why,
+        }
+    }
+
+    /// Weight of the failure in the choice of servers; one is a plain failure.
+    pub(crate) const fn weight(self) -> f32 {
+        match self {
+            Self::Refused => 0.3,
+            Self::Unreachable | Self::OtherServer | Self::Broken | Self::Bad(_) => 1.0,
+        }
+    }
+}
+
+/// Sends the request to the server of `in_flight` and reads its answer.
+pub(crate) async fn attempt(call: &Call, in_flight: InFlight) -> Result<Reply, Fault> {
+    let started = call.instance.now();
+    let result = send(call, &in_flight).await;
+    let took = call.instance.now() - started;
+    call.note_attempt(&in_flight.server, took, &result);
+    result
+}
+
+async fn send(call: &Call, in_flight: &InFlight) -> Result<Reply, Fault> {
+    let (service, server) = (&call.service, &in_flight.server);
+    let address = service.address(server).ok_or(Fault::Unreachable)?;
+    let now = call.instance.now();
+    let most_idle = match call.req.route.kind {
+        RouteKind::OnceOnly => FRESH_IDLE,
+        RouteKind::Idempotent | RouteKind::Download => Micros(u64::MAX),
+    };
+    let kept = service.pools.take(now, server, most_idle).await;
+    let is_kept = kept.is_some();
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => connect(call, address).await?,
+    };
+    put_head(call, in_flight, &mut connection);
+    call.sent();
+    let head = exchange_head(call, &mut connection).await;
+    let head = match head {
+        // The server closed a kept connection while the request was on its way to it.
+        Err(HttpError::Closed | HttpError::Io(_))
+            if is_kept && call.req.route.kind.may_repeat() =>
+        {
+            connection = connect(call, address).await?;
+            put_head(call, in_flight, &mut connection);
+            exchange_head(call, &mut connection).await
+        }
+        head => head,
+    };
+    let (head, verdict) = head.map_err(|e| broken(&e))?;
+    note_load(call, in_flight, &head);
+    match verdict {
+        HeadVerdict::NotRun => call.not_run(),
+        HeadVerdict::OtherServer => {
+            call.not_run();
+            service.placement.borrow_mut().mark_leaving(server);
+            return Err(Fault::OtherServer);
+        }
+        HeadVerdict::Foreign => return Err(Fault::Bad("foreign")),
+        HeadVerdict::Bad(why) => return Err(Fault::Bad(why)),
+        HeadVerdict::Answer => {}
+    }
+    let reply = read_reply(call, in_flight, connection, head).await;
+    match verdict {
+        HeadVerdict::NotRun => Err(Fault::Refused),
+        _ => reply,
+    }
+}
+
+fn broken(e: &HttpError) -> Fault {
+    match e {
+        HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::HeadTooLarge { .. } => {
+            Fault::Bad("not_http")
+        }
+        _ => Fault::Broken,
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(call: &Call, address: SocketAddr) -> Result<Connection, Fault> {
+    call.instance.metrics.connects.inc();
+    let connecting = TcpStream::connect_addr(address);
+    match monoio::time::timeout(CONNECT_TIME, connecting).await {
+        Ok(Ok(io)) => Ok(Connection::new(io, HEAD_LIMIT)),
+        Ok(Err(_)) | Err(_) => Err(Fault::Unreachable),
+    }
+}
+
+/// Writes head and body into the connection's buffer.
+fn put_head(call: &Call, in_flight: &InFlight, connection: &mut Connection) {
+    let names = &call.instance.names;
+    let mut headers = call.req.headers.clone();
+    let left = call.req.deadline - call.instance.now();
+    set(&mut headers, &names.time_left_ms, &(left.0 / 1_000).to_string());
+    set(&mut headers, &names.expected_server, &in_flight.server.0);
+    let framing = call.req.framing();
+    let out = connection.output();
+    put_request(out, &call.req.method, &call.req.target, &headers, &[], framing);
+    out.extend_from_slice(&call.req.body);
+}
+
+async fn exchange_head(
+    call: &Call,
+    connection: &mut Connection,
+) -> Result<(ResponseHead, HeadVerdict), HttpError> {
+    connection.flush().await?;
+    let names = &call.instance.names;
+    reply::read_head(connection, names, &call.req.method, call.req.id.as_ref()).await
+}
+
+fn note_load(call: &Call, in_flight: &InFlight, head: &ResponseHead) {
+    let value = head.headers.get(&call.instance.names.load);
+    let Some(report) = value
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| call.instance.dialect.load(text))
+    else {
+        return;
+    };
+    let sighting = Sighting { at: call.instance.now(), report };
+    call.service.see(&call.instance, &in_flight.server, sighting);
+}
+
+async fn read_reply(
+    call: &Call,
+    in_flight: &InFlight,
+    mut connection: Connection,
+    head: ResponseHead,
+) -> Result<Reply, Fault> {
+    let framing = response_framing(&call.req.method, head.status, &head.headers)
+        .map_err(|_| Fault::Bad("bad_framing"))?;
+    let mut body = BodyState::new(framing);
+    let start = reply::read_start(&mut connection, &mut body).await.map_err(|e| broken(&e))?;
+    let stated = reply::stated_idle(&head.headers);
+    let closes = reply::closes(&head.headers) || framing == Framing::UntilClose;
+    let rest = if body.is_complete() {
+        if !closes && !connection.has_unread() {
+            let now = call.instance.now();
+            call.service.pools.keep(now, &in_flight.server, connection, stated);
+        }
+        None
+    } else {
+        Some(Rest { connection, body })
+    };
+    Ok(Reply {
+        server: in_flight.server.clone(),
+        status: head.status,
+        headers: reply::passed_on(&call.instance.names, head.headers),
+        framing,
+        start,
+        rest,
+    })
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/call.rs
@@ -0,0 +1,130 @@
+//! One request on its way through the instance, with what is noted of it for the log.
+
+use crate::attempt::Fault;
+use crate::instance::Instance;
+use crate::reply::Reply;
+use crate::request::Request;
+use crate::service::Service;
+use galenapath_protocol::{BackendId, Micros, Verdict};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// A request and its service.
+///
+/// Invariant: `unresolved` counts the sends of which nobody has said that they did not run.
+pub(crate) struct Call {
+    pub(crate) instance: Rc<Instance>,
+    pub(crate) service: Rc<Service>,
+    pub(crate) req: Request,
+    unresolved: Cell<u32>,
+    sends: Cell<u32>,
+    pub(crate) tried: RefCell<Vec<BackendId>>,
+    /// Time that it waited for a server.
+    pub(crate) waited: Cell<Micros>,
+    /// What happened at each server, for the log.
+    steps: RefCell<String>,
+}
+
+impl Call {
+    pub(crate) fn new(instance: &Rc<Instance>, service: Rc<Service>, req: Request) -> Self {
+        Self {
+            instance: Rc::clone(instance),
+            service,
+            req,
+            unresolved: Cell::new(0),
+            sends: Cell::new(0),
+            tried: RefCell::default(),
+            waited: Cell::default(),
+            steps: RefCell::default(),
+        }
+    }
+
+    /// The request is being sent.
+    pub(crate) fn sent(&self) {
+        self.unresolved.set(self.unresolved.get() + 1);
+        if self.sends.replace(self.sends.get() + 1) == 0 {
+            self.service.retries.borrow_mut().first_try(self.instance.now());
+        }
+    }
+
+    /// The server that it was just sent to has not run it.
+    pub(crate) fn not_run(&self) {
+        self.unresolved.set(self.unresolved.get().saturating_sub(1));
+    }
+
+    /// Whether the request may have run.
+    pub(crate) fn verdict(&self) -> Verdict {
+        match self.unresolved.get() {
+            0 => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        }
+    }
+
+    /// Sends so far.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends.get()
+    }
+
+    /// Time left until the final answer is due.
+    pub(crate) fn left(&self) -> Micros {
+        self.req.deadline - self.instance.now()
+    }
+
+    /// Takes note of how a send ended, for the choice of servers and for the log.
+    pub(crate) fn note_attempt(
+        &self,
+        server: &BackendId,
+        took: Micros,
+        result: &Result<Reply, Fault>,
+    ) {
+        let now = self.instance.now();
+        let outcome = match result {
+            Ok(reply) if reply.status.is_server_error() => "server_error",
+            Ok(_) => "answered",
+            Err(fault) => fault.as_str(),
+        };
+        self.instance.metrics.sends.with_label_values(&[outcome]).inc();
+        let kind = self.req.route.kind.as_str();
+        let mut placement = self.service.placement.borrow_mut();
+        match result {
+            Ok(reply) if reply.status.is_server_error() => placement.failed(now, server, 1.0),
+            Ok(_) => {
+                placement.served(now, server, took);
+                let seconds = took.as_millis_f64() / 1_000.0;
+                self.instance.metrics.work.with_label_values(&[kind]).observe(seconds);
+            }
+            Err(Fault::Unreachable) => {
+                placement.failed(now, server, 1.0);
+                placement.not_reached(now, server);
+            }
+            Err(fault) => placement.failed(now, server, fault.weight()),
+        }
+        let seen = placement.seen(server);
+        drop(placement);
+        let weight = match result {
+            Ok(reply) if reply.status.is_server_error() => 1.0,
+            Ok(_) => 0.0,
+            Err(fault) => fault.weight(),
+        };
+        if weight > 0.0 {
+            self.instance.share_failure(server, weight);
+        }
+        let (pace, age) = seen.map_or((0, Micros::ZERO), |s| (s.report.pace, now - s.at));
+        self.note(&format!(
+            "{}:{outcome}:{}ms:pace{pace}@{}ms ",
+            server.0,
+            took.0 / 1_000,
+            age.0 / 1_000
+        ));
+    }
+
+    /// Adds to what the log tells of the request.
+    pub(crate) fn note(&self, text: &str) {
+        self.steps.borrow_mut().push_str(text);
+    }
+
+    /// What the log tells of the request.
+    pub(crate) fn steps(&self) -> String {
+        self.steps.borrow().trim_end().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -0,0 +1,217 @@
+//! The way of one request: find a server, send, and go on elsewhere where that is allowed.
+
+use crate::attempt::{Fault, attempt};
+use crate::call::Call;
+use crate::instance::sleep;
+use crate::reply::Reply;
+use crate::service::{InFlight, NoServer, Wanted};
+use futures::future::{Either, select};
+use galenapath_policy::place::{Entry, Verdictless, Watchdog};
+use galenapath_protocol::{BackendId, Micros, Verdict};
+use galenapath_routes::RouteKind;
+use http::StatusCode;
+use std::pin::pin;
+
+/// Time after which a caller is told to come back where no server can be reached: about the time
+/// that a crashed server takes to be left out.
+const NO_SERVER_RETRY: Micros = Micros::from_millis(250);
+
+/// Weight of a server's silence beside a plain failure.
+const SILENCE_WEIGHT: f32 = 0.6;
+
+/// Time left below which a request is not sent any more: it could only end late.
+const LEAST_LEFT: Micros = Micros::from_millis(10);
+
+/// A request that ends without a backend server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Failure {
+    pub(crate) status: StatusCode,
+    pub(crate) reason: &'static str,
+    pub(crate) verdict: Verdict,
+    /// When the caller may come back; only for what has not run.
+    pub(crate) retry_after: Option<Micros>,
+}
+
+/// Serves the request until its final answer is due.
+pub(crate) async fn run(call: &Call) -> Result<Reply, Failure> {
+    match monoio::time::timeout(call.left().into(), try_until_final(call)).await {
+        Ok(result) => result,
+        Err(_) => Err(ended(call, "timeout", StatusCode::GATEWAY_TIMEOUT)),
+    }
+}
+
+/// The failure that tells the truth about whether the request has run.
+fn ended(call: &Call, reason: &'static str, may_have_run: StatusCode) -> Failure {
+    match call.verdict() {
+        Verdict::NotRun => Failure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            verdict: Verdict::NotRun,
+            retry_after: Some(NO_SERVER_RETRY),
+        },
+        verdict => Failure { status: may_have_run, reason, verdict, retry_after: None },
+    }
+}
+
+async fn try_until_final(call: &Call) -> Result<Reply, Failure> {
+    // An answer that is worse than another try and better than nothing.
+    let mut fallback = None;
+    loop {
+        let in_flight = match place(call).await {
+            Ok(in_flight) => in_flight,
+            Err(NoServer::Refused(refusal)) => {
+                call.note(&format!("refused:predicted{}ms ", refusal.predicted.0 / 1_000));
+                let mut failure = ended(call, "no_room", StatusCode::BAD_GATEWAY);
+                failure.retry_after = failure.retry_after.map(|_| refusal.retry_after);
+                return fallback.ok_or(failure);
+            }
+            Err(NoServer::Nowhere) => {
+                return fallback.ok_or(ended(call, "no_server", StatusCode::BAD_GATEWAY));
+            }
+        };
+        call.tried.borrow_mut().push(in_flight.server.clone());
+        let result = match call.req.route.kind {
+            RouteKind::OnceOnly => attempt_once(call, in_flight).await,
+            RouteKind::Idempotent | RouteKind::Download => attempt_copied(call, in_flight).await,
+        };
+        let fault = match result {
+            Ok(reply) if !is_worth_another(call, &reply) => return Ok(reply),
+            Ok(reply) => {
+                fallback = Some(reply);
+                None
+            }
+            Err(fault) => Some(fault),
+        };
+        if !may_go_on(call, fault) {
+            let reason = fault.map_or("server_error", Fault::as_str);
+            return fallback.ok_or(ended(call, reason, StatusCode::BAD_GATEWAY));
+        }
+    }
+}
+
+async fn place(call: &Call) -> Result<InFlight, NoServer> {
+    let began = call.instance.now();
+    let req = &call.req;
+    let entry = Entry {
+        ticket: req.ticket,
+        rank: req.route.rank,
+        arrived: req.arrived,
+        target: req.route.target.into(),
+        deadline: req.deadline,
+    };
+    let is_large = req.route.kind == RouteKind::Download;
+    let wanted = Wanted { entry, tried: call.tried.borrow().clone(), is_large };
+    let result = call.service.place(&call.instance, wanted).await;
+    call.waited.set(call.waited.get() + (call.instance.now() - began));
+    result
+}
+
+/// Whether another server is asked although this one has answered.
+fn is_worth_another(call: &Call, reply: &Reply) -> bool {
+    call.req.route.kind.may_repeat() && reply.status.is_server_error() && reply.rest.is_none()
+}
+
+/// Whether the request may be sent once more after `fault`, or after an answer without one.
+fn may_go_on(call: &Call, fault: Option<Fault>) -> bool {
+    let is_allowed = match fault.map(Fault::verdict) {
+        Some(Verdict::NotRun) => {
+            call.verdict() == Verdict::NotRun || call.req.route.kind.may_repeat()
+        }
+        _ => call.req.route.kind.may_repeat(),
+    };
+    if !is_allowed || call.left() < LEAST_LEFT {
+        return false;
+    }
+    // A server that was never reached counts neither as an attempt nor as a retry.
+    if fault == Some(Fault::Unreachable) {
+        return true;
+    }
+    call.sends() < call.req.route.max_attempts && take_retry(call)
+}
+
+fn take_retry(call: &Call) -> bool {
+    let is_taken = call.service.retries.borrow_mut().try_retry(call.instance.now());
+    if !is_taken {
+        call.note("retry_budget_spent ");
+    }
+    is_taken
+}
+
+/// One send of a request that must not run twice. Where the server is silent for long, others are
+/// told to avoid it.
+async fn attempt_once(call: &Call, in_flight: InFlight) -> Result<Reply, Fault> {
+    let server = in_flight.server.clone();
+    let sent = pin!(attempt(call, in_flight));
+    let silence = pin!(sleep(silent_after(call)));
+    match select(sent, silence).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), sent)) => {
+            note_silence(call, &server);
+            sent.await
+        }
+    }
+}
+
+/// Sends a request that may be repeated, and a copy of it where the server turns slow or silent:
+/// the first answer wins and the other send is cancelled.
+async fn attempt_copied(call: &Call, in_flight: InFlight) -> Result<Reply, Fault> {
+    let server = in_flight.server.clone();
+    let started = call.instance.now();
+    let alarm = call.service.slow_alarm(&server);
+    let first = pin!(attempt(call, in_flight));
+    let wake = pin!(async {
+        let silence = pin!(sleep(silent_after(call)));
+        match select(alarm, silence).await {
+            Either::Left((Ok(()), _)) => true,
+            Either::Left((Err(_), silence)) => {
+                silence.await;
+                false
+            }
+            Either::Right(_) => false,
+        }
+    });
+    let (is_slow, first) = match select(first, wake).await {
+        Either::Left((result, _)) => return result,
+        Either::Right((is_slow, first)) => (is_slow, first),
+    };
+    let work = call.service.placement.borrow().work();
+    let running = Verdictless { running_for: call.instance.now() - started, work, is_slow };
+    if Watchdog::is_silent(&running) {
+        note_silence(call, &server);
+    }
+    let Some(copy) = place_copy(call, &running) else { return first.await };
+    call.instance.metrics.copies.inc();
+    call.note(if is_slow { "copy:slow " } else { "copy:silent " });
+    let second = pin!(attempt(call, copy));
+    match select(first, second).await {
+        Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
+        Either::Left((Err(_), second)) => second.await,
+        Either::Right((Err(_), first)) => first.await,
+    }
+}
+
+fn place_copy(call: &Call, running: &Verdictless) -> Option<InFlight> {
+    let has_time = call.left() > LEAST_LEFT;
+    if !Watchdog::wants_copy(running) || !has_time || call.sends() >= call.req.route.max_attempts {
+        return None;
+    }
+    let is_large = call.req.route.kind == RouteKind::Download;
+    let tried = call.tried.borrow().clone();
+    let copy = call.service.place_copy(&call.instance, &tried, is_large)?;
+    if !take_retry(call) {
+        return None;
+    }
+    call.tried.borrow_mut().push(copy.server.clone());
+    Some(copy)
+}
+
+fn silent_after(call: &Call) -> Micros {
+    Watchdog::silence(call.service.placement.borrow().work())
+}
+
+fn note_silence(call: &Call, server: &BackendId) {
+    let now = call.instance.now();
+    call.service.placement.borrow_mut().failed(now, server, SILENCE_WEIGHT);
+    call.instance.share_failure(server, SILENCE_WEIGHT);
+    call.note("silent ");
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -0,0 +1,219 @@
+//! Between the wire types and the types that the code works with.
+
+use super::generated::{
+    BeatWire, DatagramWire, EndWire, FailureWire, FleetMemberWire, HelloWire, ListedServerWire,
+    LoadWire, LoadsWire, MembersWire, RemovalWire,
+};
+use super::message::{Datagram, FailureNote, LoadNote, Loads};
+use galenapath_membership::{Beat, Member, MemberStatus, StoreHealth, Vitals};
+use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros};
+use galenapath_routes::{ListedServer, Removal, ServerRecord, ServerState};
+use std::time::Duration;
+
+const READY: u8 = 1;
+const LEAVING: u8 = 2;
+const WATCHING: u8 = 4;
+const STORE_ANSWERS: u8 = 8;
+const STORE_FAILS: u8 = 16;
+const SERVES_CALLERS: u8 = 32;
+
+fn flags(vitals: &Vitals) -> u8 {
+    let bit = |is_set: bool, bit: u8| if is_set { bit } else { 0 };
+    let store = match vitals.store {
+        StoreHealth::Untried => 0,
+        StoreHealth::Answering => STORE_ANSWERS,
+        StoreHealth::Failing => STORE_FAILS,
+    };
+    store
+        | bit(vitals.is_ready, READY)
+        | bit(vitals.is_leaving, LEAVING)
+        | bit(vitals.is_watching, WATCHING)
+        | bit(vitals.serves_callers, SERVES_CALLERS)
+}
+
+impl From<&Beat> for BeatWire {
+    fn from(beat: &Beat) -> Self {
+        Self {
+            from: beat.from.0,
+            flags: flags(&beat.vitals),
+            config_version: beat.vitals.config_version,
+            position: beat.vitals.position,
+            accused: beat.accused.iter().map(|id| id.0).collect(),
+        }
+    }
+}
+
+impl From<BeatWire> for Beat {
+    fn from(wire: BeatWire) -> Self {
+        let has = |bit| wire.flags & bit != 0;
+        let store = match (has(STORE_ANSWERS), has(STORE_FAILS)) {
+            (true, _) => StoreHealth::Answering,
+            (false, true) => StoreHealth::Failing,
+            (false, false) => StoreHealth::Untried,
+        };
+        let vitals = Vitals {
+            is_ready: has(READY),
+            is_leaving: has(LEAVING),
+            store,
+            is_watching: has(WATCHING),
+            serves_callers: has(SERVES_CALLERS),
+            config_version: wire.config_version,
+            position: wire.position,
+        };
+        let accused = wire.accused.into_iter().map(Incarnation).collect();
+        Self { from: Incarnation(wire.from), vitals, accused }
+    }
+}
+
+impl From<&Member> for FleetMemberWire {
+    fn from(member: &Member) -> Self {
+        Self {
+            name: member.id.0.clone(),
+            incarnation: member.incarnation.0,
+            domain: member.domain.0.clone(),
+            callers: member.callers.to_string(),
+            peers: member.peers.to_string(),
+        }
+    }
+}
+
+impl TryFrom<FleetMemberWire> for Member {
+    type Error = String;
+
+    fn try_from(wire: FleetMemberWire) -> Result<Self, String> {
+        let address = |text: &str| text.parse().map_err(|e| format!("address `{text}`: {e}"));
+        Ok(Self {
+            callers: address(&wire.callers)?,
+            peers: address(&wire.peers)?,
+            id: InstanceId(wire.name),
+            incarnation: Incarnation(wire.incarnation),
+            domain: DomainId(wire.domain),
+            beat: 0,
+            status: MemberStatus::Live,
+        })
+    }
+}
+
+fn millis(span: Micros) -> u32 {
+    u32::try_from(span.0 / 1_000).unwrap_or(u32::MAX)
+}
+
+impl From<&LoadNote> for LoadWire {
+    fn from(note: &LoadNote) -> Self {
+        let LoadReport { in_flight, waiting, slots, pace, .. } = note.report;
+        let (server, age_ms) = (note.server, millis(note.age));
+        Self { server, age_ms, running: in_flight, waiting, slots, pace }
+    }
+}
+
+impl From<LoadWire> for LoadNote {
+    fn from(wire: LoadWire) -> Self {
+        let LoadWire { server, age_ms, running, waiting, slots, pace } = wire;
+        let report = LoadReport { in_flight: running, waiting, slots, leaving: false, pace };
+        Self { server, age: Micros::from_millis(u64::from(age_ms)), report }
+    }
+}
+
+/// Hundredths in one.
+const HUNDREDTHS: f32 = 100.0;
+
+impl From<&FailureNote> for FailureWire {
+    fn from(note: &FailureNote) -> Self {
+        Self { server: note.server, weight: (note.weight * HUNDREDTHS) as u32 }
+    }
+}
+
+impl From<FailureWire> for FailureNote {
+    fn from(wire: FailureWire) -> Self {
+        Self { server: wire.server, weight: wire.weight as f32 / HUNDREDTHS }
+    }
+}
+
+impl From<&Datagram> for DatagramWire {
+    fn from(datagram: &Datagram) -> Self {
+        match datagram {
+            Datagram::Beat(beat) => Self::B(beat.into()),
+            Datagram::Hello(member) => Self::H(HelloWire { from: member.into() }),
+            Datagram::Members(members) => {
+                Self::M(MembersWire { members: members.iter().map(Into::into).collect() })
+            }
+            Datagram::Loads(loads) => Self::L(LoadsWire {
+                loads: loads.loads.iter().map(Into::into).collect(),
+                failures: loads.failures.iter().map(Into::into).collect(),
+            }),
+            Datagram::End(incarnation) => Self::E(EndWire { from: incarnation.0 }),
+        }
+    }
+}
+
+impl TryFrom<DatagramWire> for Datagram {
+    type Error = String;
+
+    fn try_from(wire: DatagramWire) -> Result<Self, String> {
+        Ok(match wire {
+            DatagramWire::B(beat) => Self::Beat(beat.into()),
+            DatagramWire::H(hello) => Self::Hello(hello.from.try_into()?),
+            DatagramWire::M(members) => {
+                let members = members.members.into_iter().map(Member::try_from);
+                Self::Members(members.collect::<Result<_, _>>()?)
+            }
+            DatagramWire::L(loads) => Self::Loads(Loads {
+                loads: loads.loads.into_iter().map(Into::into).collect(),
+                failures: loads.failures.into_iter().map(Into::into).collect(),
+            }),
+            DatagramWire::E(end) => Self::End(Incarnation(end.from)),
+        })
+    }
+}
+
+impl From<ListedServer> for ListedServerWire {
+    fn from(listed: ListedServer) -> Self {
+        let ListedServer { revision, record, lapses_in } = listed;
+        Self {
+            id: record.id.0,
+            service: record.service,
+            address: record.address.to_string(),
+            domain: record.domain.0,
+            slots: record.slots,
+            leaving: record.state == ServerState::Leaving,
+            cold_ms: millis(record.cold_for.into()),
+            revision,
+            lapses_ms: lapses_in.map_or(0, |left| millis(left).max(1)),
+        }
+    }
+}
+
+impl TryFrom<ListedServerWire> for ListedServer {
+    type Error = String;
+
+    fn try_from(wire: ListedServerWire) -> Result<Self, String> {
+        let address = wire.address.parse().map_err(|e| format!("`{}`: {e}", wire.address))?;
+        let state = if wire.leaving { ServerState::Leaving } else { ServerState::Ready };
+        let lapses = u64::from(wire.lapses_ms);
+        Ok(Self {
+            revision: wire.revision,
+            record: ServerRecord {
+                id: BackendId(wire.id),
+                service: wire.service,
+                address,
+                domain: DomainId(wire.domain),
+                slots: wire.slots,
+                state,
+                cold_for: Duration::from_millis(u64::from(wire.cold_ms)),
+            },
+            lapses_in: (lapses > 0).then_some(Micros::from_millis(lapses)),
+        })
+    }
+}
+
+impl From<Removal> for RemovalWire {
+    fn from(removal: Removal) -> Self {
+        Self { id: removal.id.0, revision: removal.revision }
+    }
+}
+
+impl From<RemovalWire> for Removal {
+    fn from(wire: RemovalWire) -> Self {
+        Self { revision: wire.revision, id: BackendId(wire.id) }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -0,0 +1,198 @@
+//! Generated from `schema/fleet.schema.json` by the codegen example. Do not edit.
+
+///A heartbeat.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BeatWire {
+    ///Incarnations that the sender finds silent.
+    pub accused: ::std::vec::Vec<u64>,
+    ///Version of the configuration in force.
+    pub config_version: u64,
+    ///Bits: 1 ready, 2 leaving, 4 watches the store, 8 the store answers, 16 the store does not answer, 32 serves callers.
+    pub flags: u8,
+    ///Incarnation of the sender.
+    pub from: u64,
+    ///Position of the list of backend servers.
+    pub position: u64,
+}
+///One datagram.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum DatagramWire {
+    #[serde(rename = "b")]
+    B(BeatWire),
+    #[serde(rename = "h")]
+    H(HelloWire),
+    #[serde(rename = "m")]
+    M(MembersWire),
+    #[serde(rename = "l")]
+    L(LoadsWire),
+    #[serde(rename = "e")]
+    E(EndWire),
+}
+impl ::std::convert::From<BeatWire> for DatagramWire {
+    fn from(value: BeatWire) -> Self {
+        Self::B(value)
+    }
+}
+impl ::std::convert::From<HelloWire> for DatagramWire {
+    fn from(value: HelloWire) -> Self {
+        Self::H(value)
+    }
+}
+impl ::std::convert::From<MembersWire> for DatagramWire {
+    fn from(value: MembersWire) -> Self {
+        Self::M(value)
+    }
+}
+impl ::std::convert::From<LoadsWire> for DatagramWire {
+    fn from(value: LoadsWire) -> Self {
+        Self::L(value)
+    }
+}
+impl ::std::convert::From<EndWire> for DatagramWire {
+    fn from(value: EndWire) -> Self {
+        Self::E(value)
+    }
+}
+///The sender ends now.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EndWire {
+    pub from: u64,
+}
+///A backend server failed requests of the sender.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FailureWire {
+    ///Hash of the server's identity.
+    pub server: u32,
+    ///Hundredths of a plain failure.
+    pub weight: u32,
+}
+///One instance.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetMemberWire {
+    pub callers: ::std::string::String,
+    pub domain: ::std::string::String,
+    pub incarnation: u64,
+    pub name: ::std::string::String,
+    pub peers: ::std::string::String,
+}
+///Messages between gateway instances: datagrams, and the exchange by which an instance that is behind takes in the state.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetWire {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub datagram: ::std::option::Option<DatagramWire>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub pull: ::std::option::Option<PullWire>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub state: ::std::option::Option<StateWire>,
+}
+///An instance tells who it is and asks who is there.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HelloWire {
+    pub from: FleetMemberWire,
+}
+///A backend server's entry.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListedServerWire {
+    pub address: ::std::string::String,
+    pub cold_ms: u32,
+    pub domain: ::std::string::String,
+    pub id: ::std::string::String,
+    ///Time left for a vanished entry to come back; 0 for an entry that stands.
+    pub lapses_ms: u32,
+    pub leaving: bool,
+    pub revision: u64,
+    pub service: ::std::string::String,
+    pub slots: u32,
+}
+///One backend server's load.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadWire {
+    ///Age of the report when it was sent.
+    pub age_ms: u32,
+    ///Percent of the usual; 0 when not told.
+    pub pace: u32,
+    pub running: u32,
+    ///Hash of the server's identity.
+    pub server: u32,
+    pub slots: u32,
+    pub waiting: u32,
+}
+///What the sender has just seen of backend servers.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadsWire {
+    pub failures: ::std::vec::Vec<FailureWire>,
+    pub loads: ::std::vec::Vec<LoadWire>,
+}
+///Who is there, as far as one datagram holds it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct MembersWire {
+    pub members: ::std::vec::Vec<FleetMemberWire>,
+}
+///What the asking instance has.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PullWire {
+    pub config_version: u64,
+    pub position: u64,
+}
+///A removed entry.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RemovalWire {
+    pub id: ::std::string::String,
+    pub revision: u64,
+}
+///What the asking instance lacks.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StateWire {
+    ///The operator's configuration as it stands in the store; empty where the asker has it.
+    pub config: ::std::string::String,
+    ///Whether `puts` is the whole list.
+    pub is_whole: bool,
+    pub position: u64,
+    pub puts: ::std::vec::Vec<ListedServerWire>,
+    pub removals: ::std::vec::Vec<RemovalWire>,
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -0,0 +1,75 @@
+//! Messages as the code works with them.
+
+use super::generated::DatagramWire;
+use galenapath_membership::{Beat, Member};
+use galenapath_protocol::{Incarnation, LoadReport, Micros};
+
+/// Version of the messages; datagrams of another version are left alone.
+const FORMAT: u8 = 1;
+
+/// A datagram between instances.
+#[derive(Clone, Debug)]
+pub(crate) enum Datagram {
+    /// A heartbeat.
+    Beat(Beat),
+    /// An instance tells who it is and asks who is there.
+    Hello(Member),
+    /// Who is there.
+    Members(Vec<Member>),
+    /// What was seen of backend servers.
+    Loads(Loads),
+    /// The sender ends now.
+    End(Incarnation),
+}
+
+/// What an instance has just seen of backend servers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Loads {
+    pub(crate) loads: Vec<LoadNote>,
+    pub(crate) failures: Vec<FailureNote>,
+}
+
+/// One backend server's load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadNote {
+    /// Short form of the server's identity.
+    pub(crate) server: u32,
+    /// Age when it was sent.
+    pub(crate) age: Micros,
+    pub(crate) report: LoadReport,
+}
+
+/// Failures of one backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FailureNote {
+    /// Short form of the server's identity.
+    pub(crate) server: u32,
+    /// One for a plain failure.
+    pub(crate) weight: f32,
+}
+
+/// The bytes of a datagram.
+pub(crate) fn encode(datagram: &Datagram) -> Vec<u8> {
+    let mut bytes = vec![FORMAT];
+    let wire = DatagramWire::from(datagram);
+    if let Err(e) = rmp_serde::encode::write(&mut bytes, &wire) {
+        log::error!(error:% = e; "a datagram cannot be encoded");
+    }
+    bytes
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+///
+/// What is wrong with it, for the log.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram, String> {
+    match bytes.split_first() {
+        Some((&FORMAT, rest)) => {
+            let wire: DatagramWire = rmp_serde::from_slice(rest).map_err(|e| e.to_string())?;
+            Datagram::try_from(wire)
+        }
+        Some((format, _)) => Err(format!("format {format}")),
+        None => Err("empty".into()),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -0,0 +1,13 @@
+//! Messages between instances and the tasks that send and receive them.
+
+mod convert;
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+mod generated;
+mod message;
+mod pull;
+mod tasks;
+
+pub(crate) use message::{Datagram, FailureNote, LoadNote, Loads, encode};
+pub(crate) use pull::serve_pulls;
+pub(crate) use tasks::{announce, ask, join, receive, run, tell_end};
--- /dev/null
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -0,0 +1,181 @@
+//! Heartbeats, joining and what comes in by datagram.
+
+use super::message::{Datagram, decode, encode};
+use super::pull;
+use crate::instance::{Instance, sleep};
+use galenapath_membership::{Beat, Heard, Member, Vitals};
+use galenapath_protocol::Micros;
+use monoio::net::udp::UdpSocket;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time between two looks at heartbeats that are due.
+const LOOK: Micros = Micros::from_millis(50);
+
+/// Time between two questions to the seeds while nobody is known.
+const ASK_AGAIN: Micros = Micros::from_millis(100);
+
+/// Time between two questions to the seeds after `ASK_OFTEN`.
+const ASK_SELDOM: Micros = Micros::from_secs(1);
+
+/// Time after the start for which the seeds are asked often: all instances of a deployment start
+/// within a third of a second.
+const ASK_OFTEN: Micros = Micros::from_secs(1);
+
+/// Members in one datagram, so that it fits one packet.
+const MEMBERS_PER_DATAGRAM: usize = 12;
+
+/// Largest datagram that is read, in bytes.
+const LARGEST: usize = 2 * 1024;
+
+/// Sends heartbeats and looks at who is silent, for as long as the instance runs.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    let mut told = Vitals::default();
+    loop {
+        sleep(LOOK).await;
+        let now = instance.now();
+        let changes = instance.beats.borrow_mut().tick(now);
+        for change in &changes {
+            let silence_ms = change.silence.0 / 1_000;
+            let peer = change.member.id.0.as_str();
+            log::info!(peer, is_up = change.is_up, silence_ms; "instance heard or silent");
+        }
+        let up = instance.beats.borrow().peers().filter(|peer| peer.is_up()).count();
+        instance.metrics.peers.set(i64::try_from(up).unwrap_or(i64::MAX));
+        instance.expire_servers();
+        let vitals = instance.vitals();
+        if is_urgent(&told, &vitals) || !changes.is_empty() {
+            announce(&instance);
+        } else {
+            let due = instance.beats.borrow_mut().due(now);
+            send_beat(&instance, &due);
+        }
+        told = vitals;
+    }
+}
+
+/// Whether all have to hear of a change at once.
+fn is_urgent(told: &Vitals, now: &Vitals) -> bool {
+    told.is_ready != now.is_ready
+        || told.is_leaving != now.is_leaving
+        || told.store != now.store
+        || told.is_watching != now.is_watching
+        || told.serves_callers != now.serves_callers
+}
+
+/// Sends a heartbeat to all other instances now.
+pub(crate) fn announce(instance: &Instance) {
+    let all = instance.beats.borrow().all();
+    send_beat(instance, &all);
+}
+
+fn send_beat(instance: &Instance, to: &[SocketAddr]) {
+    if to.is_empty() {
+        return;
+    }
+    let accused = instance.beats.borrow().accused();
+    let beat = Beat { from: instance.incarnation, vitals: instance.vitals(), accused };
+    let datagram = encode(&Datagram::Beat(beat));
+    to.iter().for_each(|address| instance.send(*address, &datagram));
+}
+
+/// Tells all that the instance ends now.
+pub(crate) fn tell_end(instance: &Instance) {
+    let datagram = encode(&Datagram::End(instance.incarnation));
+    let all = instance.beats.borrow().all();
+    all.iter().for_each(|address| instance.send(*address, &datagram));
+}
+
+/// Asks the seeds who is there: often after the start, later for as long as nobody answers.
+pub(crate) async fn join(instance: Rc<Instance>) {
+    loop {
+        let is_new = instance.clock.age() < ASK_OFTEN;
+        if is_new || instance.beats.borrow().is_alone() {
+            ask(&instance, &instance.settings.listen.seeds);
+        }
+        sleep(if is_new { ASK_AGAIN } else { ASK_SELDOM }).await;
+    }
+}
+
+/// Tells who this instance is and asks who is there.
+pub(crate) fn ask(instance: &Instance, to: &[SocketAddr]) {
+    let own = instance.member();
+    let datagram = encode(&Datagram::Hello(own.clone()));
+    let others = to.iter().filter(|address| **address != own.peers);
+    others.for_each(|address| instance.send(*address, &datagram));
+}
+
+/// Takes datagrams in, for as long as the instance runs.
+pub(crate) async fn receive(instance: Rc<Instance>, socket: UdpSocket) {
+    let mut buf = vec![0; LARGEST];
+    loop {
+        let (result, filled) = socket.recv_from(buf).await;
+        buf = filled;
+        match result {
+            Ok((n, from)) => take(&instance, &buf[..n], from),
+            Err(e) => {
+                log::debug!(error:% = e; "no datagram could be read");
+                sleep(LOOK).await;
+            }
+        }
+    }
+}
+
+fn take(instance: &Rc<Instance>, bytes: &[u8], from: SocketAddr) {
+    let datagram = match decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(e) => {
+            log::debug!(from:% = from, error = e; "a datagram cannot be read");
+            return;
+        }
+    };
+    match datagram {
+        Datagram::Beat(beat) => take_beat(instance, &beat, from),
+        Datagram::Hello(member) => {
+            learn(instance, member);
+            send_members(instance, from);
+        }
+        Datagram::Members(members) => {
+            members.into_iter().for_each(|member| learn(instance, member));
+        }
+        Datagram::Loads(loads) => instance.take_loads(&loads),
+        Datagram::End(incarnation) => {
+            log::info!(incarnation:% = incarnation; "instance has ended");
+            instance.beats.borrow_mut().ended(incarnation);
+        }
+    }
+}
+
+fn take_beat(instance: &Rc<Instance>, beat: &Beat, from: SocketAddr) {
+    let heard = instance.beats.borrow_mut().hear(instance.now(), beat);
+    if heard == Heard::Stranger {
+        ask(instance, &[from]);
+    }
+    let state = instance.state.borrow();
+    let is_behind = state.table().version() < beat.vitals.config_version
+        || state.directory().position() < beat.vitals.position;
+    drop(state);
+    if is_behind {
+        pull::start(instance, from);
+    }
+}
+
+fn learn(instance: &Instance, member: Member) {
+    let name = member.id.0.clone();
+    let (domain, incarnation) = (member.domain.0.clone(), member.incarnation);
+    if instance.beats.borrow_mut().learn(instance.now(), member) {
+        log::info!(peer = name, domain, incarnation:% = incarnation; "instance joined");
+    }
+}
+
+fn send_members(instance: &Instance, to: SocketAddr) {
+    let own = instance.member();
+    let mut members: Vec<Member> = {
+        let beats = instance.beats.borrow();
+        beats.peers().filter(|peer| peer.is_up()).map(|peer| peer.member.clone()).collect()
+    };
+    members.push(own);
+    for part in members.chunks(MEMBERS_PER_DATAGRAM) {
+        instance.send(to, &encode(&Datagram::Members(part.to_vec())));
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -0,0 +1,172 @@
+//! What all tasks of an instance share.
+
+use crate::clock::Clock;
+use crate::dialect::{Dialect, HeaderNames};
+use crate::metrics::Metrics;
+use crate::service::Service;
+use crate::sharing::Outbox;
+use crate::state::State;
+use galenapath_membership::{BeatConfig, Beats, Member, MemberStatus, StoreHealth, Vitals};
+use galenapath_protocol::{FastMap, Incarnation, Micros};
+use galenapath_routes::{Route, SplitTurn};
+use galenapath_settings::GatewaySettings;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time after the last request for which an instance counts as one that serves callers.
+const SERVES_FOR: Micros = Micros::from_secs(2);
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// No stop has begun.
+    Serving,
+    /// Left out of the address answers; callers with an older answer are still served.
+    Leaving,
+    /// Takes no new connections.
+    Closing,
+}
+
+/// An instance. Borrows of its cells never last over an await.
+pub(crate) struct Instance {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) names: HeaderNames,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    /// Configuration and backend servers.
+    pub(crate) state: RefCell<State>,
+    /// Other instances.
+    pub(crate) beats: RefCell<Beats>,
+    /// Services of the configuration.
+    pub(crate) services: RefCell<FastMap<String, Rc<Service>>>,
+    splits: RefCell<FastMap<String, SplitTurn>>,
+    /// What is to be told to other instances with the next datagram.
+    pub(crate) outbox: RefCell<Outbox>,
+    pub(crate) stage: Cell<Stage>,
+    pub(crate) store: Cell<StoreHealth>,
+    pub(crate) is_watching: Cell<bool>,
+    /// Requests in progress.
+    pub(crate) in_progress: Cell<u32>,
+    pub(crate) log_budget: crate::answer::LogBudget,
+    served_at: Cell<Micros>,
+    next_ticket: Cell<u64>,
+    udp: UdpSocket,
+}
+
+impl Instance {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        dialect: Box<dyn Dialect>,
+        metrics: Metrics,
+        udp: UdpSocket,
+    ) -> Rc<Self> {
+        let clock = Clock::start();
+        let incarnation = Incarnation(rand::random());
+        Rc::new(Self {
+            names: dialect.headers(),
+            dialect,
+            incarnation,
+            clock,
+            metrics,
+            state: RefCell::default(),
+            beats: RefCell::new(Beats::new(BeatConfig::default(), incarnation, clock.now())),
+            services: RefCell::default(),
+            splits: RefCell::default(),
+            outbox: RefCell::default(),
+            stage: Cell::new(Stage::Serving),
+            store: Cell::default(),
+            is_watching: Cell::new(false),
+            in_progress: Cell::new(0),
+            log_budget: crate::answer::LogBudget::new(settings.log_lines),
+            served_at: Cell::new(Micros::ZERO),
+            next_ticket: Cell::new(0),
+            udp,
+            settings,
+        })
+    }
+
+    /// Time now.
+    pub(crate) fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// Whether the instance knows enough to serve and is not about to stop.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stage.get() == Stage::Serving && self.state.borrow().is_known()
+    }
+
+    /// Who this instance is.
+    pub(crate) fn member(&self) -> Member {
+        Member {
+            id: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            domain: self.settings.domain.clone(),
+            callers: self.settings.listen.callers,
+            peers: self.settings.listen.peers,
+            beat: 0,
+            status: MemberStatus::Live,
+        }
+    }
+
+    /// What this instance tells of itself.
+    pub(crate) fn vitals(&self) -> Vitals {
+        let state = self.state.borrow();
+        Vitals {
+            is_ready: self.is_ready(),
+            is_leaving: self.stage.get() >= Stage::Leaving,
+            store: self.store.get(),
+            is_watching: self.is_watching.get(),
+            serves_callers: self.now() - self.served_at.get() < SERVES_FOR,
+            config_version: state.table().version(),
+            position: state.directory().position(),
+        }
+    }
+
+    /// Notes a request; returns its number.
+    pub(crate) fn next_ticket(&self) -> u64 {
+        self.served_at.set(self.now());
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        ticket
+    }
+
+    /// Instances that serve callers now, this one included.
+    pub(crate) fn serving(&self) -> u32 {
+        let beats = self.beats.borrow();
+        let serving = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers).count();
+        u32::try_from(serving).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// The service that the next request of `route` goes to.
+    pub(crate) fn pick_part<'a>(&self, route: &'a Route) -> &'a str {
+        if let [only] = route.parts.as_slice() {
+            return &only.service;
+        }
+        let mut splits = self.splits.borrow_mut();
+        let turn = splits
+            .entry(route.name.clone())
+            .or_insert_with(|| SplitTurn::new(&route.parts, self.incarnation.0));
+        &route.parts[turn.next(&route.parts)].service
+    }
+
+    /// Starts the shares of all routes anew, for a changed configuration.
+    pub(crate) fn reset_splits(&self) {
+        self.splits.borrow_mut().clear();
+    }
+
+    /// Sends a datagram; a datagram that cannot be sent is lost like any other.
+    pub(crate) fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        if let Err(e) = self.udp.send_to(datagram, to) {
+            log::debug!(to:% = to, error:% = e; "a datagram was not sent");
+        }
+    }
+}
+
+/// Sleeps for `span`.
+pub(crate) async fn sleep(span: Micros) {
+    monoio::time::sleep(Duration::from(span)).await;
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -0,0 +1,37 @@
+//! The gateway instance: gets each request of a route to a backend server that answers within the
+//! route's target.
+//!
+//! One thread does everything: callers, backend servers, other instances and the platform. The
+//! decisions are made by the pure crates (`galenapath-policy`, `galenapath-routes`,
+//! `galenapath-membership`); the modules here feed them and carry out what they say.
+
+mod addresses;
+mod answer;
+mod attempt;
+mod call;
+mod caller;
+mod clock;
+mod dialect;
+mod error;
+mod exchange;
+mod fleet;
+mod instance;
+mod logging;
+mod metrics;
+mod pool;
+mod probe;
+mod questions;
+mod relay;
+mod reply;
+mod request;
+mod run;
+mod service;
+mod sharing;
+mod state;
+mod stop;
+mod watch;
+
+pub use dialect::{AddressQuery, Dialect, HeaderNames, Question};
+pub use error::GatewayError;
+pub use logging::start_logging;
+pub use run::run;
--- /dev/null
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -0,0 +1,116 @@
+//! Metrics of an instance, in the Prometheus format.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms in seconds, around the targets of the routes.
+const LATENCY_BUCKETS: &[f64] =
+    &[0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.7, 1.0, 1.5, 2.5, 5.0];
+
+/// All metrics of an instance.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Answers to callers, by route kind and outcome.
+    pub answers: IntCounterVec,
+    /// Time from the head of a request to its answer, by route kind, in seconds.
+    pub latency: HistogramVec,
+    /// Time that requests waited for a server, by route kind, in seconds.
+    pub wait: HistogramVec,
+    /// Time that backend servers took, by route kind, in seconds.
+    pub work: HistogramVec,
+    /// Sends to backend servers, by outcome.
+    pub sends: IntCounterVec,
+    /// Second copies sent.
+    pub copies: IntCounter,
+    /// Connections opened to backend servers.
+    pub connects: IntCounter,
+    /// Load probes, by result.
+    pub probes: IntCounterVec,
+    /// Calls on the platform's store, by call and result.
+    pub store_calls: IntCounterVec,
+    /// Log lines left out because of the budget.
+    pub log_left_out: IntCounter,
+    /// Open connections from callers.
+    pub callers: IntGauge,
+    /// Requests that wait for a server.
+    pub waiting: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Position of the list of backend servers.
+    pub position: IntGauge,
+    /// Backend servers listed.
+    pub servers: IntGauge,
+    /// Other instances that answer.
+    pub peers: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// When two metrics have the same name, which is a fault in this file.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let r = Registry::new_custom(Some("galenapath".into()), None)?;
+        Ok(Self {
+            answers: counters(&r, "answers_total", "Answers to callers", &["kind", "outcome"])?,
+            latency: latencies(&r, "latency_seconds", "Head in to answer out")?,
+            wait: latencies(&r, "wait_seconds", "Wait for a server")?,
+            work: latencies(&r, "work_seconds", "Time of backend servers")?,
+            sends: counters(&r, "sends_total", "Sends to backend servers", &["outcome"])?,
+            copies: counter(&r, "copies_total", "Second copies sent")?,
+            connects: counter(&r, "connects_total", "Connections to backend servers")?,
+            probes: counters(&r, "probes_total", "Load probes", &["result"])?,
+            store_calls: counters(&r, "store_calls_total", "Store calls", &["call", "result"])?,
+            log_left_out: counter(&r, "log_left_out_total", "Log lines left out")?,
+            callers: gauge(&r, "caller_connections", "Open connections from callers")?,
+            waiting: gauge(&r, "waiting", "Requests that wait for a server")?,
+            config_version: gauge(&r, "config_version", "Configuration in force")?,
+            position: gauge(&r, "list_position", "Position of the list of backend servers")?,
+            servers: gauge(&r, "servers", "Backend servers listed")?,
+            peers: gauge(&r, "peers", "Other instances that answer")?,
+            registry: r,
+        })
+    }
+
+    /// All metrics as text.
+    pub(crate) fn page(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::warn!(error:% = e; "the metrics cannot be written");
+        }
+        out
+    }
+}
+
+fn counter(r: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let metric = IntCounter::new(name, help)?;
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn counters(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let metric = IntGauge::new(name, help)?;
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn latencies(r: &Registry, name: &str, help: &str) -> Result<HistogramVec, prometheus::Error> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    let metric = HistogramVec::new(opts, &["kind"])?;
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/questions.rs
@@ -0,0 +1,92 @@
+//! Listeners beside that for requests: readiness, where to connect, metrics.
+
+use crate::addresses;
+use crate::dialect::Question;
+use crate::instance::{Instance, Stage};
+use bytes::Bytes;
+use galenapath_http::{Connection, Framing, HeadTimes, RequestHead, connection_has, put_response};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use http::{Method, StatusCode, Version};
+use monoio::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Largest head of a question, in bytes.
+const HEAD_LIMIT: usize = 8 * 1024;
+
+/// Times for one question.
+const TIMES: HeadTimes = HeadTimes { idle: Duration::from_secs(10), head: Duration::from_secs(2) };
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+struct Reply {
+    status: StatusCode,
+    content: &'static str,
+    body: Bytes,
+}
+
+/// Answers questions on `listener` for as long as the instance runs.
+pub(crate) async fn serve(instance: Rc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                monoio::spawn(serve_connection(Rc::clone(&instance), io));
+            }
+            Err(e) => {
+                log::warn!(error:% = e; "a question was not accepted");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(instance: Rc<Instance>, io: TcpStream) {
+    let mut connection = Connection::new(io, HEAD_LIMIT);
+    while let Ok(head) = connection.read_request(TIMES).await {
+        let reply = answer(&instance, &head);
+        let is_last = head.version != Version::HTTP_11
+            || connection_has(&head.headers, "close")
+            || instance.stage.get() == Stage::Closing;
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(reply.content));
+        if is_last {
+            headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        let framing = match reply.body.len() {
+            0 => Framing::None,
+            n => Framing::Length(n as u64),
+        };
+        put_response(connection.output(), reply.status, &headers, framing, true);
+        if head.method != Method::HEAD {
+            connection.output().extend_from_slice(&reply.body);
+        }
+        if connection.flush().await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+fn answer(instance: &Instance, head: &RequestHead) -> Reply {
+    let json = |status, body| Reply { status, content: "application/json", body };
+    if head.uri.path() == METRICS {
+        let body = instance.metrics.page().into();
+        return Reply { status: StatusCode::OK, content: "text/plain; version=0.0.4", body };
+    }
+    match instance.dialect.question(&head.uri) {
+        Some(Question::Ready) if instance.is_ready() => json(StatusCode::OK, Bytes::new()),
+        Some(Question::Ready) => json(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        Some(Question::Addresses(query)) => {
+            let addresses = addresses::answer(instance, &query.domain);
+            if addresses.is_empty() {
+                return json(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            }
+            let keep_for = instance.settings.keep_addresses;
+            json(StatusCode::OK, instance.dialect.addresses(&addresses, keep_for))
+        }
+        None => json(StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/request.rs
@@ -0,0 +1,123 @@
+//! A caller's request.
+
+use crate::dialect::HeaderNames;
+use bytes::Bytes;
+use galenapath_http::{Framing, RequestHead, strip_hop_by_hop};
+use galenapath_protocol::Micros;
+use galenapath_routes::Route;
+use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::{Method, Version};
+use std::sync::Arc;
+
+/// A request, read whole.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// Number within this run of the instance.
+    pub(crate) ticket: u64,
+    /// Identifier that the caller gave it.
+    pub(crate) id: Option<HeaderValue>,
+    pub(crate) method: Method,
+    /// Path and query as the caller sent them.
+    pub(crate) target: String,
+    /// Headers for the backend server, but for those that each send sets anew.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    /// When its head was read.
+    pub(crate) arrived: Micros,
+    /// When its final answer is due: the caller's time or the route's has passed then.
+    pub(crate) deadline: Micros,
+}
+
+impl Request {
+    /// How the body is framed on the way to a backend server.
+    pub(crate) fn framing(&self) -> Framing {
+        match self.body.len() {
+            0 => Framing::None,
+            n => Framing::Length(n as u64),
+        }
+    }
+
+    /// The identifier for logs.
+    pub(crate) fn id_text(&self) -> &str {
+        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+}
+
+/// Why a head cannot be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BadHead {
+    /// A version of HTTP that is not spoken here.
+    Version,
+    /// No host, or more than one.
+    Host,
+    /// A target that is neither a path nor an absolute address.
+    Target,
+}
+
+impl BadHead {
+    /// Short name for logs and answers.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Version => "http_version",
+            Self::Host => "bad_host",
+            Self::Target => "bad_target",
+        }
+    }
+}
+
+/// The host that a head names, without its port.
+///
+/// # Errors
+///
+/// When the head names none or leaves open which.
+pub(crate) fn host(head: &RequestHead) -> Result<&str, BadHead> {
+    if !matches!(head.version, Version::HTTP_11 | Version::HTTP_10) {
+        return Err(BadHead::Version);
+    }
+    if !head.uri.path().starts_with('/') {
+        return Err(BadHead::Target);
+    }
+    let mut values = head.headers.get_all(HOST).iter();
+    let host = match (values.next(), values.next()) {
+        (Some(value), None) => value.to_str().map_err(|_| BadHead::Host)?,
+        (None, None) if head.version == Version::HTTP_10 => "",
+        _ => return Err(BadHead::Host),
+    };
+    let host = head.uri.host().unwrap_or(host);
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => Ok(name),
+        _ => Ok(host),
+    }
+}
+
+/// Path and query of a head.
+pub(crate) fn target(head: &RequestHead) -> String {
+    head.uri.path_and_query().map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned())
+}
+
+/// Time for which the caller says it waits.
+pub(crate) fn time_left(names: &HeaderNames, headers: &HeaderMap) -> Option<Micros> {
+    let text = headers.get(&names.time_left_ms)?.to_str().ok()?;
+    let ms: f64 = text.trim().parse().ok()?;
+    (ms >= 0.0 && ms.is_finite()).then_some(Micros((ms * 1_000.0) as u64))
+}
+
+/// Leaves the headers that pass to a backend server.
+pub(crate) fn forwarded(names: &HeaderNames, mut headers: HeaderMap) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(&names.expected_server);
+    headers
+}
+
+/// Sets a header to a text without control characters.
+pub(crate) fn set(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name.clone(), value);
+        }
+        Err(e) => log::warn!(header:% = name, error:% = e; "a header cannot be set"),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/run.rs
@@ -0,0 +1,159 @@
+//! Starting and running a gateway instance.
+
+use crate::dialect::Dialect;
+use crate::instance::{Instance, Stage};
+use crate::metrics::Metrics;
+use crate::stop::Signals;
+use crate::{GatewayError, caller, fleet, probe, questions, sharing, stop, watch};
+use error_stack::{Report, ResultExt};
+use futures::future::{Either, select};
+use galenapath_platform::KeyStore;
+use galenapath_settings::GatewaySettings;
+use monoio::net::udp::UdpSocket;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause between two looks at whether the listener for requests has to close.
+const STAGE_LOOK: Duration = Duration::from_millis(50);
+
+/// Most epoll events taken at a time; the runtime's own default takes 48 KiB.
+const EVENTS: u32 = 256;
+
+/// Sockets that the instance listens on.
+struct Sockets {
+    callers: TcpListener,
+    readiness: TcpListener,
+    addresses: TcpListener,
+    peers: TcpListener,
+    datagrams: std::net::UdpSocket,
+    metrics: Option<TcpListener>,
+}
+
+/// Runs an instance until it is told to stop and has drained. `store` makes the client of the
+/// platform's key-value service, on the instance's thread.
+///
+/// # Errors
+///
+/// When an address or the runtime cannot be had. Nothing has been served then.
+pub fn run<S: KeyStore + 'static>(
+    settings: GatewaySettings,
+    dialect: Box<dyn Dialect>,
+    store: S,
+) -> Result<(), Report<GatewayError>> {
+    let signals = Signals::install()?;
+    let sockets = listen(&settings)?;
+    let metrics = Metrics::new().change_context(GatewayError::Start("the metrics"))?;
+    let out = sockets.datagrams.try_clone();
+    let out = out.change_context(GatewayError::Start("the datagram socket"))?;
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .with_entries(EVENTS)
+        .enable_timer()
+        .build()
+        .change_context(GatewayError::Start("a runtime"))?;
+    runtime.block_on(async {
+        let instance = Instance::new(settings, dialect, metrics, out);
+        log_start(&instance);
+        start(&instance, sockets, store)?;
+        stop::run(&instance, &signals).await;
+        Ok(())
+    })
+}
+
+fn log_start(instance: &Instance) {
+    let (settings, listen) = (&instance.settings, &instance.settings.listen);
+    log::info!(
+        name = settings.name.0.as_str(),
+        domain = settings.domain.0.as_str(),
+        incarnation:% = instance.incarnation,
+        callers:% = listen.callers,
+        peers:% = listen.peers,
+        platform:% = settings.platform,
+        version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
+}
+
+fn start<S: KeyStore + 'static>(
+    instance: &Rc<Instance>,
+    sockets: Sockets,
+    store: S,
+) -> Result<(), Report<GatewayError>> {
+    let callers = to_monoio(sockets.callers)?;
+    for listener in [sockets.readiness, sockets.addresses].into_iter().chain(sockets.metrics) {
+        monoio::spawn(questions::serve(Rc::clone(instance), to_monoio(listener)?));
+    }
+    let datagrams = UdpSocket::from_std(sockets.datagrams)
+        .change_context(GatewayError::Start("the datagram socket"))?;
+    monoio::spawn(accept(Rc::clone(instance), callers));
+    monoio::spawn(fleet::serve_pulls(Rc::clone(instance), to_monoio(sockets.peers)?));
+    monoio::spawn(fleet::receive(Rc::clone(instance), datagrams));
+    monoio::spawn(fleet::join(Rc::clone(instance)));
+    monoio::spawn(fleet::run(Rc::clone(instance)));
+    monoio::spawn(sharing::run(Rc::clone(instance)));
+    monoio::spawn(probe::run(Rc::clone(instance)));
+    monoio::spawn(watch::run(Rc::clone(instance), store));
+    Ok(())
+}
+
+/// Accepts callers until the instance closes.
+async fn accept(instance: Rc<Instance>, listener: monoio::net::TcpListener) {
+    while instance.stage.get() != Stage::Closing {
+        let accepting = pin!(listener.accept());
+        let look = pin!(monoio::time::sleep(STAGE_LOOK));
+        let accepted = match select(accepting, look).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => continue,
+        };
+        match accepted {
+            Ok((io, _)) if has_room(&instance) => {
+                monoio::spawn(caller::serve(Rc::clone(&instance), io));
+            }
+            Ok(_) => log::warn!("a caller was turned away: too many connections"),
+            Err(e) => {
+                log::warn!(error:% = e; "a caller was not accepted");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn has_room(instance: &Instance) -> bool {
+    let open = usize::try_from(instance.metrics.callers.get()).unwrap_or(0);
+    open < instance.settings.caller_connections
+}
+
+fn listen(settings: &GatewaySettings) -> Result<Sockets, Report<GatewayError>> {
+    let at = &settings.listen;
+    let failed = GatewayError::Listen { key: "peers", address: at.peers };
+    let datagrams = std::net::UdpSocket::bind(at.peers).change_context(failed)?;
+    datagrams.set_nonblocking(true).change_context(GatewayError::Start("the datagram socket"))?;
+    Ok(Sockets {
+        callers: bind("callers", at.callers)?,
+        readiness: bind("readiness", at.readiness)?,
+        addresses: bind("addresses", at.addresses)?,
+        peers: bind("peers", at.peers)?,
+        datagrams,
+        metrics: at.metrics.and_then(listen_for_metrics),
+    })
+}
+
+/// Metrics are worth less than service: an address that is taken costs only them.
+fn listen_for_metrics(address: SocketAddr) -> Option<TcpListener> {
+    bind("metrics", address).inspect_err(|e| log::warn!(error:% = e; "no metrics")).ok()
+}
+
+fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, Report<GatewayError>> {
+    TcpListener::bind(address).change_context(GatewayError::Listen { key, address })
+}
+
+fn to_monoio(listener: TcpListener) -> Result<monoio::net::TcpListener, Report<GatewayError>> {
+    const WHAT: GatewayError = GatewayError::Start("a listener");
+    listener.set_nonblocking(true).change_context(WHAT)?;
+    monoio::net::TcpListener::from_std(listener).change_context(WHAT)
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/service.rs
@@ -0,0 +1,359 @@
+//! One service: its backend servers, the decisions about them and who waits for them.
+
+use crate::instance::Instance;
+use crate::pool::Pools;
+use futures::channel::oneshot;
+use galenapath_policy::RetryBudget;
+use galenapath_policy::RetryConfig;
+use galenapath_policy::place::{
+    Ask, Choice, Entry, PlaceConfig, PlacedServer, Placement, QueueConfig, Refusal, Sighting,
+    WaitQueue,
+};
+use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
+use galenapath_routes::{ServerState, ServiceSpec};
+use galenapath_settings::RetryAllowance;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longest sleep of a waiting request between two looks at the queue.
+const LOOK_AGAIN: Micros = Micros::from_millis(10);
+
+/// Part of the shared retry allowance that is used: the rest is room for instances that do not yet
+/// know of each other.
+const RETRY_PART: f64 = 0.7;
+
+/// Retries that one instance may save up.
+const RETRY_BURST: f64 = 3.0;
+
+/// One service.
+pub(crate) struct Service {
+    pub(crate) name: String,
+    pub(crate) spec: RefCell<ServiceSpec>,
+    pub(crate) placement: RefCell<Placement>,
+    pub(crate) retries: RefCell<RetryBudget>,
+    /// Idle connections to the servers.
+    pub(crate) pools: Pools,
+    addresses: RefCell<FastMap<BackendId, SocketAddr>>,
+    queue: RefCell<WaitQueue>,
+    /// Invariant: holds exactly the tickets in `queue`.
+    waiters: RefCell<FastMap<u64, Waiter>>,
+    /// Who wants to know when a server turns slow.
+    slow_alarms: RefCell<FastMap<BackendId, Vec<oneshot::Sender<()>>>>,
+    generation: Cell<u64>,
+}
+
+struct Waiter {
+    tried: Vec<BackendId>,
+    is_large: bool,
+    tx: oneshot::Sender<Result<BackendId, Refusal>>,
+}
+
+/// What a request asks of the queue.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) entry: Entry,
+    /// Servers that the request was sent to already.
+    pub(crate) tried: Vec<BackendId>,
+    /// Whether its answer is large.
+    pub(crate) is_large: bool,
+}
+
+/// Why no server was given.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum NoServer {
+    /// All are full and the wait would be too long.
+    Refused(Refusal),
+    /// None is left that could take the request.
+    Nowhere,
+}
+
+impl Service {
+    pub(crate) fn new(name: &str, spec: ServiceSpec, instance: &Instance) -> Rc<Self> {
+        let seed = hash64(instance.incarnation.0, name.as_bytes());
+        Rc::new(Self {
+            name: name.to_owned(),
+            spec: RefCell::new(spec),
+            placement: RefCell::new(Placement::new(PlaceConfig::default(), seed)),
+            retries: RefCell::new(retry_budget(&instance.settings.retries)),
+            pools: Pools::default(),
+            addresses: RefCell::default(),
+            queue: RefCell::new(WaitQueue::new(QueueConfig::default())),
+            waiters: RefCell::default(),
+            slow_alarms: RefCell::default(),
+            generation: Cell::new(u64::MAX),
+        })
+    }
+
+    /// Takes in the list of servers where it has changed.
+    fn refresh(&self, instance: &Instance) {
+        let state = instance.state.borrow();
+        let directory = state.directory();
+        if self.generation.replace(directory.generation()) == directory.generation() {
+            return;
+        }
+        let home = &instance.settings.domain;
+        let mut list = Vec::new();
+        let mut addresses = FastMap::default();
+        for record in directory.servers().filter(|record| record.service == self.name) {
+            addresses.insert(record.id.clone(), record.address);
+            list.push(PlacedServer {
+                id: record.id.clone(),
+                slots: record.slots,
+                is_home: record.domain == *home,
+                is_leaving: record.state == ServerState::Leaving,
+                cold_for: record.cold_for.into(),
+            });
+        }
+        self.pools.retain(|id| addresses.contains_key(id));
+        *self.addresses.borrow_mut() = addresses;
+        self.placement.borrow_mut().set_servers(instance.now(), &list);
+    }
+
+    /// Where a server listens; `None` once it is gone.
+    pub(crate) fn address(&self, id: &BackendId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(id).copied()
+    }
+
+    /// The servers.
+    pub(crate) fn servers(&self) -> Vec<(BackendId, SocketAddr)> {
+        self.addresses.borrow().iter().map(|(id, address)| (id.clone(), *address)).collect()
+    }
+
+    /// Number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.queue.borrow().len()
+    }
+
+    /// Takes in what was seen of a server; returns whether it was news.
+    pub(crate) fn see(&self, instance: &Instance, id: &BackendId, sighting: Sighting) -> bool {
+        let was_slow = self.placement.borrow().seen(id).is_some_and(|seen| seen.is_slow());
+        let is_news = self.placement.borrow_mut().see(id, sighting);
+        if is_news && sighting.is_slow() && !was_slow {
+            for alarm in self.slow_alarms.borrow_mut().remove(id).unwrap_or_default() {
+                // The request may have ended meanwhile.
+                let _ = alarm.send(());
+            }
+        }
+        if is_news {
+            self.poll(instance);
+        }
+        is_news
+    }
+
+    /// Resolves when the server turns slow.
+    pub(crate) fn slow_alarm(&self, id: &BackendId) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        let mut alarms = self.slow_alarms.borrow_mut();
+        let alarms = alarms.entry(id.clone()).or_default();
+        alarms.retain(|alarm| !alarm.is_canceled());
+        alarms.push(tx);
+        rx
+    }
+
+    /// Finds a server for a request, which waits for one where it has to.
+    ///
+    /// # Errors
+    ///
+    /// When the wait would be too long or there is no server.
+    pub(crate) async fn place(
+        self: &Rc<Self>,
+        instance: &Rc<Instance>,
+        wanted: Wanted,
+    ) -> Result<InFlight, NoServer> {
+        let now = instance.now();
+        if self.queue.borrow().is_empty() {
+            let ask = Ask { tried: &wanted.tried, is_large: wanted.is_large, is_urgent: false };
+            let choice = self.placement.borrow_mut().choose(now, &ask);
+            match choice {
+                Choice::Server(id) => return Ok(InFlight::start(self, instance, id)),
+                Choice::Nowhere => return Err(NoServer::Nowhere),
+                Choice::Wait => {}
+            }
+        }
+        self.wait(instance, wanted).await
+    }
+
+    /// A server that a second copy goes to at once, if there is a good one.
+    pub(crate) fn place_copy(
+        self: &Rc<Self>,
+        instance: &Rc<Instance>,
+        tried: &[BackendId],
+        is_large: bool,
+    ) -> Option<InFlight> {
+        let now = instance.now();
+        let ask = Ask { tried, is_large, is_urgent: false };
+        if !self.placement.borrow().has_good(now, &ask) {
+            return None;
+        }
+        let choice = self.placement.borrow_mut().choose(now, &ask);
+        match choice {
+            Choice::Server(id) => Some(InFlight::start(self, instance, id)),
+            Choice::Wait | Choice::Nowhere => None,
+        }
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        instance: &Rc<Instance>,
+        wanted: Wanted,
+    ) -> Result<InFlight, NoServer> {
+        let Wanted { entry, tried, is_large } = wanted;
+        let now = instance.now();
+        let (pace, work) = self.drain(instance);
+        let offered = self.queue.borrow_mut().offer(now, entry, pace, work);
+        offered.map_err(NoServer::Refused)?;
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().insert(entry.ticket, Waiter { tried, is_large, tx });
+        instance.metrics.waiting.inc();
+        let mut waiting = Waiting { service: self, instance, ticket: entry.ticket, rx };
+        loop {
+            match monoio::time::timeout(LOOK_AGAIN.into(), &mut waiting.rx).await {
+                Ok(Ok(Ok(id))) => return Ok(InFlight::started(self, instance, id)),
+                Ok(Ok(Err(refusal))) => return Err(NoServer::Refused(refusal)),
+                Ok(Err(_)) => return Err(NoServer::Nowhere),
+                Err(_) => self.poll(instance),
+            }
+        }
+    }
+
+    /// Mean time between two starts at this instance while all servers are busy, and the mean time
+    /// of a request.
+    fn drain(&self, instance: &Instance) -> (Micros, Micros) {
+        let placement = self.placement.borrow();
+        let work = placement.work();
+        let slots = placement.slots(instance.now()).max(1);
+        let pace = work.0.saturating_mul(u64::from(instance.serving())) / u64::from(slots);
+        (Micros(pace), work)
+    }
+
+    /// Starts or refuses what waits, as far as it is time for that.
+    pub(crate) fn poll(&self, instance: &Instance) {
+        let now = instance.now();
+        let work = self.placement.borrow().work();
+        let expired = self.queue.borrow_mut().expired(now, work);
+        for (entry, refusal) in expired {
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&entry.ticket) {
+                // The caller may have gone at this very moment.
+                let _ = waiter.tx.send(Err(refusal));
+            }
+        }
+        while self.start_first(now) {}
+    }
+
+    fn start_first(&self, now: Micros) -> bool {
+        let queue = self.queue.borrow();
+        let Some(entry) = queue.first().copied() else { return false };
+        let is_urgent = queue.is_urgent(now, &entry);
+        drop(queue);
+        let mut waiters = self.waiters.borrow_mut();
+        let Some(waiter) = waiters.get(&entry.ticket) else {
+            self.queue.borrow_mut().remove(entry.ticket);
+            return true;
+        };
+        let ask = Ask { tried: &waiter.tried, is_large: waiter.is_large, is_urgent };
+        let choice = self.placement.borrow_mut().choose(now, &ask);
+        let Choice::Server(id) = choice else { return false };
+        self.queue.borrow_mut().remove(entry.ticket);
+        let Some(waiter) = waiters.remove(&entry.ticket) else { return true };
+        self.placement.borrow_mut().start(&id);
+        if let Err(Ok(id)) = waiter.tx.send(Ok(id)) {
+            self.placement.borrow_mut().finish(&id);
+        }
+        true
+    }
+}
+
+/// A request in the queue. Dropping it takes the request out, also where a server was given to it
+/// and nobody has taken note of that yet.
+struct Waiting<'a> {
+    service: &'a Rc<Service>,
+    instance: &'a Rc<Instance>,
+    ticket: u64,
+    rx: oneshot::Receiver<Result<BackendId, Refusal>>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.instance.metrics.waiting.dec();
+        self.service.queue.borrow_mut().remove(self.ticket);
+        let was_waiting = self.service.waiters.borrow_mut().remove(&self.ticket).is_some();
+        if was_waiting {
+            return;
+        }
+        if let Ok(Some(Ok(id))) = self.rx.try_recv() {
+            self.service.placement.borrow_mut().finish(&id);
+        }
+    }
+}
+
+/// A request that is counted at a server. Dropping it takes it off.
+pub(crate) struct InFlight {
+    service: Rc<Service>,
+    instance: Rc<Instance>,
+    pub(crate) server: BackendId,
+}
+
+impl InFlight {
+    fn start(service: &Rc<Service>, instance: &Rc<Instance>, server: BackendId) -> Self {
+        service.placement.borrow_mut().start(&server);
+        Self::started(service, instance, server)
+    }
+
+    fn started(service: &Rc<Service>, instance: &Rc<Instance>, server: BackendId) -> Self {
+        Self { service: Rc::clone(service), instance: Rc::clone(instance), server }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.service.placement.borrow_mut().finish(&self.server);
+        self.service.poll(&self.instance);
+    }
+}
+
+/// The part of the shared allowance that one instance may use. The share grows with its own
+/// requests; the slack is split as if all of it were used up at once.
+fn retry_budget(allowance: &RetryAllowance) -> RetryBudget {
+    /// Instances among which the slack is split.
+    const SHARERS: f64 = 16.0;
+    let per_second = allowance.slack / allowance.window.as_secs_f64().max(0.1) / SHARERS;
+    RetryBudget::new(RetryConfig {
+        share: allowance.ratio * RETRY_PART,
+        floor_per_second: per_second / 2.0,
+        burst: RETRY_BURST,
+    })
+}
+
+impl Instance {
+    /// A service of the configuration.
+    pub(crate) fn service(&self, name: &str) -> Option<Rc<Service>> {
+        self.services.borrow().get(name).cloned()
+    }
+
+    /// Takes in a changed configuration or list of servers.
+    pub(crate) fn refresh_services(&self) {
+        let table = Rc::clone(self.state.borrow().table());
+        let mut services = self.services.borrow_mut();
+        services.retain(|name, _| table.service(name).is_some());
+        for (name, spec) in table.services() {
+            match services.get(name) {
+                Some(service) => *service.spec.borrow_mut() = spec.clone(),
+                None => {
+                    services.insert(name.to_owned(), Service::new(name, spec.clone(), self));
+                }
+            }
+        }
+        let all: Vec<Rc<Service>> = services.values().cloned().collect();
+        drop(services);
+        for service in all {
+            service.refresh(self);
+            service.poll(self);
+        }
+        let state = self.state.borrow();
+        let servers = i64::try_from(state.directory().servers().count()).unwrap_or(i64::MAX);
+        let position = i64::try_from(state.directory().position()).unwrap_or(i64::MAX);
+        self.metrics.servers.set(servers);
+        self.metrics.position.set(position);
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -0,0 +1,131 @@
+//! What instances tell each other of backend servers: loads and failures, a few bytes each, in
+//! batches.
+//!
+//! Only instances that serve callers hear of it; the others decide nothing by it.
+
+use crate::fleet::{self, FailureNote, LoadNote, Loads};
+use crate::instance::{Instance, sleep};
+use galenapath_policy::place::Sighting;
+use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time between two datagrams. A slow spell lasts half a second; a tenth of that is soon enough.
+const FLUSH_PERIOD: Micros = Micros::from_millis(25);
+
+/// Age of a load that was told after which it is told again although nothing but the number of
+/// requests has changed.
+const REFRESH: Micros = Micros::from_millis(100);
+
+/// Most notes in one datagram, so that it fits one packet.
+const MOST_NOTES: usize = 60;
+
+/// Notes that wait for the next datagram.
+#[derive(Default)]
+pub(crate) struct Outbox {
+    loads: FastMap<BackendId, Sighting>,
+    failures: FastMap<BackendId, f32>,
+    told: FastMap<BackendId, Sighting>,
+}
+
+/// Short form of a server's identity between instances.
+pub(crate) fn short_id(id: &BackendId) -> u32 {
+    hash64(0, id.0.as_bytes()) as u32
+}
+
+impl Outbox {
+    fn add_load(&mut self, id: &BackendId, sighting: Sighting) {
+        let is_news = self.told.get(id).is_none_or(|told| {
+            let (before, now) = (told.report, sighting.report);
+            let is_changed = before.in_flight != now.in_flight || before.waiting != now.waiting;
+            told.is_slow() != sighting.is_slow()
+                || (is_changed && sighting.at - told.at >= REFRESH)
+                || sighting.at - told.at >= Micros(REFRESH.0 * 3)
+        });
+        if is_news {
+            self.loads.insert(id.clone(), sighting);
+            self.told.insert(id.clone(), sighting);
+        }
+    }
+}
+
+impl Instance {
+    /// Tells the other instances what was seen of a server.
+    pub(crate) fn share_load(&self, id: &BackendId, sighting: Sighting) {
+        self.outbox.borrow_mut().add_load(id, sighting);
+    }
+
+    /// Tells the other instances that a server failed a request.
+    pub(crate) fn share_failure(&self, id: &BackendId, weight: f32) {
+        *self.outbox.borrow_mut().failures.entry(id.clone()).or_default() += weight;
+    }
+
+    /// Takes in what another instance saw.
+    pub(crate) fn take_loads(&self, loads: &Loads) {
+        let now = self.now();
+        let services: Vec<_> = self.services.borrow().values().cloned().collect();
+        for service in services {
+            for (id, _) in service.servers() {
+                let short = short_id(&id);
+                if let Some(note) = loads.loads.iter().find(|note| note.server == short) {
+                    let sighting = Sighting { at: now - note.age, report: note.report };
+                    service.see(self, &id, sighting);
+                }
+                if let Some(note) = loads.failures.iter().find(|note| note.server == short) {
+                    service.placement.borrow_mut().failed(now, &id, note.weight);
+                }
+            }
+        }
+    }
+
+    fn flush_outbox(&self) {
+        let now = self.now();
+        let mut outbox = self.outbox.borrow_mut();
+        if outbox.loads.is_empty() && outbox.failures.is_empty() {
+            return;
+        }
+        let loads = outbox.loads.drain().map(|(id, seen)| LoadNote {
+            server: short_id(&id),
+            age: now - seen.at,
+            report: seen.report,
+        });
+        let loads: Vec<LoadNote> = loads.collect();
+        let failures = outbox.failures.drain();
+        let failures: Vec<FailureNote> =
+            failures.map(|(id, weight)| FailureNote { server: short_id(&id), weight }).collect();
+        drop(outbox);
+        let to = self.load_readers();
+        for part in split(loads, failures) {
+            let datagram = fleet::encode(&fleet::Datagram::Loads(part));
+            to.iter().for_each(|address| self.send(*address, &datagram));
+        }
+    }
+
+    fn load_readers(&self) -> Vec<SocketAddr> {
+        let beats = self.beats.borrow();
+        let readers = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers);
+        readers.map(|peer| peer.member.peers).collect()
+    }
+}
+
+fn split(loads: Vec<LoadNote>, failures: Vec<FailureNote>) -> Vec<Loads> {
+    if loads.len() <= MOST_NOTES {
+        return vec![Loads { loads, failures }];
+    }
+    let mut parts: Vec<Loads> = loads
+        .chunks(MOST_NOTES)
+        .map(|part| Loads { loads: part.to_vec(), failures: Vec::new() })
+        .collect();
+    if let Some(first) = parts.first_mut() {
+        first.failures = failures;
+    }
+    parts
+}
+
+/// Sends what has gathered, for as long as the instance runs.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    loop {
+        sleep(FLUSH_PERIOD).await;
+        instance.flush_outbox();
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/state.rs
@@ -0,0 +1,183 @@
+//! The configuration and the list of backend servers, as far as this instance knows them.
+
+use crate::instance::Instance;
+use bytes::Bytes;
+use galenapath_platform::KeyEvent;
+use galenapath_protocol::{BackendId, Micros};
+use galenapath_routes::{Change, Directory, ListedServer, RouteTable, ServerChanges};
+use std::rc::Rc;
+
+/// Time after the end of an outage of the store in which entries that lapsed meanwhile come back.
+/// The platform promises two seconds.
+const COME_BACK: Micros = Micros::from_millis(2_100);
+
+/// What an instance knows of the platform.
+///
+/// Invariant: the version of `table` never falls while the process lives, and `config` is the text
+/// that `table` was read from.
+#[derive(Default)]
+pub(crate) struct State {
+    table: Rc<RouteTable>,
+    config: Bytes,
+    directory: Directory,
+    /// Until when vanished entries are given time to come back; set when the store is back after
+    /// no instance was answered.
+    comes_back_until: Micros,
+}
+
+impl State {
+    /// Whether both the configuration and the list are known.
+    pub(crate) fn is_known(&self) -> bool {
+        !self.config.is_empty() && self.directory.position() > 0
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> &Rc<RouteTable> {
+        &self.table
+    }
+
+    /// Text of the configuration in force.
+    pub(crate) fn config(&self) -> &Bytes {
+        &self.config
+    }
+
+    /// The backend servers.
+    pub(crate) fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// The store is back after an outage that met every instance.
+    pub(crate) fn store_is_back(&mut self, now: Micros) {
+        self.comes_back_until = now + COME_BACK;
+    }
+
+    /// When an entry that vanishes now counts as gone; `None` for at once.
+    fn gone_at(&self, now: Micros) -> Option<Micros> {
+        (self.comes_back_until > now).then_some(self.comes_back_until)
+    }
+}
+
+/// What led to a change, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Source {
+    /// The platform's store.
+    Store,
+    /// Another instance.
+    Peer,
+}
+
+impl Source {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+impl Instance {
+    /// Takes a configuration over if it is newer than the one in force.
+    pub(crate) fn take_config(&self, value: &Bytes, source: Source) {
+        let before = self.state.borrow().table.version();
+        let table = match self.dialect.route_table(value) {
+            Ok(table) => table,
+            Err(e) => {
+                let source = source.as_str();
+                log::error!(error = e, source, in_force = before; "configuration refused");
+                return;
+            }
+        };
+        let (version, routes) = (table.version(), table.len());
+        let is_first = self.state.borrow().config.is_empty();
+        if version <= before && !is_first {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        state.table = Rc::new(table);
+        state.config = value.clone();
+        drop(state);
+        self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let source = source.as_str();
+        log::info!(version, before, routes, source; "configuration in force");
+        self.reset_splits();
+        self.refresh_services();
+    }
+
+    /// Takes in changes that a watch on the store saw, up to `position`.
+    pub(crate) fn take_events(&self, events: &[KeyEvent], position: u64) {
+        for event in events {
+            self.take_event(event);
+        }
+        self.state.borrow_mut().directory.reached(position);
+        self.refresh_services();
+    }
+
+    fn take_event(&self, event: &KeyEvent) {
+        if event.key() == self.dialect.config_key() {
+            if let KeyEvent::Put(item) = event {
+                self.take_config(&item.value, Source::Store);
+            }
+            return;
+        }
+        let Some(id) = event.key().strip_prefix(self.dialect.servers_prefix()) else { return };
+        let now = self.now();
+        let (revision, change) = match event {
+            KeyEvent::Put(item) => match self.dialect.server(id, &item.value) {
+                Ok(record) => (item.revision.0, Change::Put(record)),
+                Err(e) => {
+                    log::warn!(server = id, error = e; "entry of a server cannot be read");
+                    return;
+                }
+            },
+            KeyEvent::Deleted { revision, .. } => {
+                (revision.0, Change::Removed(BackendId(id.to_owned())))
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        let gone_at = state.gone_at(now);
+        log_change(id, revision, &change, gone_at.map(|at| at - now));
+        state.directory.apply(revision, change, gone_at);
+    }
+
+    /// Takes in the whole list as the store gave it.
+    pub(crate) fn take_list(&self, position: u64, list: Vec<ListedServer>) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let gone_at = state.gone_at(now);
+        state.directory.take_list(position, list, gone_at);
+        drop(state);
+        self.refresh_services();
+    }
+
+    /// Takes in what another instance knows.
+    pub(crate) fn take_changes(&self, changes: ServerChanges) {
+        let now = self.now();
+        self.state.borrow_mut().directory.merge(changes, now);
+        self.refresh_services();
+    }
+
+    /// Drops servers whose entries did not come back.
+    pub(crate) fn expire_servers(&self) {
+        let now = self.now();
+        let gone = self.state.borrow_mut().directory.expire(now);
+        if gone.is_empty() {
+            return;
+        }
+        for id in &gone {
+            log::info!(server:% = id; "server gone: its entry did not come back");
+        }
+        self.refresh_services();
+    }
+}
+
+fn log_change(id: &str, revision: u64, change: &Change, lapses_in: Option<Micros>) {
+    let hold_ms = lapses_in.map_or(0.0, Micros::as_millis_f64);
+    match change {
+        Change::Put(record) => {
+            let (service, address) = (record.service.as_str(), record.address);
+            let state = format!("{:?}", record.state);
+            log::info!(server = id, service, address:% = address, state, revision; "server listed");
+        }
+        Change::Removed(_) => log::info!(server = id, revision, hold_ms; "server removed"),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -0,0 +1,253 @@
+//! The platform's store: the first read, the watch and the way back after an outage.
+
+use crate::fleet;
+use crate::instance::{Instance, sleep};
+use bytes::Bytes;
+use futures::future::{Either, select};
+use galenapath_membership::{StoreHealth, WatchRole, watch_role};
+use galenapath_platform::{Freshness, KeyStore, PlatformError, StoreIndex, Watched};
+use galenapath_protocol::Micros;
+use galenapath_routes::ListedServer;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest wait of one watch. A connection may fall silent for good, which only the end of the wait
+/// shows; a watch of two seconds costs half a call a second.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two pings beside a watch, which show at a tenth of a call's price that the store
+/// still answers this instance.
+const PING_PERIOD: Micros = Micros::from_millis(400);
+
+/// Pause of an instance that does not watch between two looks at its role.
+const REST: Micros = Micros::from_millis(50);
+
+/// Pause between two tries while the store answers nobody.
+const RETRY: Micros = Micros::from_millis(400);
+
+/// Time after the start in which an instance first listens for others: all start within a third of
+/// a second, and whoever is known to others already need not read the store.
+const LISTEN_FIRST: Micros = Micros::from_millis(450);
+
+/// Time after which an instance that the store did not answer may be asked to watch again.
+const FORGIVE: Micros = Micros::from_secs(5);
+
+/// Pause between two watches, so that changes in quick succession come with one call.
+const GATHER: Micros = Micros::from_millis(60);
+
+/// Start of the keys under which watching instances leave their addresses, for those that start
+/// while all seeds are gone.
+const INSTANCES: &str = "galenapath/instances/";
+
+/// Key that is read to see whether the store answers; it need not exist.
+const PING_KEY: &str = "galenapath/ping";
+
+/// Follows the store in the role that falls to this instance, for as long as it runs.
+pub(crate) async fn run<S: KeyStore>(instance: Rc<Instance>, store: S) {
+    sleep(LISTEN_FIRST).await;
+    let mut watcher = Watcher { instance, store, failed_at: Micros::ZERO, is_entered: false };
+    loop {
+        match watcher.role() {
+            WatchRole::Watch => watcher.watch().await,
+            WatchRole::Retry => watcher.retry().await,
+            WatchRole::Rest => watcher.rest().await,
+        }
+    }
+}
+
+struct Watcher<S> {
+    instance: Rc<Instance>,
+    store: S,
+    failed_at: Micros,
+    /// Whether this instance's address stands in the store.
+    is_entered: bool,
+}
+
+impl<S: KeyStore> Watcher<S> {
+    fn role(&self) -> WatchRole {
+        let instance = &self.instance;
+        let vitals = instance.vitals();
+        let beats = instance.beats.borrow();
+        watch_role(instance.incarnation, &instance.settings.domain, &vitals, beats.peers())
+    }
+
+    async fn rest(&mut self) {
+        let instance = &self.instance;
+        if instance.is_watching.replace(false) {
+            log::info!("leaves the watch to others");
+        }
+        let since_failure = instance.now() - self.failed_at;
+        if instance.store.get() == StoreHealth::Failing && since_failure > FORGIVE {
+            instance.store.set(StoreHealth::Untried);
+        }
+        sleep(REST).await;
+    }
+
+    /// Tries whether the store answers again.
+    async fn retry(&mut self) {
+        self.instance.is_watching.set(false);
+        sleep(RETRY).await;
+        if self.role() == WatchRole::Retry {
+            let result = self.store.get(PING_KEY, Freshness::MayBeStale).await;
+            self.count("ping", &result);
+        }
+    }
+
+    async fn watch(&mut self) {
+        if !self.instance.is_watching.replace(true) {
+            log::info!("watches the store");
+        }
+        if !self.instance.state.borrow().is_known() {
+            self.load().await;
+            return;
+        }
+        let position = self.instance.state.borrow().directory().position();
+        let watched = {
+            let watching = pin!(self.store.watch_prefix("", StoreIndex(position), WATCH_WAIT));
+            let pinging = pin!(self.ping_until_failure());
+            match select(watching, pinging).await {
+                Either::Left((watched, _)) => watched,
+                Either::Right((e, _)) => Err(e),
+            }
+        };
+        self.count("watch", &watched);
+        match watched {
+            Ok(Watched::Events { events, position }) => {
+                let before = self.instance.vitals();
+                self.instance.take_events(&events, position.0);
+                let after = self.instance.vitals();
+                if before != after && !events.is_empty() {
+                    fleet::announce(&self.instance);
+                }
+                self.enter().await;
+                sleep(GATHER).await;
+            }
+            Ok(Watched::HistoryGone) => {
+                log::warn!(position; "the store has dropped its history; reading anew");
+                self.load().await;
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Resolves with the error of the first ping that the store does not answer.
+    async fn ping_until_failure(&self) -> PlatformError {
+        loop {
+            sleep(PING_PERIOD).await;
+            let result = self.store.get(PING_KEY, Freshness::MayBeStale).await;
+            self.instance.count_call("ping", result.is_ok());
+            if let Err(e) = result {
+                return e;
+            }
+        }
+    }
+
+    /// Reads the configuration and the list.
+    async fn load(&mut self) {
+        let key = self.instance.dialect.config_key();
+        let config = self.store.get(key, Freshness::Current).await;
+        self.count("get", &config);
+        let Ok(config) = config else { return };
+        if let Some(item) = config {
+            self.instance.take_config(&item.value, crate::state::Source::Store);
+        }
+        let Some((position, list)) = self.read_list().await else { return };
+        self.instance.take_list(position, list);
+        fleet::announce(&self.instance);
+        self.enter().await;
+        if !self.instance.state.borrow().is_known() {
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Reads all pages of the list. Its position is that of the first page: what changes while the
+    /// others are read comes with the watch.
+    async fn read_list(&mut self) -> Option<(u64, Vec<ListedServer>)> {
+        let prefix = self.instance.dialect.servers_prefix();
+        let mut list = Vec::new();
+        let mut position = None;
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.store.range(prefix, after.as_deref(), Freshness::Current).await;
+            self.count("range", &page);
+            let page = page.ok()?;
+            position.get_or_insert(page.position.0);
+            after = page.items.last().map(|item| item.key.clone());
+            for item in page.items {
+                let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
+                match self.instance.dialect.server(id, &item.value) {
+                    Ok(record) => list.push(ListedServer {
+                        revision: item.revision.0,
+                        record,
+                        lapses_in: None,
+                    }),
+                    Err(e) => log::warn!(server = id, error = e; "entry cannot be read"),
+                }
+            }
+            if !page.has_more || after.is_none() {
+                return Some((position?, list));
+            }
+        }
+    }
+
+    /// Leaves this instance's address in the store, once, and looks for others there.
+    async fn enter(&mut self) {
+        if self.is_entered {
+            return;
+        }
+        self.is_entered = true;
+        let own = self.instance.settings.listen.peers;
+        let key = format!("{INSTANCES}{own}");
+        let put = self.store.put(&key, Bytes::from_static(b"1")).await;
+        self.count("put", &put);
+        self.is_entered = put.is_ok();
+        let page = self.store.range(INSTANCES, None, Freshness::Current).await;
+        self.count("range", &page);
+        let Ok(page) = page else { return };
+        let keys = page.items.iter().filter_map(|item| item.key.strip_prefix(INSTANCES));
+        let addresses: Vec<_> = keys.filter_map(|text| text.parse().ok()).collect();
+        fleet::ask(&self.instance, &addresses);
+    }
+
+    /// Takes note of whether the store answered.
+    fn count<T>(&mut self, call: &'static str, result: &Result<T, PlatformError>) {
+        let instance = Rc::clone(&self.instance);
+        instance.count_call(call, result.is_ok());
+        let before = instance.store.get();
+        match result {
+            Ok(_) => {
+                if before != StoreHealth::Answering && self.is_nobody_answered() {
+                    instance.state.borrow_mut().store_is_back(instance.now());
+                }
+                instance.store.set(StoreHealth::Answering);
+                if before == StoreHealth::Failing {
+                    log::info!(call; "the store answers again");
+                }
+            }
+            Err(e) => {
+                self.failed_at = instance.now();
+                instance.store.set(StoreHealth::Failing);
+                instance.is_watching.set(false);
+                log::warn!(call, error:% = e; "the store did not answer");
+            }
+        }
+        if before != instance.store.get() {
+            fleet::announce(&instance);
+        }
+    }
+
+    /// Whether the store has answered none of the instances lately.
+    fn is_nobody_answered(&self) -> bool {
+        let beats = self.instance.beats.borrow();
+        let mut up = beats.peers().filter(|peer| peer.is_up());
+        !up.any(|peer| peer.vitals.store == StoreHealth::Answering)
+    }
+}
+
+impl Instance {
+    fn count_call(&self, call: &str, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "failed" };
+        self.metrics.store_calls.with_label_values(&[call, result]).inc();
+    }
+}
--- a/crates/galenapath-http/src/lib.rs
+++ b/crates/galenapath-http/src/lib.rs
@@ -8,11 +8,13 @@
 mod error;
 mod framing;
 mod head;
+mod hop_by_hop;
 
 pub use body::BodyState;
 pub use connection::{Connection, HeadTimes};
 pub use error::HttpError;
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{Field, MAX_HEADERS, check_head, put_request, put_response};
+pub use hop_by_hop::{connection_has, strip_hop_by_hop};
 pub use monoio_http::common::request::RequestHead;
 pub use monoio_http::common::response::ResponseHead;
--- /dev/null
+++ b/crates/galenapath-membership/src/beats.rs
@@ -0,0 +1,304 @@
+//! Which entry instances are there, by heartbeats that each sends to a bounded number of others.
+//!
+//! Load pattern: an address answer that names a dead instance costs each of its callers a second
+//! of connecting, and callers wait little longer than that. A death has to be known everywhere in
+//! about a second, at a cost for each instance that does not grow with the fleet, and without
+//! taking out an instance that is merely slow or an observer that is itself cut off.
+//!
+//! Every instance sends heartbeats to the instances that follow it in the order of incarnations; in
+//! a small fleet these are all. Who hears nothing for [`BeatConfig::silent_after`] takes the sender
+//! out of its own answers and tells all; an instance that does not monitor the sender believes two
+//! observers, not one. Who hears nobody any more doubts itself and accuses no one.
+
+use crate::{Member, MemberStatus};
+use galenapath_protocol::{FastMap, FastSet, Incarnation, Micros};
+use std::net::SocketAddr;
+
+/// Thresholds of heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BeatConfig {
+    /// Time between two heartbeats.
+    pub period: Micros,
+    /// Silence after which an instance is no longer given to callers: three heartbeats in a row,
+    /// which at 5% loss go missing together once in 8,000.
+    pub silent_after: Micros,
+    /// Instances that one sends heartbeats to.
+    pub fan_out: usize,
+    /// Time between two heartbeats to an instance that is silent, so that it is found again.
+    pub silent_period: Micros,
+    /// Silence after which an instance is forgotten.
+    pub forget_after: Micros,
+    /// Accusers without whom an instance that is not monitored itself stays believed in.
+    pub accusers: usize,
+    /// How long an accusation counts.
+    pub accusation: Micros,
+    /// Gap between two calls of `tick` after which the instance was itself asleep, so that the
+    /// silence of the others says nothing.
+    pub own_pause: Micros,
+}
+
+impl Default for BeatConfig {
+    fn default() -> Self {
+        Self {
+            period: Micros::from_millis(250),
+            silent_after: Micros::from_millis(800),
+            fan_out: 15,
+            silent_period: Micros::from_secs(1),
+            forget_after: Micros::from_secs(60),
+            accusers: 2,
+            accusation: Micros::from_secs(3),
+            own_pause: Micros::from_millis(500),
+        }
+    }
+}
+
+/// How the platform's store answers an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum StoreHealth {
+    /// The instance has not tried it lately.
+    #[default]
+    Untried,
+    /// The last call was answered.
+    Answering,
+    /// The last call failed.
+    Failing,
+}
+
+/// What an instance tells of itself with each heartbeat.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Vitals {
+    /// Whether it can serve requests.
+    pub is_ready: bool,
+    /// Whether a planned stop has begun.
+    pub is_leaving: bool,
+    /// How the store answers it.
+    pub store: StoreHealth,
+    /// Whether it watches the store for the others.
+    pub is_watching: bool,
+    /// Whether callers have sent it requests lately.
+    pub serves_callers: bool,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Position of its list of backend servers.
+    pub position: u64,
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Beat {
+    /// Who sends it.
+    pub from: Incarnation,
+    /// What it tells of itself.
+    pub vitals: Vitals,
+    /// Instances that it finds silent.
+    pub accused: Vec<Incarnation>,
+}
+
+/// What hearing a heartbeat says about its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is known.
+    Known,
+    /// Nothing but its incarnation is known; it has to be asked.
+    Stranger,
+}
+
+/// A change of what is believed of another instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Belief {
+    /// The instance.
+    pub member: Member,
+    /// Whether it is believed to answer now.
+    pub is_up: bool,
+    /// Silence that led to it.
+    pub silence: Micros,
+}
+
+/// Another instance.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Who it is.
+    pub member: Member,
+    /// What it last told.
+    pub vitals: Vitals,
+    heard_at: Micros,
+    sent_at: Micros,
+    is_up: bool,
+    /// Who finds it silent, and since when.
+    accusers: FastMap<Incarnation, Micros>,
+}
+
+impl Peer {
+    /// Whether it is believed to answer.
+    pub fn is_up(&self) -> bool {
+        self.is_up
+    }
+
+    /// Whether callers may be sent to it.
+    pub fn is_usable(&self) -> bool {
+        self.is_up && self.vitals.is_ready && !self.vitals.is_leaving
+    }
+}
+
+/// The other instances as one of them knows them.
+#[derive(Debug)]
+pub struct Beats {
+    cfg: BeatConfig,
+    own: Incarnation,
+    peers: FastMap<Incarnation, Peer>,
+    ticked_at: Micros,
+    /// Whether most of those who should send heartbeats are silent, so that the fault is here.
+    is_doubtful: bool,
+}
+
+impl Beats {
+    /// Nobody is known yet.
+    pub fn new(cfg: BeatConfig, own: Incarnation, now: Micros) -> Self {
+        Self { cfg, own, peers: FastMap::default(), ticked_at: now, is_doubtful: false }
+    }
+
+    /// The other instances, also those that are silent.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Whether no other instance answers.
+    pub fn is_alone(&self) -> bool {
+        !self.peers.values().any(Peer::is_up)
+    }
+
+    /// Takes in who an instance is. A new run replaces an older one at the same address. Returns
+    /// whether it was news.
+    pub fn learn(&mut self, now: Micros, member: Member) -> bool {
+        if member.incarnation == self.own || self.peers.contains_key(&member.incarnation) {
+            return false;
+        }
+        self.peers.retain(|_, peer| peer.member.peers != member.peers);
+        let peer = Peer {
+            vitals: Vitals::default(),
+            heard_at: now,
+            sent_at: Micros::ZERO,
+            is_up: member.status != MemberStatus::Gone,
+            accusers: FastMap::default(),
+            member,
+        };
+        self.peers.insert(peer.member.incarnation, peer);
+        true
+    }
+
+    /// Takes in a heartbeat.
+    pub fn hear(&mut self, now: Micros, beat: &Beat) -> Heard {
+        for accused in &beat.accused {
+            if let Some(peer) = self.peers.get_mut(accused) {
+                peer.accusers.insert(beat.from, now);
+            }
+        }
+        let Some(peer) = self.peers.get_mut(&beat.from) else { return Heard::Stranger };
+        peer.heard_at = now;
+        peer.vitals = beat.vitals;
+        peer.accusers.clear();
+        Heard::Known
+    }
+
+    /// An instance has said that it ends.
+    pub fn ended(&mut self, incarnation: Incarnation) {
+        self.peers.remove(&incarnation);
+    }
+
+    /// Looks at who has become silent or is heard again. Returns what changed.
+    pub fn tick(&mut self, now: Micros) -> Vec<Belief> {
+        let pause = now - self.ticked_at;
+        self.ticked_at = now;
+        if pause > self.cfg.own_pause {
+            for peer in self.peers.values_mut() {
+                peer.heard_at = now;
+            }
+        }
+        let cfg = &self.cfg;
+        self.peers.retain(|_, peer| now - peer.heard_at < cfg.forget_after);
+        let monitored = self.monitored();
+        let silent = |peer: &Peer| now - peer.heard_at > self.cfg.silent_after;
+        let quiet = monitored.iter().filter(|id| silent(&self.peers[*id])).count();
+        self.is_doubtful = monitored.len() > 2 && quiet * 2 > monitored.len();
+        let mut changes = Vec::new();
+        for (id, peer) in &mut self.peers {
+            let silence = now - peer.heard_at;
+            peer.accusers.retain(|_, at| now - *at < self.cfg.accusation);
+            let is_up = if monitored.contains(id) {
+                silence <= self.cfg.silent_after
+            } else {
+                peer.accusers.len() < self.cfg.accusers
+            };
+            if is_up != peer.is_up {
+                peer.is_up = is_up;
+                changes.push(Belief { member: peer.member.clone(), is_up, silence });
+            }
+        }
+        changes
+    }
+
+    /// Whether this instance hears so few of the others that it must be cut off itself.
+    pub fn is_doubtful(&self) -> bool {
+        self.is_doubtful
+    }
+
+    /// Instances that this one finds silent, to be told with its heartbeats.
+    pub fn accused(&self) -> Vec<Incarnation> {
+        if self.is_doubtful {
+            return Vec::new();
+        }
+        let monitored = self.monitored();
+        let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains(*id));
+        silent.map(|(id, _)| *id).collect()
+    }
+
+    /// Addresses that a heartbeat is due to now.
+    pub fn due(&mut self, now: Micros) -> Vec<SocketAddr> {
+        let targets = self.after(self.own, self.cfg.fan_out);
+        let (period, silent_period) = (self.cfg.period, self.cfg.silent_period);
+        let mut due = Vec::new();
+        for (id, peer) in &mut self.peers {
+            let is_target = targets.contains(id);
+            let pause = match (peer.is_up, is_target) {
+                (true, true) => period,
+                (false, _) => silent_period,
+                (true, false) => continue,
+            };
+            // Half a millisecond makes up for timers that fire early or late.
+            if now + Micros(500) >= peer.sent_at + pause {
+                peer.sent_at = now;
+                due.push(peer.member.peers);
+            }
+        }
+        due
+    }
+
+    /// Addresses of all others that answer, for news that cannot wait.
+    pub fn all(&self) -> Vec<SocketAddr> {
+        self.peers.values().filter(|peer| peer.is_up).map(|peer| peer.member.peers).collect()
+    }
+
+    /// Those that send their heartbeats here.
+    fn monitored(&self) -> FastSet<Incarnation> {
+        let mut ids: Vec<Incarnation> = self.peers.keys().copied().collect();
+        if ids.len() <= self.cfg.fan_out {
+            return ids.into_iter().collect();
+        }
+        ids.push(self.own);
+        ids.sort_unstable();
+        let at = ids.iter().position(|id| *id == self.own).unwrap_or(0);
+        let before = (1..=self.cfg.fan_out).map(|step| (at + ids.len() - step) % ids.len());
+        before.map(|index| ids[index]).collect()
+    }
+
+    /// The instances that follow `id` in the order of incarnations.
+    fn after(&self, id: Incarnation, count: usize) -> FastSet<Incarnation> {
+        let mut ids: Vec<Incarnation> = self.peers.keys().copied().collect();
+        if ids.len() <= count {
+            return ids.into_iter().collect();
+        }
+        ids.sort_unstable();
+        let at = ids.partition_point(|other| *other < id);
+        (0..count).map(|step| ids[(at + step) % ids.len()]).collect()
+    }
+}
--- a/crates/galenapath-membership/src/lib.rs
+++ b/crates/galenapath-membership/src/lib.rs
@@ -3,15 +3,19 @@
 //!
 //! Pure state machines: time, probe results and messages come in; probes and rumors go out.
 
+mod beats;
 mod config;
 mod leaving;
 mod listing;
 mod member;
 mod members;
 mod rumors;
+mod watchers;
 
+pub use beats::{Beat, BeatConfig, Beats, Belief, Heard, Peer, StoreHealth, Vitals};
 pub use config::MembershipConfig;
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use listing::{ListDelta, TrackedList};
 pub use member::{Member, MemberStatus};
 pub use members::{Members, Probe};
+pub use watchers::{WATCHERS, WatchRole, watch_role};
--- /dev/null
+++ b/crates/galenapath-membership/src/watchers.rs
@@ -0,0 +1,82 @@
+//! Which instances watch the platform's store for all.
+//!
+//! Load pattern: a store whose calls are counted and billed while the fleet grows, and outages that
+//! meet some instances and not others. With every instance watching, the calls grow with the fleet;
+//! with one, its outage is everybody's. So few watch, each of another failure domain where there is
+//! one, and an instance that the store does not answer steps back at once.
+
+use crate::{Peer, StoreHealth, Vitals};
+use galenapath_protocol::{DomainId, Incarnation, hash64};
+
+/// Instances that watch at a time: one to be cut off and one to go on.
+pub const WATCHERS: usize = 2;
+
+/// Seed of the order in which instances are asked to watch.
+const ORDER_SEED: u64 = 0x7761_7463_68;
+
+/// What an instance does about the store now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// Watches.
+    Watch,
+    /// Tries now and then whether the store answers again: nobody is answered, and this instance is
+    /// one of those whose turn it is.
+    Retry,
+    /// Leaves it to others.
+    Rest,
+}
+
+struct Candidate<'a> {
+    id: Incarnation,
+    domain: &'a DomainId,
+    is_failing: bool,
+}
+
+/// The role of the instance `own`.
+pub fn watch_role<'a>(
+    own: Incarnation,
+    own_domain: &'a DomainId,
+    own_vitals: &Vitals,
+    peers: impl Iterator<Item = &'a Peer>,
+) -> WatchRole {
+    let mut all: Vec<Candidate<'a>> = peers
+        .filter(|peer| peer.is_up() && !peer.vitals.is_leaving)
+        .map(|peer| Candidate {
+            id: peer.member.incarnation,
+            domain: &peer.member.domain,
+            is_failing: peer.vitals.store == StoreHealth::Failing,
+        })
+        .collect();
+    if !own_vitals.is_leaving {
+        let is_failing = own_vitals.store == StoreHealth::Failing;
+        all.push(Candidate { id: own, domain: own_domain, is_failing });
+    }
+    all.sort_by_key(|c| (c.is_failing, hash64(ORDER_SEED, &c.id.0.to_le_bytes())));
+    let chosen = spread_over_domains(&all);
+    let Some(me) = all.iter().position(|c| c.id == own) else { return WatchRole::Rest };
+    match (chosen.contains(&me), all[me].is_failing) {
+        (true, false) => WatchRole::Watch,
+        (true, true) => WatchRole::Retry,
+        (false, _) => WatchRole::Rest,
+    }
+}
+
+/// Places of the first candidates, no two of one failure domain while others are left that the
+/// store answers.
+fn spread_over_domains(all: &[Candidate<'_>]) -> Vec<usize> {
+    let mut chosen: Vec<usize> = Vec::new();
+    let is_apart = |chosen: &[usize], index: usize| {
+        chosen.iter().all(|other| all[*other].domain != all[index].domain)
+    };
+    for index in 0..all.len() {
+        if chosen.len() < WATCHERS && !all[index].is_failing && is_apart(&chosen, index) {
+            chosen.push(index);
+        }
+    }
+    for index in 0..all.len() {
+        if chosen.len() < WATCHERS && !chosen.contains(&index) {
+            chosen.push(index);
+        }
+    }
+    chosen
+}
--- a/crates/galenapath-platform/src/http_client.rs
+++ b/crates/galenapath-platform/src/http_client.rs
@@ -30,42 +30,58 @@
 type InBody = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
 
 /// One exchange to make.
-pub(crate) struct Call {
+pub struct Call {
+    /// HTTP method.
     pub method: Method,
     /// Path and query, already escaped.
     pub path: String,
+    /// Body of the request; empty for none.
     pub body: Bytes,
     /// How long the platform may hold the answer back, as in a watch.
     pub wait: Duration,
 }
 
 impl Call {
-    pub(crate) fn get(path: String) -> Self {
+    /// A read.
+    pub fn get(path: String) -> Self {
         Self { method: Method::GET, path, body: Bytes::new(), wait: Duration::ZERO }
     }
 
-    pub(crate) fn put(path: String, body: Bytes) -> Self {
+    /// A write with a body.
+    pub fn put(path: String, body: Bytes) -> Self {
         Self { method: Method::PUT, path, body, wait: Duration::ZERO }
     }
 
-    pub(crate) fn waiting(mut self, wait: Duration) -> Self {
+    /// A call with a body that is not idempotent by itself.
+    pub fn post(path: String, body: Bytes) -> Self {
+        Self { method: Method::POST, path, body, wait: Duration::ZERO }
+    }
+
+    /// Lets the platform hold the answer back for `wait`.
+    #[must_use]
+    pub fn waiting(mut self, wait: Duration) -> Self {
         self.wait = wait;
         self
     }
 
-    pub(crate) fn name(&self) -> String {
+    /// The call as method and path, for messages.
+    pub fn name(&self) -> String {
         format!("{} {}", self.method, self.path)
     }
 
-    pub(crate) fn error(&self, cause: Cause, verdict: Verdict) -> PlatformError {
+    /// The error of this call.
+    pub fn error(&self, cause: Cause, verdict: Verdict) -> PlatformError {
         PlatformError { call: self.name(), cause, verdict }
     }
 }
 
 /// A complete answer.
-pub(crate) struct Answer {
+pub struct Answer {
+    /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
     pub headers: HeaderMap,
+    /// The whole body.
     pub body: Bytes,
 }
 
@@ -75,7 +91,7 @@
 }
 
 /// A client of one address. Belongs to the thread that made it.
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     address: SocketAddr,
     timeout: Duration,
     /// Connections whose last answer was read to its end; newest last.
@@ -83,13 +99,18 @@
 }
 
 impl HttpClient {
-    pub(crate) fn new(address: SocketAddr, timeout: Duration) -> Self {
+    /// A client of `address` whose calls end after `timeout`, waits not counted.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self { address, timeout, kept: RefCell::default() }
     }
 
     /// Makes the call. A status of 400 and above is an error, except 404, which callers read as
     /// absence.
-    pub(crate) async fn exchange(&self, call: &Call) -> Result<Answer, PlatformError> {
+    ///
+    /// # Errors
+    ///
+    /// Any failure, with a verdict on whether the call may have taken effect.
+    pub async fn exchange(&self, call: &Call) -> Result<Answer, PlatformError> {
         let verdict = Cell::new(Verdict::NotRun);
         let limit = self.timeout + call.wait;
         let answer = match monoio::time::timeout(limit, self.attempt(call, &verdict)).await {
--- a/crates/galenapath-policy/benches/decisions/cost.rs
+++ b/crates/galenapath-policy/benches/decisions/cost.rs
@@ -65,7 +65,7 @@
 
 /// Requests one after the other with `IN_FLIGHT` of them in flight; returns the time reached.
 fn run(balancer: &mut Balancer, rounds: u64) -> Micros {
-    let report = LoadReport { in_flight: 4, waiting: 0, slots: 6, leaving: false };
+    let report = LoadReport { in_flight: 4, waiting: 0, slots: 6, leaving: false, pace: 0 };
     let mut flights = std::collections::VecDeque::new();
     let mut now = Micros::ZERO;
     for i in 0..rounds {
--- a/crates/galenapath-policy/benches/decisions/fleet.rs
+++ b/crates/galenapath-policy/benches/decisions/fleet.rs
@@ -119,6 +119,7 @@
             waiting: self.queue.len() as u32,
             slots: SLOTS,
             leaving: at >= self.leaving_from,
+            pace: 0,
         };
         if self.pattern != Pattern::BadReports || at < MEASURED_FROM {
             return honest;
--- a/crates/galenapath-policy/src/balance/server.rs
+++ b/crates/galenapath-policy/src/balance/server.rs
@@ -161,5 +161,6 @@
         waiting: report.waiting.min(MOST_REPORTED),
         slots: report.slots.clamp(1, MOST_REPORTED),
         leaving: report.leaving,
+        pace: report.pace,
     }
 }
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`balance`]: which backend server a request goes to.
 //! - [`dispatch`]: which entry instances dispatch for a service, and how connections are shared.
 //! - [`measure`]: when a backend server may be probed, inside a hard budget.
+//! - [`place`]: placement on servers whose pace changes within a request, and who waits for them.
 //! - [`retry`]: when a request may be sent again, and when a second copy may go out.
 
 pub mod admission;
@@ -14,6 +15,7 @@
 pub mod dispatch;
 pub mod measure;
 mod outcome;
+pub mod place;
 mod quantile;
 pub mod retry;
 
--- /dev/null
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -0,0 +1,54 @@
+//! Thresholds of placement.
+
+use galenapath_protocol::Micros;
+
+/// Thresholds of placement; the defaults are the ones measured.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlaceConfig {
+    /// How long a slow spell lasts on average. The platform's backend servers hold a pace for about
+    /// half a second; what is left of a spell that was seen is a part of that.
+    pub spell: Micros,
+    /// Age at which a sighting of the pace has lost about two thirds of its weight: a spell seen
+    /// that long ago is over as often as not.
+    pub pace_fades: Micros,
+    /// Time that a request is taken to run before any has been measured.
+    pub assumed_work: Micros,
+    /// Cost of a server of another failure domain for an ordinary answer: a few crossings, so that
+    /// the own domain is preferred until its servers are fuller.
+    pub crossing: Micros,
+    /// Cost of a server of another failure domain for a large answer, whose bytes are billed.
+    pub crossing_large: Micros,
+    /// Part of the work time that a full server costs beside an empty one, by the square of its
+    /// fill: some servers slow down when nearly full.
+    pub fill_cost: f32,
+    /// Part of the work time within which chance decides, so that instances with the same knowledge
+    /// do not all choose the same server.
+    pub jitter: f32,
+    /// Cost of one recent failure. More than a slow spell, so that a failing server is the last
+    /// choice.
+    pub failure: Micros,
+    /// Time in which a failure loses half its weight; then the server gets a trial by itself.
+    pub failure_fades: Micros,
+    /// Time for which a server that could not be reached gets nothing, unless a probe reaches it.
+    pub unreachable_for: Micros,
+    /// Cost above which a request rather waits for a better server that is full.
+    pub worth_waiting: Micros,
+}
+
+impl Default for PlaceConfig {
+    fn default() -> Self {
+        Self {
+            spell: Micros::from_millis(500),
+            pace_fades: Micros::from_millis(300),
+            assumed_work: Micros::from_millis(100),
+            crossing: Micros::from_millis(6),
+            crossing_large: Micros::from_millis(40),
+            fill_cost: 0.5,
+            jitter: 0.15,
+            failure: Micros::from_millis(400),
+            failure_fades: Micros::from_secs(3),
+            unreachable_for: Micros::from_secs(1),
+            worth_waiting: Micros::from_millis(120),
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -0,0 +1,24 @@
+//! Placement on servers that slow down and recover within half a second.
+//!
+//! Load pattern: backend servers share their machines, and at any moment a quarter of them work
+//! several times slower than usual, each for about half a second. A choice by requests in flight
+//! alone learns of a slow spell from the answers that are late because of it, when it is over.
+//! Here the pace that servers tell, on answers and probes and through other instances, decides
+//! first, and what is known loses its weight with its age.
+//!
+//! - [`Placement`]: which server a request goes to, or that it has to wait.
+//! - [`WaitQueue`]: who waits, who goes first and who is turned away.
+//! - [`Watchdog`]: when a running request gets a second copy elsewhere.
+
+mod config;
+mod known;
+mod placement;
+mod queue;
+mod server;
+mod watchdog;
+
+pub use config::PlaceConfig;
+pub use known::Sighting;
+pub use placement::{Ask, Choice, PlacedServer, Placement, ServerKey};
+pub use queue::{Entry, QueueConfig, Refusal, WaitQueue};
+pub use watchdog::{Verdictless, Watchdog};
--- /dev/null
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -0,0 +1,118 @@
+//! One server as placement knows it.
+
+use super::config::PlaceConfig;
+use super::known::Sighting;
+use galenapath_protocol::{BackendId, Micros};
+
+/// Largest weight of recent failures; a server that fails for long gets its trial no later.
+const MOST_TROUBLE: f32 = 4.0;
+
+/// One server.
+#[derive(Clone, Debug)]
+pub(super) struct Server {
+    pub id: BackendId,
+    pub slots: u32,
+    /// Whether it is in the own failure domain.
+    pub is_home: bool,
+    pub is_leaving: bool,
+    /// Until when it works slowly after its start.
+    pub cold_until: Micros,
+    /// Requests of this instance that are there now.
+    pub own: u32,
+    /// The newest sighting.
+    seen: Option<Sighting>,
+    /// Requests of other instances there, by the newest sighting.
+    others: u32,
+    /// Weight of recent failures at `trouble_at`.
+    trouble: f32,
+    trouble_at: Micros,
+    /// Until when it counts as unreachable.
+    unreachable_until: Micros,
+}
+
+impl Server {
+    pub(super) fn new(id: BackendId) -> Self {
+        Self {
+            id,
+            slots: 1,
+            is_home: false,
+            is_leaving: false,
+            cold_until: Micros::ZERO,
+            own: 0,
+            seen: None,
+            others: 0,
+            trouble: 0.0,
+            trouble_at: Micros::ZERO,
+            unreachable_until: Micros::ZERO,
+        }
+    }
+
+    /// Takes a sighting in; returns whether it was newer than what was known.
+    pub(super) fn see(&mut self, sighting: Sighting) -> bool {
+        if self.seen.is_some_and(|seen| seen.at >= sighting.at) {
+            return false;
+        }
+        self.others = sighting.load().saturating_sub(self.own);
+        self.seen = Some(sighting);
+        self.slots = sighting.report.slots.max(1);
+        true
+    }
+
+    pub(super) fn seen(&self) -> Option<Sighting> {
+        self.seen
+    }
+
+    pub(super) fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.load() < self.slots
+    }
+
+    pub(super) fn is_reachable(&self, now: Micros) -> bool {
+        now >= self.unreachable_until
+    }
+
+    pub(super) fn reached(&mut self) {
+        self.unreachable_until = Micros::ZERO;
+    }
+
+    pub(super) fn not_reached(&mut self, until: Micros) {
+        self.unreachable_until = until;
+    }
+
+    pub(super) fn trouble(&self, now: Micros, cfg: &PlaceConfig) -> f32 {
+        let halves = (now - self.trouble_at).0 as f32 / cfg.failure_fades.0 as f32;
+        self.trouble * (-halves * std::f32::consts::LN_2).exp()
+    }
+
+    pub(super) fn failed(&mut self, now: Micros, cfg: &PlaceConfig, weight: f32) {
+        self.trouble = (self.trouble(now, cfg) + weight).min(MOST_TROUBLE);
+        self.trouble_at = now;
+    }
+
+    pub(super) fn served(&mut self, now: Micros, cfg: &PlaceConfig) {
+        /// Part of the weight that stays after an answer in time.
+        const KEPT: f32 = 0.8;
+        self.trouble = self.trouble(now, cfg) * KEPT;
+        self.trouble_at = now;
+    }
+
+    /// Extra time that a request of `work` is expected to take because of the pace, as known from
+    /// one sighting at its moment.
+    pub(super) fn delay_when_seen(sighting: &Sighting, work: Micros, cfg: &PlaceConfig) -> f32 {
+        let over = (sighting.pace() - 1.0).max(0.0) * work.0 as f32;
+        // A spell that is seen is half over on average; whatever is left of the work afterwards runs
+        // at the usual pace.
+        over.min(cfg.spell.0 as f32 * 0.6)
+    }
+
+    /// Extra time because of the pace now: what was seen, faded towards the average `usual`.
+    pub(super) fn delay(&self, now: Micros, work: Micros, usual: f32, cfg: &PlaceConfig) -> f32 {
+        let Some(seen) = &self.seen else { return usual };
+        let age = (now - seen.at).0 as f32 / cfg.pace_fades.0 as f32;
+        let weight = (-age).exp();
+        weight * Self::delay_when_seen(seen, work, cfg) + (1.0 - weight) * usual
+    }
+}
--- a/crates/galenapath-policy/tests/balance/support.rs
+++ b/crates/galenapath-policy/tests/balance/support.rs
@@ -78,5 +78,5 @@
 }
 
 pub fn report(in_flight: u32, waiting: u32) -> LoadReport {
-    LoadReport { in_flight, waiting, slots: 6, leaving: false }
+    LoadReport { in_flight, waiting, slots: 6, leaving: false, pace: 0 }
 }
--- a/crates/galenapath-protocol/src/report.rs
+++ b/crates/galenapath-protocol/src/report.rs
@@ -6,8 +6,8 @@
 
 /// Load of a backend server as it saw it when it wrote the answer.
 ///
-/// Text form: `in-flight=3;waiting=0;slots=6;leaving=0`. Unknown fields are skipped, so that a
-/// server may say more.
+/// Text form: `in-flight=3;waiting=0;slots=6;leaving=0`, and `;pace=250` where the server tells it.
+/// Unknown fields are skipped, so that a server may say more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Requests running, at most `slots` on an honest server.
@@ -18,6 +18,9 @@
     pub slots: u32,
     /// Whether the server is leaving and wants no new requests.
     pub leaving: bool,
+    /// How long work takes on the server's machine at this moment, in percent of the usual; zero
+    /// where the server does not tell.
+    pub pace: u32,
 }
 
 /// A load report that cannot be read; the answer it came with is still good.
@@ -40,7 +43,11 @@
             self.waiting,
             self.slots,
             u8::from(self.leaving)
-        )
+        )?;
+        if self.pace == 0 {
+            return Ok(());
+        }
+        write!(f, ";pace={}", self.pace)
     }
 }
 
@@ -59,6 +66,7 @@
                 "waiting" => report.waiting = number()?,
                 "slots" => report.slots = number()?,
                 "leaving" => report.leaving = number()? != 0,
+                "pace" => report.pace = number()?,
                 _ => {}
             }
         }
--- a/crates/galenapath-protocol/tests/report.rs
+++ b/crates/galenapath-protocol/tests/report.rs
@@ -22,7 +22,7 @@
 
     #[test]
     fn parse_display_same(in_flight: u32, waiting: u32, slots in 1..u32::MAX, leaving: bool) {
-        let report = LoadReport { in_flight, waiting, slots, leaving };
+        let report = LoadReport { in_flight, waiting, slots, leaving, pace: 0 };
         prop_assert_eq!(report.to_string().parse(), Ok(report));
     }
 }
--- /dev/null
+++ b/crates/galenapath-routes/src/directory.rs
@@ -0,0 +1,238 @@
+//! The backend servers that the platform lists, and how far the list is known.
+//!
+//! Load pattern: watches that are cut or lose their history, lists read in pages that are no
+//! snapshot, entries that lapse while the store is away, and peers that pass changes on in any
+//! order. Without revisions an old list would bring back a server that has left; without the wait
+//! after an outage a store that forgot its entries would empty the fleet.
+
+use crate::ServerRecord;
+use galenapath_protocol::{BackendId, FastMap, FastSet, Micros};
+use std::collections::VecDeque;
+
+/// Removals that are remembered for peers that are behind. A day of 440 replacements fits.
+const REMEMBERED: usize = 1_024;
+
+/// One change of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A server was added or changed.
+    Put(ServerRecord),
+    /// A server's entry was removed.
+    Removed(BackendId),
+}
+
+/// An entry as it is passed between instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedServer {
+    /// Revision at which the store wrote the entry, or removed it if it lapses.
+    pub revision: u64,
+    /// The entry.
+    pub record: ServerRecord,
+    /// Time left for the entry to come back, for one that vanished while the store was away.
+    pub lapses_in: Option<Micros>,
+}
+
+/// A removed entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Removal {
+    /// Revision of the removal.
+    pub revision: u64,
+    /// The server that is gone.
+    pub id: BackendId,
+}
+
+/// Changes after a position; what a peer that is behind takes in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ServerChanges {
+    /// Whether `puts` is the whole list, so that a server missing in it is gone.
+    pub is_whole: bool,
+    /// Entries that were added or changed.
+    pub puts: Vec<ListedServer>,
+    /// Entries that were removed.
+    pub removals: Vec<Removal>,
+    /// Position after the changes.
+    pub position: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    revision: u64,
+    record: ServerRecord,
+    /// When the server counts as gone unless its entry comes back; set for entries that vanished
+    /// while the store was away.
+    lapses_at: Option<Micros>,
+}
+
+impl Listed {
+    fn listed(&self, now: Micros) -> ListedServer {
+        ListedServer {
+            revision: self.revision,
+            record: self.record.clone(),
+            lapses_in: self.lapses_at.map(|at| at - now),
+        }
+    }
+}
+
+/// The list.
+///
+/// Invariants: an entry's revision never falls; an entry that was removed at revision `r` comes
+/// back only with a revision above `r`.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    position: u64,
+    servers: FastMap<BackendId, Listed>,
+    /// Removals, oldest first.
+    removals: VecDeque<Removal>,
+    removed: FastMap<BackendId, u64>,
+    /// Position up to which removals have been forgotten.
+    forgotten: u64,
+    /// Counts changes that a reader of the list can see.
+    generation: u64,
+}
+
+impl Directory {
+    /// Position in the store up to which the list is complete; zero before the first list.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Counts up with each visible change.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|listed| &listed.record)
+    }
+
+    /// One server.
+    pub fn get(&self, id: &BackendId) -> Option<&ServerRecord> {
+        self.servers.get(id).map(|listed| &listed.record)
+    }
+
+    /// Takes in one change that the store made at `revision`. A removal counts from `gone_at` on,
+    /// or at once without it. Returns whether it was news.
+    pub fn apply(&mut self, revision: u64, change: Change, gone_at: Option<Micros>) -> bool {
+        match change {
+            Change::Put(record) => self.put(revision, record, None),
+            Change::Removed(id) => self.remove(revision, &id, gone_at),
+        }
+    }
+
+    /// Notes that all changes up to `position` have been taken in.
+    pub fn reached(&mut self, position: u64) {
+        self.position = self.position.max(position);
+    }
+
+    /// Takes in a list that was read from `position` on. Entries known before and missing in it
+    /// count as gone from `gone_at` on, or at once without it.
+    pub fn take_list(&mut self, position: u64, list: Vec<ListedServer>, gone_at: Option<Micros>) {
+        let listed: FastSet<BackendId> = list.iter().map(|entry| entry.record.id.clone()).collect();
+        for entry in list {
+            self.put(entry.revision, entry.record, None);
+        }
+        let missing: Vec<BackendId> = self
+            .servers
+            .iter()
+            .filter(|(id, entry)| !listed.contains(*id) && entry.revision <= position)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.remove(position, &id, gone_at);
+        }
+        self.reached(position);
+    }
+
+    /// Removes the servers whose time to come back has passed. Returns them.
+    pub fn expire(&mut self, now: Micros) -> Vec<BackendId> {
+        let is_due = |entry: &Listed| entry.lapses_at.is_some_and(|at| at <= now);
+        let due: Vec<BackendId> =
+            self.servers.iter().filter(|(_, e)| is_due(e)).map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            let revision = self.servers[id].revision;
+            self.drop_entry(revision, id);
+        }
+        due
+    }
+
+    /// What a peer at `position` lacks.
+    pub fn changes_after(&self, position: u64, now: Micros) -> ServerChanges {
+        let is_whole = position == 0 || position < self.forgotten;
+        let puts = self.servers.values().filter(|e| is_whole || e.revision > position);
+        let removals = self.removals.iter().filter(|r| !is_whole && r.revision > position);
+        ServerChanges {
+            is_whole,
+            puts: puts.map(|entry| entry.listed(now)).collect(),
+            removals: removals.cloned().collect(),
+            position: self.position,
+        }
+    }
+
+    /// Takes in what a peer sent. Entries older than the own ones are left out.
+    pub fn merge(&mut self, changes: ServerChanges, now: Micros) {
+        let ServerChanges { is_whole, puts, removals, position } = changes;
+        if is_whole && position >= self.position {
+            self.take_list(position, puts.clone(), None);
+        }
+        for put in puts {
+            self.put(put.revision, put.record, put.lapses_in.map(|left| now + left));
+        }
+        for removal in removals {
+            self.remove(removal.revision, &removal.id, None);
+        }
+        self.reached(position);
+    }
+
+    fn put(&mut self, revision: u64, record: ServerRecord, lapses_at: Option<Micros>) -> bool {
+        if self.removed.get(&record.id).is_some_and(|at| *at >= revision) {
+            return false;
+        }
+        let Some(entry) = self.servers.get_mut(&record.id) else {
+            self.servers.insert(record.id.clone(), Listed { revision, record, lapses_at });
+            self.generation += 1;
+            return true;
+        };
+        if entry.revision > revision || (entry.revision == revision && entry.record == record) {
+            if entry.revision == revision && entry.lapses_at.is_none() {
+                entry.lapses_at = lapses_at;
+            }
+            return false;
+        }
+        entry.revision = revision;
+        entry.lapses_at = lapses_at;
+        if entry.record != record {
+            entry.record = record;
+            self.generation += 1;
+        }
+        true
+    }
+
+    fn remove(&mut self, revision: u64, id: &BackendId, gone_at: Option<Micros>) -> bool {
+        let Some(entry) = self.servers.get_mut(id) else { return false };
+        if entry.revision > revision {
+            return false;
+        }
+        match gone_at {
+            Some(at) => {
+                entry.lapses_at.get_or_insert(at);
+                entry.revision = revision;
+            }
+            None => self.drop_entry(revision, id),
+        }
+        true
+    }
+
+    fn drop_entry(&mut self, revision: u64, id: &BackendId) {
+        self.servers.remove(id);
+        self.removals.push_back(Removal { revision, id: id.clone() });
+        self.removed.insert(id.clone(), revision);
+        self.generation += 1;
+        while self.removals.len() > REMEMBERED {
+            if let Some(oldest) = self.removals.pop_front() {
+                self.removed.remove(&oldest.id);
+                self.forgotten = self.forgotten.max(oldest.revision);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-routes/src/lib.rs
@@ -0,0 +1,20 @@
+//! What an operator's whole configuration says: routes by host and prefix, services, limits; and
+//! the backend servers that the platform lists.
+//!
+//! Pure values and rules: nothing here reads a socket or a clock.
+
+mod directory;
+mod limits;
+mod route;
+mod server;
+mod service;
+mod split;
+mod table;
+
+pub use directory::{Change, Directory, ListedServer, Removal, ServerChanges};
+pub use limits::CallerLimits;
+pub use route::{Part, Route, RouteKind};
+pub use server::{ServerRecord, ServerState};
+pub use service::ServiceSpec;
+pub use split::SplitTurn;
+pub use table::{RouteTable, TableError};
--- /dev/null
+++ b/crates/galenapath-settings/src/at.rs
@@ -0,0 +1,116 @@
+//! Checks of single values, with errors that name file, line and key.
+
+use crate::SettingsError;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Longest duration that a setting may have; the runtime's timers end not far beyond it.
+const LONGEST_SPAN: Duration = Duration::from_secs(24 * 3_600);
+
+/// The error of a file that does not have the form of the settings.
+pub(crate) fn malformed(file: &Path, text: &str, e: &toml::de::Error) -> SettingsError {
+    let start = e.span().map_or(0, |span| span.start);
+    SettingsError::Malformed {
+        file: file.to_owned(),
+        line: line_of(text, start),
+        message: e.message().to_owned(),
+    }
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    text.bytes().take(offset).filter(|&b| b == b'\n').count() + 1
+}
+
+/// The file under check, for errors that name a line.
+pub(crate) struct Place<'a> {
+    pub(crate) file: &'a Path,
+    pub(crate) text: &'a str,
+}
+
+impl Place<'_> {
+    pub(crate) fn bad(
+        &self,
+        key: &'static str,
+        value: &str,
+        hint: impl Into<String>,
+    ) -> SettingsError {
+        SettingsError::BadValue {
+            file: self.file.to_owned(),
+            line: self.line(key),
+            key,
+            value: value.to_owned(),
+            hint: hint.into(),
+        }
+    }
+
+    /// Line of a dotted key, or 1 when the file does not hold it.
+    fn line(&self, key: &str) -> usize {
+        let Ok(doc) = toml_edit::Document::parse(self.text) else { return 1 };
+        let mut item = doc.as_item();
+        for part in key.split('.') {
+            let Some(next) = item.get(part) else { return 1 };
+            item = next;
+        }
+        line_of(self.text, item.span().map_or(0, |span| span.start))
+    }
+
+    pub(crate) fn filled(&self, key: &'static str, value: &str) -> Result<String, SettingsError> {
+        if value.trim().is_empty() {
+            return Err(self.bad(key, value, "must not be empty"));
+        }
+        Ok(value.to_owned())
+    }
+
+    pub(crate) fn address(
+        &self,
+        key: &'static str,
+        value: &str,
+    ) -> Result<SocketAddr, SettingsError> {
+        value.parse().map_err(|_| self.bad(key, value, "expected IP:PORT, such as 10.0.0.7:8080"))
+    }
+
+    pub(crate) fn distinct(
+        &self,
+        key: &'static str,
+        address: SocketAddr,
+        others: &[SocketAddr],
+    ) -> Result<(), SettingsError> {
+        // Port 0 lets the system choose, so two of them do not collide.
+        if address.port() != 0 && others.contains(&address) {
+            return Err(self.bad(key, &address.to_string(), "is used by another key of [listen]"));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn span(
+        &self,
+        key: &'static str,
+        value: Option<&str>,
+        default: Duration,
+    ) -> Result<Duration, SettingsError> {
+        let Some(value) = value else { return Ok(default) };
+        match humantime::parse_duration(value) {
+            Ok(span) if span.is_zero() => Err(self.bad(key, value, "must be longer than zero")),
+            Ok(span) if span > LONGEST_SPAN => Err(self.bad(key, value, "must be a day at most")),
+            Ok(span) => Ok(span),
+            Err(_) => {
+                Err(self.bad(key, value, "expected a number and a unit, such as 250ms or 5s"))
+            }
+        }
+    }
+
+    /// A number that is not negative.
+    pub(crate) fn share(
+        &self,
+        key: &'static str,
+        value: Option<f64>,
+        default: f64,
+    ) -> Result<f64, SettingsError> {
+        match value {
+            None => Ok(default),
+            Some(value) if value >= 0.0 && value.is_finite() => Ok(value),
+            Some(value) => Err(self.bad(key, &value.to_string(), "must not be negative")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenapath-settings/src/generated_gateway.rs
@@ -0,0 +1,205 @@
+//! Generated from `schema/gateway.schema.json` by the codegen example. Do not edit.
+
+///What callers are told.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayCallersWire {
+    ///Most connections from callers; default 3000.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub connections: ::std::option::Option<::std::num::NonZeroU32>,
+    ///How long callers may keep an address answer; default `1s`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub keep_addresses: ::std::option::Option<::std::string::String>,
+}
+///Who this instance is.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayInstanceWire {
+    ///Failure domain that the instance runs in.
+    pub domain: ::std::string::String,
+    ///Name of the instance, unique in the deployment.
+    pub name: ::std::string::String,
+}
+///Addresses, IP and port, that the instance listens on.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayListenWire {
+    ///Address that tells callers where to connect.
+    pub addresses: ::std::string::String,
+    ///Address for callers' requests.
+    pub callers: ::std::string::String,
+    ///Address for metrics; none without it.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub metrics: ::std::option::Option<::std::string::String>,
+    ///Address for other instances, TCP and UDP; the port is the same on all instances.
+    pub peers: ::std::string::String,
+    ///Address that tells whether the instance is ready.
+    pub readiness: ::std::string::String,
+    ///Other instances, by any of their addresses; the port of `peers` is used.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub seeds: ::std::vec::Vec<::std::string::String>,
+}
+///What is logged.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayLogWire {
+    ///Least severe level that is logged; default `info`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub level: ::std::option::Option<GatewayLogWireLevel>,
+    ///Most lines in a second about requests that were answered well; default 20.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub lines_per_second: ::std::option::Option<::std::num::NonZeroU32>,
+}
+///Least severe level that is logged; default `info`.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum GatewayLogWireLevel {
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "warn")]
+    Warn,
+    #[serde(rename = "info")]
+    Info,
+    #[serde(rename = "debug")]
+    Debug,
+}
+impl ::std::fmt::Display for GatewayLogWireLevel {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Error => f.write_str("error"),
+            Self::Warn => f.write_str("warn"),
+            Self::Info => f.write_str("info"),
+            Self::Debug => f.write_str("debug"),
+        }
+    }
+}
+impl ::std::str::FromStr for GatewayLogWireLevel {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "error" => Ok(Self::Error),
+            "warn" => Ok(Self::Warn),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for GatewayLogWireLevel {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for GatewayLogWireLevel {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///The platform's key-value service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayPlatformWire {
+    ///Address of the service, IP and port.
+    pub address: ::std::string::String,
+    ///Longest wait for one call; default `600ms`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub timeout: ::std::option::Option<::std::string::String>,
+}
+///Load probes to backend servers.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayProbesWire {
+    ///Most probes to one backend server in a second, of all instances together; default 60.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub per_second: ::std::option::Option<f64>,
+}
+///What all instances together may send to a service beyond the first send of each request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayRetriesWire {
+    ///Share of the requests; default 0.2.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub ratio: ::std::option::Option<f64>,
+    ///Sends in one window beyond the share; default 60.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub slack: ::std::option::Option<f64>,
+    ///Length of the window; default `10s`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub window: ::std::option::Option<::std::string::String>,
+}
+///Settings file of a gateway instance. Durations are texts such as `250ms` or `5s`.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettingsWire {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub callers: ::std::option::Option<GatewayCallersWire>,
+    pub instance: GatewayInstanceWire,
+    pub listen: GatewayListenWire,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub log: ::std::option::Option<GatewayLogWire>,
+    pub platform: GatewayPlatformWire,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub probes: ::std::option::Option<GatewayProbesWire>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retries: ::std::option::Option<GatewayRetriesWire>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub stop: ::std::option::Option<GatewayStopWire>,
+}
+///A planned stop.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayStopWire {
+    ///Time from the signal to stop until the process is killed; default `6s`.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub grace: ::std::option::Option<::std::string::String>,
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- a/crates/galenapath-settings/src/lib.rs
+++ b/crates/galenapath-settings/src/lib.rs
@@ -1,13 +1,21 @@
 //! Settings of an entry instance: the TOML file, its checks and its errors.
 
+mod at;
 mod checked;
 mod error;
 #[allow(missing_docs, clippy::pedantic)]
 #[rustfmt::skip]
 mod generated;
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+mod generated_gateway;
+mod gateway;
 mod load;
 
 pub use checked::{Instance, Limits, Listen, Platform, Settings};
 pub use error::SettingsError;
+pub use gateway::{
+    GatewayListen, GatewayLogLevel, GatewaySettings, RetryAllowance, load_gateway, parse_gateway,
+};
 pub use generated::{ExperimentWireChoice as Choice, LogWireLevel as LogLevel, SettingsWire};
 pub use load::{load, parse};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry instance of galenapath.
 
-use clap::Parser;
+use clap::{Args, Parser, Subcommand};
+use galenapath_adapter::{KvStore, PlatformDialect};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,10 +13,25 @@
 #[derive(Parser)]
 #[command(
     version,
+    args_conflicts_with_subcommands = true,
     after_help = "Example:\n  galenapath --settings entry-1.toml\n\n\
                   Exit codes: 0 stopped as planned, 1 could not run, 2 settings cannot be used."
 )]
 struct Options {
+    #[command(flatten)]
+    entry: Option<Start>,
+    #[command(subcommand)]
+    role: Option<Role>,
+}
+
+#[derive(Subcommand)]
+enum Role {
+    /// Serve the routes of a configuration that operators keep in the platform's store
+    Gateway(Start),
+}
+
+#[derive(Args)]
+struct Start {
     /// Settings file (TOML)
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
@@ -26,24 +42,60 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    let settings = match galenapath_settings::load(&options.settings) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("galenapath: {e}");
-            return ExitCode::from(EXIT_SETTINGS);
+    match (options.role, options.entry) {
+        (Some(Role::Gateway(start)), _) => gateway(&start),
+        (None, Some(start)) => entry(&start),
+        (None, None) => {
+            eprintln!("galenapath: --settings FILE is missing; see galenapath --help");
+            ExitCode::from(EXIT_SETTINGS)
         }
+    }
+}
+
+fn entry(start: &Start) -> ExitCode {
+    let settings = match galenapath_settings::load(&start.settings) {
+        Ok(settings) => settings,
+        Err(e) => return bad_settings(&e),
     };
-    if options.check_settings {
-        println!("{}: settings are good", options.settings.display());
-        return ExitCode::SUCCESS;
+    if start.check_settings {
+        return good_settings(start);
     }
     let result = galenapath_entry::start_logging(settings.log_level)
         .and_then(|()| galenapath_entry::run(settings));
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("galenapath: {e:#}");
-            ExitCode::FAILURE
-        }
+        Err(e) => failed(&format!("{e:#}")),
+    }
+}
+
+fn gateway(start: &Start) -> ExitCode {
+    let settings = match galenapath_settings::load_gateway(&start.settings) {
+        Ok(settings) => settings,
+        Err(e) => return bad_settings(&e),
+    };
+    if start.check_settings {
+        return good_settings(start);
+    }
+    let store = KvStore::new(settings.platform, settings.platform_timeout);
+    let result = galenapath_gateway::start_logging(settings.log_level)
+        .and_then(|()| galenapath_gateway::run(settings, Box::new(PlatformDialect), store));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => failed(&format!("{e:#}")),
     }
 }
+
+fn bad_settings(e: &galenapath_settings::SettingsError) -> ExitCode {
+    eprintln!("galenapath: {e}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn good_settings(start: &Start) -> ExitCode {
+    println!("{}: settings are good", start.settings.display());
+    ExitCode::SUCCESS
+}
+
+fn failed(e: &str) -> ExitCode {
+    eprintln!("galenapath: {e}");
+    ExitCode::FAILURE
+}
