Placement by expected lateness; crowding learned; the queue counts the target from the caller's first attempt

Cause: in Lagos answers of servers at their usual pace took 239 ms at the median for 99 ms of work: every server was filled beyond the point where it slows down, and late requests took the slots of those still in time. Change: the last slots stay free where crowded servers take 1.3 times as long; a request waits for a good server only while it can be in time; a caller that says it waits for less than others has spent the rest on earlier attempts.

--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -135,7 +135,7 @@
     metrics.latency.with_label_values(&[kind]).observe(took.as_millis_f64() / 1_000.0);
     let waited = call.waited.get();
     metrics.wait.with_label_values(&[kind]).observe(waited.as_millis_f64() / 1_000.0);
-    let is_failure = !end.status.is_success() || took > Micros::from(req.route.target);
+    let is_failure = !end.status.is_success() || now > req.target_at;
     if !instance.log_budget.take(now, is_failure) {
         metrics.log_left_out.inc();
         return;
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -74,7 +74,7 @@
     let started = call.instance.now();
     let result = send(call, &in_flight).await;
     let took = call.instance.now() - started;
-    call.note_attempt(&in_flight.server, took, &result);
+    call.note_attempt(&in_flight, took, &result);
     result
 }
 
@@ -154,7 +154,7 @@
     set(&mut headers, &names.expected_server, &in_flight.server.0);
     let framing = call.req.framing();
     let out = connection.output();
-    put_request(out, &call.req.method, &call.req.target, &headers, &[], framing);
+    put_request(out, &call.req.method, &call.req.path, &headers, &[], framing);
     out.extend_from_slice(&call.req.body);
 }
 
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -4,7 +4,7 @@
 use crate::instance::Instance;
 use crate::reply::Reply;
 use crate::request::Request;
-use crate::service::Service;
+use crate::service::{InFlight, Service};
 use galenapath_protocol::{BackendId, Micros, Verdict};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -73,11 +73,12 @@
     /// Takes note of how a send ended, for the choice of servers and for the log.
     pub(crate) fn note_attempt(
         &self,
-        server: &BackendId,
+        in_flight: &InFlight,
         took: Micros,
         result: &Result<Reply, Fault>,
     ) {
         let now = self.instance.now();
+        let server = &in_flight.server;
         let outcome = match result {
             Ok(reply) if reply.status.is_server_error() => "server_error",
             Ok(_) => "answered",
@@ -89,7 +90,7 @@
         match result {
             Ok(reply) if reply.status.is_server_error() => placement.failed(now, server, 1.0),
             Ok(_) => {
-                placement.served(now, server, took);
+                placement.served(now, server, took, in_flight.started);
                 let seconds = took.as_millis_f64() / 1_000.0;
                 self.instance.metrics.work.with_label_values(&[kind]).observe(seconds);
             }
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -165,6 +165,7 @@
     };
     let told = request::time_left(&instance.names, &head.headers).unwrap_or(UNTOLD_TIME);
     let deadline = arrived + told.min(route.timeout.into());
+    let target_at = instance.target_at(&route, arrived, told);
     let body = match read_body(instance, caller, &head, framing, limits, deadline).await {
         Ok(Ok(body)) => body,
         Ok(Err(answer)) => {
@@ -180,12 +181,13 @@
     let req = Request {
         ticket: instance.next_ticket(),
         id,
-        target: request::target(&head),
+        path: request::path(&head),
         method: head.method,
         headers: request::forwarded(&instance.names, head.headers),
         body,
         route,
         arrived,
+        target_at,
         deadline,
     };
     serve_request(instance, caller, req).await
@@ -217,7 +219,7 @@
     let part = instance.pick_part(&req.route).to_owned();
     let Some(service) = instance.service(&part) else {
         let answer = OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no_service");
-        note_refused(instance, req.id.as_ref(), &req.target, &answer);
+        note_refused(instance, req.id.as_ref(), &req.path, &answer);
         return answer.send(instance, caller, req.id.as_ref()).await;
     };
     let call = Call::new(instance, service, req);
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -96,7 +96,7 @@
         ticket: req.ticket,
         rank: req.route.rank,
         arrived: req.arrived,
-        target: req.route.target.into(),
+        target: req.target_at,
         deadline: req.deadline,
     };
     let is_large = req.route.kind == RouteKind::Download;
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -44,6 +44,8 @@
     /// Services of the configuration.
     pub(crate) services: RefCell<FastMap<String, Rc<Service>>>,
     splits: RefCell<FastMap<String, SplitTurn>>,
+    /// Longest time that callers of a route have said they wait.
+    patience: RefCell<FastMap<String, Micros>>,
     /// What is to be told to other instances with the next datagram.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) stage: Cell<Stage>,
@@ -76,6 +78,7 @@
             beats: RefCell::new(Beats::new(BeatConfig::default(), incarnation, clock.now())),
             services: RefCell::default(),
             splits: RefCell::default(),
+            patience: RefCell::default(),
             outbox: RefCell::default(),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
@@ -153,9 +156,23 @@
         &route.parts[turn.next(&route.parts)].service
     }
 
+    /// When an answer to a request that arrives now is no longer worth most. A caller that says it
+    /// waits for less time than callers of its route do has spent the rest on earlier attempts.
+    pub(crate) fn target_at(&self, route: &Route, arrived: Micros, told: Micros) -> Micros {
+        let mut patience = self.patience.borrow_mut();
+        let longest = match patience.get_mut(&route.name) {
+            Some(longest) => longest,
+            None => patience.entry(route.name.clone()).or_insert(told),
+        };
+        *longest = told.max(*longest);
+        let spent = *longest - told;
+        (arrived + route.target.into()) - spent
+    }
+
     /// Starts the shares of all routes anew, for a changed configuration.
     pub(crate) fn reset_splits(&self) {
         self.splits.borrow_mut().clear();
+        self.patience.borrow_mut().clear();
     }
 
     /// Sends a datagram; a datagram that cannot be sent is lost like any other.
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -18,13 +18,15 @@
     pub(crate) id: Option<HeaderValue>,
     pub(crate) method: Method,
     /// Path and query as the caller sent them.
-    pub(crate) target: String,
+    pub(crate) path: String,
     /// Headers for the backend server, but for those that each send sets anew.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     /// When its head was read.
     pub(crate) arrived: Micros,
+    /// When an answer is no longer worth most, counted from the caller's first attempt.
+    pub(crate) target_at: Micros,
     /// When its final answer is due: the caller's time or the route's has passed then.
     pub(crate) deadline: Micros,
 }
@@ -92,8 +94,8 @@
 }
 
 /// Path and query of a head.
-pub(crate) fn target(head: &RequestHead) -> String {
-    head.uri.path_and_query().map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned())
+pub(crate) fn path(head: &RequestHead) -> String {
+    head.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
 }
 
 /// Time for which the caller says it waits.
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -7,7 +7,7 @@
 use galenapath_policy::RetryConfig;
 use galenapath_policy::place::{
     Ask, Choice, Entry, PlaceConfig, PlacedServer, Placement, QueueConfig, Refusal, Sighting,
-    WaitQueue,
+    Started, WaitQueue,
 };
 use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
 use galenapath_routes::{ServerState, ServiceSpec};
@@ -46,7 +46,7 @@
 struct Waiter {
     tried: Vec<BackendId>,
     is_large: bool,
-    tx: oneshot::Sender<Result<BackendId, Refusal>>,
+    tx: oneshot::Sender<Result<Given, Refusal>>,
 }
 
 /// What a request asks of the queue.
@@ -120,11 +120,6 @@
         self.addresses.borrow().iter().map(|(id, address)| (id.clone(), *address)).collect()
     }
 
-    /// Number of requests that wait.
-    pub(crate) fn waiting(&self) -> usize {
-        self.queue.borrow().len()
-    }
-
     /// Takes in what was seen of a server; returns whether it was news.
     pub(crate) fn see(&self, instance: &Instance, id: &BackendId, sighting: Sighting) -> bool {
         let was_slow = self.placement.borrow().seen(id).is_some_and(|seen| seen.is_slow());
@@ -163,7 +158,11 @@
     ) -> Result<InFlight, NoServer> {
         let now = instance.now();
         if self.queue.borrow().is_empty() {
-            let ask = Ask { tried: &wanted.tried, is_large: wanted.is_large, is_urgent: false };
+            let ask = Ask {
+                tried: &wanted.tried,
+                is_large: wanted.is_large,
+                left: wanted.entry.target - now,
+            };
             let choice = self.placement.borrow_mut().choose(now, &ask);
             match choice {
                 Choice::Server(id) => return Ok(InFlight::start(self, instance, id)),
@@ -182,7 +181,7 @@
         is_large: bool,
     ) -> Option<InFlight> {
         let now = instance.now();
-        let ask = Ask { tried, is_large, is_urgent: false };
+        let ask = Ask { tried, is_large, left: Micros::ZERO };
         if !self.placement.borrow().has_good(now, &ask) {
             return None;
         }
@@ -209,7 +208,7 @@
         let mut waiting = Waiting { service: self, instance, ticket: entry.ticket, rx };
         loop {
             match monoio::time::timeout(LOOK_AGAIN.into(), &mut waiting.rx).await {
-                Ok(Ok(Ok(id))) => return Ok(InFlight::started(self, instance, id)),
+                Ok(Ok(Ok(given))) => return Ok(InFlight::started(self, instance, given)),
                 Ok(Ok(Err(refusal))) => return Err(NoServer::Refused(refusal)),
                 Ok(Err(_)) => return Err(NoServer::Nowhere),
                 Err(_) => self.poll(instance),
@@ -222,9 +221,9 @@
     fn drain(&self, instance: &Instance) -> (Micros, Micros) {
         let placement = self.placement.borrow();
         let work = placement.work();
-        let slots = placement.slots(instance.now()).max(1);
-        let pace = work.0.saturating_mul(u64::from(instance.serving())) / u64::from(slots);
-        (Micros(pace), work)
+        let slots = placement.good_slots(instance.now()).max(1.0);
+        let pace = work.0 as f32 * instance.serving() as f32 / slots;
+        (Micros(pace as u64), work)
     }
 
     /// Starts or refuses what waits, as far as it is time for that.
@@ -238,39 +237,56 @@
                 let _ = waiter.tx.send(Err(refusal));
             }
         }
-        while self.start_first(now) {}
+        while self.start_next(now) {}
     }
 
-    fn start_first(&self, now: Micros) -> bool {
-        let queue = self.queue.borrow();
-        let Some(entry) = queue.first().copied() else { return false };
-        let is_urgent = queue.is_urgent(now, &entry);
-        drop(queue);
+    /// Starts one of those that are next; returns whether there was a server for any.
+    fn start_next(&self, now: Micros) -> bool {
+        let heads: Vec<Entry> = self.queue.borrow().heads().copied().collect();
+        heads.iter().any(|entry| self.try_start(now, entry) == Tried::Started)
+    }
+
+    fn try_start(&self, now: Micros, entry: &Entry) -> Tried {
         let mut waiters = self.waiters.borrow_mut();
         let Some(waiter) = waiters.get(&entry.ticket) else {
             self.queue.borrow_mut().remove(entry.ticket);
-            return true;
+            return Tried::Started;
         };
-        let ask = Ask { tried: &waiter.tried, is_large: waiter.is_large, is_urgent };
+        let left = entry.target - now;
+        let ask = Ask { tried: &waiter.tried, is_large: waiter.is_large, left };
         let choice = self.placement.borrow_mut().choose(now, &ask);
-        let Choice::Server(id) = choice else { return false };
+        let Choice::Server(id) = choice else { return Tried::Waits };
         self.queue.borrow_mut().remove(entry.ticket);
-        let Some(waiter) = waiters.remove(&entry.ticket) else { return true };
-        self.placement.borrow_mut().start(&id);
-        if let Err(Ok(id)) = waiter.tx.send(Ok(id)) {
-            self.placement.borrow_mut().finish(&id);
+        let Some(waiter) = waiters.remove(&entry.ticket) else { return Tried::Started };
+        let started = self.placement.borrow_mut().start(now, &id);
+        if let Err(Ok(given)) = waiter.tx.send(Ok(Given { server: id, started })) {
+            self.placement.borrow_mut().finish(&given.server);
         }
-        true
+        Tried::Started
     }
 }
 
+/// What came of an attempt to start a request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tried {
+    Started,
+    Waits,
+}
+
+/// A server that was given to a request, which is counted there.
+#[derive(Clone, Debug)]
+struct Given {
+    server: BackendId,
+    started: Started,
+}
+
 /// A request in the queue. Dropping it takes the request out, also where a server was given to it
 /// and nobody has taken note of that yet.
 struct Waiting<'a> {
     service: &'a Rc<Service>,
     instance: &'a Rc<Instance>,
     ticket: u64,
-    rx: oneshot::Receiver<Result<BackendId, Refusal>>,
+    rx: oneshot::Receiver<Result<Given, Refusal>>,
 }
 
 impl Drop for Waiting<'_> {
@@ -281,8 +297,8 @@
         if was_waiting {
             return;
         }
-        if let Ok(Some(Ok(id))) = self.rx.try_recv() {
-            self.service.placement.borrow_mut().finish(&id);
+        if let Ok(Some(Ok(given))) = self.rx.try_recv() {
+            self.service.placement.borrow_mut().finish(&given.server);
         }
     }
 }
@@ -292,16 +308,19 @@
     service: Rc<Service>,
     instance: Rc<Instance>,
     pub(crate) server: BackendId,
+    /// How the server looked.
+    pub(crate) started: Started,
 }
 
 impl InFlight {
     fn start(service: &Rc<Service>, instance: &Rc<Instance>, server: BackendId) -> Self {
-        service.placement.borrow_mut().start(&server);
-        Self::started(service, instance, server)
+        let started = service.placement.borrow_mut().start(instance.now(), &server);
+        Self::started(service, instance, Given { server, started })
     }
 
-    fn started(service: &Rc<Service>, instance: &Rc<Instance>, server: BackendId) -> Self {
-        Self { service: Rc::clone(service), instance: Rc::clone(instance), server }
+    fn started(service: &Rc<Service>, instance: &Rc<Instance>, given: Given) -> Self {
+        let Given { server, started } = given;
+        Self { service: Rc::clone(service), instance: Rc::clone(instance), server, started }
     }
 }
 
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -31,8 +31,13 @@
     pub failure_fades: Micros,
     /// Time for which a server that could not be reached gets nothing, unless a probe reaches it.
     pub unreachable_for: Micros,
-    /// Cost above which a request rather waits for a better server that is full.
-    pub worth_waiting: Micros,
+    /// Cost above which a server is no good choice for a second copy.
+    pub good: Micros,
+    /// Part of the slots up to which a server counts as uncrowded.
+    pub crowded_from: f32,
+    /// Work time on a crowded server over that on others from which its last slots are left free:
+    /// from about this ratio on, the server gets less done with them than without.
+    pub crowding_limit: f32,
 }
 
 impl Default for PlaceConfig {
@@ -48,7 +53,9 @@
             failure: Micros::from_millis(400),
             failure_fades: Micros::from_secs(3),
             unreachable_for: Micros::from_secs(1),
-            worth_waiting: Micros::from_millis(120),
+            good: Micros::from_millis(120),
+            crowded_from: 0.8,
+            crowding_limit: 1.3,
         }
     }
 }
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -19,6 +19,6 @@
 
 pub use config::PlaceConfig;
 pub use known::Sighting;
-pub use placement::{Ask, Choice, PlacedServer, Placement, ServerKey};
+pub use placement::{Ask, Choice, PlacedServer, Placement, ServerKey, Started};
 pub use queue::{Entry, QueueConfig, Refusal, WaitQueue};
 pub use watchdog::{Verdictless, Watchdog};
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -41,8 +41,17 @@
     pub tried: &'a [BackendId],
     /// Whether its answer is large.
     pub is_large: bool,
-    /// Whether it takes a bad server rather than wait on.
-    pub is_urgent: bool,
+    /// Time within which its answer is worth most; zero where that has passed.
+    pub left: Micros,
+}
+
+/// How a server looked when a request was sent there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Started {
+    /// Whether most of its slots were taken.
+    pub is_crowded: bool,
+    /// Whether it was known to be slow or cold.
+    pub is_slow: bool,
 }
 
 /// Where a request goes.
@@ -63,8 +72,10 @@
     servers: Vec<Server>,
     by_id: FastMap<BackendId, usize>,
     rng: SmallRng,
-    /// Measured time of an answer, mean.
+    /// Mean time of an answer from a server that is neither crowded nor slow.
     work: Micros,
+    /// Time of an answer from a crowded server over `work`.
+    crowding: f32,
     /// Average delay that the pace costs, over all sightings.
     usual: f32,
 }
@@ -79,6 +90,7 @@
             by_id: FastMap::default(),
             rng: SmallRng::seed_from_u64(seed),
             work,
+            crowding: 1.0,
             usual: 0.0,
         }
     }
@@ -104,18 +116,17 @@
     }
 
     /// Chooses a server.
+    ///
+    /// A request waits for a better server that is full where the best one with room would answer
+    /// too late and the better one could still be in time.
     pub fn choose(&mut self, now: Micros, ask: &Ask<'_>) -> Choice {
         let mut best: Option<(f32, usize)> = None;
         let mut has_full = false;
         for index in 0..self.servers.len() {
-            let server = &self.servers[index];
-            if server.is_leaving || ask.tried.contains(&server.id) {
-                continue;
-            }
-            if !server.is_reachable(now) {
+            if !self.is_candidate(now, index, ask) {
                 continue;
             }
-            if !server.has_room() {
+            if !self.has_room(index) {
                 has_full = true;
                 continue;
             }
@@ -125,48 +136,84 @@
                 best = Some((cost + chance, index));
             }
         }
-        let limit = self.cfg.worth_waiting.0 as f32 + self.usual;
-        match best {
-            Some((cost, _)) if has_full && !ask.is_urgent && cost > limit => Choice::Wait,
-            Some((_, index)) => Choice::Server(self.servers[index].id.clone()),
-            None if has_full => Choice::Wait,
-            None => Choice::Nowhere,
+        let Some((_, index)) = best else {
+            return if has_full { Choice::Wait } else { Choice::Nowhere };
+        };
+        if has_full && self.is_too_late(now, index, ask.left) {
+            return Choice::Wait;
+        }
+        Choice::Server(self.servers[index].id.clone())
+    }
+
+    /// Whether an answer from the server is expected too late although that of a better one could
+    /// be in time; for a request that is late anyway, whether the server is a bad one.
+    fn is_too_late(&self, now: Micros, index: usize, left: Micros) -> bool {
+        let late = self.lateness(now, index);
+        let work = self.work.0 as f32;
+        let left = left.0 as f32;
+        if left > work { late + work > left } else { late > work }
+    }
+
+    fn is_candidate(&self, now: Micros, index: usize, ask: &Ask<'_>) -> bool {
+        let server = &self.servers[index];
+        !server.is_leaving && server.is_reachable(now) && !ask.tried.contains(&server.id)
+    }
+
+    /// Whether a slot is free, of those that are used: where crowding costs more than it brings, the
+    /// last ones are not.
+    fn has_room(&self, index: usize) -> bool {
+        let fill = self.servers[index].fill();
+        if self.crowding < self.cfg.crowding_limit {
+            fill <= 1.0
+        } else {
+            fill <= self.cfg.crowded_from
         }
     }
 
     /// Whether a server other than those tried is expected to answer soon: it has room, works at
     /// its usual pace and does not fail.
     pub fn has_good(&self, now: Micros, ask: &Ask<'_>) -> bool {
-        let limit = self.cfg.worth_waiting.0 as f32;
+        let limit = self.cfg.good.0 as f32;
         (0..self.servers.len()).any(|index| {
-            let server = &self.servers[index];
-            !server.is_leaving
-                && !ask.tried.contains(&server.id)
-                && server.is_reachable(now)
-                && server.has_room()
+            self.is_candidate(now, index, ask)
+                && self.has_room(index)
                 && self.cost(now, index, false) < limit
         })
     }
 
+    /// Time beyond the usual that an answer from the server is expected to take.
+    fn lateness(&self, now: Micros, index: usize) -> f32 {
+        let server = &self.servers[index];
+        let cold = if server.cold_until > now { self.work.0 as f32 } else { 0.0 };
+        server.delay(now, self.work, self.usual, &self.cfg) + cold
+    }
+
     fn cost(&self, now: Micros, index: usize, is_large: bool) -> f32 {
         let cfg = &self.cfg;
         let server = &self.servers[index];
         let work = self.work.0 as f32;
-        let fill = (server.load() + 1) as f32 / server.slots as f32;
+        let fill = server.fill();
         let crossing = if is_large { cfg.crossing_large } else { cfg.crossing };
-        let mut cost = server.delay(now, self.work, self.usual, cfg);
+        let mut cost = self.lateness(now, index);
         cost += fill * fill * cfg.fill_cost * work;
+        if fill > cfg.crowded_from {
+            cost += (self.crowding - 1.0).max(0.0) * work;
+        }
         cost += server.trouble(now, cfg) * cfg.failure.0 as f32;
         cost += if server.is_home { 0.0 } else { crossing.0 as f32 };
-        cost += if server.cold_until > now { work } else { 0.0 };
         cost
     }
 
-    /// A request is sent to the server.
-    pub fn start(&mut self, id: &BackendId) {
-        if let Some(server) = self.server_mut(id) {
-            server.own += 1;
-        }
+    /// A request is sent to the server. Returns how it looks.
+    pub fn start(&mut self, now: Micros, id: &BackendId) -> Started {
+        let crowded_from = self.cfg.crowded_from;
+        let Some(server) = self.server_mut(id) else { return Started::default() };
+        let started = Started {
+            is_crowded: server.fill() > crowded_from,
+            is_slow: server.cold_until > now || server.seen().is_some_and(|seen| seen.is_slow()),
+        };
+        server.own += 1;
+        started
     }
 
     /// A request has left the server, however it ended.
@@ -176,21 +223,27 @@
         }
     }
 
-    /// The server answered after `latency`.
-    pub fn served(&mut self, now: Micros, id: &BackendId, latency: Micros) {
+    /// The server answered a request that was sent there as `started` says after `latency`.
+    pub fn served(&mut self, now: Micros, id: &BackendId, latency: Micros, started: Started) {
         let work = self.work.0 as f32;
         let over = latency.0 as f32 / work.max(1.0);
         let cfg = self.cfg.clone();
         let Some(server) = self.server_mut(id) else { return };
         server.reached();
-        let is_slow = server.seen().is_some_and(|seen| seen.is_slow());
+        let is_slow = started.is_slow || server.seen().is_some_and(|seen| seen.is_slow());
         if over > LATE && !is_slow {
             server.failed(now, &cfg, LATE_WEIGHT);
         } else {
             server.served(now, &cfg);
         }
-        // Slow spells are told by the pace, and must not stretch what a request usually takes.
-        if !is_slow && over < LATE {
+        if is_slow || over > LATE {
+            return;
+        }
+        // What slow spells and crowding add must not stretch what a request usually takes: requests
+        // would be refused because earlier ones were late.
+        if started.is_crowded {
+            self.crowding += WORK_WEIGHT * (over - self.crowding);
+        } else {
             self.work = Micros((work + WORK_WEIGHT * (latency.0 as f32 - work)) as u64);
         }
     }
@@ -246,10 +299,19 @@
         self.work
     }
 
-    /// Slots of servers that can be reached and take requests.
-    pub fn slots(&self, now: Micros) -> u32 {
-        let usable = |s: &&Server| !s.is_leaving && s.is_reachable(now);
-        self.servers.iter().filter(usable).map(|s| s.slots).sum()
+    /// Slots in which a request is expected to be answered at the usual pace: those of servers that
+    /// can be reached, take requests and are not slow.
+    pub fn good_slots(&self, now: Micros) -> f32 {
+        let part =
+            if self.crowding < self.cfg.crowding_limit { 1.0 } else { self.cfg.crowded_from };
+        let is_slow = |s: &Server| s.seen().is_some_and(|seen| seen.is_slow());
+        let good = |s: &&Server| !s.is_leaving && s.is_reachable(now) && !is_slow(s);
+        self.servers.iter().filter(good).map(|s| (s.slots as f32 * part).floor()).sum()
+    }
+
+    /// Time of an answer from a crowded server over that from another one.
+    pub fn crowding(&self) -> f32 {
+        self.crowding
     }
 
     /// Requests at the servers, of all instances, as far as known.
--- a/crates/galenapath-policy/src/place/queue.rs
+++ b/crates/galenapath-policy/src/place/queue.rs
@@ -3,6 +3,9 @@
 //! Load pattern: a burst, or the loss of servers, that leaves more requests than slots. Without an
 //! order, requests that can no longer meet their target hold the slots that others still could;
 //! without early refusals callers wait for nothing and come back too late.
+//!
+//! A request waits for as long as it can still meet its target. One that cannot, because it came
+//! back late after a refusal, waits behind all others for a slot that nobody else wants.
 
 use galenapath_protocol::Micros;
 use std::collections::BTreeMap;
@@ -12,13 +15,12 @@
 pub struct QueueConfig {
     /// Most requests that wait at once.
     pub most: usize,
-    /// Part of the target that a request may wait before it counts as late and stands behind all
-    /// that are not.
-    pub wait_share: f32,
-    /// Part of the target that a late request may wait; refusals after that come too late for the
-    /// caller to try elsewhere.
+    /// Part of the wait that a target allows up to which a new request is taken; the rest is room
+    /// for errors of the prediction.
+    pub margin: f32,
+    /// Part of its time left that a late request may wait.
     pub late_share: f32,
-    /// Shortest time that a refused caller is told to stay away.
+    /// Shortest time that a refused caller is told to stay away: less is no time to make room.
     pub least_retry_after: Micros,
     /// Part of the caller's time left that it may be told to stay away; callers do not heed more
     /// than a third.
@@ -29,8 +31,8 @@
     fn default() -> Self {
         Self {
             most: 256,
-            wait_share: 0.4,
-            late_share: 0.12,
+            margin: 0.9,
+            late_share: 0.25,
             least_retry_after: Micros::from_millis(40),
             retry_share: 0.3,
         }
@@ -46,7 +48,7 @@
     pub rank: u32,
     /// When it arrived.
     pub arrived: Micros,
-    /// Time within which its answer is worth most, from its arrival.
+    /// When its answer is no longer worth most.
     pub target: Micros,
     /// When its caller has no more use for an answer.
     pub deadline: Micros,
@@ -62,7 +64,13 @@
 }
 
 /// Place in the order: those that can meet their target first, then by rank, then by age.
-type Place = (bool, u32, Micros, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    is_late: bool,
+    rank: u32,
+    arrived: Micros,
+    ticket: u64,
+}
 
 /// The queue of one service at one instance.
 #[derive(Clone, Debug)]
@@ -77,11 +85,6 @@
         Self { cfg, waiting: BTreeMap::new() }
     }
 
-    /// Number of requests that wait.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -100,35 +103,36 @@
         pace: Micros,
         work: Micros,
     ) -> Result<(), Refusal> {
-        let ahead = self.waiting.values().filter(|w| w.rank <= entry.rank).count();
+        let is_late = now + work > entry.target;
+        let place = place(&entry, is_late);
+        let ahead = self.waiting.range(..place).count();
         let predicted = Micros(pace.0.saturating_mul(ahead as u64 + 1));
-        let ends = now + predicted + work;
-        let on_time = ends <= entry.arrived + entry.target;
-        let is_hopeless = ends > entry.deadline;
-        let too_late = !on_time && predicted > scaled(entry.target, self.cfg.late_share);
-        if is_hopeless || too_late || self.waiting.len() >= self.cfg.most {
+        let allowed = if is_late {
+            scaled(entry.deadline - now, self.cfg.late_share)
+        } else {
+            scaled(entry.target - now - work, self.cfg.margin)
+        };
+        let is_hopeless = now + predicted + work > entry.deadline;
+        if is_hopeless || predicted > allowed || self.waiting.len() >= self.cfg.most {
             return Err(self.refusal(now, &entry, predicted));
         }
-        self.waiting.insert(place(&entry, !on_time), entry);
+        self.waiting.insert(place, entry);
         Ok(())
     }
 
     /// The refusal of a request whose wait would be `predicted`.
-    pub fn refusal(&self, now: Micros, entry: &Entry, predicted: Micros) -> Refusal {
+    fn refusal(&self, now: Micros, entry: &Entry, predicted: Micros) -> Refusal {
         let left = entry.deadline - now;
         let most = scaled(left, self.cfg.retry_share).max(self.cfg.least_retry_after);
         let retry_after = predicted.clamp(self.cfg.least_retry_after, most);
         Refusal { retry_after, predicted }
     }
 
-    /// Who goes next, without taking it out.
-    pub fn first(&self) -> Option<&Entry> {
-        self.waiting.values().next()
-    }
-
-    /// Whether a request has waited so long that it takes a bad server rather than wait on.
-    pub fn is_urgent(&self, now: Micros, entry: &Entry) -> bool {
-        now - entry.arrived > scaled(entry.target, self.cfg.wait_share / 2.0)
+    /// Who goes next: the first of those that can meet their target, then the first late one, which
+    /// may take a server that is too slow for the others.
+    pub fn heads(&self) -> impl Iterator<Item = &Entry> {
+        let first = |is_late| self.waiting.iter().find(move |(place, _)| place.is_late == is_late);
+        [first(false), first(true)].into_iter().flatten().map(|(_, entry)| entry)
     }
 
     /// Takes a request out, because it starts or its caller has gone.
@@ -139,16 +143,16 @@
 
     /// Takes out those whose wait has become too long.
     pub fn expired(&mut self, now: Micros, work: Micros) -> Vec<(Entry, Refusal)> {
-        let is_over = |(place, entry): (&Place, &Entry)| {
-            let share = if place.0 { self.cfg.late_share } else { self.cfg.wait_share };
-            now - entry.arrived > scaled(entry.target, share) || now + work > entry.deadline
+        let share = self.cfg.late_share;
+        let is_over = |place: &Place, entry: &Entry| {
+            let waited = now - entry.arrived;
+            let late_limit = scaled(entry.deadline - entry.arrived, share);
+            let is_over =
+                if place.is_late { waited > late_limit } else { now + work > entry.target };
+            is_over || now + work > entry.deadline
         };
-        let over: Vec<Place> = self
-            .waiting
-            .iter()
-            .filter(|(place, entry)| is_over((place, entry)))
-            .map(|(place, _)| *place)
-            .collect();
+        let over: Vec<Place> =
+            self.waiting.iter().filter(|(p, e)| is_over(p, e)).map(|(p, _)| *p).collect();
         let mut out = Vec::with_capacity(over.len());
         for place in over {
             if let Some(entry) = self.waiting.remove(&place) {
@@ -161,7 +165,7 @@
 }
 
 fn place(entry: &Entry, is_late: bool) -> Place {
-    (is_late, entry.rank, entry.arrived, entry.ticket)
+    Place { is_late, rank: entry.rank, arrived: entry.arrived, ticket: entry.ticket }
 }
 
 fn scaled(span: Micros, part: f32) -> Micros {
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -66,8 +66,9 @@
         self.own + self.others
     }
 
-    pub(super) fn has_room(&self) -> bool {
-        self.load() < self.slots
+    /// Part of the slots in use, a request on its way included.
+    pub(super) fn fill(&self) -> f32 {
+        (self.load() + 1) as f32 / self.slots as f32
     }
 
     pub(super) fn is_reachable(&self, now: Micros) -> bool {
