A server is asked just before a request goes there; what begins slowly ends slowly; copies by an ample budget

Cause: the time of a request is settled by the pace at which it begins (answers from servers at pace 700 took the usual time, answers of servers back at 100 took seven times it); so neither an alarm when a server turns slow nor a cost capped by the length of a spell says anything. Early copies of answers that were merely long spent the retry budget, and their mark on the server drove the choice to slow ones. Ruled out: waiting at the instance (0 ms at the 90th percentile).

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -1,13 +1,13 @@
 //! One send of a request to one backend server.
 
 use crate::call::Call;
+use crate::health;
 use crate::reply::{self, HeadVerdict, Reply, Rest};
 use crate::request::set;
 use crate::service::InFlight;
 use galenapath_http::{
     BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
 };
-use galenapath_policy::place::Sighting;
 use galenapath_protocol::{Micros, Verdict};
 use galenapath_routes::RouteKind;
 use monoio::net::TcpStream;
@@ -25,6 +25,14 @@
 /// server has just closed would leave open whether it ran.
 const FRESH_IDLE: Micros = Micros::from_millis(500);
 
+/// Age up to which a load is trusted without asking again. A server turns slow between two moments
+/// this far apart once in two hundred times; a crossing takes a few milliseconds.
+const FRESH_LOAD: Micros = Micros::from_millis(8);
+
+/// Longest wait for the load: it is told at once, so that a later answer means a server that is
+/// gone or frozen.
+const ASK_TIME: Duration = Duration::from_millis(60);
+
 /// Why a send has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -34,6 +42,8 @@
     Refused,
     /// Another server has the address and did not run the request.
     OtherServer,
+    /// The server turned out to be slow or full just before the request was sent.
+    Unfit,
     /// The connection broke after the request was sent.
     Broken,
     /// An answer that must not be passed on.
@@ -44,7 +54,7 @@
     /// Whether the request may have run.
     pub(crate) const fn verdict(self) -> Verdict {
         match self {
-            Self::Unreachable | Self::Refused | Self::OtherServer => Verdict::NotRun,
+            Self::Unreachable | Self::Refused | Self::OtherServer | Self::Unfit => Verdict::NotRun,
             Self::Broken | Self::Bad(_) => Verdict::MayHaveRun,
         }
     }
@@ -55,6 +65,7 @@
             Self::Unreachable => "unreachable",
             Self::Refused => "refused",
             Self::OtherServer => "other_server",
+            Self::Unfit => "unfit",
             Self::Broken => "broken",
             Self::Bad(why) => why,
         }
@@ -64,6 +75,7 @@
     pub(crate) const fn weight(self) -> f32 {
         match self {
             Self::Refused => 0.3,
+            Self::Unfit => 0.0,
             Self::Unreachable | Self::OtherServer | Self::Broken | Self::Bad(_) => 1.0,
         }
     }
@@ -88,11 +100,13 @@
     };
     let kept = service.pools.take(now, server, most_idle).await;
     let is_kept = kept.is_some();
-    let mut connection = match kept {
+    let connection = match kept {
         Some(connection) => connection,
         None => connect(call, address).await?,
     };
+    let mut connection = ask_first(call, in_flight, address, connection).await?;
     put_head(call, in_flight, &mut connection);
+    in_flight.sent();
     call.sent();
     let head = exchange_head(call, &mut connection).await;
     let head = match head {
@@ -107,7 +121,7 @@
         head => head,
     };
     let (head, verdict) = head.map_err(|e| broken(&e))?;
-    note_load(call, in_flight, &head);
+    health::note(&call.instance, service, server, &head);
     match verdict {
         HeadVerdict::NotRun => call.not_run(),
         HeadVerdict::OtherServer => {
@@ -126,6 +140,40 @@
     }
 }
 
+/// Asks the server for its load where what is known is too old to trust a request to it, and gives
+/// the connection back.
+async fn ask_first(
+    call: &Call,
+    in_flight: &InFlight,
+    address: SocketAddr,
+    connection: Connection,
+) -> Result<Connection, Fault> {
+    let (instance, service, server) = (&call.instance, &call.service, &in_flight.server);
+    let now = instance.now();
+    let seen = service.placement.borrow().seen(server);
+    // A server that tells no load would let the question wait for a slot.
+    if seen.is_none_or(|seen| now - seen.at < FRESH_LOAD) || !service.take_probe(now, server) {
+        return Ok(connection);
+    }
+    let asking = health::ask(instance, service, server, connection);
+    let health = match monoio::time::timeout(ASK_TIME, asking).await {
+        Ok(Ok(health)) => health,
+        Ok(Err(_)) | Err(_) => return Err(Fault::Unreachable),
+    };
+    instance.metrics.probes.with_label_values(&["before_send"]).inc();
+    if health.is_other {
+        return Err(Fault::OtherServer);
+    }
+    let is_fit = service.placement.borrow().is_fit(instance.now(), server, in_flight.started);
+    if !is_fit && call.may_choose_anew() {
+        return Err(Fault::Unfit);
+    }
+    match health.connection {
+        Some(connection) => Ok(connection),
+        None => connect(call, address).await,
+    }
+}
+
 fn broken(e: &HttpError) -> Fault {
     match e {
         HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::HeadTooLarge { .. } => {
@@ -167,18 +215,6 @@
     reply::read_head(connection, names, &call.req.method, call.req.id.as_ref()).await
 }
 
-fn note_load(call: &Call, in_flight: &InFlight, head: &ResponseHead) {
-    let value = head.headers.get(&call.instance.names.load);
-    let Some(report) = value
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| call.instance.dialect.load(text))
-    else {
-        return;
-    };
-    let sighting = Sighting { at: call.instance.now(), report };
-    call.service.see(&call.instance, &in_flight.server, sighting);
-}
-
 async fn read_reply(
     call: &Call,
     in_flight: &InFlight,
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -9,6 +9,10 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+/// Servers that may turn out worse than they seemed before a request takes what it is given. Each
+/// costs a round trip.
+const MOST_CHOICES: u32 = 4;
+
 /// A request and its service.
 ///
 /// Invariant: `unresolved` counts the sends of which nobody has said that they did not run.
@@ -18,6 +22,8 @@
     pub(crate) req: Request,
     unresolved: Cell<u32>,
     sends: Cell<u32>,
+    /// Servers that turned out worse than they seemed.
+    choices: Cell<u32>,
     pub(crate) tried: RefCell<Vec<BackendId>>,
     /// Time that it waited for a server.
     pub(crate) waited: Cell<Micros>,
@@ -33,6 +39,7 @@
             req,
             unresolved: Cell::new(0),
             sends: Cell::new(0),
+            choices: Cell::new(0),
             tried: RefCell::default(),
             waited: Cell::default(),
             steps: RefCell::default(),
@@ -70,6 +77,19 @@
         self.req.deadline - self.instance.now()
     }
 
+    /// Time within which an answer is worth most; zero where that has passed.
+    pub(crate) fn left_for_target(&self) -> Micros {
+        self.req.target_at - self.instance.now()
+    }
+
+    /// Whether the request may look for another server because the one chosen has turned out worse
+    /// than it seemed; only so often, and not once the target is missed.
+    pub(crate) fn may_choose_anew(&self) -> bool {
+        let count = self.choices.get();
+        self.choices.set(count + 1);
+        count < MOST_CHOICES && self.left_for_target() > Micros::ZERO
+    }
+
     /// Takes note of how a send ended, for the choice of servers and for the log.
     pub(crate) fn note_attempt(
         &self,
@@ -98,6 +118,7 @@
                 placement.failed(now, server, 1.0);
                 placement.not_reached(now, server);
             }
+            Err(Fault::Unfit) => {}
             Err(fault) => placement.failed(now, server, fault.weight()),
         }
         let seen = placement.seen(server);
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::reply::Reply;
 use crate::service::{InFlight, NoServer, Wanted};
 use futures::future::{Either, select};
-use galenapath_policy::place::{Entry, Verdictless, Watchdog};
+use galenapath_policy::place::{Entry, copies};
 use galenapath_protocol::{BackendId, Micros, Verdict};
 use galenapath_routes::RouteKind;
 use http::StatusCode;
@@ -69,7 +69,8 @@
                 return fallback.ok_or(ended(call, "no_server", StatusCode::BAD_GATEWAY));
             }
         };
-        call.tried.borrow_mut().push(in_flight.server.clone());
+        let server = in_flight.server.clone();
+        call.tried.borrow_mut().push(server.clone());
         let result = match call.req.route.kind {
             RouteKind::OnceOnly => attempt_once(call, in_flight).await,
             RouteKind::Idempotent | RouteKind::Download => attempt_copied(call, in_flight).await,
@@ -82,6 +83,10 @@
             }
             Err(fault) => Some(fault),
         };
+        if fault == Some(Fault::Unfit) {
+            // It may be fit again when all others turn out to be worse.
+            call.tried.borrow_mut().retain(|tried| *tried != server);
+        }
         if !may_go_on(call, fault) {
             let reason = fault.map_or("server_error", Fault::as_str);
             return fallback.ok_or(ended(call, reason, StatusCode::BAD_GATEWAY));
@@ -122,8 +127,8 @@
     if !is_allowed || call.left() < LEAST_LEFT {
         return false;
     }
-    // A server that was never reached counts neither as an attempt nor as a retry.
-    if fault == Some(Fault::Unreachable) {
+    // A server that the request never went to counts neither as an attempt nor as a retry.
+    if matches!(fault, Some(Fault::Unreachable | Fault::Unfit)) {
         return true;
     }
     call.sends() < call.req.route.max_attempts && take_retry(call)
@@ -152,36 +157,19 @@
     }
 }
 
-/// Sends a request that may be repeated, and a copy of it where the server turns slow or silent:
-/// the first answer wins and the other send is cancelled.
+/// Sends a request that may be repeated, and a copy of it where the answer is late: the first answer
+/// wins and the other send is cancelled.
 async fn attempt_copied(call: &Call, in_flight: InFlight) -> Result<Reply, Fault> {
     let server = in_flight.server.clone();
-    let started = call.instance.now();
-    let alarm = call.service.slow_alarm(&server);
     let first = pin!(attempt(call, in_flight));
-    let wake = pin!(async {
-        let silence = pin!(sleep(silent_after(call)));
-        match select(alarm, silence).await {
-            Either::Left((Ok(()), _)) => true,
-            Either::Left((Err(_), silence)) => {
-                silence.await;
-                false
-            }
-            Either::Right(_) => false,
-        }
-    });
-    let (is_slow, first) = match select(first, wake).await {
+    let copying = pin!(wait_for_copy(call, &server));
+    let (copy, first) = match select(first, copying).await {
         Either::Left((result, _)) => return result,
-        Either::Right((is_slow, first)) => (is_slow, first),
+        Either::Right((copy, first)) => (copy, first),
     };
-    let work = call.service.placement.borrow().work();
-    let running = Verdictless { running_for: call.instance.now() - started, work, is_slow };
-    if Watchdog::is_silent(&running) {
-        note_silence(call, &server);
-    }
-    let Some(copy) = place_copy(call, &running) else { return first.await };
+    let Some(copy) = copy else { return first.await };
     call.instance.metrics.copies.inc();
-    call.note(if is_slow { "copy:slow " } else { "copy:silent " });
+    call.note("copy ");
     let second = pin!(attempt(call, copy));
     match select(first, second).await {
         Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
@@ -190,9 +178,28 @@
     }
 }
 
-fn place_copy(call: &Call, running: &Verdictless) -> Option<InFlight> {
+/// Waits until a copy may go out, and places it; `None` where there is none to come.
+async fn wait_for_copy(call: &Call, server: &BackendId) -> Option<InFlight> {
+    let work = call.service.placement.borrow().work();
+    let early = copies::early_after(work, call.left_for_target());
+    let late = copies::late_after(work);
+    sleep(early).await;
+    let is_ample = call.service.retries.borrow_mut().is_ample(call.instance.now());
+    if is_ample && let Some(copy) = place_copy(call) {
+        return Some(copy);
+    }
+    sleep(late - early).await;
+    if let Some(copy) = place_copy(call) {
+        return Some(copy);
+    }
+    sleep(copies::silent_after(work) - late).await;
+    note_silence(call, server);
+    place_copy(call)
+}
+
+fn place_copy(call: &Call) -> Option<InFlight> {
     let has_time = call.left() > LEAST_LEFT;
-    if !Watchdog::wants_copy(running) || !has_time || call.sends() >= call.req.route.max_attempts {
+    if !has_time || call.sends() >= call.req.route.max_attempts {
         return None;
     }
     let is_large = call.req.route.kind == RouteKind::Download;
@@ -206,7 +213,7 @@
 }
 
 fn silent_after(call: &Call) -> Micros {
-    Watchdog::silence(call.service.placement.borrow().work())
+    copies::silent_after(call.service.placement.borrow().work())
 }
 
 fn note_silence(call: &Call, server: &BackendId) {
--- /dev/null
+++ b/crates/galenapath-gateway/src/health.rs
@@ -0,0 +1,90 @@
+//! Asking a backend server for its load.
+
+use crate::instance::Instance;
+use crate::reply;
+use crate::service::Service;
+use galenapath_http::{
+    BodyState, Connection, Framing, HeadTimes, HttpError, ResponseHead, put_request,
+    response_framing,
+};
+use galenapath_policy::place::Sighting;
+use galenapath_protocol::BackendId;
+use http::header::{HOST, HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
+use std::time::Duration;
+
+/// Largest head of an answer, in bytes.
+pub(crate) const HEAD_LIMIT: usize = 8 * 1024;
+
+/// Times for an answer; whoever asks sets a shorter limit.
+const TIMES: HeadTimes = HeadTimes { idle: Duration::from_secs(1), head: Duration::from_secs(1) };
+
+/// What a backend server said.
+pub(crate) struct Health {
+    /// Its load, where it tells.
+    pub(crate) sighting: Option<Sighting>,
+    /// Whether another server has the address.
+    pub(crate) is_other: bool,
+    /// The connection, where it can be used again.
+    pub(crate) connection: Option<Connection>,
+}
+
+/// Asks the server behind `connection` and takes note of what it says. Its status is not believed:
+/// servers that are well may say that they are not, and the reverse.
+pub(crate) async fn ask(
+    instance: &Instance,
+    service: &Service,
+    id: &BackendId,
+    mut connection: Connection,
+) -> Result<Health, HttpError> {
+    let mut headers = HeaderMap::new();
+    if let Some(host) = host(service, id) {
+        headers.insert(HOST, host);
+    }
+    let path = service.spec.borrow().health_path.clone();
+    put_request(connection.output(), &Method::GET, &path, &headers, &[], Framing::None);
+    connection.flush().await?;
+    let head = connection.read_response(TIMES).await?;
+    let framing = response_framing(&Method::GET, head.status, &head.headers)?;
+    let mut body = BodyState::new(framing);
+    while connection.read_body(&mut body).await?.is_some() {}
+    let closes = reply::closes(&head.headers) || framing == Framing::UntilClose;
+    let is_clean = !closes && !connection.has_unread();
+    Ok(Health {
+        sighting: note(instance, service, id, &head),
+        is_other: is_other(instance, service, id, &head),
+        connection: is_clean.then_some(connection),
+    })
+}
+
+fn host(service: &Service, id: &BackendId) -> Option<HeaderValue> {
+    HeaderValue::from_str(&service.address(id)?.to_string()).ok()
+}
+
+fn is_other(instance: &Instance, service: &Service, id: &BackendId, head: &ResponseHead) -> bool {
+    let told = head.headers.get(&instance.names.server_id);
+    let is_other = told.is_some_and(|told| told != id.0.as_str())
+        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_other {
+        log::info!(server:% = id; "another server has the address");
+        service.placement.borrow_mut().mark_leaving(id);
+    }
+    is_other
+}
+
+/// Takes note of the load that comes with an answer, and tells others what is news.
+pub(crate) fn note(
+    instance: &Instance,
+    service: &Service,
+    id: &BackendId,
+    head: &ResponseHead,
+) -> Option<Sighting> {
+    service.placement.borrow_mut().reached(id);
+    let text = head.headers.get(&instance.names.load)?.to_str().ok()?;
+    let report = instance.dialect.load(text)?;
+    let sighting = Sighting { at: instance.now(), report };
+    if service.see(instance, id, sighting) {
+        instance.share_load(id, sighting);
+    }
+    Some(sighting)
+}
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod exchange;
 mod fleet;
+mod health;
 mod instance;
 mod logging;
 mod metrics;
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -3,23 +3,19 @@
 //! Each server is probed by one instance, which tells the others. Every instance works out the same
 //! assignment from the members that it knows.
 
+use crate::health::{self, Health};
 use crate::instance::{Instance, sleep};
 use crate::service::Service;
-use bytes::BytesMut;
-use galenapath_http::{
-    BodyState, Connection, Framing, HeadTimes, HttpError, ResponseHead, put_request,
-    response_framing,
-};
-use galenapath_policy::place::Sighting;
+use galenapath_http::{Connection, HttpError};
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
-use http::{HeaderMap, HeaderValue, Method};
 use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time between two probes of one server: five in a slow spell of half a second.
-const PERIOD: Micros = Micros::from_millis(100);
+/// Time between two probes of one server that no request has asked meanwhile. Requests ask the
+/// server itself before they go; the probes only keep the choice between servers from being blind.
+const PERIOD: Micros = Micros::from_millis(200);
 
 /// Time between two probes of a server that tells no load: they only show that it is there.
 const SILENT_PERIOD: Micros = Micros::from_secs(1);
@@ -34,9 +30,6 @@
 /// is gone or frozen.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest head of an answer, in bytes.
-const HEAD_LIMIT: usize = 8 * 1024;
-
 /// Failed probes in a row after which the server counts as out of reach.
 const FAILURES: u32 = 2;
 
@@ -122,7 +115,8 @@
     else {
         return;
     };
-    let result = monoio::time::timeout(TIMEOUT, exchange(&service, address, kept)).await;
+    let result =
+        monoio::time::timeout(TIMEOUT, exchange(&instance, &service, &id, address, kept)).await;
     let result = result.unwrap_or_else(|_| Err(HttpError::HeadTimeout));
     let label = if result.is_ok() { "answered" } else { "failed" };
     instance.metrics.probes.with_label_values(&[label]).inc();
@@ -130,14 +124,13 @@
     let Some(target) = targets.get_mut(&id) else { return };
     target.is_running = false;
     match result {
-        Ok((head, connection)) => {
-            target.connection = connection;
+        Ok(health) => {
+            target.connection = health.connection;
             if target.failures >= FAILURES {
                 log::info!(server:% = id; "server answers probes again");
             }
             target.failures = 0;
-            let tells_load = note_answer(&instance, &service, &id, &head);
-            if !tells_load {
+            if health.sighting.is_none() {
                 target.due = instance.now() + SILENT_PERIOD;
             }
         }
@@ -155,63 +148,19 @@
     }
 }
 
-/// Takes note of an answer; returns whether it told the load.
-fn note_answer(
+async fn exchange(
     instance: &Instance,
     service: &Service,
     id: &BackendId,
-    head: &ResponseHead,
-) -> bool {
-    let names = &instance.names;
-    let is_other = head.headers.get(&names.server_id).is_some_and(|told| told != id.0.as_str());
-    if is_other {
-        log::info!(server:% = id; "another server has the address");
-        service.placement.borrow_mut().mark_leaving(id);
-        return true;
-    }
-    service.placement.borrow_mut().reached(id);
-    let text = head.headers.get(&names.load).and_then(|value| value.to_str().ok());
-    let Some(report) = text.and_then(|text| instance.dialect.load(text)) else { return false };
-    let sighting = Sighting { at: instance.now(), report };
-    if service.see(instance, id, sighting) {
-        instance.share_load(id, sighting);
-    }
-    true
-}
-
-async fn exchange(
-    service: &Service,
     address: SocketAddr,
     kept: Option<Connection>,
-) -> Result<(ResponseHead, Option<Connection>), HttpError> {
+) -> Result<Health, HttpError> {
     if let Some(connection) = kept
-        && let Ok(answer) = ask(service, address, connection).await
+        && let Ok(health) = health::ask(instance, service, id, connection).await
     {
-        return Ok(answer);
+        return Ok(health);
     }
     let io = TcpStream::connect_addr(address).await?;
-    ask(service, address, Connection::new(io, HEAD_LIMIT)).await
-}
-
-async fn ask(
-    service: &Service,
-    address: SocketAddr,
-    mut connection: Connection,
-) -> Result<(ResponseHead, Option<Connection>), HttpError> {
-    let mut headers = HeaderMap::new();
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        headers.insert(http::header::HOST, host);
-    }
-    let path = service.spec.borrow().health_path.clone();
-    let out: &mut BytesMut = connection.output();
-    put_request(out, &Method::GET, &path, &headers, &[], Framing::None);
-    connection.flush().await?;
-    let times = HeadTimes { idle: TIMEOUT, head: TIMEOUT };
-    let head = connection.read_response(times).await?;
-    let framing = response_framing(&Method::GET, head.status, &head.headers)?;
-    let mut body = BodyState::new(framing);
-    while connection.read_body(&mut body).await?.is_some() {}
-    let closes = crate::reply::closes(&head.headers) || framing == Framing::UntilClose;
-    let is_clean = !closes && !connection.has_unread();
-    Ok((head, is_clean.then_some(connection)))
+    let connection = Connection::new(io, health::HEAD_LIMIT);
+    health::ask(instance, service, id, connection).await
 }
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -3,12 +3,12 @@
 use crate::instance::Instance;
 use crate::pool::Pools;
 use futures::channel::oneshot;
-use galenapath_policy::RetryBudget;
-use galenapath_policy::RetryConfig;
+use galenapath_policy::measure::ProbeBudget;
 use galenapath_policy::place::{
     Ask, Choice, Entry, PlaceConfig, PlacedServer, Placement, QueueConfig, Refusal, Sighting,
     Started, WaitQueue,
 };
+use galenapath_policy::{RetryBudget, RetryConfig};
 use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
 use galenapath_routes::{ServerState, ServiceSpec};
 use galenapath_settings::RetryAllowance;
@@ -19,6 +19,12 @@
 /// Longest sleep of a waiting request between two looks at the queue.
 const LOOK_AGAIN: Micros = Micros::from_millis(10);
 
+/// Part of the allowed probes that requests may use; the rest is for the regular ones.
+const PROBE_PART: f64 = 0.8;
+
+/// Instances among which the probes of requests are split: those that callers are sent to.
+const PROBE_SHARERS: u32 = 6;
+
 /// Part of the shared retry allowance that is used: the rest is room for instances that do not yet
 /// know of each other.
 const RETRY_PART: f64 = 0.7;
@@ -38,8 +44,8 @@
     queue: RefCell<WaitQueue>,
     /// Invariant: holds exactly the tickets in `queue`.
     waiters: RefCell<FastMap<u64, Waiter>>,
-    /// Who wants to know when a server turns slow.
-    slow_alarms: RefCell<FastMap<BackendId, Vec<oneshot::Sender<()>>>>,
+    /// This instance's part of the probes to each server.
+    probes: RefCell<FastMap<BackendId, ProbeBudget>>,
     generation: Cell<u64>,
 }
 
@@ -80,7 +86,7 @@
             addresses: RefCell::default(),
             queue: RefCell::new(WaitQueue::new(QueueConfig::default())),
             waiters: RefCell::default(),
-            slow_alarms: RefCell::default(),
+            probes: RefCell::default(),
             generation: Cell::new(u64::MAX),
         })
     }
@@ -106,6 +112,14 @@
             });
         }
         self.pools.retain(|id| addresses.contains_key(id));
+        let now = instance.now();
+        let rate = instance.settings.probes_per_second * PROBE_PART;
+        let mut probes = self.probes.borrow_mut();
+        probes.retain(|id, _| addresses.contains_key(id));
+        for id in addresses.keys() {
+            let new = || ProbeBudget::new(now, rate, PROBE_SHARERS);
+            probes.entry(id.clone()).or_insert_with(new);
+        }
         *self.addresses.borrow_mut() = addresses;
         self.placement.borrow_mut().set_servers(instance.now(), &list);
     }
@@ -122,28 +136,17 @@
 
     /// Takes in what was seen of a server; returns whether it was news.
     pub(crate) fn see(&self, instance: &Instance, id: &BackendId, sighting: Sighting) -> bool {
-        let was_slow = self.placement.borrow().seen(id).is_some_and(|seen| seen.is_slow());
         let is_news = self.placement.borrow_mut().see(id, sighting);
-        if is_news && sighting.is_slow() && !was_slow {
-            for alarm in self.slow_alarms.borrow_mut().remove(id).unwrap_or_default() {
-                // The request may have ended meanwhile.
-                let _ = alarm.send(());
-            }
-        }
         if is_news {
             self.poll(instance);
         }
         is_news
     }
 
-    /// Resolves when the server turns slow.
-    pub(crate) fn slow_alarm(&self, id: &BackendId) -> oneshot::Receiver<()> {
-        let (tx, rx) = oneshot::channel();
-        let mut alarms = self.slow_alarms.borrow_mut();
-        let alarms = alarms.entry(id.clone()).or_default();
-        alarms.retain(|alarm| !alarm.is_canceled());
-        alarms.push(tx);
-        rx
+    /// Takes a probe out of this instance's part of the budget of a server.
+    pub(crate) fn take_probe(&self, now: Micros, id: &BackendId) -> bool {
+        let mut probes = self.probes.borrow_mut();
+        probes.get_mut(id).is_some_and(|budget| budget.take(now))
     }
 
     /// Finds a server for a request, which waits for one where it has to.
@@ -310,6 +313,7 @@
     pub(crate) server: BackendId,
     /// How the server looked.
     pub(crate) started: Started,
+    is_sent: Cell<bool>,
 }
 
 impl InFlight {
@@ -320,12 +324,23 @@
 
     fn started(service: &Rc<Service>, instance: &Rc<Instance>, given: Given) -> Self {
         let Given { server, started } = given;
-        Self { service: Rc::clone(service), instance: Rc::clone(instance), server, started }
+        let (service, instance) = (Rc::clone(service), Rc::clone(instance));
+        Self { service, instance, server, started, is_sent: Cell::new(false) }
+    }
+}
+
+impl InFlight {
+    /// The request is on its way.
+    pub(crate) fn sent(&self) {
+        if !self.is_sent.replace(true) {
+            self.service.placement.borrow_mut().sent(&self.server);
+        }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.sent();
         self.service.placement.borrow_mut().finish(&self.server);
         self.service.poll(&self.instance);
     }
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -5,9 +5,6 @@
 /// Thresholds of placement; the defaults are the ones measured.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlaceConfig {
-    /// How long a slow spell lasts on average. The platform's backend servers hold a pace for about
-    /// half a second; what is left of a spell that was seen is a part of that.
-    pub spell: Micros,
     /// Age at which a sighting of the pace has lost about two thirds of its weight: a spell seen
     /// that long ago is over as often as not.
     pub pace_fades: Micros,
@@ -43,7 +40,6 @@
 impl Default for PlaceConfig {
     fn default() -> Self {
         Self {
-            spell: Micros::from_millis(500),
             pace_fades: Micros::from_millis(300),
             assumed_work: Micros::from_millis(100),
             crossing: Micros::from_millis(6),
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -8,17 +8,16 @@
 //!
 //! - [`Placement`]: which server a request goes to, or that it has to wait.
 //! - [`WaitQueue`]: who waits, who goes first and who is turned away.
-//! - [`Watchdog`]: when a running request gets a second copy elsewhere.
+//! - [`copies`]: when a running request gets a second copy elsewhere.
 
 mod config;
+pub mod copies;
 mod known;
 mod placement;
 mod queue;
 mod server;
-mod watchdog;
 
 pub use config::PlaceConfig;
 pub use known::Sighting;
 pub use placement::{Ask, Choice, PlacedServer, Placement, ServerKey, Started};
 pub use queue::{Entry, QueueConfig, Refusal, WaitQueue};
-pub use watchdog::{Verdictless, Watchdog};
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -181,6 +181,18 @@
         })
     }
 
+    /// Whether a server that has just been asked is still what it was taken for when the request was
+    /// counted there.
+    pub fn is_fit(&self, now: Micros, id: &BackendId, started: Started) -> bool {
+        let Some(server) = self.by_id.get(id).and_then(|at| self.servers.get(*at)) else {
+            return false;
+        };
+        let is_slow = server.seen().is_some_and(|seen| seen.is_slow());
+        let is_slower = is_slow && !started.is_slow;
+        let is_full = server.load() > server.slots;
+        !server.is_leaving && !is_slower && !is_full && server.is_reachable(now)
+    }
+
     /// Time beyond the usual that an answer from the server is expected to take.
     fn lateness(&self, now: Micros, index: usize) -> f32 {
         let server = &self.servers[index];
@@ -213,9 +225,17 @@
             is_slow: server.cold_until > now || server.seen().is_some_and(|seen| seen.is_slow()),
         };
         server.own += 1;
+        server.unsent += 1;
         started
     }
 
+    /// A request that was started is on its way.
+    pub fn sent(&mut self, id: &BackendId) {
+        if let Some(server) = self.server_mut(id) {
+            server.unsent = server.unsent.saturating_sub(1);
+        }
+    }
+
     /// A request has left the server, however it ended.
     pub fn finish(&mut self, id: &BackendId) {
         if let Some(server) = self.server_mut(id) {
@@ -273,7 +293,7 @@
 
     /// Takes in what this or another instance saw; returns whether it was news.
     pub fn see(&mut self, id: &BackendId, sighting: Sighting) -> bool {
-        let delay = Server::delay_when_seen(&sighting, self.work, &self.cfg);
+        let delay = Server::delay_when_seen(&sighting, self.work);
         let Some(server) = self.server_mut(id) else { return false };
         let is_news = server.see(sighting);
         if is_news {
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -19,6 +19,8 @@
     pub cold_until: Micros,
     /// Requests of this instance that are there now.
     pub own: u32,
+    /// Of these, those that are not sent yet: no sighting counts them.
+    pub unsent: u32,
     /// The newest sighting.
     seen: Option<Sighting>,
     /// Requests of other instances there, by the newest sighting.
@@ -39,6 +41,7 @@
             is_leaving: false,
             cold_until: Micros::ZERO,
             own: 0,
+            unsent: 0,
             seen: None,
             others: 0,
             trouble: 0.0,
@@ -52,7 +55,7 @@
         if self.seen.is_some_and(|seen| seen.at >= sighting.at) {
             return false;
         }
-        self.others = sighting.load().saturating_sub(self.own);
+        self.others = sighting.load().saturating_sub(self.own - self.unsent.min(self.own));
         self.seen = Some(sighting);
         self.slots = sighting.report.slots.max(1);
         true
@@ -100,13 +103,10 @@
         self.trouble_at = now;
     }
 
-    /// Extra time that a request of `work` is expected to take because of the pace, as known from
-    /// one sighting at its moment.
-    pub(super) fn delay_when_seen(sighting: &Sighting, work: Micros, cfg: &PlaceConfig) -> f32 {
-        let over = (sighting.pace() - 1.0).max(0.0) * work.0 as f32;
-        // A spell that is seen is half over on average; whatever is left of the work afterwards runs
-        // at the usual pace.
-        over.min(cfg.spell.0 as f32 * 0.6)
+    /// Extra time that a request of `work` takes when it begins at the pace that was seen. What begins
+    /// slowly ends slowly, also when the spell ends before.
+    pub(super) fn delay_when_seen(sighting: &Sighting, work: Micros) -> f32 {
+        (sighting.pace() - 1.0).max(0.0) * work.0 as f32
     }
 
     /// Extra time because of the pace now: what was seen, faded towards the average `usual`.
@@ -114,6 +114,6 @@
         let Some(seen) = &self.seen else { return usual };
         let age = (now - seen.at).0 as f32 / cfg.pace_fades.0 as f32;
         let weight = (-age).exp();
-        weight * Self::delay_when_seen(seen, work, cfg) + (1.0 - weight) * usual
+        weight * Self::delay_when_seen(seen, work) + (1.0 - weight) * usual
     }
 }
--- a/crates/galenapath-policy/src/retry/budget.rs
+++ b/crates/galenapath-policy/src/retry/budget.rs
@@ -55,6 +55,12 @@
         true
     }
 
+    /// Whether the budget is so well filled that a retry that gains little may be sent.
+    pub fn is_ample(&mut self, now: Micros) -> bool {
+        self.add_floor(now);
+        self.tokens >= self.cfg.burst * 0.6
+    }
+
     fn add_floor(&mut self, now: Micros) {
         let elapsed = now - self.filled_at;
         self.filled_at = self.filled_at.max(now);
