Every instance reads the store at its start; crossings cost what their bytes do; kept connections are asked before a filing

Change: load at once; crossing 6 to 30 ms, for large answers 40 to 250 ms; a question over a kept connection shows whether it lives, a new one is opened where it does not.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::health;
+use crate::pool::Kept;
 use crate::reply::{self, HeadVerdict, Reply, Rest};
 use crate::request::set;
 use crate::service::InFlight;
@@ -94,17 +95,8 @@
     let (service, server) = (&call.service, &in_flight.server);
     let address = service.address(server).ok_or(Fault::Unreachable)?;
     let now = call.instance.now();
-    let most_idle = match call.req.route.kind {
-        RouteKind::OnceOnly => FRESH_IDLE,
-        RouteKind::Idempotent | RouteKind::Download => Micros(u64::MAX),
-    };
-    let kept = service.pools.take(now, server, most_idle).await;
-    let is_kept = kept.is_some();
-    let connection = match kept {
-        Some(connection) => connection,
-        None => connect(call, address).await?,
-    };
-    let mut connection = ask_first(call, in_flight, address, connection).await?;
+    let kept = service.pools.take(now, server).await;
+    let (mut connection, is_kept) = ask_first(call, in_flight, address, kept).await?;
     put_head(call, in_flight, &mut connection);
     in_flight.sent();
     call.sent();
@@ -140,37 +132,74 @@
     }
 }
 
-/// Asks the server for its load where what is known is too old to trust a request to it, and gives
-/// the connection back.
+/// A connection to the server, and whether it was kept from an earlier request. Asks the server for
+/// its load first where what is known is too old to trust a request to it, or the kept connection
+/// too old to trust it a request that must not run twice.
 async fn ask_first(
     call: &Call,
     in_flight: &InFlight,
     address: SocketAddr,
-    connection: Connection,
-) -> Result<Connection, Fault> {
-    let (instance, service, server) = (&call.instance, &call.service, &in_flight.server);
-    let now = instance.now();
+    kept: Option<Kept>,
+) -> Result<(Connection, bool), Fault> {
+    let (service, server) = (&call.service, &in_flight.server);
+    let now = call.instance.now();
+    let is_once = call.req.route.kind == RouteKind::OnceOnly;
+    let is_old = kept.as_ref().is_some_and(|kept| kept.idle > FRESH_IDLE);
     let seen = service.placement.borrow().seen(server);
     // A server that tells no load would let the question wait for a slot.
-    if seen.is_none_or(|seen| now - seen.at < FRESH_LOAD) || !service.take_probe(now, server) {
-        return Ok(connection);
+    let is_blind = seen.is_some_and(|seen| now - seen.at > FRESH_LOAD);
+    let may_ask = seen.is_some() && (is_blind || (is_once && is_old));
+    if !may_ask || !service.take_probe(now, server) {
+        let kept = kept.filter(|_| !(is_once && is_old));
+        return match kept {
+            Some(kept) => Ok((kept.connection, true)),
+            None => Ok((connect(call, address).await?, false)),
+        };
     }
-    let asking = health::ask(instance, service, server, connection);
+    if let Some(kept) = kept
+        && let Ok(connection) = ask(call, in_flight, kept.connection).await
+    {
+        return judge_fitness(call, in_flight, address, connection).await;
+    }
+    let connection = connect(call, address).await?;
+    let connection = ask(call, in_flight, connection).await?;
+    judge_fitness(call, in_flight, address, connection).await
+}
+
+/// Asks the server for its load; returns the connection where it can be used again.
+async fn ask(
+    call: &Call,
+    in_flight: &InFlight,
+    connection: Connection,
+) -> Result<Option<Connection>, Fault> {
+    let instance = &call.instance;
+    let asking = health::ask(instance, &call.service, &in_flight.server, connection);
     let health = match monoio::time::timeout(ASK_TIME, asking).await {
         Ok(Ok(health)) => health,
         Ok(Err(_)) | Err(_) => return Err(Fault::Unreachable),
     };
     instance.metrics.probes.with_label_values(&["before_send"]).inc();
-    if health.is_other {
-        return Err(Fault::OtherServer);
-    }
-    let is_fit = service.placement.borrow().is_fit(instance.now(), server, in_flight.started);
+    if health.is_other { Err(Fault::OtherServer) } else { Ok(health.connection) }
+}
+
+async fn judge_fitness(
+    call: &Call,
+    in_flight: &InFlight,
+    address: SocketAddr,
+    connection: Option<Connection>,
+) -> Result<(Connection, bool), Fault> {
+    let placement = call.service.placement.borrow();
+    let is_fit = placement.is_fit(call.instance.now(), &in_flight.server, in_flight.started);
+    drop(placement);
     if !is_fit && call.may_choose_anew() {
+        if let Some(connection) = connection {
+            call.service.pools.keep(call.instance.now(), &in_flight.server, connection, None);
+        }
         return Err(Fault::Unfit);
     }
-    match health.connection {
-        Some(connection) => Ok(connection),
-        None => connect(call, address).await,
+    match connection {
+        Some(connection) => Ok((connection, true)),
+        None => Ok((connect(call, address).await?, false)),
     }
 }
 
--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -20,6 +20,13 @@
     until: Micros,
 }
 
+/// A connection that was idle.
+pub(crate) struct Kept {
+    pub(crate) connection: Connection,
+    /// For how long.
+    pub(crate) idle: Micros,
+}
+
 /// Idle connections to the servers of one service.
 #[derive(Default)]
 pub(crate) struct Pools {
@@ -27,20 +34,12 @@
 }
 
 impl Pools {
-    /// Takes a connection that was idle for `most_idle` at most and that the server has not closed.
-    pub(crate) async fn take(
-        &self,
-        now: Micros,
-        id: &BackendId,
-        most_idle: Micros,
-    ) -> Option<Connection> {
+    /// Takes a connection that the server has not closed as far as can be seen.
+    pub(crate) async fn take(&self, now: Micros, id: &BackendId) -> Option<Kept> {
         loop {
             let mut idle = self.idle.borrow_mut().get_mut(id)?.pop()?;
-            if idle.until < now || now - idle.since > most_idle {
-                continue;
-            }
-            if !idle.connection.is_stale().await {
-                return Some(idle.connection);
+            if idle.until >= now && !idle.connection.is_stale().await {
+                return Some(Kept { connection: idle.connection, idle: now - idle.since });
             }
         }
     }
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -26,8 +26,8 @@
 /// Pause between two tries while the store answers nobody.
 const RETRY: Micros = Micros::from_millis(400);
 
-/// Time after the start in which an instance first listens for others: all start within a third of
-/// a second, and whoever is known to others already need not read the store.
+/// Time after the start in which an instance listens for others before it takes a role: all start
+/// within a third of a second.
 const LISTEN_FIRST: Micros = Micros::from_millis(450);
 
 /// Time after which an instance that the store did not answer may be asked to watch again.
@@ -45,8 +45,11 @@
 
 /// Follows the store in the role that falls to this instance, for as long as it runs.
 pub(crate) async fn run<S: KeyStore>(instance: Rc<Instance>, store: S) {
-    sleep(LISTEN_FIRST).await;
     let mut watcher = Watcher { instance, store, failed_at: Micros::ZERO, is_entered: false };
+    // Two calls of each instance at its start buy half a second of service after a loss of all:
+    // nobody has to wait until it is clear who watches for whom.
+    watcher.load().await;
+    sleep(LISTEN_FIRST).await;
     loop {
         match watcher.role() {
             WatchRole::Watch => watcher.watch().await,
@@ -100,6 +103,9 @@
         }
         if !self.instance.state.borrow().is_known() {
             self.load().await;
+            if !self.instance.state.borrow().is_known() {
+                sleep(RETRY).await;
+            }
             return;
         }
         let position = self.instance.state.borrow().directory().position();
@@ -155,10 +161,6 @@
         let Some((position, list)) = self.read_list().await else { return };
         self.instance.take_list(position, list);
         fleet::announce(&self.instance);
-        self.enter().await;
-        if !self.instance.state.borrow().is_known() {
-            sleep(RETRY).await;
-        }
     }
 
     /// Reads all pages of the list. Its position is that of the first page: what changes while the
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -10,10 +10,11 @@
     pub pace_fades: Micros,
     /// Time that a request is taken to run before any has been measured.
     pub assumed_work: Micros,
-    /// Cost of a server of another failure domain for an ordinary answer: a few crossings, so that
-    /// the own domain is preferred until its servers are fuller.
+    /// Cost of a server of another failure domain for an ordinary answer: the bytes are billed, and
+    /// there is time for some wait at the own domain.
     pub crossing: Micros,
-    /// Cost of a server of another failure domain for a large answer, whose bytes are billed.
+    /// Cost of a server of another failure domain for a large answer, whose bytes cost about as much
+    /// as the answer is worth; less than a slow spell.
     pub crossing_large: Micros,
     /// Part of the work time that a full server costs beside an empty one, by the square of its
     /// fill: some servers slow down when nearly full.
@@ -42,8 +43,8 @@
         Self {
             pace_fades: Micros::from_millis(300),
             assumed_work: Micros::from_millis(100),
-            crossing: Micros::from_millis(6),
-            crossing_large: Micros::from_millis(40),
+            crossing: Micros::from_millis(30),
+            crossing_large: Micros::from_millis(250),
             fill_cost: 0.5,
             jitter: 0.15,
             failure: Micros::from_millis(400),
