Late requests wait only while late ones are served

Cause: a request predicted 15 ms beyond its target was refused although slots that nobody else wanted would have served it; others waited among the late although none of them was served. Change: who cannot be in time may wait behind all others, unless one that had waited there was refused in the last half second.

--- a/crates/galenapath-policy/src/place/queue.rs
+++ b/crates/galenapath-policy/src/place/queue.rs
@@ -20,6 +20,8 @@
     pub margin: f32,
     /// Part of its time left that a late request may wait.
     pub late_share: f32,
+    /// Time for which no late requests are taken after one was refused that had waited.
+    pub no_late_for: Micros,
     /// Shortest time that a refused caller is told to stay away: less is no time to make room.
     pub least_retry_after: Micros,
     /// Part of the caller's time left that it may be told to stay away; callers do not heed more
@@ -33,6 +35,7 @@
             most: 256,
             margin: 0.9,
             late_share: 0.25,
+            no_late_for: Micros::from_millis(500),
             least_retry_after: Micros::from_millis(40),
             retry_share: 0.3,
         }
@@ -77,12 +80,15 @@
 pub struct WaitQueue {
     cfg: QueueConfig,
     waiting: BTreeMap<Place, Entry>,
+    /// Until when no request is taken that can only be late: lately one had to be refused after it
+    /// had waited, so that there are no slots that nobody else wants.
+    no_late_until: Micros,
 }
 
 impl WaitQueue {
     /// An empty queue.
     pub fn new(cfg: QueueConfig) -> Self {
-        Self { cfg, waiting: BTreeMap::new() }
+        Self { cfg, waiting: BTreeMap::new(), no_late_until: Micros::ZERO }
     }
 
     /// Whether nobody waits.
@@ -103,23 +109,32 @@
         pace: Micros,
         work: Micros,
     ) -> Result<(), Refusal> {
-        let is_late = now + work > entry.target;
-        let place = place(&entry, is_late);
-        let ahead = self.waiting.range(..place).count();
-        let predicted = Micros(pace.0.saturating_mul(ahead as u64 + 1));
-        let allowed = if is_late {
-            scaled(entry.deadline - now, self.cfg.late_share)
-        } else {
-            scaled(entry.target - now - work, self.cfg.margin)
-        };
+        let on_time = place(&entry, false);
+        let predicted = self.wait_before(&on_time, pace);
+        let allowed = scaled(entry.target - now - work, self.cfg.margin);
+        if self.waiting.len() < self.cfg.most && now + work <= entry.target && predicted <= allowed
+        {
+            self.waiting.insert(on_time, entry);
+            return Ok(());
+        }
+        let late = place(&entry, true);
+        let predicted = self.wait_before(&late, pace);
+        let allowed = scaled(entry.deadline - now, self.cfg.late_share);
         let is_hopeless = now + predicted + work > entry.deadline;
-        if is_hopeless || predicted > allowed || self.waiting.len() >= self.cfg.most {
+        let is_full = self.waiting.len() >= self.cfg.most || now < self.no_late_until;
+        if is_hopeless || is_full || predicted > allowed {
             return Err(self.refusal(now, &entry, predicted));
         }
-        self.waiting.insert(place, entry);
+        self.waiting.insert(late, entry);
         Ok(())
     }
 
+    /// Time until all those before `place` and one more have started.
+    fn wait_before(&self, place: &Place, pace: Micros) -> Micros {
+        let ahead = self.waiting.range(..place).count();
+        Micros(pace.0.saturating_mul(ahead as u64 + 1))
+    }
+
     /// The refusal of a request whose wait would be `predicted`.
     fn refusal(&self, now: Micros, entry: &Entry, predicted: Micros) -> Refusal {
         let left = entry.deadline - now;
@@ -156,6 +171,7 @@
         let mut out = Vec::with_capacity(over.len());
         for place in over {
             if let Some(entry) = self.waiting.remove(&place) {
+                self.no_late_until = now + self.cfg.no_late_for;
                 let refusal = self.refusal(now, &entry, work);
                 out.push((entry, refusal));
             }
