Answers as wide as the load needs; those that serve probe; questions saved up for a second

Change: instances tell their rate and capacity; an answer holds as many of the own domain, larger ones first, as carry the load; only those that serve callers probe and hear of loads; a budget of questions that saves up a second; who monitors whom is worked out when members change.

--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -36,6 +36,8 @@
         Self {
             from: beat.from.0,
             flags: flags(&beat.vitals),
+            rate: beat.vitals.rate,
+            capacity: beat.vitals.capacity,
             config_version: beat.vitals.config_version,
             position: beat.vitals.position,
             accused: beat.accused.iter().map(|id| id.0).collect(),
@@ -57,6 +59,8 @@
             store,
             is_watching: has(WATCHING),
             serves_callers: has(SERVES_CALLERS),
+            rate: wire.rate,
+            capacity: wire.capacity,
             config_version: wire.config_version,
             position: wire.position,
         };
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -6,6 +6,8 @@
 pub struct BeatWire {
     ///Incarnations that the sender finds silent.
     pub accused: ::std::vec::Vec<u64>,
+    ///Requests a second that it can take with ease.
+    pub capacity: u32,
     ///Version of the configuration in force.
     pub config_version: u64,
     ///Bits: 1 ready, 2 leaving, 4 watches the store, 8 the store answers, 16 the store does not answer, 32 serves callers.
@@ -14,6 +16,8 @@
     pub from: u64,
     ///Position of the list of backend servers.
     pub position: u64,
+    ///Requests a second that callers send it.
+    pub rate: u32,
 }
 ///One datagram.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -47,7 +47,7 @@
         if is_urgent(&told, &vitals) || !changes.is_empty() {
             announce(&instance);
         } else {
-            let due = instance.beats.borrow_mut().due(now);
+            let due = instance.beats.borrow_mut().due(now, vitals.serves_callers);
             send_beat(&instance, &due);
         }
         told = vitals;
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::metrics::Metrics;
+use crate::rate::Rate;
 use crate::service::Service;
 use crate::sharing::Outbox;
 use crate::state::State;
@@ -15,6 +16,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Requests a second that one core takes with ease. A request with its question to the server takes
+/// 0.3 ms, so that this is a third of the processor: bursts and probes need the rest, and every
+/// instance more that serves knows less of what the others send.
+const REQUESTS_PER_CORE: f64 = 1_000.0;
+
 /// Time after the last request for which an instance counts as one that serves callers.
 const SERVES_FOR: Micros = Micros::from_secs(2);
 
@@ -55,6 +61,9 @@
     pub(crate) in_progress: Cell<u32>,
     pub(crate) log_budget: crate::answer::LogBudget,
     served_at: Cell<Micros>,
+    rate: Cell<Rate>,
+    /// When a caller first asked where to connect; zero before.
+    asked_at: Cell<Micros>,
     next_ticket: Cell<u64>,
     udp: UdpSocket,
 }
@@ -75,7 +84,12 @@
             clock,
             metrics,
             state: RefCell::default(),
-            beats: RefCell::new(Beats::new(BeatConfig::default(), incarnation, clock.now())),
+            beats: RefCell::new(Beats::new(
+                BeatConfig::default(),
+                incarnation,
+                settings.domain.clone(),
+                clock.now(),
+            )),
             services: RefCell::default(),
             splits: RefCell::default(),
             patience: RefCell::default(),
@@ -86,6 +100,8 @@
             in_progress: Cell::new(0),
             log_budget: crate::answer::LogBudget::new(settings.log_lines),
             served_at: Cell::new(Micros::ZERO),
+            rate: Cell::default(),
+            asked_at: Cell::default(),
             next_ticket: Cell::new(0),
             udp,
             settings,
@@ -124,6 +140,8 @@
             store: self.store.get(),
             is_watching: self.is_watching.get(),
             serves_callers: self.now() - self.served_at.get() < SERVES_FOR,
+            rate: self.rate.get().per_second(self.now()),
+            capacity: (self.settings.cores * REQUESTS_PER_CORE) as u32,
             config_version: state.table().version(),
             position: state.directory().position(),
         }
@@ -131,12 +149,23 @@
 
     /// Notes a request; returns its number.
     pub(crate) fn next_ticket(&self) -> u64 {
-        self.served_at.set(self.now());
+        let now = self.now();
+        self.served_at.set(now);
+        self.rate.set(self.rate.get().counted(now));
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
         ticket
     }
 
+    /// Time since the first question where to connect.
+    pub(crate) fn served_for(&self) -> Micros {
+        let now = self.now();
+        if self.asked_at.get() == Micros::ZERO {
+            self.asked_at.set(now);
+        }
+        now - self.asked_at.get()
+    }
+
     /// Instances that serve callers now, this one included.
     pub(crate) fn serving(&self) -> u32 {
         let beats = self.beats.borrow();
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod probe;
 mod questions;
+mod rate;
 mod relay;
 mod reply;
 mod request;
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -21,7 +21,7 @@
 const SILENT_PERIOD: Micros = Micros::from_secs(1);
 
 /// Time between two looks at which probes are due.
-const LOOK: Micros = Micros::from_millis(20);
+const LOOK: Micros = Micros::from_millis(40);
 
 /// Time between two looks at who probes which server.
 const REASSIGN: Micros = Micros::from_millis(250);
@@ -65,14 +65,12 @@
 
 /// Takes over the servers that fall to this instance and leaves the others.
 fn assign(instance: &Instance, targets: &Targets) {
-    let members: Vec<Incarnation> = {
-        let beats = instance.beats.borrow();
-        let others = beats.peers().filter(|p| p.is_usable()).map(|p| p.member.incarnation);
-        others.chain([instance.incarnation]).collect()
-    };
+    let members = probers(instance);
+    let serving = instance.serving();
     let mut mine: FastMap<BackendId, (Rc<Service>, SocketAddr)> = FastMap::default();
     for service in instance.services.borrow().values() {
         service.pools.prune(instance.now());
+        service.share_probes(instance.now(), serving);
         for (id, address) in service.servers() {
             let seed = hash64(0, id.0.as_bytes());
             let score = |member: &Incarnation| hash64(seed, &member.0.to_le_bytes());
@@ -96,6 +94,20 @@
     }
 }
 
+/// The instances that probe: those that serve callers, or all while nobody does.
+fn probers(instance: &Instance) -> Vec<Incarnation> {
+    let beats = instance.beats.borrow();
+    let own = instance.vitals();
+    let usable = || beats.peers().filter(|peer| peer.is_usable());
+    let is_anyone = own.serves_callers || usable().any(|p| p.vitals.serves_callers);
+    let others = usable().filter(|p| !is_anyone || p.vitals.serves_callers);
+    let mut members: Vec<Incarnation> = others.map(|peer| peer.member.incarnation).collect();
+    if !is_anyone || own.serves_callers {
+        members.push(instance.incarnation);
+    }
+    members
+}
+
 fn due(targets: &Targets, now: Micros) -> Vec<BackendId> {
     let mut targets = targets.borrow_mut();
     let mut due = Vec::new();
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -20,7 +20,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pause between two looks at whether the listener for requests has to close.
-const STAGE_LOOK: Duration = Duration::from_millis(50);
+const STAGE_LOOK: Duration = Duration::from_millis(500);
 
 /// Most epoll events taken at a time; the runtime's own default takes 48 KiB.
 const EVENTS: u32 = 256;
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -2,8 +2,9 @@
 
 use crate::instance::Instance;
 use crate::pool::Pools;
+use crate::sharing::short_id;
 use futures::channel::oneshot;
-use galenapath_policy::measure::ProbeBudget;
+use galenapath_policy::measure::AskBudget;
 use galenapath_policy::place::{
     Ask, Choice, Entry, PlaceConfig, PlacedServer, Placement, QueueConfig, Refusal, Sighting,
     Started, WaitQueue,
@@ -22,8 +23,9 @@
 /// Part of the allowed probes that requests may use; the rest is for the regular ones.
 const PROBE_PART: f64 = 0.8;
 
-/// Instances among which the probes of requests are split: those that callers are sent to.
-const PROBE_SHARERS: u32 = 6;
+/// Least number of instances among which the probes of requests are split: an instance that has
+/// just started does not know who serves callers.
+const LEAST_PROBE_SHARERS: u32 = 6;
 
 /// Part of the shared retry allowance that is used: the rest is room for instances that do not yet
 /// know of each other.
@@ -41,11 +43,15 @@
     /// Idle connections to the servers.
     pub(crate) pools: Pools,
     addresses: RefCell<FastMap<BackendId, SocketAddr>>,
+    /// The servers by the short form of their identities.
+    by_short_id: RefCell<FastMap<u32, BackendId>>,
     queue: RefCell<WaitQueue>,
     /// Invariant: holds exactly the tickets in `queue`.
     waiters: RefCell<FastMap<u64, Waiter>>,
     /// This instance's part of the probes to each server.
-    probes: RefCell<FastMap<BackendId, ProbeBudget>>,
+    probes: RefCell<FastMap<BackendId, AskBudget>>,
+    /// Probes a second to one server that the requests of all instances may use.
+    probe_rate: f64,
     generation: Cell<u64>,
 }
 
@@ -84,9 +90,11 @@
             retries: RefCell::new(retry_budget(&instance.settings.retries)),
             pools: Pools::default(),
             addresses: RefCell::default(),
+            by_short_id: RefCell::default(),
             queue: RefCell::new(WaitQueue::new(QueueConfig::default())),
             waiters: RefCell::default(),
             probes: RefCell::default(),
+            probe_rate: instance.settings.probes_per_second * PROBE_PART,
             generation: Cell::new(u64::MAX),
         })
     }
@@ -113,13 +121,15 @@
         }
         self.pools.retain(|id| addresses.contains_key(id));
         let now = instance.now();
-        let rate = instance.settings.probes_per_second * PROBE_PART;
+        let rate = self.probe_rate;
         let mut probes = self.probes.borrow_mut();
         probes.retain(|id, _| addresses.contains_key(id));
         for id in addresses.keys() {
-            let new = || ProbeBudget::new(now, rate, PROBE_SHARERS);
+            let new = || AskBudget::new(now, rate, LEAST_PROBE_SHARERS);
             probes.entry(id.clone()).or_insert_with(new);
         }
+        *self.by_short_id.borrow_mut() =
+            addresses.keys().map(|id| (short_id(id), id.clone())).collect();
         *self.addresses.borrow_mut() = addresses;
         self.placement.borrow_mut().set_servers(instance.now(), &list);
     }
@@ -129,6 +139,11 @@
         self.addresses.borrow().get(id).copied()
     }
 
+    /// The server with a short identity.
+    pub(crate) fn by_short_id(&self, short: u32) -> Option<BackendId> {
+        self.by_short_id.borrow().get(&short).cloned()
+    }
+
     /// The servers.
     pub(crate) fn servers(&self) -> Vec<(BackendId, SocketAddr)> {
         self.addresses.borrow().iter().map(|(id, address)| (id.clone(), *address)).collect()
@@ -143,6 +158,14 @@
         is_news
     }
 
+    /// Splits the budget of probes among the instances that serve callers.
+    pub(crate) fn share_probes(&self, now: Micros, serving: u32) {
+        let sharers = serving.max(LEAST_PROBE_SHARERS);
+        for budget in self.probes.borrow_mut().values_mut() {
+            budget.set_share(now, self.probe_rate, sharers);
+        }
+    }
+
     /// Takes a probe out of this instance's part of the budget of a server.
     pub(crate) fn take_probe(&self, now: Micros, id: &BackendId) -> bool {
         let mut probes = self.probes.borrow_mut();
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -11,11 +11,11 @@
 use std::rc::Rc;
 
 /// Time between two datagrams. A slow spell lasts half a second; a tenth of that is soon enough.
-const FLUSH_PERIOD: Micros = Micros::from_millis(25);
+const FLUSH_PERIOD: Micros = Micros::from_millis(50);
 
 /// Age of a load that was told after which it is told again although nothing but the number of
 /// requests has changed.
-const REFRESH: Micros = Micros::from_millis(100);
+const REFRESH: Micros = Micros::from_millis(150);
 
 /// Most notes in one datagram, so that it fits one packet.
 const MOST_NOTES: usize = 60;
@@ -65,13 +65,14 @@
         let now = self.now();
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
-            for (id, _) in service.servers() {
-                let short = short_id(&id);
-                if let Some(note) = loads.loads.iter().find(|note| note.server == short) {
+            for note in &loads.loads {
+                if let Some(id) = service.by_short_id(note.server) {
                     let sighting = Sighting { at: now - note.age, report: note.report };
                     service.see(self, &id, sighting);
                 }
-                if let Some(note) = loads.failures.iter().find(|note| note.server == short) {
+            }
+            for note in &loads.failures {
+                if let Some(id) = service.by_short_id(note.server) {
                     service.placement.borrow_mut().failed(now, &id, note.weight);
                 }
             }
--- a/crates/galenapath-gateway/src/stop.rs
+++ b/crates/galenapath-gateway/src/stop.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Time between two looks at whether a signal has come.
-const LOOK: Micros = Micros::from_millis(50);
+const LOOK: Micros = Micros::from_millis(100);
 
 /// Time for which an instance that leaves still takes new connections: callers keep an address
 /// answer three times as long as they are told, and then need a moment to connect.
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -21,7 +21,7 @@
 const PING_PERIOD: Micros = Micros::from_millis(400);
 
 /// Pause of an instance that does not watch between two looks at its role.
-const REST: Micros = Micros::from_millis(50);
+const REST: Micros = Micros::from_millis(200);
 
 /// Pause between two tries while the store answers nobody.
 const RETRY: Micros = Micros::from_millis(400);
--- a/crates/galenapath-membership/src/beats.rs
+++ b/crates/galenapath-membership/src/beats.rs
@@ -11,7 +11,7 @@
 //! observers, not one. Who hears nobody any more doubts itself and accuses no one.
 
 use crate::{Member, MemberStatus};
-use galenapath_protocol::{FastMap, FastSet, Incarnation, Micros};
+use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use std::net::SocketAddr;
 
 /// Thresholds of heartbeats.
@@ -24,6 +24,9 @@
     pub silent_after: Micros,
     /// Instances that one sends heartbeats to.
     pub fan_out: usize,
+    /// Time between two heartbeats of an instance that serves callers to the others of its failure
+    /// domain, which tell callers how many instances it takes to carry the load.
+    pub home_period: Micros,
     /// Time between two heartbeats to an instance that is silent, so that it is found again.
     pub silent_period: Micros,
     /// Silence after which an instance is forgotten.
@@ -43,6 +46,7 @@
             period: Micros::from_millis(250),
             silent_after: Micros::from_millis(800),
             fan_out: 15,
+            home_period: Micros::from_millis(500),
             silent_period: Micros::from_secs(1),
             forget_after: Micros::from_secs(60),
             accusers: 2,
@@ -77,6 +81,10 @@
     pub is_watching: bool,
     /// Whether callers have sent it requests lately.
     pub serves_callers: bool,
+    /// Requests a second that callers send it.
+    pub rate: u32,
+    /// Requests a second that it can take with ease.
+    pub capacity: u32,
     /// Version of its configuration.
     pub config_version: u64,
     /// Position of its list of backend servers.
@@ -145,7 +153,14 @@
 pub struct Beats {
     cfg: BeatConfig,
     own: Incarnation,
+    domain: DomainId,
     peers: FastMap<Incarnation, Peer>,
+    /// Those that send their heartbeats here.
+    ///
+    /// Invariant: this and `targets` follow from `peers` and are worked out anew when it changes.
+    monitored: FastSet<Incarnation>,
+    /// Those that this instance sends its heartbeats to.
+    targets: FastSet<Incarnation>,
     ticked_at: Micros,
     /// Whether most of those who should send heartbeats are silent, so that the fault is here.
     is_doubtful: bool,
@@ -153,8 +168,17 @@
 
 impl Beats {
     /// Nobody is known yet.
-    pub fn new(cfg: BeatConfig, own: Incarnation, now: Micros) -> Self {
-        Self { cfg, own, peers: FastMap::default(), ticked_at: now, is_doubtful: false }
+    pub fn new(cfg: BeatConfig, own: Incarnation, domain: DomainId, now: Micros) -> Self {
+        Self {
+            cfg,
+            own,
+            domain,
+            peers: FastMap::default(),
+            monitored: FastSet::default(),
+            targets: FastSet::default(),
+            ticked_at: now,
+            is_doubtful: false,
+        }
     }
 
     /// The other instances, also those that are silent.
@@ -183,6 +207,7 @@
             member,
         };
         self.peers.insert(peer.member.incarnation, peer);
+        self.arrange();
         true
     }
 
@@ -203,6 +228,7 @@
     /// An instance has said that it ends.
     pub fn ended(&mut self, incarnation: Incarnation) {
         self.peers.remove(&incarnation);
+        self.arrange();
     }
 
     /// Looks at who has become silent or is heard again. Returns what changed.
@@ -215,10 +241,15 @@
             }
         }
         let cfg = &self.cfg;
+        let known = self.peers.len();
         self.peers.retain(|_, peer| now - peer.heard_at < cfg.forget_after);
-        let monitored = self.monitored();
+        if self.peers.len() != known {
+            self.arrange();
+        }
+        let monitored = &self.monitored;
         let silent = |peer: &Peer| now - peer.heard_at > self.cfg.silent_after;
-        let quiet = monitored.iter().filter(|id| silent(&self.peers[*id])).count();
+        let quiet =
+            self.peers.iter().filter(|(id, p)| monitored.contains(*id) && silent(p)).count();
         self.is_doubtful = monitored.len() > 2 && quiet * 2 > monitored.len();
         let mut changes = Vec::new();
         for (id, peer) in &mut self.peers {
@@ -247,21 +278,22 @@
         if self.is_doubtful {
             return Vec::new();
         }
-        let monitored = self.monitored();
+        let monitored = &self.monitored;
         let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains(*id));
         silent.map(|(id, _)| *id).collect()
     }
 
-    /// Addresses that a heartbeat is due to now.
-    pub fn due(&mut self, now: Micros) -> Vec<SocketAddr> {
-        let targets = self.after(self.own, self.cfg.fan_out);
-        let (period, silent_period) = (self.cfg.period, self.cfg.silent_period);
+    /// Addresses that a heartbeat is due to now; more of them for an instance that serves callers.
+    pub fn due(&mut self, now: Micros, serves_callers: bool) -> Vec<SocketAddr> {
+        let cfg = &self.cfg;
         let mut due = Vec::new();
         for (id, peer) in &mut self.peers {
-            let is_target = targets.contains(id);
-            let pause = match (peer.is_up, is_target) {
-                (true, true) => period,
-                (false, _) => silent_period,
+            let pause = match (peer.is_up, self.targets.contains(id)) {
+                (true, true) => cfg.period,
+                (false, _) => cfg.silent_period,
+                (true, false) if serves_callers && peer.member.domain == self.domain => {
+                    cfg.home_period
+                }
                 (true, false) => continue,
             };
             // Half a millisecond makes up for timers that fire early or late.
@@ -278,27 +310,16 @@
         self.peers.values().filter(|peer| peer.is_up).map(|peer| peer.member.peers).collect()
     }
 
-    /// Those that send their heartbeats here.
-    fn monitored(&self) -> FastSet<Incarnation> {
-        let mut ids: Vec<Incarnation> = self.peers.keys().copied().collect();
-        if ids.len() <= self.cfg.fan_out {
-            return ids.into_iter().collect();
-        }
-        ids.push(self.own);
-        ids.sort_unstable();
-        let at = ids.iter().position(|id| *id == self.own).unwrap_or(0);
-        let before = (1..=self.cfg.fan_out).map(|step| (at + ids.len() - step) % ids.len());
-        before.map(|index| ids[index]).collect()
-    }
-
-    /// The instances that follow `id` in the order of incarnations.
-    fn after(&self, id: Incarnation, count: usize) -> FastSet<Incarnation> {
-        let mut ids: Vec<Incarnation> = self.peers.keys().copied().collect();
-        if ids.len() <= count {
-            return ids.into_iter().collect();
-        }
-        ids.sort_unstable();
-        let at = ids.partition_point(|other| *other < id);
-        (0..count).map(|step| ids[(at + step) % ids.len()]).collect()
+    /// Works out anew who monitors whom.
+    fn arrange(&mut self) {
+        let mut ring: Vec<Incarnation> = self.peers.keys().copied().collect();
+        ring.push(self.own);
+        ring.sort_unstable();
+        let at = ring.iter().position(|id| *id == self.own).unwrap_or(0);
+        let others = ring.len() - 1;
+        let count = self.cfg.fan_out.min(others);
+        self.targets = (1..=count).map(|step| ring[(at + step) % ring.len()]).collect();
+        let before = (1..=count).map(|step| ring[(at + ring.len() - step) % ring.len()]);
+        self.monitored = before.collect();
     }
 }
--- a/crates/galenapath-policy/src/dispatch/addresses.rs
+++ b/crates/galenapath-policy/src/dispatch/addresses.rs
@@ -15,15 +15,17 @@
 /// Thresholds of the address answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerConfig {
-    /// Instances of the caller's own failure domain in an answer.
+    /// Least number of instances of the caller's own failure domain in an answer.
     pub home: usize,
     /// Least number of instances in an answer; others fill it up where the own domain has too few.
     pub least: usize,
+    /// Most instances in an answer.
+    pub most: usize,
 }
 
 impl Default for AnswerConfig {
     fn default() -> Self {
-        Self { home: 2, least: 2 }
+        Self { home: 2, least: 2, most: 48 }
     }
 }
 
@@ -36,20 +38,43 @@
     pub domain: &'a str,
     /// Where callers reach it.
     pub address: SocketAddr,
+    /// Requests a second that callers send it.
+    pub rate: u32,
+    /// Requests a second that it can take with ease; zero where that is not known.
+    pub capacity: u32,
 }
 
-/// The addresses for a caller in failure domain `domain`, best first.
+/// The addresses for a caller in failure domain `domain`, best first: as many instances of the
+/// domain as it takes to carry what its instances are sent, larger ones first. `is_rate_known` says
+/// whether the rates have been counted for long enough; before that, all instances of the domain
+/// share what comes.
 pub fn addresses_for(
     cfg: &AnswerConfig,
     domain: &str,
     reachable: &[Reachable<'_>],
+    is_rate_known: bool,
 ) -> Vec<SocketAddr> {
     let mut ranked: Vec<&Reachable<'_>> = reachable.iter().collect();
     ranked.sort_by_key(|instance| {
-        let is_away = instance.domain != domain;
-        (is_away, hash64(ORDER_SEED, instance.name.as_bytes()))
+        let order = hash64(ORDER_SEED, instance.name.as_bytes());
+        (instance.domain != domain, std::cmp::Reverse(instance.capacity), order)
     });
     let home = ranked.iter().filter(|instance| instance.domain == domain).count();
-    let count = home.min(cfg.home).max(cfg.least);
+    let needed = if is_rate_known { needed(&ranked[..home]) } else { home };
+    let count = needed.max(cfg.home).min(home).max(cfg.least).min(cfg.most);
     ranked.iter().take(count).map(|instance| instance.address).collect()
 }
+
+/// How many of the first instances carry what all of them are sent.
+fn needed(ranked: &[&Reachable<'_>]) -> usize {
+    let rate: u32 = ranked.iter().map(|instance| instance.rate).sum();
+    let mut carried = 0;
+    ranked
+        .iter()
+        .take_while(|instance| {
+            let is_short = carried < rate;
+            carried += instance.capacity;
+            is_short
+        })
+        .count()
+}
--- /dev/null
+++ b/crates/galenapath-policy/src/measure/asks.rs
@@ -0,0 +1,60 @@
+//! The budget of questions that requests ask a backend server before they go there.
+//!
+//! Load pattern: requests come in bunches, and each is worth a question while the server's pace
+//! changes within a request. [`ProbeBudget`](super::ProbeBudget) spaces regular probes evenly, which
+//! would refuse the second request of a bunch its question although the second before was quiet. This
+//! one saves up a second of its part, so that the sum over a second and more stays within the budget.
+
+use galenapath_protocol::Micros;
+
+/// Seconds of its part that a budget saves up.
+const SAVED: f32 = 1.0;
+
+/// One instance's part of the questions to one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct AskBudget {
+    /// Questions a second.
+    rate: f32,
+    /// Questions that may be asked now; from 0 to `SAVED` times `rate`, at least one.
+    tokens: f32,
+    filled_at: Micros,
+}
+
+impl AskBudget {
+    /// Part of one of `instances` of a budget of `rate` questions a second, from `now` on. It starts
+    /// with one question.
+    pub fn new(now: Micros, rate: f64, instances: u32) -> Self {
+        Self { rate: part(rate, instances), tokens: 1.0, filled_at: now }
+    }
+
+    /// Changes the part.
+    pub fn set_share(&mut self, now: Micros, rate: f64, instances: u32) {
+        self.fill(now);
+        self.rate = part(rate, instances);
+        self.tokens = self.tokens.min(self.most());
+    }
+
+    /// Takes one question out of the budget; false when there is none.
+    pub fn take(&mut self, now: Micros) -> bool {
+        self.fill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    fn most(&self) -> f32 {
+        (self.rate * SAVED).max(1.0)
+    }
+
+    fn fill(&mut self, now: Micros) {
+        let seconds = (now - self.filled_at).0 as f32 / 1e6;
+        self.filled_at = now;
+        self.tokens = (self.tokens + seconds * self.rate).min(self.most());
+    }
+}
+
+fn part(rate: f64, instances: u32) -> f32 {
+    (rate / f64::from(instances.max(1))) as f32
+}
--- a/crates/galenapath-settings/src/generated_gateway.rs
+++ b/crates/galenapath-settings/src/generated_gateway.rs
@@ -15,6 +15,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct GatewayInstanceWire {
+    ///Processor cores, or part of one, that the instance may use; default 1.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub cores: ::std::option::Option<f64>,
     ///Failure domain that the instance runs in.
     pub domain: ::std::string::String,
     ///Name of the instance, unique in the deployment.
