--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod load;
 pub mod scenario;
 pub mod store;
+pub mod users_platform;
 pub mod wire;
--- /dev/null
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -0,0 +1,228 @@
+//! The key-value service over HTTP.
+
+use super::kv_state::KvState;
+use super::thread::listen;
+use crate::wire::{Conn, Framing, WireError, answer_head};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http::StatusCode;
+use monoio::net::TcpStream;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time between two looks of a waiting watch.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// Largest body that is read.
+const BODY_LIMIT: usize = 2 << 20;
+
+/// What is wrong with the service at one of its addresses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KvTrouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// No call is answered.
+    Silent,
+    /// Calls are answered with 503.
+    Busy,
+    /// Calls are answered with 429.
+    Limited,
+    /// Connections are closed.
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: KvState,
+    /// By port, since each instance of a test has an address of its own.
+    troubles: Vec<(u16, KvTrouble)>,
+    calls: Vec<String>,
+    page: usize,
+}
+
+/// A running key-value service.
+#[derive(Clone, Debug)]
+pub struct KvStandIn {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Default for KvStandIn {
+    fn default() -> Self {
+        Self { inner: Arc::new(Mutex::new(Inner { page: 500, ..Inner::default() })) }
+    }
+}
+
+impl KvStandIn {
+    /// Listens on one more address, which can be troubled by itself.
+    ///
+    /// # Errors
+    ///
+    /// When no address can be had.
+    pub fn listen(&self) -> io::Result<SocketAddr> {
+        let inner = Arc::clone(&self.inner);
+        listen(move || {
+            move |io: TcpStream| {
+                monoio::spawn(serve(Arc::clone(&inner), io));
+            }
+        })
+    }
+
+    /// Writes a key as the operator or a backend server does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.lock().state.change(key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Removes a key.
+    pub fn delete(&self, key: &str) {
+        self.lock().state.change(key, None);
+    }
+
+    /// Forgets all changes so far.
+    pub fn forget_history(&self) {
+        self.lock().state.forget_history();
+    }
+
+    /// Sets how many items a page holds.
+    pub fn set_page(&self, page: usize) {
+        self.lock().page = page;
+    }
+
+    /// Troubles one address.
+    pub fn trouble(&self, address: SocketAddr, trouble: KvTrouble) {
+        let mut inner = self.lock();
+        inner.troubles.retain(|(port, _)| *port != address.port());
+        inner.troubles.push((address.port(), trouble));
+    }
+
+    /// Method and path of every call so far.
+    pub fn calls(&self) -> Vec<String> {
+        self.lock().calls.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn serve(inner: Arc<Mutex<Inner>>, io: TcpStream) {
+    let port = io.local_addr().map(|address| address.port()).unwrap_or(0);
+    let mut conn = Conn::new(io);
+    while serve_one(&inner, port, &mut conn).await.is_ok() {}
+}
+
+async fn serve_one(inner: &Mutex<Inner>, port: u16, conn: &mut Conn) -> Result<(), WireError> {
+    let head = conn.read_request().await?;
+    let mut framing = Framing::of_request(&head.headers);
+    let body = conn.read_body(&mut framing, BODY_LIMIT).await?;
+    let path = head.uri.path().to_owned();
+    let query = Query::parse(head.uri.query().unwrap_or_default());
+    lock(inner).calls.push(format!("{} {path}", head.method));
+    let trouble = trouble_at(inner, port);
+    let (status, answer) = match trouble {
+        KvTrouble::None if path == "/-/kv-watch" => watch(inner, port, &query).await?,
+        KvTrouble::None => call(inner, &path, &query, &body),
+        KvTrouble::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
+        KvTrouble::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
+        KvTrouble::Reset => return Err(WireError::Closed),
+        KvTrouble::Silent => std::future::pending().await,
+    };
+    let body = answer.to_string();
+    let length = body.len().to_string();
+    let headers = [("content-type", "application/json"), ("content-length", length.as_str())];
+    conn.write(answer_head(status, &headers) + &body).await
+}
+
+fn trouble_at(inner: &Mutex<Inner>, port: u16) -> KvTrouble {
+    let inner = lock(inner);
+    let found = inner.troubles.iter().find(|(at, _)| *at == port);
+    found.map(|(_, trouble)| *trouble).unwrap_or_default()
+}
+
+fn call(inner: &Mutex<Inner>, path: &str, query: &Query, body: &[u8]) -> (StatusCode, Value) {
+    let mut inner = lock(inner);
+    match path {
+        "/-/kv-key" => match inner.state.get(&query.key) {
+            Some(item) => (StatusCode::OK, item),
+            None => (StatusCode::NOT_FOUND, json!({})),
+        },
+        "/-/kv-range" => {
+            let page = inner.page;
+            (StatusCode::OK, inner.state.range(&query.prefix, &query.after, page))
+        }
+        "/-/kv-txn" => {
+            let txn: Value = serde_json::from_slice(body).unwrap_or_default();
+            for put in txn["puts"].as_array().into_iter().flatten() {
+                let key = put["key"].as_str().unwrap_or_default();
+                let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
+                inner.state.change(key, Some(value.unwrap_or_default()));
+            }
+            (StatusCode::OK, json!({ "revision": inner.state.revision }))
+        }
+        _ => (StatusCode::NOT_FOUND, json!({})),
+    }
+}
+
+async fn watch(
+    inner: &Mutex<Inner>,
+    port: u16,
+    query: &Query,
+) -> Result<(StatusCode, Value), WireError> {
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    let after = query.after.parse().unwrap_or(0);
+    loop {
+        {
+            let inner = lock(inner);
+            let Some(events) = inner.state.events(&query.prefix, after) else {
+                return Ok((StatusCode::GONE, json!({})));
+            };
+            if !events.is_empty() || Instant::now() >= until {
+                let answer = json!({ "events": events, "current_rev": inner.state.revision });
+                return Ok((StatusCode::OK, answer));
+            }
+        }
+        monoio::time::sleep(LOOK).await;
+        match trouble_at(inner, port) {
+            KvTrouble::Silent => std::future::pending().await,
+            KvTrouble::Reset => return Err(WireError::Closed),
+            KvTrouble::None | KvTrouble::Busy | KvTrouble::Limited => {}
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Query {
+    key: String,
+    prefix: String,
+    after: String,
+    wait_ms: u64,
+}
+
+impl Query {
+    fn parse(text: &str) -> Self {
+        let mut query = Self::default();
+        for pair in text.split('&') {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let value = unescape(value);
+            match name {
+                "key" => query.key = value,
+                "prefix" => query.prefix = value,
+                "after" => query.after = value,
+                "wait_ms" => query.wait_ms = value.parse().unwrap_or(0),
+                _ => {}
+            }
+        }
+        query
+    }
+}
+
+fn unescape(text: &str) -> String {
+    percent_encoding::percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/users_platform/kv_state.rs
@@ -0,0 +1,96 @@
+//! Keys, their history and the rules of the key-value stand-in.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// A change of one key.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+/// The state of the service.
+///
+/// Invariant: `revision` is that of the newest change.
+#[derive(Debug)]
+pub(super) struct KvState {
+    pub(super) revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    history: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+}
+
+impl Default for KvState {
+    fn default() -> Self {
+        Self { revision: 100, items: BTreeMap::new(), history: Vec::new(), forgotten: 0 }
+    }
+}
+
+impl KvState {
+    pub(super) fn change(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.revision += 1;
+        match &value {
+            Some(value) => {
+                self.items.insert(key.to_owned(), (self.revision, value.clone()));
+            }
+            None if self.items.remove(key).is_none() => return,
+            None => {}
+        }
+        self.history.push(Change { revision: self.revision, key: key.to_owned(), value });
+    }
+
+    pub(super) fn forget_history(&mut self) {
+        self.forgotten = self.revision;
+        self.history.clear();
+    }
+
+    pub(super) fn get(&self, key: &str) -> Option<Value> {
+        let (revision, value) = self.items.get(key)?;
+        let mut item = item(key, *revision, value);
+        item["current_rev"] = json!(self.revision);
+        Some(item)
+    }
+
+    pub(super) fn range(&self, prefix: &str, after: &str, page: usize) -> Value {
+        let found: Vec<_> = self
+            .items
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .collect();
+        let items = found.iter().take(page).map(|(key, (rev, value))| item(key, *rev, value));
+        json!({
+            "items": items.collect::<Vec<_>>(),
+            "has_more": found.len() > page,
+            "current_rev": self.revision,
+        })
+    }
+
+    /// Changes after a revision; `None` where they are forgotten.
+    pub(super) fn events(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let new = self.history.iter().filter(|c| c.revision > after && c.key.starts_with(prefix));
+        Some(new.map(event).collect())
+    }
+}
+
+fn item(key: &str, revision: u64, value: &[u8]) -> Value {
+    json!({
+        "key": key, "value": STANDARD.encode(value), "revision": revision,
+        "created": revision, "lease": 0,
+    })
+}
+
+fn event(change: &Change) -> Value {
+    match &change.value {
+        Some(value) => item(&change.key, change.revision, value),
+        None => json!({ "key": change.key, "revision": change.revision, "deleted": true }),
+    }
+}
--- /dev/null
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -0,0 +1,294 @@
+//! A backend server that signs its answers and tells its load and the pace of its machine.
+
+use super::thread::listen;
+use crate::wire::{Conn, Framing, WireError, answer_head};
+use http::{HeaderMap, StatusCode};
+use monoio::net::TcpStream;
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Largest body that is read.
+const BODY_LIMIT: usize = 8 << 20;
+
+/// Idle time after which a server that forgets does so.
+const IDLE: Duration = Duration::from_millis(300);
+
+/// What a server does wrong with requests; its health answers stay good.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServerTrouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Refuses and says that it did not run the request.
+    Shed,
+    /// Runs the request and closes without an answer.
+    Mute,
+    /// Runs the request and never answers.
+    Hang,
+    /// Fails with status 500.
+    Errors,
+    /// Answers without a signature.
+    Unsigned,
+    /// Answers with a length and breaks off.
+    BreaksOff,
+    /// Sends a second answer after the first.
+    Extra,
+    /// Sends the answer to another request first.
+    Foreign,
+    /// Says 503 without saying that it did not run the request.
+    Busy,
+    /// Belongs to another service now.
+    Other,
+    /// Closes a connection that was idle for 300 ms when the next request comes on it.
+    ForgetsIdle,
+}
+
+/// A request that a server ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Method and path.
+    pub line: String,
+    /// The caller's identifier.
+    pub id: String,
+    /// Milliseconds left, as told.
+    pub left_ms: u64,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    id: String,
+    trouble: ServerTrouble,
+    work: Duration,
+    /// Pace of the machine in percent.
+    pace: u32,
+    body: usize,
+    running: u32,
+    seen: Vec<Seen>,
+    probes: usize,
+    connections: usize,
+    cancelled: usize,
+}
+
+/// A running server.
+#[derive(Clone, Debug)]
+pub struct ServerStandIn {
+    inner: Arc<Mutex<Inner>>,
+    address: SocketAddr,
+}
+
+impl ServerStandIn {
+    /// Starts a server with six slots whose work takes `work`.
+    ///
+    /// # Errors
+    ///
+    /// When no address can be had.
+    pub fn start(id: &str, work: Duration) -> io::Result<Self> {
+        let inner = Arc::new(Mutex::new(Inner {
+            id: id.to_owned(),
+            trouble: ServerTrouble::None,
+            work,
+            pace: 100,
+            body: 20,
+            running: 0,
+            seen: Vec::new(),
+            probes: 0,
+            connections: 0,
+            cancelled: 0,
+        }));
+        let shared = Arc::clone(&inner);
+        let address = listen(move || {
+            move |io: TcpStream| {
+                monoio::spawn(serve(Arc::clone(&shared), io));
+            }
+        })?;
+        Ok(Self { inner, address })
+    }
+
+    /// The server's entry in the store, and its key.
+    pub fn entry(&self, service: &str, state: &str) -> (String, Value) {
+        let id = self.lock().id.clone();
+        let entry = json!({
+            "service": service, "address": self.address.to_string(), "zone": "d1",
+            "version": "v1", "capacity": 6, "state": state, "warmup_left_ms": 0, "sequence": 1,
+        });
+        (format!("servers/{id}"), entry)
+    }
+
+    /// Sets what it does wrong.
+    pub fn set_trouble(&self, trouble: ServerTrouble) {
+        self.lock().trouble = trouble;
+    }
+
+    /// Sets the pace of its machine in percent; work that begins takes so much longer.
+    pub fn set_pace(&self, pace: u32) {
+        self.lock().pace = pace;
+    }
+
+    /// Sets the length of its answers.
+    pub fn set_body(&self, bytes: usize) {
+        self.lock().body = bytes;
+    }
+
+    /// Requests that it ran.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Health answers so far.
+    pub fn probes(&self) -> usize {
+        self.lock().probes
+    }
+
+    /// Requests whose connection closed before they were done.
+    pub fn cancelled(&self) -> usize {
+        self.lock().cancelled
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a running request; dropping it takes it off.
+struct Running<'a>(&'a Mutex<Inner>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        lock(self.0).running -= 1;
+    }
+}
+
+async fn serve(inner: Arc<Mutex<Inner>>, io: TcpStream) {
+    lock(&inner).connections += 1;
+    let mut conn = Conn::new(io);
+    let mut used = Instant::now();
+    while serve_one(&inner, &mut conn, used).await.is_ok() {
+        used = Instant::now();
+    }
+}
+
+async fn serve_one(inner: &Mutex<Inner>, conn: &mut Conn, used: Instant) -> Result<(), WireError> {
+    let head = conn.read_request().await?;
+    let mut framing = Framing::of_request(&head.headers);
+    let body = conn.read_body(&mut framing, BODY_LIMIT).await?;
+    let trouble = lock(inner).trouble;
+    if trouble == ServerTrouble::ForgetsIdle && used.elapsed() > IDLE {
+        return Err(WireError::Closed);
+    }
+    if head.uri.path() == "/health" {
+        lock(inner).probes += 1;
+        return health(inner, conn).await;
+    }
+    let told = |name: &str| text(&head.headers, name).to_owned();
+    let id = told("x-attempt-id");
+    let expected = told("x-expected-instance");
+    if trouble == ServerTrouble::Other || (!expected.is_empty() && expected != lock(inner).id) {
+        return plain(conn, StatusCode::MISDIRECTED_REQUEST, &[("x-instance-id", "i-other")]).await;
+    }
+    if trouble == ServerTrouble::Shed {
+        return plain(conn, StatusCode::SERVICE_UNAVAILABLE, &[("x-not-executed", "1")]).await;
+    }
+    let line = format!("{} {}", head.method, head.uri);
+    let left_ms = told("x-request-deadline-ms").parse().unwrap_or(0);
+    let work = {
+        let mut inner = lock(inner);
+        inner.seen.push(Seen { line, id: id.clone(), left_ms, body });
+        inner.running += 1;
+        inner.work * inner.pace / 100
+    };
+    let running = Running(inner);
+    run(inner, conn, work).await?;
+    drop(running);
+    answer(inner, conn, trouble, &id).await
+}
+
+/// Works, unless the connection closes first.
+async fn run(inner: &Mutex<Inner>, conn: &mut Conn, work: Duration) -> Result<(), WireError> {
+    let worked = std::pin::pin!(monoio::time::sleep(work));
+    let closed = std::pin::pin!(conn.closed());
+    match futures::future::select(worked, closed).await {
+        futures::future::Either::Left(_) => Ok(()),
+        futures::future::Either::Right(_) => {
+            lock(inner).cancelled += 1;
+            Err(WireError::Closed)
+        }
+    }
+}
+
+async fn answer(
+    inner: &Mutex<Inner>,
+    conn: &mut Conn,
+    trouble: ServerTrouble,
+    id: &str,
+) -> Result<(), WireError> {
+    let body = "x".repeat(lock(inner).body);
+    let good = whole(inner, StatusCode::OK, id, &body);
+    match trouble {
+        ServerTrouble::Mute => Err(WireError::Closed),
+        ServerTrouble::Hang => std::future::pending().await,
+        ServerTrouble::Errors => {
+            conn.write(whole(inner, StatusCode::INTERNAL_SERVER_ERROR, id, "failed")).await
+        }
+        ServerTrouble::Busy => plain(conn, StatusCode::SERVICE_UNAVAILABLE, &[]).await,
+        ServerTrouble::Unsigned => plain(conn, StatusCode::OK, &[("x-attempt-id", id)]).await,
+        ServerTrouble::BreaksOff => {
+            conn.write(good[..good.len() - 1].to_owned()).await?;
+            Err(WireError::Closed)
+        }
+        ServerTrouble::Extra => conn.write(good.clone() + &good).await,
+        ServerTrouble::Foreign => {
+            conn.write(whole(inner, StatusCode::OK, "another", "not yours") + &good).await
+        }
+        ServerTrouble::None
+        | ServerTrouble::Shed
+        | ServerTrouble::Other
+        | ServerTrouble::ForgetsIdle => conn.write(good).await,
+    }
+}
+
+fn whole(inner: &Mutex<Inner>, status: StatusCode, id: &str, body: &str) -> String {
+    let load = load(inner);
+    let length = body.len().to_string();
+    let headers = [
+        ("x-attempt-id", id),
+        ("x-response-signature", "3e1b.07"),
+        ("x-backend-load", load.as_str()),
+        ("content-length", length.as_str()),
+    ];
+    answer_head(status, &headers) + body
+}
+
+async fn plain(
+    conn: &mut Conn,
+    status: StatusCode,
+    headers: &[(&str, &str)],
+) -> Result<(), WireError> {
+    let mut all = vec![("content-length", "0")];
+    all.extend_from_slice(headers);
+    conn.write(answer_head(status, &all)).await
+}
+
+async fn health(inner: &Mutex<Inner>, conn: &mut Conn) -> Result<(), WireError> {
+    let load = load(inner);
+    let id = lock(inner).id.clone();
+    let headers = [("x-instance-id", id.as_str()), ("x-backend-load", load.as_str())];
+    plain(conn, StatusCode::OK, &headers).await
+}
+
+fn load(inner: &Mutex<Inner>) -> String {
+    let inner = lock(inner);
+    format!("{},0,6,{}", inner.running, inner.pace)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+}
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -188,12 +188,11 @@
     address: SocketAddr,
     connection: Option<Connection>,
 ) -> Result<(Connection, bool), Fault> {
-    let placement = call.service.placement.borrow();
-    let is_fit = placement.is_fit(call.instance.now(), &in_flight.server, in_flight.started);
-    drop(placement);
+    let (now, server) = (call.instance.now(), &in_flight.server);
+    let is_fit = call.service.placement.borrow().is_fit(now, server, in_flight.started);
     if !is_fit && call.may_choose_anew() {
         if let Some(connection) = connection {
-            call.service.pools.keep(call.instance.now(), &in_flight.server, connection, None);
+            call.service.pools.keep(now, server, connection, None);
         }
         return Err(Fault::Unfit);
     }
@@ -266,7 +265,6 @@
         Some(Rest { connection, body })
     };
     Ok(Reply {
-        server: in_flight.server.clone(),
         status: head.status,
         headers: reply::passed_on(&call.instance.names, head.headers),
         framing,
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -25,6 +25,8 @@
     /// Servers that turned out worse than they seemed.
     choices: Cell<u32>,
     pub(crate) tried: RefCell<Vec<BackendId>>,
+    /// Servers that turned out worse than they seemed when they were asked just now.
+    pub(crate) unfit: RefCell<Vec<BackendId>>,
     /// Time that it waited for a server.
     pub(crate) waited: Cell<Micros>,
     /// What happened at each server, for the log.
@@ -41,6 +43,7 @@
             sends: Cell::new(0),
             choices: Cell::new(0),
             tried: RefCell::default(),
+            unfit: RefCell::default(),
             waited: Cell::default(),
             steps: RefCell::default(),
         }
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -84,8 +84,8 @@
             Err(fault) => Some(fault),
         };
         if fault == Some(Fault::Unfit) {
-            // It may be fit again when all others turn out to be worse.
             call.tried.borrow_mut().retain(|tried| *tried != server);
+            call.unfit.borrow_mut().push(server);
         }
         if !may_go_on(call, fault) {
             let reason = fault.map_or("server_error", Fault::as_str);
@@ -105,8 +105,14 @@
         deadline: req.deadline,
     };
     let is_large = req.route.kind == RouteKind::Download;
-    let wanted = Wanted { entry, tried: call.tried.borrow().clone(), is_large };
-    let result = call.service.place(&call.instance, wanted).await;
+    // What is known of the others is older, so that they may be better by now.
+    let passed_over = call.tried.borrow().iter().chain(&*call.unfit.borrow()).cloned().collect();
+    let wanted = Wanted { entry, tried: passed_over, is_large };
+    let mut result = call.service.place(&call.instance, wanted).await;
+    if matches!(result, Err(NoServer::Nowhere)) && !call.unfit.take().is_empty() {
+        let wanted = Wanted { entry, tried: call.tried.borrow().clone(), is_large };
+        result = call.service.place(&call.instance, wanted).await;
+    }
     call.waited.set(call.waited.get() + (call.instance.now() - began));
     result
 }
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Messages between instances and the tasks that send and receive them.
 
 mod convert;
-#[allow(missing_docs, clippy::pedantic)]
+#[allow(missing_docs, dead_code, clippy::pedantic)]
 #[rustfmt::skip]
 mod generated;
 mod message;
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -6,7 +6,7 @@
     BodyState, Connection, Framing, HeadTimes, HttpError, ResponseHead, connection_has,
     response_framing, strip_hop_by_hop,
 };
-use galenapath_protocol::{BackendId, Micros};
+use galenapath_protocol::Micros;
 use http::header::{CONTENT_ENCODING, HeaderMap};
 use http::{Method, StatusCode};
 use std::time::Duration;
@@ -33,7 +33,6 @@
 
 /// An answer.
 pub(crate) struct Reply {
-    pub(crate) server: BackendId,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) framing: Framing,
--- a/crates/galenapath-membership/src/watchers.rs
+++ b/crates/galenapath-membership/src/watchers.rs
@@ -12,7 +12,7 @@
 pub const WATCHERS: usize = 2;
 
 /// Seed of the order in which instances are asked to watch.
-const ORDER_SEED: u64 = 0x7761_7463_68;
+const ORDER_SEED: u64 = 0x0077_6174_6368;
 
 /// What an instance does about the store now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,8 +68,8 @@
     let is_apart = |chosen: &[usize], index: usize| {
         chosen.iter().all(|other| all[*other].domain != all[index].domain)
     };
-    for index in 0..all.len() {
-        if chosen.len() < WATCHERS && !all[index].is_failing && is_apart(&chosen, index) {
+    for (index, candidate) in all.iter().enumerate() {
+        if chosen.len() < WATCHERS && !candidate.is_failing && is_apart(&chosen, index) {
             chosen.push(index);
         }
     }
--- a/crates/galenapath-policy/src/dispatch/addresses.rs
+++ b/crates/galenapath-policy/src/dispatch/addresses.rs
@@ -21,11 +21,13 @@
     pub least: usize,
     /// Most instances in an answer.
     pub most: usize,
+    /// One in so many instances of the own failure domain is named while the load is not known.
+    pub unknown_part: usize,
 }
 
 impl Default for AnswerConfig {
     fn default() -> Self {
-        Self { home: 2, least: 2, most: 48 }
+        Self { home: 2, least: 2, most: 48, unknown_part: 3 }
     }
 }
 
@@ -46,8 +48,8 @@
 
 /// The addresses for a caller in failure domain `domain`, best first: as many instances of the
 /// domain as it takes to carry what its instances are sent, larger ones first. `is_rate_known` says
-/// whether the rates have been counted for long enough; before that, all instances of the domain
-/// share what comes.
+/// whether the rates have been counted for long enough; before that, a part of the domain's
+/// instances share what comes: all of them would know too little of each other, few could drown.
 pub fn addresses_for(
     cfg: &AnswerConfig,
     domain: &str,
@@ -60,7 +62,8 @@
         (instance.domain != domain, std::cmp::Reverse(instance.capacity), order)
     });
     let home = ranked.iter().filter(|instance| instance.domain == domain).count();
-    let needed = if is_rate_known { needed(&ranked[..home]) } else { home };
+    let needed =
+        if is_rate_known { needed(&ranked[..home]) } else { home.div_ceil(cfg.unknown_part) };
     let count = needed.max(cfg.home).min(home).max(cfg.least).min(cfg.most);
     ranked.iter().take(count).map(|instance| instance.address).collect()
 }
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,302 @@
+//! Gateway instances as processes, beside stand-ins of the users' platform.
+
+use galenapath_dev::users_platform::{KvStandIn, ServerStandIn};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a condition or an answer.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+const CALLERS: u16 = 8101;
+const READINESS: u16 = 8102;
+const ADDRESSES: u16 = 8103;
+const PEERS: u16 = 8104;
+const METRICS: u16 = 8105;
+
+/// Waits until `condition` holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < end, "{what} did not come");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A loopback address that no other test uses: ports are the same on all instances.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed) as u32;
+    let pid = std::process::id();
+    let [_, b, c, _] = (pid.wrapping_mul(8)).to_be_bytes();
+    Ipv4Addr::new(127, b | 1, c, (n % 250 + 1) as u8 ^ (pid % 4 * 64) as u8)
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Status; 0 where the connection ended before a whole head.
+    pub status: u16,
+    /// Head in lower case.
+    pub head: String,
+    /// Body, as far as it came.
+    pub body: Vec<u8>,
+    /// Whether the body is as long as the head says.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let start = format!("{name}: ");
+        self.head.lines().find_map(|line| line.strip_prefix(start.as_str()))
+    }
+}
+
+/// Sends a request on a connection of its own and reads the answer to the end.
+pub fn ask(address: SocketAddr, head: &str, body: &[u8]) -> Answer {
+    let Ok(mut io) = TcpStream::connect(address) else { return Answer::default() };
+    io.set_read_timeout(Some(LIMIT)).unwrap();
+    let length =
+        if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    io.write_all(format!("{head}{length}Connection: close\r\n\r\n").as_bytes()).unwrap();
+    // An instance that refuses early may close before it has read all.
+    let _ = io.write_all(body);
+    let mut bytes = Vec::new();
+    let _ = io.read_to_end(&mut bytes);
+    parse(&bytes)
+}
+
+fn parse(bytes: &[u8]) -> Answer {
+    let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return Answer::default();
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+    let status = head.get(9..12).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let body = bytes[end + 4..].to_vec();
+    let mut answer = Answer { status, head, body, is_whole: false };
+    let length = answer.header("content-length").and_then(|text| text.parse().ok());
+    answer.is_whole = length == Some(answer.body.len());
+    answer
+}
+
+/// A configuration with one route for each kind, each to a service of its own.
+pub fn config(version: u64, changes: &[(&str, &str, Value)]) -> Value {
+    let mut resources = vec![json!({
+        "resource_type": "limits", "metadata": {},
+        "spec": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
+                  "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+    })];
+    for (name, kind) in [("look", "idempotent"), ("file", "non_idempotent"), ("load", "download")] {
+        let mut spec = json!({
+            "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1,
+            "service": name, "max_attempts": 2,
+        });
+        for (_, key, value) in changes.iter().filter(|(route, _, _)| *route == name) {
+            spec[*key] = value.clone();
+        }
+        resources.push(json!({
+            "resource_type": "routes", "metadata": { "name": name }, "spec": spec,
+        }));
+        resources.push(json!({
+            "resource_type": "services", "metadata": { "name": name },
+            "spec": { "health_path": "/health", "max_conns": 240, "protocol": "h1", "tls": false },
+        }));
+    }
+    json!({ "version": format!("{version:08x}"), "resources": resources })
+}
+
+/// The stand-ins of a test: a store and servers, two for each service.
+pub struct World {
+    /// The store.
+    pub store: KvStandIn,
+    /// Servers by service: lookups, filings, downloads.
+    pub servers: Vec<(&'static str, ServerStandIn)>,
+}
+
+impl World {
+    /// A store with a configuration and listed servers whose work takes 20 ms.
+    pub fn start() -> Self {
+        let store = KvStandIn::default();
+        store.put("op/config", &config(1, &[]));
+        let mut servers = Vec::new();
+        for service in ["look", "file", "load"] {
+            for n in 0..2 {
+                let id = format!("i-{service}{n}");
+                let server = ServerStandIn::start(&id, Duration::from_millis(20)).unwrap();
+                let (key, entry) = server.entry(service, "ready");
+                store.put(&key, &entry);
+                servers.push((service, server));
+            }
+        }
+        Self { store, servers }
+    }
+
+    /// The servers of a service.
+    pub fn of(&self, service: &str) -> Vec<&ServerStandIn> {
+        self.servers.iter().filter(|(name, _)| *name == service).map(|(_, s)| s).collect()
+    }
+
+    /// Requests that the servers of a service ran.
+    pub fn ran(&self, service: &str) -> usize {
+        self.of(service).iter().map(|server| server.seen().len()).sum()
+    }
+}
+
+/// A running instance; killed when dropped.
+pub struct Gateway {
+    ip: Ipv4Addr,
+    /// Where it reaches the store; each instance has an address of its own.
+    pub store: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Gateway {
+    /// Starts an instance that asks `seeds` who is there.
+    pub fn start(world: &World, seeds: &[&Gateway]) -> Self {
+        let ip = own_ip();
+        let store = world.store.listen().unwrap();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:1\"", seed.ip)).collect();
+        let text = format!(
+            "[instance]\nname = \"g{ip}\"\ndomain = \"d1\"\n\
+             [listen]\ncallers = \"{ip}:{CALLERS}\"\nreadiness = \"{ip}:{READINESS}\"\n\
+             addresses = \"{ip}:{ADDRESSES}\"\npeers = \"{ip}:{PEERS}\"\n\
+             metrics = \"{ip}:{METRICS}\"\nseeds = [{}]\n[platform]\naddress = \"{store}\"\n",
+            seeds.join(", ")
+        );
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let settings = dir.join(format!("gateway-{ip}.toml"));
+        std::fs::write(&settings, text).unwrap();
+        let lines = Arc::default();
+        let child = spawn(&settings, &lines);
+        Self { ip, store, settings, child, lines }
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub fn ready(world: &World, seeds: &[&Gateway]) -> Self {
+        let gateway = Self::start(world, seeds);
+        wait_until("readiness", || gateway.is_ready());
+        gateway
+    }
+
+    /// Kills the process and starts it again with the same settings.
+    pub fn kill_and_start(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.settings, &self.lines);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    /// Whether the platform finds the instance ready.
+    pub fn is_ready(&self) -> bool {
+        let at = SocketAddr::from((self.ip, READINESS));
+        ask(at, "GET /-/ready HTTP/1.1\r\nHost: x\r\n", b"").status == 200
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, CALLERS))
+    }
+
+    /// The addresses that a caller is told.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let at = SocketAddr::from((self.ip, ADDRESSES));
+        let answer = ask(at, "GET /-/resolve?name=h.example&zone=d1 HTTP/1.1\r\nHost: x\r\n", b"");
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let told = body["addresses"].as_array().cloned().unwrap_or_default();
+        told.iter().filter_map(|text| text.as_str()?.parse().ok()).collect()
+    }
+
+    /// Sends a lookup.
+    pub fn look(&self, id: &str) -> Answer {
+        self.request("GET", "/look/1", id, 1_500, b"")
+    }
+
+    /// Sends a filing.
+    pub fn file(&self, id: &str) -> Answer {
+        self.request("POST", "/file/1", id, 1_500, b"a filing")
+    }
+
+    /// Sends a request.
+    pub fn request(&self, method: &str, path: &str, id: &str, wait: u64, body: &[u8]) -> Answer {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\n\
+             X-Request-Deadline-Ms: {wait}\r\n"
+        );
+        ask(self.callers(), &head, body)
+    }
+
+    /// Metrics as text.
+    pub fn metrics(&self) -> String {
+        let at = SocketAddr::from((self.ip, METRICS));
+        let answer = ask(at, "GET /metrics HTTP/1.1\r\nHost: x\r\n", b"");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    /// Log lines so far, as objects.
+    pub fn log(&self) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().map(|line| serde_json::from_str(line).expect(line)).collect()
+    }
+
+    /// The log line about the end of a request.
+    pub fn log_of(&self, id: &str) -> Value {
+        let mut found = Value::Null;
+        wait_until("the log line", || {
+            found = self.log().into_iter().find(|line| line["request"] == id).unwrap_or_default();
+            !found.is_null()
+        });
+        found
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn spawn(settings: &Path, lines: &Arc<Mutex<Vec<String>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_galenapath"))
+        .arg("gateway")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let stdout = child.stdout.take().unwrap();
+    let lines = Arc::clone(lines);
+    std::thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            lines.lock().unwrap().push(line);
+        }
+    });
+    child
+}
