Tests of routes, placement, heartbeats, settings and the adapter; a removal is remembered before its entry comes

Cause: merge_all_ways_agree showed that a removal learned before the entry itself was forgotten, so that the older entry brought a server back that had left. Change: the removal is remembered whether or not the entry is known. Stand-ins that were to be silent closed their connections: a task that nothing can wake is dropped; they now sleep.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -1,7 +1,7 @@
 //! The key-value service over HTTP.
 
 use super::kv_state::KvState;
-use super::thread::listen;
+use super::thread::{listen, never};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -132,7 +132,7 @@
         KvTrouble::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         KvTrouble::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
         KvTrouble::Reset => return Err(WireError::Closed),
-        KvTrouble::Silent => std::future::pending().await,
+        KvTrouble::Silent => never().await,
     };
     let body = answer.to_string();
     let length = body.len().to_string();
@@ -190,7 +190,7 @@
         }
         monoio::time::sleep(LOOK).await;
         match trouble_at(inner, port) {
-            KvTrouble::Silent => std::future::pending().await,
+            KvTrouble::Silent => never().await,
             KvTrouble::Reset => return Err(WireError::Closed),
             KvTrouble::None | KvTrouble::Busy | KvTrouble::Limited => {}
         }
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -1,6 +1,6 @@
 //! A backend server that signs its answers and tells its load and the pace of its machine.
 
-use super::thread::listen;
+use super::thread::{listen, never};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use http::{HeaderMap, StatusCode};
 use monoio::net::TcpStream;
@@ -234,7 +234,7 @@
     let good = whole(inner, StatusCode::OK, id, &body);
     match trouble {
         ServerTrouble::Mute => Err(WireError::Closed),
-        ServerTrouble::Hang => std::future::pending().await,
+        ServerTrouble::Hang => never().await,
         ServerTrouble::Errors => {
             conn.write(whole(inner, StatusCode::INTERNAL_SERVER_ERROR, id, "failed")).await
         }
--- a/crates/galenapath-dev/src/users_platform/thread.rs
+++ b/crates/galenapath-dev/src/users_platform/thread.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc;
+use std::time::Duration;
 
 /// Starts a thread that gives each connection on a free loopback address to `serve`; returns the
 /// address. The thread ends with the process.
@@ -43,3 +44,10 @@
         }
     })
 }
+
+/// Waits for ever. A timer holds the task: the runtime drops one that nothing can wake.
+pub(super) async fn never<T>() -> T {
+    loop {
+        monoio::time::sleep(Duration::from_secs(3_600)).await;
+    }
+}
--- /dev/null
+++ b/crates/galenapath-membership/tests/beats.rs
@@ -0,0 +1,197 @@
+//! Heartbeats: who counts as there, and who watches the store.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use galenapath_membership::{
+    Beat, BeatConfig, Beats, Heard, Member, MemberStatus, Peer, StoreHealth, Vitals, WatchRole,
+    watch_role,
+};
+use galenapath_protocol::{DomainId, Incarnation, InstanceId, Micros};
+use std::net::SocketAddr;
+
+const START: Micros = Micros::from_secs(100);
+
+fn domain(n: u64) -> DomainId {
+    DomainId(format!("d{}", n % 3))
+}
+
+fn member(n: u64) -> Member {
+    Member {
+        id: InstanceId(format!("i{n}")),
+        incarnation: Incarnation(n),
+        domain: domain(n),
+        callers: SocketAddr::from(([127, 0, 0, 1], 1_000 + n as u16)),
+        peers: SocketAddr::from(([127, 0, 0, 1], 2_000 + n as u16)),
+        beat: 0,
+        status: MemberStatus::Live,
+    }
+}
+
+fn beats(own: u64, others: impl Iterator<Item = u64>) -> Beats {
+    let mut beats = Beats::new(BeatConfig::default(), Incarnation(own), domain(own), START);
+    for n in others.filter(|n| *n != own) {
+        beats.learn(START, member(n));
+    }
+    beats
+}
+
+fn beat(from: u64, accused: &[u64]) -> Beat {
+    let vitals = Vitals { is_ready: true, ..Vitals::default() };
+    let accused = accused.iter().map(|n| Incarnation(*n)).collect();
+    Beat { from: Incarnation(from), vitals, accused }
+}
+
+fn peer(beats: &Beats, n: u64) -> Peer {
+    beats.peers().find(|peer| peer.member.incarnation == Incarnation(n)).cloned().unwrap()
+}
+
+/// Lets time pass in steps; those in `heard` send heartbeats.
+fn pass(beats: &mut Beats, from: Micros, ms: u64, heard: &[u64]) -> Micros {
+    let mut now = from;
+    for _ in 0..ms / 50 {
+        now = now + Micros::from_millis(50);
+        for n in heard {
+            beats.hear(now, &beat(*n, &[]));
+        }
+        beats.tick(now);
+    }
+    now
+}
+
+#[test]
+fn tick_silent_left_out_within_a_second() {
+    let mut beats = beats(0, 0..16);
+    let all: Vec<u64> = (1..16).collect();
+    let now = pass(&mut beats, START, 1_000, &all);
+    assert!(peer(&beats, 7).is_usable());
+    let others: Vec<u64> = (1..16).filter(|n| *n != 7).collect();
+    let now = pass(&mut beats, now, 1_000, &others);
+    assert!(!peer(&beats, 7).is_usable());
+    assert_eq!(beats.accused(), [Incarnation(7)]);
+    pass(&mut beats, now, 100, &all);
+    assert!(peer(&beats, 7).is_usable());
+}
+
+#[test]
+fn tick_own_sleep_accuses_nobody() {
+    let mut beats = beats(0, 0..16);
+    let all: Vec<u64> = (1..16).collect();
+    let now = pass(&mut beats, START, 500, &all);
+    assert!(beats.tick(now + Micros::from_secs(5)).is_empty());
+    assert!(beats.accused().is_empty());
+}
+
+#[test]
+fn accused_by_an_observer_cut_off_is_nobody() {
+    let mut beats = beats(0, 0..16);
+    let all: Vec<u64> = (1..16).collect();
+    let now = pass(&mut beats, START, 500, &all);
+    pass(&mut beats, now, 2_000, &[3]);
+    assert!(beats.is_doubtful());
+    assert!(beats.accused().is_empty());
+}
+
+#[test]
+fn tick_unmonitored_believed_gone_by_two() {
+    let mut beats = beats(0, 0..60);
+    let monitored: Vec<u64> = (45..60).collect();
+    let now = pass(&mut beats, START, 500, &monitored);
+    // Nothing is heard of instance 20, which sends its heartbeats to others.
+    let now = pass(&mut beats, now, 2_000, &monitored);
+    assert!(peer(&beats, 20).is_up());
+    beats.hear(now, &beat(50, &[20]));
+    beats.tick(now);
+    assert!(peer(&beats, 20).is_up(), "one accuser may be cut off itself");
+    beats.hear(now, &beat(51, &[20]));
+    beats.tick(now);
+    assert!(!peer(&beats, 20).is_up());
+    beats.hear(now, &beat(20, &[]));
+    beats.tick(now);
+    assert!(peer(&beats, 20).is_up());
+}
+
+#[test]
+fn due_bounded_in_a_large_fleet() {
+    let mut beats = beats(0, 0..120);
+    let everybody: Vec<u64> = (1..120).collect();
+    let now = pass(&mut beats, START, 100, &everybody);
+    assert_eq!(beats.due(now, false).len(), 15);
+    assert!(beats.due(now + Micros::from_millis(100), false).is_empty());
+    assert_eq!(beats.due(now + Micros::from_millis(250), false).len(), 15);
+}
+
+#[test]
+fn due_home_heard_more_of_those_that_serve() {
+    let mut beats = beats(0, 0..120);
+    // A third of the others are of the same failure domain.
+    assert!(beats.due(START + Micros::from_secs(1), true).len() > 39);
+}
+
+#[test]
+fn hear_stranger_told() {
+    let mut beats = beats(0, 0..3);
+    assert_eq!(beats.hear(START, &beat(1, &[])), Heard::Known);
+    assert_eq!(beats.hear(START, &beat(9, &[])), Heard::Stranger);
+}
+
+#[test]
+fn learn_new_run_replaces_the_old() {
+    let mut beats = beats(0, 0..3);
+    let again = Member { incarnation: Incarnation(77), ..member(2) };
+    assert!(beats.learn(START, again));
+    assert_eq!(beats.peers().count(), 2);
+    assert!(beats.peers().any(|peer| peer.member.incarnation == Incarnation(77)));
+}
+
+fn roles(fleet: &[(u64, StoreHealth)]) -> Vec<(u64, WatchRole)> {
+    let role = |own: u64, health: StoreHealth| {
+        let mut beats = beats(own, fleet.iter().map(|(n, _)| *n));
+        for (n, store) in fleet.iter().filter(|(n, _)| *n != own) {
+            let vitals = Vitals { store: *store, ..Vitals::default() };
+            beats.hear(START, &Beat { from: Incarnation(*n), vitals, accused: Vec::new() });
+        }
+        let vitals = Vitals { store: health, ..Vitals::default() };
+        watch_role(Incarnation(own), &domain(own), &vitals, beats.peers())
+    };
+    fleet.iter().map(|(n, health)| (*n, role(*n, *health))).collect()
+}
+
+fn with_role(roles: &[(u64, WatchRole)], wanted: WatchRole) -> Vec<u64> {
+    roles.iter().filter(|(_, role)| *role == wanted).map(|(n, _)| *n).collect()
+}
+
+#[test]
+fn watch_role_two_of_different_domains() {
+    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Untried)).collect();
+    let watch = with_role(&roles(&fleet), WatchRole::Watch);
+    assert_eq!(watch.len(), 2);
+    assert_ne!(domain(watch[0]), domain(watch[1]));
+}
+
+#[test]
+fn watch_role_passed_on_by_those_not_answered() {
+    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Untried)).collect();
+    let first = with_role(&roles(&fleet), WatchRole::Watch);
+    let fleet: Vec<_> = fleet
+        .iter()
+        .map(|(n, _)| {
+            (*n, if first.contains(n) { StoreHealth::Failing } else { StoreHealth::Untried })
+        })
+        .collect();
+    let second = with_role(&roles(&fleet), WatchRole::Watch);
+    assert_eq!(second.len(), 2);
+    assert!(second.iter().all(|n| !first.contains(n)));
+}
+
+#[test]
+fn watch_role_two_retry_while_nobody_is_answered() {
+    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Failing)).collect();
+    let roles = roles(&fleet);
+    assert!(with_role(&roles, WatchRole::Watch).is_empty());
+    assert_eq!(with_role(&roles, WatchRole::Retry).len(), 2);
+}
+
+#[test]
+fn watch_role_alone_watches() {
+    assert_eq!(roles(&[(4, StoreHealth::Untried)]), [(4, WatchRole::Watch)]);
+}
--- /dev/null
+++ b/crates/galenapath-policy/tests/dispatch/addresses.rs
@@ -0,0 +1,72 @@
+use galenapath_policy::dispatch::{AnswerConfig, Reachable, addresses_for};
+use std::net::SocketAddr;
+
+struct Named {
+    name: String,
+    domain: &'static str,
+    rate: u32,
+    capacity: u32,
+}
+
+fn named(n: usize, domain: &'static str, rate: u32, capacity: u32) -> Named {
+    Named { name: format!("{domain}-{n}"), domain, rate, capacity }
+}
+
+fn answer(all: &[Named], domain: &str, is_known: bool) -> Vec<SocketAddr> {
+    let reachable: Vec<Reachable<'_>> = all
+        .iter()
+        .enumerate()
+        .map(|(n, instance)| Reachable {
+            name: &instance.name,
+            domain: instance.domain,
+            address: SocketAddr::from(([127, 0, 0, 1], 9_000 + n as u16)),
+            rate: instance.rate,
+            capacity: instance.capacity,
+        })
+        .collect();
+    addresses_for(&AnswerConfig::default(), domain, &reachable, is_known)
+}
+
+fn fleet(rate: u32) -> Vec<Named> {
+    let mut all: Vec<Named> = (0..6).map(|n| named(n, "a", rate, 100)).collect();
+    all.extend((0..6).map(|n| named(n, "b", 0, 100)));
+    all
+}
+
+#[test]
+fn addresses_few_of_own_domain() {
+    let told = answer(&fleet(0), "a", true);
+    assert_eq!(told.len(), 2);
+    assert!(told.iter().all(|address| address.port() < 9_006));
+    assert_eq!(told, answer(&fleet(0), "a", true));
+}
+
+#[test]
+fn addresses_as_many_as_carry_the_load() {
+    assert_eq!(answer(&fleet(50), "a", true).len(), 3);
+    assert_eq!(answer(&fleet(500), "a", true).len(), 6);
+    assert_eq!(answer(&fleet(50), "b", true).len(), 2);
+}
+
+#[test]
+fn addresses_larger_instances_first() {
+    let mut all = fleet(30);
+    all[4].capacity = 500;
+    assert_eq!(answer(&all, "a", true)[0].port(), 9_004);
+}
+
+#[test]
+fn addresses_filled_up_from_other_domains() {
+    let mut all = vec![named(0, "a", 0, 100)];
+    all.extend((0..3).map(|n| named(n, "b", 0, 100)));
+    let told = answer(&all, "a", true);
+    assert_eq!((told.len(), told[0].port()), (2, 9_000));
+    assert_eq!(answer(&all, "nowhere", true).len(), 2);
+    assert!(answer(&[], "a", true).is_empty());
+}
+
+#[test]
+fn addresses_a_third_while_load_is_unknown() {
+    let all: Vec<Named> = (0..12).map(|n| named(n, "a", 0, 100)).collect();
+    assert_eq!(answer(&all, "a", false).len(), 4);
+}
--- a/crates/galenapath-policy/tests/dispatch/main.rs
+++ b/crates/galenapath-policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of dispatching instances.
 
+mod addresses;
 mod answer;
 mod connections;
 mod count;
--- a/crates/galenapath-policy/tests/measure/main.rs
+++ b/crates/galenapath-policy/tests/measure/main.rs
@@ -1,3 +1,4 @@
 //! Tests of measuring.
 
+mod asks;
 mod budget;
--- /dev/null
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -0,0 +1,6 @@
+//! Placement on servers whose pace changes, and who waits for them.
+
+mod copies;
+mod placement;
+mod queue;
+mod replay;
--- /dev/null
+++ b/crates/galenapath-policy/tests/place/placement.rs
@@ -0,0 +1,200 @@
+//! The choice of the server.
+
+use galenapath_policy::place::{
+    Ask, Choice, PlaceConfig, PlacedServer, Placement, Sighting, Started,
+};
+use galenapath_protocol::{BackendId, LoadReport, Micros};
+
+const WORK: Micros = Micros::from_millis(100);
+const START: Micros = Micros::from_secs(10);
+
+fn id(n: usize) -> BackendId {
+    BackendId(format!("s{n}"))
+}
+
+fn server(n: usize, is_home: bool) -> PlacedServer {
+    let cold_for = Micros::ZERO;
+    PlacedServer { id: id(n), slots: 6, is_home, is_leaving: false, cold_for }
+}
+
+fn placement(homes: &[bool]) -> Placement {
+    let mut placement = Placement::new(PlaceConfig::default(), 1);
+    let list: Vec<_> = homes.iter().enumerate().map(|(n, home)| server(n, *home)).collect();
+    placement.set_servers(START, &list);
+    placement
+}
+
+fn sighting(at: Micros, running: u32, pace: u32) -> Sighting {
+    let report = LoadReport { in_flight: running, waiting: 0, slots: 6, leaving: false, pace };
+    Sighting { at, report }
+}
+
+fn ask(left: Micros) -> Ask<'static> {
+    Ask { tried: &[], is_large: false, left }
+}
+
+/// Sends of `count` requests that each end before the next, by server.
+fn spread(placement: &mut Placement, now: Micros, ask: &Ask<'_>, count: usize) -> Vec<usize> {
+    let mut counts = vec![0; 8];
+    for _ in 0..count {
+        let Choice::Server(chosen) = placement.choose(now, ask) else { continue };
+        let n: usize = chosen.0[1..].parse().unwrap_or(0);
+        counts[n] += 1;
+    }
+    counts
+}
+
+#[test]
+fn choose_slow_avoided() {
+    let mut placement = placement(&[true, true, true]);
+    placement.see(&id(1), sighting(START, 0, 700));
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 100);
+    assert_eq!(counts[1], 0);
+    assert!(counts[0] > 20 && counts[2] > 20, "{counts:?}");
+}
+
+#[test]
+fn choose_slow_forgiven_with_age() {
+    let mut placement = placement(&[true, true]);
+    placement.see(&id(0), sighting(START, 0, 700));
+    placement.see(&id(1), sighting(START, 5, 100));
+    let later = START + Micros::from_secs(3);
+    let counts = spread(&mut placement, later, &ask(Micros::from_millis(400)), 100);
+    assert!(counts[0] > 90, "an old sighting of a slow spell says little: {counts:?}");
+}
+
+#[test]
+fn choose_old_sighting_ignored() {
+    let mut placement = placement(&[true, true]);
+    assert!(placement.see(&id(0), sighting(START, 0, 100)));
+    assert!(!placement.see(&id(0), sighting(START - Micros::from_millis(5), 0, 700)));
+    assert!(!placement.seen(&id(0)).is_some_and(|seen| seen.is_slow()));
+}
+
+#[test]
+fn choose_home_preferred_until_fuller() {
+    let mut placement = placement(&[true, false]);
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 50);
+    assert_eq!(counts[1], 0);
+    placement.see(&id(0), sighting(START, 5, 100));
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 50);
+    assert!(counts[1] > 40, "{counts:?}");
+}
+
+#[test]
+fn choose_large_answers_cross_only_from_slow() {
+    let large = Ask { is_large: true, ..ask(Micros::from_millis(2_000)) };
+    let mut placement = placement(&[true, false]);
+    placement.see(&id(0), sighting(START, 4, 100));
+    let counts = spread(&mut placement, START, &large, 50);
+    assert_eq!(counts[1], 0);
+    placement.see(&id(0), sighting(START + Micros(1), 4, 700));
+    let counts = spread(&mut placement, START + Micros(1), &large, 50);
+    assert!(counts[1] > 40, "{counts:?}");
+}
+
+#[test]
+fn choose_waits_for_good_server_only_while_in_time() {
+    let mut placement = placement(&[true, true]);
+    placement.see(&id(0), sighting(START, 6, 100));
+    placement.see(&id(1), sighting(START, 0, 700));
+    assert_eq!(placement.choose(START, &ask(Micros::from_millis(400))), Choice::Wait);
+    // The slow server would answer in time.
+    let patient = ask(Micros::from_millis(2_000));
+    assert_eq!(placement.choose(START, &patient), Choice::Server(id(1)));
+}
+
+#[test]
+fn choose_nowhere_without_servers() {
+    let mut none = placement(&[]);
+    assert_eq!(none.choose(START, &ask(WORK)), Choice::Nowhere);
+    let mut one = placement(&[true]);
+    one.not_reached(START, &id(0));
+    assert_eq!(one.choose(START, &ask(WORK)), Choice::Nowhere);
+    one.reached(&id(0));
+    assert_eq!(one.choose(START, &ask(WORK)), Choice::Server(id(0)));
+    let tried = [id(0)];
+    let again = Ask { tried: &tried, ..ask(WORK) };
+    assert_eq!(one.choose(START, &again), Choice::Nowhere);
+}
+
+#[test]
+fn choose_leaving_never() {
+    let mut placement = placement(&[true, true]);
+    placement.mark_leaving(&id(0));
+    // A list that lags does not bring it back.
+    placement.set_servers(START, &[server(0, true), server(1, true)]);
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 50);
+    assert_eq!(counts[0], 0);
+}
+
+#[test]
+fn choose_failing_last_and_tried_again() {
+    let mut placement = placement(&[true, true]);
+    placement.failed(START, &id(0), 1.0);
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 50);
+    assert_eq!(counts[0], 0);
+    let later = START + Micros::from_secs(20);
+    let counts = spread(&mut placement, later, &ask(Micros::from_millis(400)), 50);
+    assert!(counts[0] > 5, "{counts:?}");
+}
+
+#[test]
+fn choose_new_server_used_after_its_cold_start() {
+    let mut placement = placement(&[true]);
+    let cold = PlacedServer { cold_for: Micros::from_secs(3), ..server(1, true) };
+    placement.set_servers(START, &[server(0, true), cold]);
+    let left = ask(Micros::from_millis(400));
+    assert_eq!(spread(&mut placement, START, &left, 50)[1], 0);
+    let later = START + Micros::from_secs(4);
+    assert!(spread(&mut placement, later, &left, 50)[1] > 10);
+}
+
+#[test]
+fn crowding_learned_leaves_last_slots_free() {
+    let mut placement = placement(&[true]);
+    let plain = Started::default();
+    let crowded = Started { is_crowded: true, is_slow: false };
+    for _ in 0..200 {
+        placement.served(START, &id(0), WORK, plain);
+        placement.served(START, &id(0), Micros(WORK.0 * 17 / 10), crowded);
+    }
+    assert!(placement.crowding() > 1.5, "{}", placement.crowding());
+    placement.see(&id(0), sighting(START, 4, 100));
+    assert_eq!(placement.choose(START, &ask(Micros::from_millis(400))), Choice::Wait);
+    assert!((placement.good_slots(START) - 4.0).abs() < 0.1);
+}
+
+#[test]
+fn work_not_stretched_by_slow_spells() {
+    let mut placement = placement(&[true]);
+    for _ in 0..200 {
+        placement.served(START, &id(0), WORK, Started::default());
+    }
+    placement.see(&id(0), sighting(START, 1, 700));
+    for _ in 0..200 {
+        placement.served(
+            START,
+            &id(0),
+            Micros(WORK.0 * 7),
+            Started { is_slow: true, ..Started::default() },
+        );
+    }
+    let work = placement.work();
+    assert!(work.0 < WORK.0 * 11 / 10, "{work:?}");
+}
+
+#[test]
+fn fitness_judged_by_what_was_believed() {
+    let mut placement = placement(&[true]);
+    placement.see(&id(0), sighting(START, 0, 100));
+    let started = placement.start(START, &id(0));
+    assert!(placement.is_fit(START, &id(0), started));
+    placement.see(&id(0), sighting(START + Micros(1), 0, 700));
+    assert!(!placement.is_fit(START + Micros(1), &id(0), started));
+    // It was known to be slow and chosen all the same.
+    let known = Started { is_slow: true, ..started };
+    assert!(placement.is_fit(START + Micros(1), &id(0), known));
+    placement.see(&id(0), sighting(START + Micros(2), 6, 100));
+    assert!(!placement.is_fit(START + Micros(2), &id(0), started), "full");
+}
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -209,7 +209,11 @@
     }
 
     fn remove(&mut self, revision: u64, id: &BackendId, gone_at: Option<Micros>) -> bool {
-        let Some(entry) = self.servers.get_mut(id) else { return false };
+        let Some(entry) = self.servers.get_mut(id) else {
+            // The entry itself may still be on its way.
+            self.remember_removal(revision, id);
+            return false;
+        };
         if entry.revision > revision {
             return false;
         }
@@ -225,12 +229,19 @@
 
     fn drop_entry(&mut self, revision: u64, id: &BackendId) {
         self.servers.remove(id);
+        self.generation += 1;
+        self.remember_removal(revision, id);
+    }
+
+    fn remember_removal(&mut self, revision: u64, id: &BackendId) {
+        if self.removed.get(id).is_some_and(|at| *at >= revision) {
+            return;
+        }
         self.removals.push_back(Removal { revision, id: id.clone() });
         self.removed.insert(id.clone(), revision);
-        self.generation += 1;
         while self.removals.len() > REMEMBERED {
             if let Some(oldest) = self.removals.pop_front() {
-                self.removed.remove(&oldest.id);
+                self.removed.retain(|id, at| *id != oldest.id || *at > oldest.revision);
                 self.forgotten = self.forgotten.max(oldest.revision);
             }
         }
--- /dev/null
+++ b/crates/galenapath-settings/tests/gateway.rs
@@ -0,0 +1,70 @@
+//! Settings of a gateway instance.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use galenapath_settings::{GatewaySettings, SettingsError, parse_gateway};
+use std::path::Path;
+use std::time::Duration;
+
+const LEAST: &str = r#"
+[instance]
+name = "g1"
+domain = "d1"
+
+[listen]
+callers = "127.0.0.1:8101"
+readiness = "127.0.0.1:8102"
+addresses = "127.0.0.1:8103"
+peers = "127.0.0.1:8104"
+seeds = ["127.0.0.2:8544"]
+
+[platform]
+address = "127.0.0.1:8541"
+"#;
+
+fn parse(text: &str) -> Result<GatewaySettings, SettingsError> {
+    parse_gateway(Path::new("gateway.toml"), text)
+}
+
+#[test]
+fn parse_gateway_defaults_filled_in() {
+    let settings = parse(LEAST).unwrap();
+    assert_eq!(settings.grace, Duration::from_secs(6));
+    assert_eq!(settings.listen.metrics, None);
+    assert!((settings.cores - 1.0).abs() < f64::EPSILON);
+    // Seeds are named by any of their addresses and asked on the peers' port.
+    assert_eq!(settings.listen.seeds, ["127.0.0.2:8104".parse().unwrap()]);
+}
+
+#[test]
+fn parse_gateway_all_read() {
+    let text = format!(
+        "{}\n[retries]\nratio = 0.3\nslack = 190\nwindow = \"20s\"\n[probes]\nper_second = 42\n\
+         [callers]\nkeep_addresses = \"2s\"\nconnections = 50\n[stop]\ngrace = \"8s\"\n\
+         [log]\nlevel = \"warn\"\nlines_per_second = 5\n",
+        LEAST.replace("domain = \"d1\"", "domain = \"d1\"\ncores = 0.2")
+    );
+    let settings = parse(&text).unwrap();
+    assert!((settings.retries.ratio - 0.3).abs() < f64::EPSILON);
+    assert_eq!(settings.retries.window, Duration::from_secs(20));
+    assert!((settings.probes_per_second - 42.0).abs() < f64::EPSILON);
+    assert_eq!((settings.caller_connections, settings.log_lines), (50, 5));
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert!((settings.cores - 0.2).abs() < f64::EPSILON);
+}
+
+#[test]
+fn parse_gateway_faults_named_with_their_line() {
+    for (from, to, key, line) in [
+        ("name = \"g1\"", "name = \" \"", "instance.name", 3),
+        ("127.0.0.1:8102", "8102", "listen.readiness", 8),
+        ("127.0.0.1:8104", "127.0.0.1:8101", "listen.peers", 10),
+        ("127.0.0.1:8541", "store", "platform.address", 14),
+        ("domain = \"d1\"", "domain = \"d1\"\ncores = -1.0", "instance.cores", 5),
+    ] {
+        let text = parse(&LEAST.replace(from, to)).unwrap_err().to_string();
+        assert!(text.starts_with(&format!("gateway.toml:{line}: {key}")), "{text}");
+    }
+    let unknown = parse(&format!("{LEAST}\n[other]\n")).unwrap_err().to_string();
+    assert!(unknown.contains("other"), "{unknown}");
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -190,12 +190,14 @@
     let world = World::start();
     let gateway = Gateway::ready(&world, &[]);
     for server in world.of("look") {
-        server.set_trouble(ServerTrouble::Hang);
+        server.set_pace(10_000);
     }
     let mut io = TcpStream::connect(gateway.callers()).unwrap();
     io.write_all(b"GET /look/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: k1\r\n\r\n").unwrap();
     wait_until("the request", || world.ran("look") > 0);
     drop(io);
+    let cancelled = || world.of("look").iter().map(|server| server.cancelled()).sum::<usize>();
+    wait_until("the end of the work", || cancelled() > 0);
     assert_eq!(gateway.log_of("k1")["outcome"], "caller_left");
 }
 
