--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -147,10 +147,9 @@
     let is_once = call.req.route.kind == RouteKind::OnceOnly;
     let is_old = kept.as_ref().is_some_and(|kept| kept.idle > FRESH_IDLE);
     let seen = service.placement.borrow().seen(server);
-    // A server that tells no load would let the question wait for a slot.
-    let is_blind = seen.is_some_and(|seen| now - seen.at > FRESH_LOAD);
-    let may_ask = seen.is_some() && (is_blind || (is_once && is_old));
-    if !may_ask || !service.take_probe(now, server) {
+    let is_blind = seen.is_none_or(|seen| now - seen.at > FRESH_LOAD);
+    let wants_to_ask = is_blind || (is_once && is_old);
+    if !wants_to_ask || !service.tells_load(now) || !service.take_probe(now, server) {
         let kept = kept.filter(|_| !(is_once && is_old));
         return match kept {
             Some(kept) => Ok((kept.connection, true)),
@@ -181,6 +180,9 @@
         Ok(Err(_)) | Err(_) => return Err(Fault::Unfit),
     };
     instance.metrics.probes.with_label_values(&["before_send"]).inc();
+    if health.sighting.is_none() {
+        call.service.told_no_load(instance.now());
+    }
     if health.is_other { Err(Fault::OtherServer) } else { Ok(health.connection) }
 }
 
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -27,6 +27,9 @@
 /// just started does not know who serves callers.
 const LEAST_PROBE_SHARERS: u32 = 6;
 
+/// Time for which a service counts as one that tells no load after one of its servers told none.
+const NO_LOAD_FOR: Micros = Micros::from_secs(10);
+
 /// Part of the shared retry allowance that is used: the rest is room for instances that do not yet
 /// know of each other.
 const RETRY_PART: f64 = 0.7;
@@ -52,6 +55,8 @@
     probes: RefCell<FastMap<BackendId, AskBudget>>,
     /// Probes a second to one server that the requests of all instances may use.
     probe_rate: f64,
+    /// Until when no server is asked, because one told no load.
+    no_load_until: Cell<Micros>,
     generation: Cell<u64>,
 }
 
@@ -95,6 +100,7 @@
             waiters: RefCell::default(),
             probes: RefCell::default(),
             probe_rate: instance.settings.probes_per_second * PROBE_PART,
+            no_load_until: Cell::default(),
             generation: Cell::new(u64::MAX),
         })
     }
@@ -158,6 +164,17 @@
         is_news
     }
 
+    /// Whether the servers are taken to tell their load when they are asked. One that does not would
+    /// let the question wait for a slot.
+    pub(crate) fn tells_load(&self, now: Micros) -> bool {
+        now >= self.no_load_until.get()
+    }
+
+    /// A server was asked and told no load.
+    pub(crate) fn told_no_load(&self, now: Micros) {
+        self.no_load_until.set(now + NO_LOAD_FOR);
+    }
+
     /// Splits the budget of probes among the instances that ask: `serving` of the own failure domain
     /// serve callers. Those of other domains hardly ask here, since requests stay at home; their
     /// part is a half of it.
