--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -88,7 +88,7 @@
 /// Failures are always written: they are what the log is read for, and the rate of refusals is
 /// bounded by the callers' own retries.
 pub(crate) struct LogBudget {
-    per_second: u32,
+    per_second: Cell<u32>,
     second: Cell<u64>,
     used: Cell<u32>,
 }
@@ -98,7 +98,12 @@
 
 impl LogBudget {
     pub(crate) fn new(per_second: u32) -> Self {
-        Self { per_second, second: Cell::new(0), used: Cell::new(0) }
+        Self { per_second: Cell::new(per_second), second: Cell::new(0), used: Cell::new(0) }
+    }
+
+    /// Changes the budget.
+    pub(crate) fn set(&self, per_second: u32) {
+        self.per_second.set(per_second);
     }
 
     /// Whether one more line fits.
@@ -107,7 +112,8 @@
         if self.second.replace(second) != second {
             self.used.set(0);
         }
-        let most = if is_failure { self.per_second * FAILURES_PER_LINE } else { self.per_second };
+        let per_second = self.per_second.get();
+        let most = if is_failure { per_second * FAILURES_PER_LINE } else { per_second };
         let used = self.used.get();
         self.used.set(used.saturating_add(1));
         used < most
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -91,7 +91,7 @@
     loop {
         let is_new = instance.clock.age() < ASK_OFTEN;
         if is_new || instance.beats.borrow().is_alone() {
-            ask(&instance, &instance.settings.listen.seeds);
+            ask(&instance, &instance.settings().listen.seeds);
         }
         sleep(if is_new { ASK_AGAIN } else { ASK_SELDOM }).await;
     }
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -37,7 +37,7 @@
 
 /// An instance. Borrows of its cells never last over an await.
 pub(crate) struct Instance {
-    pub(crate) settings: GatewaySettings,
+    settings: RefCell<Rc<GatewaySettings>>,
     pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) names: HeaderNames,
     pub(crate) incarnation: Incarnation,
@@ -104,7 +104,7 @@
             asked_at: Cell::default(),
             next_ticket: Cell::new(0),
             udp,
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         })
     }
 
@@ -113,6 +113,20 @@
         self.clock.now()
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes changed settings over.
+    pub(crate) fn set_settings(&self, settings: GatewaySettings) {
+        self.log_budget.set(settings.log_lines);
+        *self.settings.borrow_mut() = Rc::new(settings);
+        for service in self.services.borrow().values() {
+            service.take_settings(self);
+        }
+    }
+
     /// Whether the instance knows enough to serve and is not about to stop.
     pub(crate) fn is_ready(&self) -> bool {
         self.stage.get() == Stage::Serving && self.state.borrow().is_known()
@@ -120,12 +134,13 @@
 
     /// Who this instance is.
     pub(crate) fn member(&self) -> Member {
+        let settings = self.settings();
         Member {
-            id: self.settings.name.clone(),
+            id: settings.name.clone(),
             incarnation: self.incarnation,
-            domain: self.settings.domain.clone(),
-            callers: self.settings.listen.callers,
-            peers: self.settings.listen.peers,
+            domain: settings.domain.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
             beat: 0,
             status: MemberStatus::Live,
         }
@@ -141,7 +156,7 @@
             is_watching: self.is_watching.get(),
             serves_callers: self.now() - self.served_at.get() < SERVES_FOR,
             rate: self.rate.get().per_second(self.now()),
-            capacity: (self.settings.cores * REQUESTS_PER_CORE) as u32,
+            capacity: (self.settings().cores * REQUESTS_PER_CORE) as u32,
             config_version: state.table().version(),
             position: state.directory().position(),
         }
@@ -173,7 +188,8 @@
 
     /// Instances of the own failure domain that serve callers now, this one included.
     pub(crate) fn serving_at_home(&self) -> u32 {
-        self.count_serving(|peer| peer.member.domain == self.settings.domain)
+        let settings = self.settings();
+        self.count_serving(|peer| peer.member.domain == settings.domain)
     }
 
     fn count_serving(&self, counts: impl Fn(&Peer) -> bool) -> u32 {
--- a/crates/galenapath-gateway/src/questions.rs
+++ b/crates/galenapath-gateway/src/questions.rs
@@ -84,7 +84,7 @@
             if addresses.is_empty() {
                 return json(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
             }
-            let keep_for = instance.settings.keep_addresses;
+            let keep_for = instance.settings().keep_addresses;
             json(StatusCode::OK, instance.dialect.addresses(&addresses, keep_for))
         }
         None => json(StatusCode::NOT_FOUND, Bytes::new()),
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::instance::{Instance, Stage};
 use crate::metrics::Metrics;
+use crate::reload::{self, ReadSettings};
 use crate::stop::Signals;
 use crate::{GatewayError, caller, fleet, probe, questions, sharing, stop, watch};
 use error_stack::{Report, ResultExt};
@@ -35,8 +36,9 @@
     metrics: Option<TcpListener>,
 }
 
-/// Runs an instance until it is told to stop and has drained. `store` makes the client of the
-/// platform's key-value service, on the instance's thread.
+/// Runs an instance until it is told to stop and has drained. `store` is the client of the platform's
+/// key-value service; `read_settings` reads the settings
+/// again when they may have changed.
 ///
 /// # Errors
 ///
@@ -45,6 +47,7 @@
     settings: GatewaySettings,
     dialect: Box<dyn Dialect>,
     store: S,
+    read_settings: ReadSettings,
 ) -> Result<(), Report<GatewayError>> {
     let signals = Signals::install()?;
     let sockets = listen(&settings)?;
@@ -60,13 +63,15 @@
         let instance = Instance::new(settings, dialect, metrics, out);
         log_start(&instance);
         start(&instance, sockets, store)?;
+        monoio::spawn(reload::run(Rc::clone(&instance), signals.clone(), read_settings));
         stop::run(&instance, &signals).await;
         Ok(())
     })
 }
 
 fn log_start(instance: &Instance) {
-    let (settings, listen) = (&instance.settings, &instance.settings.listen);
+    let settings = instance.settings();
+    let listen = &settings.listen;
     log::info!(
         name = settings.name.0.as_str(),
         domain = settings.domain.0.as_str(),
@@ -125,7 +130,7 @@
 
 fn has_room(instance: &Instance) -> bool {
     let open = usize::try_from(instance.metrics.callers.get()).unwrap_or(0);
-    open < instance.settings.caller_connections
+    open < instance.settings().caller_connections
 }
 
 fn listen(settings: &GatewaySettings) -> Result<Sockets, Report<GatewayError>> {
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -54,7 +54,7 @@
     /// This instance's part of the probes to each server.
     probes: RefCell<FastMap<BackendId, AskBudget>>,
     /// Probes a second to one server that the requests of all instances may use.
-    probe_rate: f64,
+    probe_rate: Cell<f64>,
     /// Until when no server is asked, because one told no load.
     no_load_until: Cell<Micros>,
     generation: Cell<u64>,
@@ -92,19 +92,26 @@
             name: name.to_owned(),
             spec: RefCell::new(spec),
             placement: RefCell::new(Placement::new(PlaceConfig::default(), seed)),
-            retries: RefCell::new(retry_budget(&instance.settings.retries)),
+            retries: RefCell::new(retry_budget(&instance.settings().retries)),
             pools: Pools::default(),
             addresses: RefCell::default(),
             by_short_id: RefCell::default(),
             queue: RefCell::new(WaitQueue::new(QueueConfig::default())),
             waiters: RefCell::default(),
             probes: RefCell::default(),
-            probe_rate: instance.settings.probes_per_second * PROBE_PART,
+            probe_rate: Cell::new(instance.settings().probes_per_second * PROBE_PART),
             no_load_until: Cell::default(),
             generation: Cell::new(u64::MAX),
         })
     }
 
+    /// Takes changed settings over.
+    pub(crate) fn take_settings(&self, instance: &Instance) {
+        let settings = instance.settings();
+        self.probe_rate.set(settings.probes_per_second * PROBE_PART);
+        *self.retries.borrow_mut() = retry_budget(&settings.retries);
+    }
+
     /// Takes in the list of servers where it has changed.
     fn refresh(&self, instance: &Instance) {
         let state = instance.state.borrow();
@@ -112,7 +119,7 @@
         if self.generation.replace(directory.generation()) == directory.generation() {
             return;
         }
-        let home = &instance.settings.domain;
+        let home = instance.settings().domain.clone();
         let mut list = Vec::new();
         let mut addresses = FastMap::default();
         for record in directory.servers().filter(|record| record.service == self.name) {
@@ -120,14 +127,14 @@
             list.push(PlacedServer {
                 id: record.id.clone(),
                 slots: record.slots,
-                is_home: record.domain == *home,
+                is_home: record.domain == home,
                 is_leaving: record.state == ServerState::Leaving,
                 cold_for: record.cold_for.into(),
             });
         }
         self.pools.retain(|id| addresses.contains_key(id));
         let now = instance.now();
-        let rate = self.probe_rate;
+        let rate = self.probe_rate.get();
         let mut probes = self.probes.borrow_mut();
         probes.retain(|id, _| addresses.contains_key(id));
         for id in addresses.keys() {
@@ -181,7 +188,7 @@
     pub(crate) fn share_probes(&self, now: Micros, serving: u32) {
         let sharers = (serving + serving / 2).max(LEAST_PROBE_SHARERS);
         for budget in self.probes.borrow_mut().values_mut() {
-            budget.set_share(now, self.probe_rate, sharers);
+            budget.set_share(now, self.probe_rate.get(), sharers);
         }
     }
 
--- a/crates/galenapath-gateway/src/stop.rs
+++ b/crates/galenapath-gateway/src/stop.rs
@@ -1,4 +1,4 @@
-//! Signals: a planned stop, and settings that have changed.
+//! Signals, and a planned stop.
 
 use crate::instance::{Instance, Stage, sleep};
 use crate::{GatewayError, fleet};
@@ -27,6 +27,11 @@
 }
 
 impl Signals {
+    /// Whether the signal to read the settings again has come since the last call.
+    pub(crate) fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+
     /// Installs the handlers.
     ///
     /// # Errors
@@ -48,9 +53,6 @@
 /// Waits for the signal to stop and then for what is in progress. Returns when the process may end.
 pub(crate) async fn run(instance: &Rc<Instance>, signals: &Signals) {
     while !signals.stop.load(Ordering::Relaxed) {
-        if signals.reload.swap(false, Ordering::Relaxed) {
-            log::info!("reload asked for: settings are read at the start only");
-        }
         sleep(LOOK).await;
     }
     let began = instance.now();
@@ -58,7 +60,7 @@
     log::info!(in_progress; "stop begins");
     instance.stage.set(Stage::Leaving);
     fleet::announce(instance);
-    let most = Micros::from(instance.settings.grace) - RESERVE;
+    let most = Micros::from(instance.settings().grace) - RESERVE;
     let takes_until = began + STILL_TAKES.min(most);
     while instance.now() < takes_until {
         sleep(LOOK).await;
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -81,7 +81,7 @@
         let instance = &self.instance;
         let vitals = instance.vitals();
         let beats = instance.beats.borrow();
-        watch_role(instance.incarnation, &instance.settings.domain, &vitals, beats.peers())
+        watch_role(instance.incarnation, &instance.settings().domain, &vitals, beats.peers())
     }
 
     async fn rest(&mut self) {
@@ -208,7 +208,7 @@
             return;
         }
         self.is_entered = true;
-        let own = self.instance.settings.listen.peers;
+        let own = self.instance.settings().listen.peers;
         let key = format!("{INSTANCES}{own}");
         let put = self.store.put(&key, Bytes::from_static(b"1")).await;
         self.count("put", &put);
--- a/src/main.rs
+++ b/src/main.rs
@@ -77,8 +77,10 @@
         return good_settings(start);
     }
     let store = KvStore::new(settings.platform, settings.platform_timeout);
+    let file = start.settings.clone();
+    let read = Box::new(move || galenapath_settings::load_gateway(&file));
     let result = galenapath_gateway::start_logging(settings.log_level)
-        .and_then(|()| galenapath_gateway::run(settings, Box::new(PlatformDialect), store));
+        .and_then(|()| galenapath_gateway::run(settings, Box::new(PlatformDialect), store, read));
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => failed(&format!("{e:#}")),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -445,3 +445,22 @@
     assert!(watches <= 6, "{watches} watches of {} instances", others.len() + 1);
     assert!(pings <= 24, "{pings} pings");
 }
+
+#[test]
+fn settings_changed_taken_over_and_bad_ones_refused() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    let has = |event: &str| gateway.log().iter().any(|line| line["event"] == event);
+    gateway.signal("-HUP");
+    wait_until("the word", || has("reload: settings have not changed"));
+    gateway.change_settings("[callers]\nkeep_addresses = \"3s\"\n");
+    gateway.signal("-HUP");
+    wait_until("the change", || has("reload: settings changed"));
+    assert_eq!(gateway.address_answer()["ttl_s"], 3.0);
+    gateway.change_settings("[callers]\nkeep_addresses = \"never\"\n");
+    wait_until("the refusal, without a signal", || {
+        has("settings refused; the last good ones stay in force")
+    });
+    assert_eq!(gateway.address_answer()["ttl_s"], 3.0);
+    assert_eq!(gateway.look("x1").status, 200);
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -155,6 +155,7 @@
     /// Where it reaches the store; each instance has an address of its own.
     pub store: SocketAddr,
     settings: PathBuf,
+    first_settings: String,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
 }
@@ -174,10 +175,10 @@
         );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
         let settings = dir.join(format!("gateway-{ip}.toml"));
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, &text).unwrap();
         let lines = Arc::default();
         let child = spawn(&settings, &lines);
-        Self { ip, store, settings, child, lines }
+        Self { ip, store, settings, first_settings: text, child, lines }
     }
 
     /// Starts an instance and waits until it is ready.
@@ -222,11 +223,22 @@
         SocketAddr::from((self.ip, CALLERS))
     }
 
+    /// The answer to the question where to connect.
+    pub fn address_answer(&self) -> Value {
+        let at = SocketAddr::from((self.ip, ADDRESSES));
+        let question = "GET /-/resolve?name=h.example&zone=d1 HTTP/1.1\r\nHost: x\r\n";
+        serde_json::from_slice(&ask(at, question, b"").body).unwrap_or_default()
+    }
+
+    /// Replaces what follows the first settings in the file.
+    pub fn change_settings(&self, more: &str) {
+        let text = format!("{}\n{more}", self.first_settings);
+        std::fs::write(&self.settings, text).unwrap();
+    }
+
     /// The addresses that a caller is told.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let at = SocketAddr::from((self.ip, ADDRESSES));
-        let answer = ask(at, "GET /-/resolve?name=h.example&zone=d1 HTTP/1.1\r\nHost: x\r\n", b"");
-        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let body = self.address_answer();
         let told = body["addresses"].as_array().cloned().unwrap_or_default();
         told.iter().filter_map(|text| text.as_str()?.parse().ok()).collect()
     }
