--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -100,7 +100,7 @@
     let (mut connection, is_kept) = ask_first(call, in_flight, address, kept).await?;
     put_head(call, in_flight, &mut connection);
     in_flight.sent();
-    call.sent();
+    call.sent(&in_flight.server);
     let head = exchange_head(call, &mut connection).await;
     let head = match head {
         // The server closed a kept connection while the request was on its way to it.
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -5,7 +5,7 @@
 use crate::reply::Reply;
 use crate::request::Request;
 use crate::service::{InFlight, Service};
-use galenapath_protocol::{BackendId, Micros, Verdict};
+use galenapath_protocol::{BackendId, LoadReport, Micros, Verdict};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -49,11 +49,20 @@
         }
     }
 
-    /// The request is being sent.
-    pub(crate) fn sent(&self) {
+    /// The request is being sent to `server`.
+    pub(crate) fn sent(&self, server: &BackendId) {
+        let now = self.instance.now();
+        if let Some(seen) = self.service.placement.borrow().seen(server) {
+            let LoadReport { in_flight, slots, pace, .. } = seen.report;
+            let age = (now - seen.at).0 / 1_000;
+            let knowledge = format!("load{in_flight}/{slots}:pace{pace}:known{age}ms ");
+            self.note(&format!("{}:sent:{knowledge}", server.0));
+        } else {
+            self.note(&format!("{}:sent:unknown ", server.0));
+        }
         self.unresolved.set(self.unresolved.get() + 1);
         if self.sends.replace(self.sends.get() + 1) == 0 {
-            self.service.retries.borrow_mut().first_try(self.instance.now());
+            self.service.retries.borrow_mut().first_try(now);
         }
     }
 
@@ -124,7 +133,6 @@
             Err(Fault::Unfit) => {}
             Err(fault) => placement.failed(now, server, fault.weight()),
         }
-        let seen = placement.seen(server);
         drop(placement);
         let weight = match result {
             Ok(reply) if reply.status.is_server_error() => 1.0,
@@ -134,13 +142,7 @@
         if weight > 0.0 {
             self.instance.share_failure(server, weight);
         }
-        let (pace, age) = seen.map_or((0, Micros::ZERO), |s| (s.report.pace, now - s.at));
-        self.note(&format!(
-            "{}:{outcome}:{}ms:pace{pace}@{}ms ",
-            server.0,
-            took.0 / 1_000,
-            age.0 / 1_000
-        ));
+        self.note(&format!("{}:{outcome}:{}ms ", server.0, took.0 / 1_000));
     }
 
     /// Adds to what the log tells of the request.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -464,3 +464,12 @@
     assert_eq!(gateway.address_answer()["ttl_s"], 3.0);
     assert_eq!(gateway.look("x1").status, 200);
 }
+
+#[test]
+fn first_request_asks_its_server() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    assert_eq!(gateway.file("y1").status, 200);
+    let steps = gateway.log_of("y1")["steps"].as_str().unwrap().to_owned();
+    assert!(steps.contains(":sent:load"), "sent without knowledge: {steps}");
+}
