Requests that crash servers are refused on all instances

Cause: nothing remembered such a request; its caller could take it to one server after the other. Change: a broken connection counts as a crash only if the server cannot be reached right after; crashes are shared and judged by the suspects that the class-based program has. Tests: request_that_crashes_servers_refused_everywhere, resets_are_no_crashes.

--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -16,6 +16,9 @@
 /// Idle time after which a server that forgets does so.
 const IDLE: Duration = Duration::from_millis(300);
 
+/// Time for which a crashed server is down.
+const DOWN: Duration = Duration::from_secs(1);
+
 /// What a server does wrong with requests; its health answers stay good.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerTrouble {
@@ -42,6 +45,8 @@
     Busy,
     /// Belongs to another service now.
     Other,
+    /// Crashes when it begins to run a request whose path names `poison`, and is back after a second.
+    CrashesOnPoison,
     /// Closes a connection that was idle for 300 ms when the next request comes on it.
     ForgetsIdle,
 }
@@ -72,6 +77,8 @@
     probes: usize,
     connections: usize,
     cancelled: usize,
+    /// Until when the server is down.
+    down_until: Option<Instant>,
 }
 
 /// A running server.
@@ -99,6 +106,7 @@
             probes: 0,
             connections: 0,
             cancelled: 0,
+            down_until: None,
         }));
         let shared = Arc::clone(&inner);
         let address = listen(move || {
@@ -181,6 +189,9 @@
     let mut framing = Framing::of_request(&head.headers);
     let body = conn.read_body(&mut framing, BODY_LIMIT).await?;
     let trouble = lock(inner).trouble;
+    if lock(inner).down_until.is_some_and(|until| Instant::now() < until) {
+        return Err(WireError::Closed);
+    }
     if trouble == ServerTrouble::ForgetsIdle && used.elapsed() > IDLE {
         return Err(WireError::Closed);
     }
@@ -206,6 +217,10 @@
         inner.work * inner.pace / 100
     };
     let running = Running(inner);
+    if trouble == ServerTrouble::CrashesOnPoison && head.uri.path().contains("poison") {
+        lock(inner).down_until = Some(Instant::now() + DOWN);
+        return Err(WireError::Closed);
+    }
     run(inner, conn, work).await?;
     drop(running);
     answer(inner, conn, trouble, &id).await
@@ -251,6 +266,7 @@
         ServerTrouble::None
         | ServerTrouble::Shed
         | ServerTrouble::Other
+        | ServerTrouble::CrashesOnPoison
         | ServerTrouble::ForgetsIdle => conn.write(good).await,
     }
 }
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend server.
 
 use crate::call::Call;
+use crate::crash;
 use crate::health;
 use crate::pool::Kept;
 use crate::reply::{self, HeadVerdict, Reply, Rest};
@@ -89,6 +90,14 @@
     let result = send(call, &in_flight).await;
     let took = call.instance.now() - started;
     call.note_attempt(&in_flight, took, &result);
+    match &result {
+        Ok(_) => {
+            let request = crash::fingerprint(call);
+            call.instance.suspects.borrow_mut().answered(call.instance.now(), request);
+        }
+        Err(Fault::Broken) => crash::note_broken(call, &in_flight.server),
+        Err(_) => {}
+    }
     result
 }
 
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{Fault, attempt};
 use crate::call::Call;
+use crate::crash;
 use crate::instance::sleep;
 use crate::reply::Reply;
 use crate::service::{InFlight, NoServer, Wanted};
@@ -34,6 +35,13 @@
 
 /// Serves the request until its final answer is due.
 pub(crate) async fn run(call: &Call) -> Result<Reply, Failure> {
+    let _trial = match crash::clear(call) {
+        Ok(trial) => trial,
+        Err(retry_after) => {
+            let failure = ended(call, "crashes_servers", StatusCode::BAD_GATEWAY);
+            return Err(Failure { retry_after: Some(retry_after), ..failure });
+        }
+    };
     match monoio::time::timeout(call.left().into(), try_until_final(call)).await {
         Ok(result) => result,
         Err(_) => Err(ended(call, "timeout", StatusCode::GATEWAY_TIMEOUT)),
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -1,10 +1,11 @@
 //! Between the wire types and the types that the code works with.
 
 use super::generated::{
-    BeatWire, DatagramWire, EndWire, FailureWire, FleetMemberWire, HelloWire, ListedServerWire,
-    LoadWire, LoadsWire, MembersWire, RemovalWire,
+    BeatWire, CrashWire, DatagramWire, EndWire, FailureWire, FleetMemberWire, HelloWire,
+    ListedServerWire, LoadWire, LoadsWire, MembersWire, RemovalWire,
 };
-use super::message::{Datagram, FailureNote, LoadNote, Loads};
+use super::message::{CrashNote, Datagram, FailureNote, LoadNote, Loads};
+use galenapath_filings::Fingerprint;
 use galenapath_membership::{Beat, Member, MemberStatus, StoreHealth, Vitals};
 use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros};
 use galenapath_routes::{ListedServer, Removal, ServerRecord, ServerState};
@@ -133,6 +134,23 @@
     }
 }
 
+/// Bits in a half of a fingerprint.
+const HALF: u32 = 64;
+
+impl From<&CrashNote> for CrashWire {
+    fn from(note: &CrashNote) -> Self {
+        let CrashNote { server, request: Fingerprint(request) } = *note;
+        Self { server, request_high: (request >> HALF) as u64, request_low: request as u64 }
+    }
+}
+
+impl From<CrashWire> for CrashNote {
+    fn from(wire: CrashWire) -> Self {
+        let request = u128::from(wire.request_high) << HALF | u128::from(wire.request_low);
+        Self { server: wire.server, request: Fingerprint(request) }
+    }
+}
+
 impl From<&Datagram> for DatagramWire {
     fn from(datagram: &Datagram) -> Self {
         match datagram {
@@ -144,6 +162,7 @@
             Datagram::Loads(loads) => Self::L(LoadsWire {
                 loads: loads.loads.iter().map(Into::into).collect(),
                 failures: loads.failures.iter().map(Into::into).collect(),
+                crashes: loads.crashes.iter().map(Into::into).collect(),
             }),
             Datagram::End(incarnation) => Self::E(EndWire { from: incarnation.0 }),
         }
@@ -164,6 +183,7 @@
             DatagramWire::L(loads) => Self::Loads(Loads {
                 loads: loads.loads.into_iter().map(Into::into).collect(),
                 failures: loads.failures.into_iter().map(Into::into).collect(),
+                crashes: loads.crashes.into_iter().map(Into::into).collect(),
             }),
             DatagramWire::E(end) => Self::End(Incarnation(end.from)),
         })
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -19,6 +19,17 @@
     ///Requests a second that callers send it.
     pub rate: u32,
 }
+///A backend server crashed while a request of the sender ran there.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CrashWire {
+    ///Upper half of the request's fingerprint.
+    pub request_high: u64,
+    ///Lower half of it.
+    pub request_low: u64,
+    ///Hash of the server's identity.
+    pub server: u64,
+}
 ///One datagram.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum DatagramWire {
@@ -133,6 +144,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LoadsWire {
+    pub crashes: ::std::vec::Vec<CrashWire>,
     pub failures: ::std::vec::Vec<FailureWire>,
     pub loads: ::std::vec::Vec<LoadWire>,
 }
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -1,6 +1,7 @@
 //! Messages as the code works with them.
 
 use super::generated::DatagramWire;
+use galenapath_filings::Fingerprint;
 use galenapath_membership::{Beat, Member};
 use galenapath_protocol::{Incarnation, LoadReport, Micros};
 
@@ -27,6 +28,15 @@
 pub(crate) struct Loads {
     pub(crate) loads: Vec<LoadNote>,
     pub(crate) failures: Vec<FailureNote>,
+    pub(crate) crashes: Vec<CrashNote>,
+}
+
+/// A request that ran on a backend server when it crashed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashNote {
+    /// Hash of the server's identity.
+    pub(crate) server: u64,
+    pub(crate) request: Fingerprint,
 }
 
 /// One backend server's load.
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -8,6 +8,6 @@
 mod pull;
 mod tasks;
 
-pub(crate) use message::{Datagram, FailureNote, LoadNote, Loads, encode};
+pub(crate) use message::{CrashNote, Datagram, FailureNote, LoadNote, Loads, encode};
 pub(crate) use pull::serve_pulls;
 pub(crate) use tasks::{announce, ask, join, receive, run, tell_end};
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -7,6 +7,7 @@
 use crate::service::Service;
 use crate::sharing::Outbox;
 use crate::state::State;
+use galenapath_filings::{SuspectConfig, Suspects};
 use galenapath_membership::{BeatConfig, Beats, Member, MemberStatus, Peer, StoreHealth, Vitals};
 use galenapath_protocol::{FastMap, Incarnation, Micros};
 use galenapath_routes::{Route, SplitTurn};
@@ -52,6 +53,8 @@
     splits: RefCell<FastMap<String, SplitTurn>>,
     /// Longest time that callers of a route have said they wait.
     patience: RefCell<FastMap<String, Micros>>,
+    /// Requests that may crash backend servers.
+    pub(crate) suspects: RefCell<Suspects>,
     /// What is to be told to other instances with the next datagram.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) stage: Cell<Stage>,
@@ -93,6 +96,7 @@
             services: RefCell::default(),
             splits: RefCell::default(),
             patience: RefCell::default(),
+            suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
             outbox: RefCell::default(),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod caller;
 mod clock;
+mod crash;
 mod dialect;
 mod error;
 mod exchange;
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -3,7 +3,7 @@
 //!
 //! Only instances that serve callers hear of it; the others decide nothing by it.
 
-use crate::fleet::{self, FailureNote, LoadNote, Loads};
+use crate::fleet::{self, CrashNote, FailureNote, LoadNote, Loads};
 use crate::instance::{Instance, sleep};
 use galenapath_policy::place::Sighting;
 use galenapath_protocol::{BackendId, FastMap, Micros, hash64};
@@ -26,6 +26,7 @@
     loads: FastMap<BackendId, Sighting>,
     failures: FastMap<BackendId, f32>,
     told: FastMap<BackendId, Sighting>,
+    crashes: Vec<CrashNote>,
 }
 
 /// Short form of a server's identity between instances.
@@ -34,6 +35,10 @@
 }
 
 impl Outbox {
+    fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.failures.is_empty() && self.crashes.is_empty()
+    }
+
     fn add_load(&mut self, id: &BackendId, sighting: Sighting) {
         let is_news = self.told.get(id).is_none_or(|told| {
             let (before, now) = (told.report, sighting.report);
@@ -60,9 +65,15 @@
         *self.outbox.borrow_mut().failures.entry(id.clone()).or_default() += weight;
     }
 
+    /// Tells the other instances of a crash.
+    pub(crate) fn share_crash(&self, note: CrashNote) {
+        self.outbox.borrow_mut().crashes.push(note);
+    }
+
     /// Takes in what another instance saw.
     pub(crate) fn take_loads(&self, loads: &Loads) {
         let now = self.now();
+        loads.crashes.iter().for_each(|note| self.take_crash(note));
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
             for note in &loads.loads {
@@ -82,7 +93,7 @@
     fn flush_outbox(&self) {
         let now = self.now();
         let mut outbox = self.outbox.borrow_mut();
-        if outbox.loads.is_empty() && outbox.failures.is_empty() {
+        if outbox.is_empty() {
             return;
         }
         let loads = outbox.loads.drain().map(|(id, seen)| LoadNote {
@@ -94,9 +105,11 @@
         let failures = outbox.failures.drain();
         let failures: Vec<FailureNote> =
             failures.map(|(id, weight)| FailureNote { server: short_id(&id), weight }).collect();
+        let crashes = std::mem::take(&mut outbox.crashes);
         drop(outbox);
-        let to = self.load_readers();
-        for part in split(loads, failures) {
+        // Callers take a request that crashes servers to any instance.
+        let to = if crashes.is_empty() { self.load_readers() } else { self.beats.borrow().all() };
+        for part in split(Loads { loads, failures, crashes }) {
             let datagram = fleet::encode(&fleet::Datagram::Loads(part));
             to.iter().for_each(|address| self.send(*address, &datagram));
         }
@@ -109,16 +122,16 @@
     }
 }
 
-fn split(loads: Vec<LoadNote>, failures: Vec<FailureNote>) -> Vec<Loads> {
-    if loads.len() <= MOST_NOTES {
-        return vec![Loads { loads, failures }];
+fn split(all: Loads) -> Vec<Loads> {
+    if all.loads.len() <= MOST_NOTES {
+        return vec![all];
     }
-    let mut parts: Vec<Loads> = loads
-        .chunks(MOST_NOTES)
-        .map(|part| Loads { loads: part.to_vec(), failures: Vec::new() })
-        .collect();
+    let Loads { loads, failures, crashes } = all;
+    let parts = loads.chunks(MOST_NOTES).map(<[LoadNote]>::to_vec);
+    let mut parts: Vec<Loads> = parts.map(|loads| Loads { loads, ..Loads::default() }).collect();
     if let Some(first) = parts.first_mut() {
         first.failures = failures;
+        first.crashes = crashes;
     }
     parts
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -473,3 +473,49 @@
     let steps = gateway.log_of("y1")["steps"].as_str().unwrap().to_owned();
     assert!(steps.contains(":sent:load"), "sent without knowledge: {steps}");
 }
+
+#[test]
+fn request_that_crashes_servers_refused_everywhere() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let second = Gateway::ready(&world, &[&first]);
+    wait_until("two addresses", || first.addresses().len() == 2);
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::CrashesOnPoison);
+    }
+    let crashes = || {
+        let ran = world.of("look").iter().flat_map(|server| server.seen()).collect::<Vec<_>>();
+        ran.iter().filter(|seen| seen.line.contains("poison")).count()
+    };
+    for n in 0..6 {
+        let gateway = if n % 2 == 0 { &first } else { &second };
+        gateway.request("GET", "/look/poison", &format!("z{n}"), 1_000, b"");
+        // The servers are back before the caller is.
+        std::thread::sleep(Duration::from_millis(1_200));
+    }
+    assert!(crashes() <= 4, "{} servers crashed", crashes());
+    let last = second.request("GET", "/look/poison", "z9", 1_000, b"");
+    assert_eq!(
+        (last.status, second.log_of("z9")["outcome"].as_str()),
+        (503, Some("crashes_servers"))
+    );
+    // Others are served, also by the servers that crashed.
+    wait_until("service", || first.look("z10").status == 200);
+}
+
+#[test]
+fn resets_are_no_crashes() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::Mute);
+    }
+    for n in 0..4 {
+        assert_eq!(gateway.look(&format!("zr{n}")).status, 502);
+    }
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::None);
+    }
+    wait_until("service", || gateway.look("zr9").status == 200);
+    assert!(!gateway.log().iter().any(|line| line["outcome"] == "crashes_servers"));
+}
