--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -3,15 +3,15 @@
 use super::answer::OwnAnswer;
 use super::call::Call;
 use super::plane::DataPlane;
-use super::request::{RequestId, RequestMeta, text};
+use super::request::{RequestId, RequestMeta};
 use super::{entries, filing, lookup, stream};
 use bytes::{Bytes, BytesMut};
 use galenapath_config::{Class, ClassKind, Config};
-use galenapath_http::connection_has;
 use galenapath_http::{
-    BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, request_framing,
+    BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, expects_continue,
+    request_framing, request_host, wants_keep_alive,
 };
-use http::header::{CONNECTION, EXPECT, HOST};
+use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version};
 use monoio::net::TcpStream;
 use std::io::ErrorKind;
@@ -190,7 +190,13 @@
 }
 
 fn route(config: &Config, head: &RequestHead) -> Route {
-    let service = service_name(head);
+    let service = match request_host(head) {
+        Ok(service) => service,
+        Err(bad) => {
+            let status = StatusCode::BAD_REQUEST;
+            return Route::Unknown(OwnAnswer::not_run(status, bad.as_str(), &bad.to_string()));
+        }
+    };
     let path = head.uri.path();
     if let Some(class) = config.classify(service, head.method.as_str(), path) {
         return Route::Class(Arc::clone(class));
@@ -206,22 +212,6 @@
     Route::Unknown(OwnAnswer::not_run(StatusCode::NOT_FOUND, reason, &text))
 }
 
-/// The service that a request names: its host without the port.
-fn service_name(head: &RequestHead) -> &str {
-    let host = head.uri.host().or_else(|| text(&head.headers, HOST.as_str())).unwrap_or("");
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-        _ => host,
-    }
-}
-
-fn wants_keep_alive(head: &RequestHead) -> bool {
-    match head.version {
-        Version::HTTP_11 => !connection_has(&head.headers, "close"),
-        _ => connection_has(&head.headers, "keep-alive"),
-    }
-}
-
 /// An answer that comes before the body was read closes the connection, unless there is no body.
 fn skip_body(caller: &mut Caller, framing: Framing) {
     if framing != Framing::None {
@@ -229,12 +219,6 @@
     }
 }
 
-fn expects_continue(head: &RequestHead) -> bool {
-    head.version == Version::HTTP_11
-        && text(&head.headers, EXPECT.as_str())
-            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
-}
-
 /// The body of a request, as far as it was read.
 enum BodyRead {
     Whole(Bytes),
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -5,16 +5,16 @@
 use crate::exchange;
 use crate::instance::{Instance, Stage};
 use crate::relay;
-use crate::request::{self, BadHead, Request};
+use crate::request::{self, Request};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, select};
 use galenapath_http::{
-    BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead, connection_has,
-    request_framing,
+    BadRequest, BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead,
+    expects_continue, request_framing, request_host, wants_keep_alive,
 };
 use galenapath_protocol::{Micros, Verdict};
 use galenapath_routes::{CallerLimits, Route};
-use http::header::{CONNECTION, EXPECT, HeaderMap, HeaderValue};
+use http::header::{CONNECTION, HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Version};
 use monoio::net::TcpStream;
 use std::io::ErrorKind;
@@ -194,11 +194,11 @@
 }
 
 fn find_route(instance: &Instance, head: &RequestHead) -> Result<Arc<Route>, OwnAnswer> {
-    let host = match request::host(head) {
+    let host = match request_host(head) {
         Ok(host) => host,
-        Err(BadHead::Version) => {
+        Err(BadRequest::Version) => {
             let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
-            return Err(OwnAnswer::new(status, BadHead::Version.as_str()));
+            return Err(OwnAnswer::new(status, BadRequest::Version.as_str()));
         }
         Err(bad) => return Err(OwnAnswer::new(StatusCode::BAD_REQUEST, bad.as_str())),
     };
@@ -253,19 +253,6 @@
     }
 }
 
-fn wants_keep_alive(head: &RequestHead) -> bool {
-    match head.version {
-        Version::HTTP_11 => !connection_has(&head.headers, "close"),
-        _ => connection_has(&head.headers, "keep-alive"),
-    }
-}
-
-fn expects_continue(head: &RequestHead) -> bool {
-    let value = head.headers.get(EXPECT).and_then(|value| value.to_str().ok());
-    head.version == Version::HTTP_11
-        && value.is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
-}
-
 /// Reads the whole body, or says why it is not taken.
 async fn read_body(
     instance: &Instance,
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -5,8 +5,8 @@
 use galenapath_http::{Framing, RequestHead, strip_hop_by_hop};
 use galenapath_protocol::Micros;
 use galenapath_routes::Route;
-use http::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use http::{Method, Version};
+use http::Method;
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use std::sync::Arc;
 
 /// A request, read whole.
@@ -46,53 +46,6 @@
     }
 }
 
-/// Why a head cannot be served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BadHead {
-    /// A version of HTTP that is not spoken here.
-    Version,
-    /// No host, or more than one.
-    Host,
-    /// A target that is neither a path nor an absolute address.
-    Target,
-}
-
-impl BadHead {
-    /// Short name for logs and answers.
-    pub(crate) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Version => "http_version",
-            Self::Host => "bad_host",
-            Self::Target => "bad_target",
-        }
-    }
-}
-
-/// The host that a head names, without its port.
-///
-/// # Errors
-///
-/// When the head names none or leaves open which.
-pub(crate) fn host(head: &RequestHead) -> Result<&str, BadHead> {
-    if !matches!(head.version, Version::HTTP_11 | Version::HTTP_10) {
-        return Err(BadHead::Version);
-    }
-    if !head.uri.path().starts_with('/') {
-        return Err(BadHead::Target);
-    }
-    let mut values = head.headers.get_all(HOST).iter();
-    let host = match (values.next(), values.next()) {
-        (Some(value), None) => value.to_str().map_err(|_| BadHead::Host)?,
-        (None, None) if head.version == Version::HTTP_10 => "",
-        _ => return Err(BadHead::Host),
-    };
-    let host = head.uri.host().unwrap_or(host);
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => Ok(name),
-        _ => Ok(host),
-    }
-}
-
 /// Path and query of a head.
 pub(crate) fn path(head: &RequestHead) -> String {
     head.uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
--- a/crates/galenapath-http/src/lib.rs
+++ b/crates/galenapath-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod framing;
 mod head;
 mod hop_by_hop;
+mod request;
 
 pub use body::BodyState;
 pub use connection::{Connection, HeadTimes};
@@ -18,3 +19,4 @@
 pub use hop_by_hop::{connection_has, strip_hop_by_hop};
 pub use monoio_http::common::request::RequestHead;
 pub use monoio_http::common::response::ResponseHead;
+pub use request::{BadRequest, expects_continue, request_host, wants_keep_alive};
--- /dev/null
+++ b/crates/galenapath-http/src/request.rs
@@ -0,0 +1,71 @@
+//! What the head of a request says beside its framing.
+
+use crate::{RequestHead, connection_has};
+use http::Version;
+use http::header::{EXPECT, HOST};
+use thiserror::Error;
+
+/// Why a head cannot be served, although it can be read.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum BadRequest {
+    /// A version of HTTP that is not spoken here.
+    #[error("only HTTP/1.1 and HTTP/1.0 are spoken here")]
+    Version,
+    /// No host, or more than one.
+    #[error("exactly one Host header is needed")]
+    Host,
+    /// A target that is neither a path nor an absolute address.
+    #[error("the target must be a path or an absolute address")]
+    Target,
+}
+
+impl BadRequest {
+    /// Short name for logs and answers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Version => "http_version",
+            Self::Host => "bad_host",
+            Self::Target => "bad_target",
+        }
+    }
+}
+
+/// The host that a head names, without its port; empty where HTTP/1.0 names none.
+///
+/// # Errors
+///
+/// When the head names none or leaves open which, so that two readers could disagree.
+pub fn request_host(head: &RequestHead) -> Result<&str, BadRequest> {
+    if !matches!(head.version, Version::HTTP_11 | Version::HTTP_10) {
+        return Err(BadRequest::Version);
+    }
+    if !head.uri.path().starts_with('/') {
+        return Err(BadRequest::Target);
+    }
+    let mut values = head.headers.get_all(HOST).iter();
+    let host = match (values.next(), values.next()) {
+        (Some(value), None) => value.to_str().map_err(|_| BadRequest::Host)?,
+        (None, None) if head.version == Version::HTTP_10 => "",
+        _ => return Err(BadRequest::Host),
+    };
+    let host = head.uri.host().unwrap_or(host);
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => Ok(name),
+        _ => Ok(host),
+    }
+}
+
+/// Whether the caller wants to use the connection again.
+pub fn wants_keep_alive(head: &RequestHead) -> bool {
+    match head.version {
+        Version::HTTP_11 => !connection_has(&head.headers, "close"),
+        _ => connection_has(&head.headers, "keep-alive"),
+    }
+}
+
+/// Whether the caller waits for an interim answer before it sends the body.
+pub fn expects_continue(head: &RequestHead) -> bool {
+    let value = head.headers.get(EXPECT).and_then(|value| value.to_str().ok());
+    head.version == Version::HTTP_11
+        && value.is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -178,6 +178,8 @@
         // Between two regular probes, so that only a question before the send can tell.
         slow.set_pace(3_000);
         fast.set_pace(100);
+        // A regular probe just before the change is trusted for eight milliseconds.
+        std::thread::sleep(Duration::from_millis(12));
         let before = fast.seen().len();
         let answer = gateway.file(&format!("hs{round}"));
         assert_eq!(answer.status, 200);
