--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -3,10 +3,10 @@
 use crate::call::Call;
 use crate::crash;
 use crate::health;
+use crate::in_flight::InFlight;
 use crate::pool::Kept;
 use crate::reply::{self, HeadVerdict, Reply, Rest};
 use crate::request::set;
-use crate::service::InFlight;
 use galenapath_http::{
     BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
 };
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -1,10 +1,11 @@
 //! One request on its way through the instance, with what is noted of it for the log.
 
 use crate::attempt::Fault;
+use crate::in_flight::InFlight;
 use crate::instance::Instance;
 use crate::reply::Reply;
 use crate::request::Request;
-use crate::service::{InFlight, Service};
+use crate::service::Service;
 use galenapath_protocol::{BackendId, LoadReport, Micros, Verdict};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -3,9 +3,10 @@
 use crate::attempt::{Fault, attempt};
 use crate::call::Call;
 use crate::crash;
+use crate::in_flight::InFlight;
 use crate::instance::sleep;
 use crate::reply::Reply;
-use crate::service::{InFlight, NoServer, Wanted};
+use crate::waiting::{NoServer, Wanted};
 use futures::future::{Either, select};
 use galenapath_policy::place::{Entry, copies};
 use galenapath_protocol::{BackendId, Micros, Verdict};
--- /dev/null
+++ b/crates/galenapath-gateway/src/in_flight.rs
@@ -0,0 +1,57 @@
+//! A request that is counted at a server.
+
+use crate::instance::Instance;
+use crate::service::Service;
+use galenapath_policy::place::Started;
+use galenapath_protocol::BackendId;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A server that was given to a request, which is counted there.
+#[derive(Clone, Debug)]
+pub(crate) struct Given {
+    pub(crate) server: BackendId,
+    pub(crate) started: Started,
+}
+
+/// A request that is counted at a server. Dropping it takes it off.
+pub(crate) struct InFlight {
+    service: Rc<Service>,
+    instance: Rc<Instance>,
+    pub(crate) server: BackendId,
+    /// How the server looked.
+    pub(crate) started: Started,
+    is_sent: Cell<bool>,
+}
+
+impl InFlight {
+    /// Counts a request at `server`.
+    pub(crate) fn start(service: &Rc<Service>, instance: &Rc<Instance>, server: BackendId) -> Self {
+        let started = service.placement.borrow_mut().start(instance.now(), &server);
+        Self::started(service, instance, Given { server, started })
+    }
+
+    /// Takes over a request that is counted already.
+    pub(crate) fn started(service: &Rc<Service>, instance: &Rc<Instance>, given: Given) -> Self {
+        let Given { server, started } = given;
+        let (service, instance) = (Rc::clone(service), Rc::clone(instance));
+        Self { service, instance, server, started, is_sent: Cell::new(false) }
+    }
+}
+
+impl InFlight {
+    /// The request is on its way.
+    pub(crate) fn sent(&self) {
+        if !self.is_sent.replace(true) {
+            self.service.placement.borrow_mut().sent(&self.server);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.sent();
+        self.service.placement.borrow_mut().finish(&self.server);
+        self.service.poll(&self.instance);
+    }
+}
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod exchange;
 mod fleet;
 mod health;
+mod in_flight;
 mod instance;
 mod logging;
 mod metrics;
@@ -34,6 +35,7 @@
 mod sharing;
 mod state;
 mod stop;
+mod waiting;
 mod watch;
 
 pub use dialect::{AddressQuery, Dialect, HeaderNames, Question};
--- /dev/null
+++ b/tests/gateway/servers.rs
@@ -0,0 +1,167 @@
+//! Backend servers that fail, leave, slow down and crash.
+
+use crate::support::{Gateway, World, ask, wait_until};
+use galenapath_dev::users_platform::ServerTrouble;
+use std::time::Duration;
+
+#[test]
+fn filing_run_never_sent_again() {
+    for trouble in [
+        ServerTrouble::Mute,
+        ServerTrouble::Unsigned,
+        ServerTrouble::BreaksOff,
+        ServerTrouble::Busy,
+    ] {
+        let world = World::start();
+        let gateway = Gateway::ready(&world, &[]);
+        for server in world.of("file") {
+            server.set_trouble(trouble);
+        }
+        let answer = gateway.file("d1");
+        assert_eq!(answer.status, 502, "{trouble:?}");
+        assert_eq!(answer.header("x-response-signature"), None);
+        assert_eq!(world.ran("file"), 1, "{trouble:?}");
+        assert_eq!(gateway.log_of("d1")["verdict"], "may-have-run");
+    }
+}
+
+#[test]
+fn lookup_failed_sent_elsewhere() {
+    for trouble in [
+        ServerTrouble::Mute,
+        ServerTrouble::Shed,
+        ServerTrouble::Errors,
+        ServerTrouble::BreaksOff,
+        ServerTrouble::Other,
+        ServerTrouble::Hang,
+    ] {
+        let world = World::start();
+        let gateway = Gateway::ready(&world, &[]);
+        world.of("look")[0].set_trouble(trouble);
+        for n in 0..3 {
+            assert_eq!(gateway.look(&format!("e{n}")).status, 200, "{trouble:?}");
+        }
+    }
+}
+
+#[test]
+fn answer_foreign_or_doubled_never_mixed() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for trouble in [ServerTrouble::Foreign, ServerTrouble::Extra] {
+        for server in world.of("file") {
+            server.set_trouble(trouble);
+        }
+        for n in 0..6 {
+            let id = format!("f{n}");
+            let answer = gateway.file(&id);
+            assert_eq!(answer.status, 200, "{trouble:?}");
+            assert_eq!(answer.header("x-attempt-id"), Some(id.as_str()));
+            assert_eq!(answer.body, "x".repeat(20).as_bytes());
+        }
+    }
+}
+
+#[test]
+fn connection_forgotten_by_server_costs_no_filing() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for n in 0..4 {
+        assert_eq!(gateway.file(&format!("g{n}")).status, 200);
+    }
+    for server in world.of("file") {
+        server.set_trouble(ServerTrouble::ForgetsIdle);
+    }
+    // Older than a connection that a filing trusts without asking.
+    std::thread::sleep(Duration::from_millis(600));
+    for n in 4..8 {
+        assert_eq!(gateway.file(&format!("g{n}")).status, 200);
+    }
+    assert_eq!(world.ran("file"), 8);
+}
+
+#[test]
+fn request_avoids_server_that_just_turned_slow() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for n in 0..8 {
+        assert_eq!(gateway.file(&format!("h{n}")).status, 200);
+    }
+    for round in 0..10 {
+        // The budget of questions: one instance may ask each server eight times a second.
+        std::thread::sleep(Duration::from_millis(300));
+        let servers = world.of("file");
+        let (slow, fast) = (servers[round % 2], servers[(round + 1) % 2]);
+        // Between two regular probes, so that only a question before the send can tell.
+        slow.set_pace(3_000);
+        fast.set_pace(100);
+        // A regular probe just before the change is trusted for eight milliseconds.
+        std::thread::sleep(Duration::from_millis(12));
+        let before = fast.seen().len();
+        let answer = gateway.file(&format!("hs{round}"));
+        assert_eq!(answer.status, 200);
+        assert_eq!(fast.seen().len(), before + 1, "round {round}");
+    }
+}
+
+#[test]
+fn server_leaving_gets_nothing_new() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    let (leaving, stays) = (world.of("look")[0].clone(), world.of("look")[1].clone());
+    let (key, entry) = leaving.entry("look", "draining");
+    world.store.put(&key, &entry);
+    wait_until("the mark", || gateway.log().iter().any(|line| line["state"] == "Leaving"));
+    let before = leaving.seen().len();
+    for n in 0..6 {
+        assert_eq!(gateway.look(&format!("o{n}")).status, 200);
+    }
+    assert_eq!(leaving.seen().len(), before);
+    assert_eq!(stays.seen().len(), 6);
+}
+
+#[test]
+fn request_that_crashes_servers_refused_everywhere() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let second = Gateway::ready(&world, &[&first]);
+    wait_until("two addresses", || first.addresses().len() == 2);
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::CrashesOnPoison);
+    }
+    let crashes = || {
+        let ran = world.of("look").iter().flat_map(|server| server.seen()).collect::<Vec<_>>();
+        ran.iter().filter(|seen| seen.line.contains("poison")).count()
+    };
+    for n in 0..6 {
+        let gateway = if n % 2 == 0 { &first } else { &second };
+        gateway.request("GET", "/look/poison", &format!("z{n}"), 1_000, b"");
+        // The servers are back before the caller is.
+        std::thread::sleep(Duration::from_millis(1_200));
+    }
+    assert!(crashes() <= 4, "{} servers crashed", crashes());
+    let last = second.request("GET", "/look/poison", "z9", 1_000, b"");
+    assert_eq!(
+        (last.status, second.log_of("z9")["outcome"].as_str()),
+        (503, Some("crashes_servers"))
+    );
+    // Others are served, also by the servers that crashed.
+    wait_until("service", || first.look("z10").status == 200);
+}
+
+#[test]
+fn resets_are_no_crashes() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::Mute);
+    }
+    for n in 0..4 {
+        assert_eq!(gateway.look(&format!("zr{n}")).status, 502);
+    }
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::None);
+    }
+    wait_until("service", || gateway.look("zr9").status == 200);
+    assert!(!gateway.log().iter().any(|line| line["outcome"] == "crashes_servers"));
+}
--- /dev/null
+++ b/tests/gateway/store.rs
@@ -0,0 +1,143 @@
+//! The configuration, the list of backend servers, and a store that goes away.
+
+use crate::support::{Gateway, World, config, wait_until};
+use galenapath_dev::users_platform::KvTrouble;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+#[test]
+fn configuration_followed_and_never_reverted() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    assert_eq!(gateway.look("m1").status, 200);
+    let moved = config(3, &[("look", "service", json!("load"))]);
+    world.store.put("op/config", &moved);
+    wait_until("version 3", || gateway.metrics().contains("galenapath_config_version 3"));
+    let before = world.ran("load");
+    assert_eq!(gateway.look("m2").status, 200);
+    assert_eq!(world.ran("load"), before + 1);
+    world.store.put("op/config", &config(2, &[]));
+    world.store.put("op/config", &json!({ "version": "00000009", "resources": "broken" }));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(gateway.look("m3").status, 200);
+    assert_eq!(world.ran("load"), before + 2);
+    assert!(gateway.log().iter().any(|line| line["event"] == "configuration refused"));
+}
+
+#[test]
+fn lists_in_pages_and_dropped_history_read() {
+    let world = World::start();
+    world.store.set_page(2);
+    let gateway = Gateway::ready(&world, &[]);
+    assert!(gateway.metrics().contains("galenapath_servers 6"));
+    let (key, _) = world.of("look")[0].entry("look", "ready");
+    world.store.delete(&key);
+    world.store.forget_history();
+    wait_until("the shorter list", || gateway.metrics().contains("galenapath_servers 5"));
+    assert_eq!(gateway.look("p1").status, 200);
+}
+
+#[test]
+fn store_away_served_on_and_watched_again() {
+    for trouble in [KvTrouble::Silent, KvTrouble::Busy, KvTrouble::Limited, KvTrouble::Reset] {
+        let world = World::start();
+        let gateway = Gateway::ready(&world, &[]);
+        world.store.trouble(gateway.store, trouble);
+        let lost = |event: &str| gateway.log().iter().any(|line| line["event"] == event);
+        wait_until("the loss", || lost("the store did not answer"));
+        assert_eq!(gateway.look("q1").status, 200, "{trouble:?}");
+        world.store.put("op/config", &config(4, &[]));
+        world.store.trouble(gateway.store, KvTrouble::None);
+        wait_until("version 4", || gateway.metrics().contains("galenapath_config_version 4"));
+        assert!(lost("the store answers again"), "{trouble:?}");
+    }
+}
+
+#[test]
+fn entries_lapsed_in_an_outage_kept_for_two_seconds() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    world.store.trouble(gateway.store, KvTrouble::Reset);
+    let lost = || gateway.log().iter().any(|line| line["event"] == "the store did not answer");
+    wait_until("the loss", lost);
+    let entries: Vec<_> = world.of("look").iter().map(|s| s.entry("look", "ready")).collect();
+    for (key, _) in &entries {
+        world.store.delete(key);
+    }
+    world.store.trouble(gateway.store, KvTrouble::None);
+    let removed = || gateway.log().iter().any(|line| line["event"] == "server removed");
+    wait_until("the removal", removed);
+    assert_eq!(gateway.look("r1").status, 200);
+    let (key, entry) = &entries[0];
+    world.store.put(key, entry);
+    wait_until("the end of the other", || gateway.metrics().contains("galenapath_servers 5"));
+    assert_eq!(gateway.look("r2").status, 200);
+}
+
+#[test]
+fn instance_cut_from_the_store_told_by_its_peer() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let second = Gateway::ready(&world, &[&first]);
+    wait_until("two addresses", || first.addresses().len() == 2);
+    world.store.trouble(second.store, KvTrouble::Silent);
+    world.store.put("op/config", &config(5, &[]));
+    for gateway in [&first, &second] {
+        wait_until("version 5", || gateway.metrics().contains("galenapath_config_version 5"));
+    }
+    world.store.trouble(second.store, KvTrouble::None);
+    world.store.trouble(first.store, KvTrouble::Silent);
+    world.store.put("op/config", &config(6, &[]));
+    for gateway in [&first, &second] {
+        wait_until("version 6", || gateway.metrics().contains("galenapath_config_version 6"));
+    }
+}
+
+#[test]
+fn instance_started_without_the_store_takes_all_from_its_peer() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let second = Gateway::start(&world, &[&first]);
+    world.store.trouble(second.store, KvTrouble::Silent);
+    wait_until("readiness", || second.is_ready());
+    assert_eq!(second.look("s1").status, 200);
+}
+
+#[test]
+fn calm_store_called_seldom() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let others: Vec<Gateway> = (0..4).map(|_| Gateway::ready(&world, &[&first])).collect();
+    std::thread::sleep(Duration::from_secs(2));
+    let before = world.store.calls().len();
+    std::thread::sleep(Duration::from_secs(4));
+    let calls: Vec<String> = world.store.calls()[before..].to_vec();
+    let watches = calls.iter().filter(|call| call.ends_with("kv-watch")).count();
+    let pings = calls.iter().filter(|call| call.ends_with("kv-key")).count();
+    // Two instances watch, whatever their number.
+    assert!(watches <= 6, "{watches} watches of {} instances", others.len() + 1);
+    assert!(pings <= 24, "{pings} pings");
+}
+
+#[test]
+fn large_configuration_in_force_on_many() {
+    let world = World::start();
+    let first = Gateway::ready(&world, &[]);
+    let others: Vec<Gateway> = (0..9).map(|_| Gateway::ready(&world, &[&first])).collect();
+    let mut large = config(12, &[]);
+    let route = large["resources"][1].clone();
+    for n in 0..400 {
+        let mut more = route.clone();
+        more["metadata"]["name"] = json!(format!("more{n}"));
+        more["spec"]["prefix"] = json!(format!("/more{n}/"));
+        large["resources"].as_array_mut().unwrap().push(more);
+    }
+    world.store.put("op/config", &large);
+    let began = Instant::now();
+    for gateway in others.iter().chain([&first]) {
+        wait_until("version 12", || gateway.metrics().contains("galenapath_config_version 12"));
+    }
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+    let last = &others[8];
+    assert_eq!(last.request("GET", "/more399/x", "zz1", 1_000, b"").status, 200);
+}
