--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -1,6 +1,6 @@
 //! Backend servers that fail, leave, slow down and crash.
 
-use crate::support::{Gateway, World, ask, wait_until};
+use crate::support::{Gateway, World, wait_until};
 use galenapath_dev::users_platform::ServerTrouble;
 use std::time::Duration;
 
