Kept connections let go of their buffers

Cause: a connection kept for a server held 16 KiB from the last piece it read; an instance that serves keeps up to 136.

--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -50,9 +50,10 @@
         &self,
         now: Micros,
         id: &BackendId,
-        connection: Connection,
+        mut connection: Connection,
         stated: Option<Micros>,
     ) {
+        connection.shrink();
         let limit = stated.map_or(DEFAULT_IDLE, |stated| stated - MARGIN);
         let mut idle = self.idle.borrow_mut();
         let pool = idle.entry(id.clone()).or_default();
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -217,6 +217,17 @@
         !self.input.is_empty()
     }
 
+    /// Lets go of the buffers of a connection that is kept for later. A kept connection holds 16 KiB
+    /// otherwise, from the last piece that it read.
+    pub fn shrink(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        if self.output.is_empty() {
+            self.output = BytesMut::new();
+        }
+    }
+
     /// Resolves when the peer has closed or failed. Bytes that arrive meanwhile are kept for the
     /// next message; a peer that sends too much ahead of its turn is not watched any longer.
     pub async fn closed(&mut self) {
