--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -19,5 +19,5 @@
 
 pub use config::PlaceConfig;
 pub use known::Sighting;
-pub use placement::{Ask, Choice, PlacedServer, Placement, ServerKey, Started};
+pub use placement::{Ask, Choice, PlacedServer, Placement, Started};
 pub use queue::{Entry, QueueConfig, Refusal, WaitQueue};
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -16,9 +16,6 @@
 /// Weight of a late answer beside a failure.
 const LATE_WEIGHT: f32 = 0.4;
 
-/// Handle of a server; stays valid for as long as the server is listed.
-pub type ServerKey = BackendId;
-
 /// A server as the list tells it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlacedServer {
@@ -334,11 +331,6 @@
         self.crowding
     }
 
-    /// Requests at the servers, of all instances, as far as known.
-    pub fn load(&self) -> u32 {
-        self.servers.iter().map(Server::load).sum()
-    }
-
     fn server_mut(&mut self, id: &BackendId) -> Option<&mut Server> {
         self.servers.get_mut(*self.by_id.get(id)?)
     }
