What a server says of its load was true when it was asked, not when the answer was read

Cause: request_avoids_server_that_just_turned_slow failed a second time, beside four busy processes, 12 ms after the last possible probe: an instance that waits for its processor reads an answer late and then took it for fresh. The failing run kept no steps (the check now prints them), so that this is the likely cause and not a proven one; the mechanism is certain. Change: a sighting counts from the question. Test processes side by side had shared loopback addresses; each has its own now.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -123,7 +123,7 @@
         head => head,
     };
     let (head, verdict) = head.map_err(|e| broken(&e))?;
-    health::note(&call.instance, service, server, &head);
+    health::note(&call.instance, service, server, &head, call.instance.now());
     match verdict {
         HeadVerdict::NotRun => call.not_run(),
         HeadVerdict::OtherServer => {
--- a/crates/galenapath-gateway/src/health.rs
+++ b/crates/galenapath-gateway/src/health.rs
@@ -8,7 +8,7 @@
     response_framing,
 };
 use galenapath_policy::place::Sighting;
-use galenapath_protocol::BackendId;
+use galenapath_protocol::{BackendId, Micros};
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
 use std::time::Duration;
@@ -42,6 +42,9 @@
         headers.insert(HOST, host);
     }
     let path = service.spec.borrow().health_path.clone();
+    // An instance that waits for its processor reads the answer late: what it says was true when the
+    // question went out at the earliest.
+    let asked_at = instance.now();
     put_request(connection.output(), &Method::GET, &path, &headers, &[], Framing::None);
     connection.flush().await?;
     let head = connection.read_response(TIMES).await?;
@@ -51,7 +54,7 @@
     let closes = reply::closes(&head.headers) || framing == Framing::UntilClose;
     let is_clean = !closes && !connection.has_unread();
     Ok(Health {
-        sighting: note(instance, service, id, &head),
+        sighting: note(instance, service, id, &head, asked_at),
         is_other: is_other(instance, service, id, &head),
         connection: is_clean.then_some(connection),
     })
@@ -72,17 +75,19 @@
     is_other
 }
 
-/// Takes note of the load that comes with an answer, and tells others what is news.
+/// Takes note of the load that comes with an answer and was true at `at`, and tells others what is
+/// news.
 pub(crate) fn note(
     instance: &Instance,
     service: &Service,
     id: &BackendId,
     head: &ResponseHead,
+    at: Micros,
 ) -> Option<Sighting> {
     service.placement.borrow_mut().reached(id);
     let text = head.headers.get(&instance.names.load)?.to_str().ok()?;
     let report = instance.dialect.load(text)?;
-    let sighting = Sighting { at: instance.now(), report };
+    let sighting = Sighting { at, report };
     if service.see(instance, id, sighting) {
         instance.share_load(id, sighting);
     }
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -100,7 +100,8 @@
         let before = fast.seen().len();
         let answer = gateway.file(&format!("hs{round}"));
         assert_eq!(answer.status, 200);
-        assert_eq!(fast.seen().len(), before + 1, "round {round}");
+        let steps = gateway.log_of(&format!("hs{round}"))["steps"].clone();
+        assert_eq!(fast.seen().len(), before + 1, "round {round}: {steps}");
     }
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -30,13 +30,13 @@
     }
 }
 
-/// A loopback address that no other test uses: ports are the same on all instances.
+/// A loopback address that no other test uses, in this process or another: ports are the same on all
+/// instances.
 fn own_ip() -> Ipv4Addr {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let n = NEXT.fetch_add(1, Ordering::Relaxed) as u32;
-    let pid = std::process::id();
-    let [_, b, c, _] = (pid.wrapping_mul(8)).to_be_bytes();
-    Ipv4Addr::new(127, b | 1, c, (n % 250 + 1) as u8 ^ (pid % 4 * 64) as u8)
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 127, low, (n % 250 + 1) as u8)
 }
 
 /// An answer as a caller sees it.
