A server that starts again under its identity is a new one; an entry of another writer names none

Cause: a record was known by the identity alone, so that the marks, counts, connections and loads of a former run held for the new one, and a write of the former run that the store took late brought it back. Entries that could not be read left the server listed as it was before.

Change: the list orders writes by the start of the run, then by revision; everything kept of a server goes by the identity of its run. Each entry has to have all its fields in their types; what has not is counted, logged with its reason and removes the entry that stood there.

An entry without a time of start is still taken: those of the present platform have none.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -73,7 +73,17 @@
 
     /// Writes a key as the operator or a backend server does.
     pub fn put(&self, key: &str, value: &Value) {
-        self.lock().state.change(key, Some(value.to_string().into_bytes()));
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes a key as any other program may.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.lock().state.change(key, Some(value.to_vec()));
+    }
+
+    /// Revision of the newest change.
+    pub fn revision(&self) -> u64 {
+        self.lock().state.revision
     }
 
     /// Removes a key.
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -132,6 +132,13 @@
         (format!("servers/{id}"), entry)
     }
 
+    /// The same of a run that started at `started`, in Unix milliseconds.
+    pub fn entry_of_run(&self, service: &str, state: &str, started: u64) -> (String, Value) {
+        let (key, mut entry) = self.entry(service, state);
+        entry["born"] = json!(started);
+        (key, entry)
+    }
+
     /// Sets what it does wrong.
     pub fn set_trouble(&self, trouble: ServerTrouble) {
         self.lock().trouble = trouble;
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -113,7 +113,8 @@
     let (service, server) = (&call.service, &in_flight.server);
     let address = service.address(server).ok_or(Fault::Unreachable)?;
     let (mut connection, is_kept) = connect_fit(call, in_flight, address).await?;
-    put_head(call, in_flight, &mut connection);
+    let listed_id = service.listed_id(server).ok_or(Fault::Unreachable)?;
+    put_head(call, &listed_id, &mut connection);
     in_flight.sent();
     call.sent(&in_flight.server);
     let head = exchange_head(call, &mut connection).await;
@@ -123,7 +124,7 @@
             if is_kept && call.req.route.kind.may_repeat() =>
         {
             connection = connect(call, address).await?;
-            put_head(call, in_flight, &mut connection);
+            put_head(call, &listed_id, &mut connection);
             exchange_head(call, &mut connection).await
         }
         head => head,
@@ -267,13 +268,13 @@
     }
 }
 
-/// Writes head and body into the connection's buffer.
-fn put_head(call: &Call, in_flight: &InFlight, connection: &mut Connection) {
+/// Writes head and body of a request that only the server `listed_id` may run into the connection's buffer.
+fn put_head(call: &Call, listed_id: &BackendId, connection: &mut Connection) {
     let names = &call.instance.names;
     let mut headers = call.req.headers.clone();
     let left = call.req.deadline - call.instance.now();
     set(&mut headers, &names.time_left_ms, &(left.0 / 1_000).to_string());
-    set(&mut headers, &names.expected_server, &in_flight.server.0);
+    set(&mut headers, &names.expected_server, &listed_id.0);
     let framing = call.req.framing();
     let out = connection.output();
     put_request(out, &call.req.method, &call.req.path, &headers, &[], framing);
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -8,7 +8,7 @@
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Beat, Member, MemberStatus, StoreHealth, Vitals};
 use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros};
-use galenapath_routes::{ListedServer, Removal, ServerRecord, ServerState};
+use galenapath_routes::{ListedServer, Removal, ServerRecord, ServerState, StartedAt};
 use std::time::Duration;
 
 const READY: u8 = 1;
@@ -196,6 +196,7 @@
         let ListedServer { revision, record, lapses_in } = listed;
         Self {
             id: record.id.0,
+            started: record.started.0,
             service: record.service,
             address: record.address.to_string(),
             domain: record.domain.0,
@@ -219,6 +220,7 @@
             revision: wire.revision,
             record: ServerRecord {
                 id: BackendId(wire.id),
+                started: StartedAt(wire.started),
                 service: wire.service,
                 address,
                 domain: DomainId(wire.domain),
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -127,6 +127,9 @@
     pub revision: u64,
     pub service: ::std::string::String,
     pub slots: u32,
+    ///Unix milliseconds of the start of its process; 0 where it does not tell.
+    #[serde(default)]
+    pub started: u64,
 }
 ///One backend server's load.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/galenapath-gateway/src/health.rs
+++ b/crates/galenapath-gateway/src/health.rs
@@ -67,7 +67,8 @@
 
 fn is_other(instance: &Instance, service: &Service, id: &BackendId, head: &ResponseHead) -> bool {
     let told = head.headers.get(&instance.names.server_id);
-    let is_other = told.is_some_and(|told| told != id.0.as_str())
+    let listed = service.listed_id(id);
+    let is_other = told.is_some_and(|told| listed.is_none_or(|listed| told != listed.0.as_str()))
         || head.status == StatusCode::MISDIRECTED_REQUEST;
     if is_other {
         log::info!(server:% = id; "another server has the address");
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub probes: IntCounterVec,
     /// Calls on the platform's store, by call and result.
     pub store_calls: IntCounterVec,
+    /// Entries below the servers' prefix that name no server.
+    pub unreadable_entries: IntCounter,
     /// Log lines left out because of the budget.
     pub log_left_out: IntCounter,
     /// Open connections from callers.
@@ -73,6 +75,11 @@
             connects: counter(&r, "connects_total", "Connections to backend servers")?,
             probes: counters(&r, "probes_total", "Load probes", &["result"])?,
             store_calls: counters(&r, "store_calls_total", "Store calls", &["call", "result"])?,
+            unreadable_entries: counter(
+                &r,
+                "unreadable_entries_total",
+                "Entries that name no server",
+            )?,
             log_left_out: counter(&r, "log_left_out_total", "Log lines left out")?,
             callers: gauge(&r, "caller_connections", "Open connections from callers")?,
             waiting: gauge(&r, "waiting", "Requests that wait for a server")?,
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -31,6 +31,8 @@
 
 /// A server of the list.
 struct Listed {
+    /// Identity under which the platform lists it, the same for all its runs.
+    id: BackendId,
     address: SocketAddr,
     domain: DomainId,
     /// Whether that is the own failure domain.
@@ -54,6 +56,7 @@
     pub(crate) retries: RefCell<RetryBudget>,
     /// Idle connections to the servers.
     pub(crate) pools: Pools,
+    /// By the identities of their runs, as everything else here: a server that starts again is another one.
     listed: RefCell<FastMap<BackendId, Listed>>,
     /// The servers by the short form of their identities.
     by_short_id: RefCell<FastMap<u32, BackendId>>,
@@ -108,14 +111,15 @@
         let mut listed = FastMap::default();
         for record in directory.servers().filter(|record| record.service == self.name) {
             let (address, is_home) = (record.address, record.domain == home);
-            let probes = before.remove(&record.id).map_or_else(
+            let run = record.run_id();
+            let probes = before.remove(&run).map_or_else(
                 || AskBudget::new(now, self.probe_part(shares, is_home)),
                 |server| server.probes,
             );
-            let domain = record.domain.clone();
-            listed.insert(record.id.clone(), Listed { address, domain, is_home, probes });
+            let (id, domain) = (record.id.clone(), record.domain.clone());
+            listed.insert(run.clone(), Listed { id, address, domain, is_home, probes });
             list.push(PlacedServer {
-                id: record.id.clone(),
+                id: run,
                 slots: record.slots,
                 is_home,
                 is_leaving: record.state == ServerState::Leaving,
@@ -134,6 +138,12 @@
         self.listed.borrow().get(id).map(|server| server.address)
     }
 
+    /// Identity under which the platform lists a run of a server, by which the server itself goes; `None`
+    /// once it is gone.
+    pub(crate) fn listed_id(&self, run: &BackendId) -> Option<BackendId> {
+        self.listed.borrow().get(run).map(|server| server.id.clone())
+    }
+
     /// The server with a short identity.
     pub(crate) fn by_short_id(&self, short: u32) -> Option<BackendId> {
         self.by_short_id.borrow().get(&short).cloned()
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -2,9 +2,12 @@
 
 use crate::instance::Instance;
 use crate::packed::Packed;
-use galenapath_platform::KeyEvent;
+use galenapath_platform::{Item, KeyEvent};
+use galenapath_policy::LineKind;
 use galenapath_protocol::{BackendId, Micros};
-use galenapath_routes::{Change, Directory, ListNews, ListedServer, RouteTable, ServerChanges};
+use galenapath_routes::{
+    Change, Directory, ListNews, ListedServer, Removal, RouteTable, ServerChanges,
+};
 use std::rc::Rc;
 
 /// Time after the end of an outage of the store in which entries that lapsed meanwhile come back.
@@ -136,30 +139,57 @@
             }
             return;
         }
-        let Some(id) = event.key().strip_prefix(self.dialect.servers_prefix()) else { return };
-        let now = self.now();
+        let Some(id) = self.server_id(event.key()) else { return };
+        let mut gone_at = self.state.borrow().gone_at(self.now());
         let (revision, change) = match event {
             KeyEvent::Put(item) => match self.dialect.server(id, &item.value) {
                 Ok(record) => (item.revision.0, Change::Put(record)),
                 Err(e) => {
-                    log::warn!(server = id, error = e; "entry of a server cannot be read");
-                    return;
+                    self.note_unreadable(id, item.revision.0, &e);
+                    gone_at = None;
+                    (item.revision.0, Change::Removed(BackendId(id.to_owned())))
                 }
             },
             KeyEvent::Deleted { revision, .. } => {
                 (revision.0, Change::Removed(BackendId(id.to_owned())))
             }
         };
-        let mut state = self.state.borrow_mut();
-        let gone_at = state.gone_at(now);
-        state.directory.apply(revision, change, gone_at);
+        self.state.borrow_mut().directory.apply(revision, change, gone_at);
     }
 
-    /// Takes in the whole list as the store gave it.
-    pub(crate) fn take_list(&self, position: u64, list: Vec<ListedServer>) {
+    /// The identity in the key of a server's entry; `None` for any other key.
+    fn server_id<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.dialect.servers_prefix())
+    }
+
+    /// An entry below the servers' prefix is not a server's own: it names no server.
+    fn note_unreadable(&self, id: &str, revision: u64, error: &str) {
+        self.metrics.unreadable_entries.inc();
+        if self.may_log(LineKind::Failure) {
+            log::warn!(server = id, revision, error; "entry names no server");
+        }
+    }
+
+    /// Takes in the whole list as the store gave it: the entries below the servers' prefix.
+    pub(crate) fn take_list(&self, position: u64, items: &[Item]) {
+        let mut list = Vec::with_capacity(items.len());
+        let mut unreadable = Vec::new();
+        for Item { key, value, revision } in items {
+            let (id, revision) = (self.server_id(key).unwrap_or(key), revision.0);
+            match self.dialect.server(id, value) {
+                Ok(record) => list.push(ListedServer { revision, record, lapses_in: None }),
+                Err(e) => {
+                    self.note_unreadable(id, revision, &e);
+                    unreadable.push(Removal { revision, id: BackendId(id.to_owned()) });
+                }
+            }
+        }
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let gone_at = state.gone_at(now);
+        for Removal { revision, id } in unreadable {
+            state.directory.apply(revision, Change::Removed(id), None);
+        }
         state.directory.take_list(position, list, gone_at);
         drop(state);
         self.note_list_news(Source::Store);
@@ -211,7 +241,8 @@
 fn log_news(now: Micros, news: &ListNews, source: &str) {
     match news {
         ListNews::Listed { revision, record } => {
-            let (server, service) = (record.id.0.as_str(), record.service.as_str());
+            let (run, service) = (record.run_id(), record.service.as_str());
+            let server = run.0.as_str();
             let state = format!("{:?}", record.state);
             log::info!(
                 server, service, address:% = record.address, state, revision, source;
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_membership::{StoreHealth, WatchRole, reads_first, watch_role};
-use galenapath_platform::{Freshness, KeyStore, PlatformError, StoreIndex, Watched};
+use galenapath_platform::{Freshness, Item, KeyStore, PlatformError, StoreIndex, Watched};
 use galenapath_protocol::Micros;
-use galenapath_routes::ListedServer;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -191,22 +190,22 @@
         if let Some(item) = config {
             self.instance.take_config(&item.value);
         }
-        let Some((position, list)) = self.read_list(freshness).await else { return };
-        let newest = list.iter().map(|entry| entry.revision).max().unwrap_or(0);
+        let Some((position, items)) = self.read_list(freshness).await else { return };
+        let newest = items.iter().map(|item| item.revision.0).max().unwrap_or(0);
         let (position, stale_at) = match freshness {
             Freshness::Current => (position, None),
             Freshness::MayBeStale => (newest, Some(newest)),
         };
         self.stale_at = stale_at;
-        self.instance.take_list(position, list);
+        self.instance.take_list(position, &items);
         fleet::announce(&self.instance);
     }
 
     /// Reads all pages of the list. Its position is that of the first page: what changes while the
     /// others are read comes with the watch.
-    async fn read_list(&mut self, freshness: Freshness) -> Option<(u64, Vec<ListedServer>)> {
+    async fn read_list(&mut self, freshness: Freshness) -> Option<(u64, Vec<Item>)> {
         let prefix = self.instance.dialect.servers_prefix();
-        let mut list = Vec::new();
+        let mut items = Vec::new();
         let mut position = None;
         let mut after: Option<String> = None;
         loop {
@@ -215,19 +214,9 @@
             let page = page.ok()?;
             position.get_or_insert(page.position.0);
             after = page.items.last().map(|item| item.key.clone());
-            for item in page.items {
-                let id = item.key.strip_prefix(prefix).unwrap_or(&item.key);
-                match self.instance.dialect.server(id, &item.value) {
-                    Ok(record) => list.push(ListedServer {
-                        revision: item.revision.0,
-                        record,
-                        lapses_in: None,
-                    }),
-                    Err(e) => log::warn!(server = id, error = e; "entry cannot be read"),
-                }
-            }
+            items.extend(page.items);
             if !page.has_more || after.is_none() {
-                return Some((position?, list));
+                return Some((position?, items));
             }
         }
     }
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -3,9 +3,11 @@
 //! Load pattern: watches that are cut or lose their history, lists read in pages that are no
 //! snapshot, entries that lapse while the store is away, and peers that pass changes on in any
 //! order. Without revisions an old list would bring back a server that has left; without the wait
-//! after an outage a store that forgot its entries would empty the fleet.
+//! after an outage a store that forgot its entries would empty the fleet. A server may start again
+//! under its identity while a write of its former run is still on its way: without the time of the start
+//! that write would bring the former run back, or keep the new one from getting requests.
 
-use crate::ServerRecord;
+use crate::{ServerRecord, StartedAt};
 use galenapath_protocol::{BackendId, FastMap, FastSet, Micros};
 use std::collections::VecDeque;
 
@@ -68,7 +70,7 @@
     Removed {
         /// Revision of the removal.
         revision: u64,
-        /// The server.
+        /// The run that was listed.
         id: BackendId,
         /// Until when the entry may come back; `None` where the server is gone at once.
         gone_at: Option<Micros>,
@@ -94,17 +96,26 @@
     }
 }
 
+/// The newest removal of an entry.
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    revision: u64,
+    /// Start of the latest run that is known; an earlier one does not come back.
+    started: StartedAt,
+}
+
 /// The list.
 ///
-/// Invariants: an entry's revision never falls; an entry that was removed at revision `r` comes
-/// back only with a revision above `r`.
+/// Invariants: of each identity only the latest run that was ever seen counts, whatever the revisions say
+/// of earlier ones; within a run an entry's revision never falls; an entry that was removed at
+/// revision `r` comes back only with a revision above `r`.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     position: u64,
     servers: FastMap<BackendId, Listed>,
     /// Removals, oldest first.
     removals: VecDeque<Removal>,
-    removed: FastMap<BackendId, u64>,
+    removed: FastMap<BackendId, Removed>,
     /// Position up to which removals are not all known: they were forgotten, or made before the list
     /// that this one began with.
     forgotten: u64,
@@ -177,16 +188,17 @@
         self.reached(position);
     }
 
-    /// Removes the servers whose time to come back has passed. Returns them.
+    /// Removes the servers whose time to come back has passed. Returns their runs.
     pub fn expire(&mut self, now: Micros) -> Vec<BackendId> {
         let is_due = |entry: &Listed| entry.lapses_at.is_some_and(|at| at <= now);
         let due: Vec<BackendId> =
             self.servers.iter().filter(|(_, e)| is_due(e)).map(|(id, _)| id.clone()).collect();
+        let runs = due.iter().map(|id| self.servers[id].record.run_id()).collect();
         for id in &due {
             let revision = self.servers[id].revision;
             self.drop_entry(revision, id);
         }
-        due
+        runs
     }
 
     /// What a peer at `position` lacks.
@@ -218,7 +230,11 @@
     }
 
     fn put(&mut self, revision: u64, record: ServerRecord, lapses_at: Option<Micros>) -> bool {
-        if self.removed.get(&record.id).is_some_and(|at| *at >= revision) {
+        if self.is_of_former_run(&record) {
+            return false;
+        }
+        if self.removed.get(&record.id).is_some_and(|removed| removed.revision >= revision) {
+            self.note_gone(&record);
             return false;
         }
         let Some(entry) = self.servers.get_mut(&record.id) else {
@@ -227,7 +243,9 @@
             self.generation += 1;
             return true;
         };
-        if entry.revision > revision || (entry.revision == revision && entry.record == record) {
+        let is_later_run = record.started > entry.record.started;
+        let is_old = entry.revision > revision && !is_later_run;
+        if is_old || (entry.revision == revision && entry.record == record) {
             if entry.revision == revision && entry.lapses_at.is_none() {
                 entry.lapses_at = lapses_at;
             }
@@ -245,6 +263,25 @@
         true
     }
 
+    /// Whether a later run of the server is known.
+    fn is_of_former_run(&self, record: &ServerRecord) -> bool {
+        let listed = self.servers.get(&record.id).map(|entry| entry.record.started);
+        let removed = self.removed.get(&record.id).map(|removed| removed.started);
+        listed.max(removed).is_some_and(|latest| latest > record.started)
+    }
+
+    /// The run of `record` has ended before it was heard of; an earlier one ends with it.
+    fn note_gone(&mut self, record: &ServerRecord) {
+        let Some(removed) = self.removed.get_mut(&record.id) else { return };
+        removed.started = record.started;
+        let revision = removed.revision;
+        let former = self.servers.get(&record.id).map(|entry| &entry.record);
+        let Some(former) = former.filter(|former| former.started < record.started) else { return };
+        let id = former.run_id();
+        self.drop_entry(revision, &record.id);
+        self.news.push(ListNews::Removed { revision, id, gone_at: None });
+    }
+
     fn remove(&mut self, revision: u64, id: &BackendId, gone_at: Option<Micros>) -> bool {
         let Some(entry) = self.servers.get_mut(id) else {
             // The entry itself may still be on its way.
@@ -252,8 +289,11 @@
             return false;
         };
         if entry.revision > revision {
+            // It may have met a later run, whose entry is still on its way.
+            self.remember_removal(revision, id);
             return false;
         }
+        let run = entry.record.run_id();
         match gone_at {
             Some(at) => {
                 entry.lapses_at.get_or_insert(at);
@@ -261,25 +301,30 @@
             }
             None => self.drop_entry(revision, id),
         }
-        self.news.push(ListNews::Removed { revision, id: id.clone(), gone_at });
+        self.news.push(ListNews::Removed { revision, id: run, gone_at });
         true
     }
 
     fn drop_entry(&mut self, revision: u64, id: &BackendId) {
+        self.remember_removal(revision, id);
         self.servers.remove(id);
         self.generation += 1;
-        self.remember_removal(revision, id);
     }
 
     fn remember_removal(&mut self, revision: u64, id: &BackendId) {
-        if self.removed.get(id).is_some_and(|at| *at >= revision) {
+        let before = self.removed.get(id).copied();
+        let listed = self.servers.get(id).map(|entry| entry.record.started);
+        let started = listed.max(before.map(|removed| removed.started)).unwrap_or_default();
+        if let Some(before) = before.filter(|before| before.revision >= revision) {
+            self.removed.insert(id.clone(), Removed { started, ..before });
             return;
         }
         self.removals.push_back(Removal { revision, id: id.clone() });
-        self.removed.insert(id.clone(), revision);
+        self.removed.insert(id.clone(), Removed { revision, started });
         while self.removals.len() > REMEMBERED {
             if let Some(oldest) = self.removals.pop_front() {
-                self.removed.retain(|id, at| *id != oldest.id || *at > oldest.revision);
+                let is_newer = |removed: &Removed| removed.revision > oldest.revision;
+                self.removed.retain(|id, removed| *id != oldest.id || is_newer(removed));
                 self.forgotten = self.forgotten.max(oldest.revision);
             }
         }
--- a/crates/galenapath-routes/src/lib.rs
+++ b/crates/galenapath-routes/src/lib.rs
@@ -14,7 +14,7 @@
 pub use directory::{Change, Directory, ListNews, ListedServer, Removal, ServerChanges};
 pub use limits::CallerLimits;
 pub use route::{Part, Route, RouteKind};
-pub use server::{ServerRecord, ServerState};
+pub use server::{ServerRecord, ServerState, StartedAt};
 pub use service::ServiceSpec;
 pub use split::SplitTurn;
 pub use table::{RouteTable, TableError};
--- a/crates/galenapath-routes/src/server.rs
+++ b/crates/galenapath-routes/src/server.rs
@@ -13,11 +13,19 @@
     Leaving,
 }
 
+/// When a backend server's process started, in Unix milliseconds by its own clock; zero where it does
+/// not tell. A process that starts later under the same identity is another one: it holds nothing of
+/// what the one before held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StartedAt(pub u64);
+
 /// One run of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerRecord {
-    /// Identity of this run; a restart has a new one.
+    /// Identity under which the platform lists it; a restart may keep it.
     pub id: BackendId,
+    /// When this run started.
+    pub started: StartedAt,
     /// Service that it belongs to.
     pub service: String,
     /// Where it listens. May belong to another server once this one is gone.
@@ -33,6 +41,15 @@
 }
 
 impl ServerRecord {
+    /// Identity of this run. Whatever is known, counted or kept of a server belongs to one run: a
+    /// restart under the same identity begins with none of it.
+    pub fn run_id(&self) -> BackendId {
+        match self.started {
+            StartedAt(0) => self.id.clone(),
+            StartedAt(ms) => BackendId(format!("{}@{ms}", self.id.0)),
+        }
+    }
+
     /// Whether the two say the same but for how much longer the server works slowly, which every entry of
     /// a server that has just started tells anew and which matters only when the server is first seen.
     pub fn is_like(&self, other: &Self) -> bool {
--- a/crates/galenapath-routes/tests/directory.rs
+++ b/crates/galenapath-routes/tests/directory.rs
@@ -1,7 +1,9 @@
 //! The list of backend servers, however changes reach it.
 
 use galenapath_protocol::{BackendId, DomainId, Micros};
-use galenapath_routes::{Change, Directory, ListNews, ListedServer, ServerRecord, ServerState};
+use galenapath_routes::{
+    Change, Directory, ListNews, ListedServer, ServerRecord, ServerState, StartedAt,
+};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +14,7 @@
 fn record(n: u64, state: ServerState) -> ServerRecord {
     ServerRecord {
         id: BackendId(format!("s{n}")),
+        started: StartedAt(0),
         service: "s".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
         domain: DomainId("d".into()),
@@ -21,6 +24,11 @@
     }
 }
 
+/// The record of the only server's run that started at `started`.
+fn run(started: u64, state: ServerState) -> ServerRecord {
+    ServerRecord { started: StartedAt(started), ..record(1, state) }
+}
+
 fn listed(revision: u64, n: u64) -> ListedServer {
     ListedServer { revision, record: record(n, ServerState::Ready), lapses_in: None }
 }
@@ -49,6 +57,45 @@
     assert!(directory.apply(8, Change::Put(record(1, ServerState::Ready)), None));
 }
 
+#[test]
+fn apply_later_run_begins_anew() {
+    let mut directory = Directory::default();
+    directory.apply(5, Change::Put(run(100, ServerState::Leaving)), None);
+    directory.take_news();
+    assert!(directory.apply(6, Change::Put(run(200, ServerState::Ready)), None));
+    let listed = directory.get(&BackendId("s1".into()));
+    assert_eq!(listed, Some(&run(200, ServerState::Ready)));
+    assert_ne!(run(100, ServerState::Ready).run_id(), run(200, ServerState::Ready).run_id());
+    assert_eq!(directory.take_news().len(), 1);
+}
+
+#[test]
+fn apply_former_run_ignored_at_any_revision() {
+    let mut directory = Directory::default();
+    directory.apply(5, Change::Put(run(200, ServerState::Ready)), None);
+    // A write of the former run that the store took late.
+    assert!(!directory.apply(8, Change::Put(run(100, ServerState::Leaving)), None));
+    let late =
+        ListedServer { revision: 9, record: run(100, ServerState::Leaving), lapses_in: None };
+    directory.take_list(9, vec![late], None);
+    let listed = directory.get(&BackendId("s1".into()));
+    assert_eq!(listed, Some(&run(200, ServerState::Ready)));
+    directory.apply(10, Change::Removed(BackendId("s1".into())), None);
+    assert!(!directory.apply(11, Change::Put(run(100, ServerState::Ready)), None));
+    assert!(directory.apply(12, Change::Put(run(200, ServerState::Ready)), None));
+}
+
+#[test]
+fn apply_ended_run_takes_the_former_one_with_it() {
+    let mut directory = Directory::default();
+    directory.apply(12, Change::Put(run(100, ServerState::Ready)), None);
+    directory.apply(11, Change::Removed(BackendId("s1".into())), None);
+    assert_eq!(names(&directory), ["s1"]);
+    // The later run had ended at 11 when the former one wrote for the last time.
+    directory.apply(10, Change::Put(run(200, ServerState::Ready)), None);
+    assert!(names(&directory).is_empty());
+}
+
 #[test]
 fn take_list_keeps_what_is_newer() {
     let mut directory = Directory::default();
@@ -145,7 +192,55 @@
     prop::collection::vec((0_u64..6, any::<bool>()), 1..60)
 }
 
+/// What the store writes about one server: the start of the run that writes, or nothing for a removal.
+fn writes() -> impl Strategy<Value = Vec<Option<u64>>> {
+    prop::collection::vec(prop::option::weighted(0.7, 1_u64..4), 1..12)
+}
+
+/// What a list that knows all of `writes` holds: the latest run, unless it was removed after its last
+/// write. Returns that run's last write.
+fn standing(writes: &[Option<u64>]) -> Option<(u64, u64)> {
+    let latest = writes.iter().flatten().copied().max()?;
+    let last_put = writes.iter().rposition(|write| *write == Some(latest))?;
+    let is_removed = writes[last_put..].contains(&None);
+    (!is_removed).then_some((latest, last_put as u64 + 1))
+}
+
 proptest! {
+    /// Runs of a server that write in any order of their starts, and removals between: whichever order a
+    /// list hears them in, and through whichever peer, it ends with the same.
+    #[test]
+    fn apply_runs_any_order_agree(writes in writes(), order in any::<prop::sample::Index>(), cut in 0_usize..12) {
+        let mut events: Vec<(u64, Change)> = Vec::new();
+        for (step, write) in writes.iter().enumerate() {
+            let change = match write {
+                Some(started) => Change::Put(run(*started, ServerState::Ready)),
+                None => Change::Removed(BackendId("s1".into())),
+            };
+            events.push((step as u64 + 1, change));
+        }
+        let mut shuffled = events.clone();
+        let seed = order.index(1 << 20) as u64;
+        shuffled.sort_by_key(|(revision, _)| (revision * 7_919 + 13).wrapping_mul(seed | 1) % 1_009);
+        let (mut first, mut second, mut peer) =
+            (Directory::default(), Directory::default(), Directory::default());
+        for (step, (revision, change)) in events.into_iter().enumerate() {
+            first.apply(revision, change, None);
+            first.reached(revision);
+            if step == cut {
+                peer.merge(first.changes_after(peer.position(), NOW), NOW);
+            }
+        }
+        peer.merge(first.changes_after(peer.position(), NOW), NOW);
+        shuffled.into_iter().for_each(|(revision, change)| {
+            second.apply(revision, change, None);
+        });
+        let expected = standing(&writes).map(|(started, _)| run(started, ServerState::Ready));
+        for directory in [&first, &second, &peer] {
+            prop_assert_eq!(directory.get(&BackendId("s1".into())), expected.as_ref());
+        }
+    }
+
     /// One directory follows the store, another takes deltas from it now and then, a third gets the
     /// changes in a shuffled order: all end with the store's list.
     #[test]
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -134,6 +134,60 @@
     assert_eq!(stays.seen().len(), 6);
 }
 
+#[test]
+fn server_started_again_under_its_id_is_a_new_one() {
+    let world = World::start();
+    let server = world.of("look")[0].clone();
+    let (other, _) = world.of("look")[1].entry("look", "ready");
+    world.store.delete(&other);
+    let put = |state: &str, started: u64| {
+        let (key, entry) = server.entry_of_run("look", state, started);
+        world.store.put(&key, &entry);
+    };
+    put("ready", 100);
+    let gateway = Gateway::ready(&world, &[]);
+    assert_eq!(gateway.look("ra1").status, 200);
+    put("draining", 100);
+    let listed = |state: &str| gateway.log().iter().any(|line| line["state"] == state);
+    wait_until("the mark", || listed("Leaving"));
+    assert_eq!(gateway.look("ra2").status, 503);
+    // What was believed of the former run does not hold for the new one.
+    put("ready", 200);
+    wait_until("service", || gateway.look("ra3").status == 200);
+    // Nor does what the former run wrote and the store took late.
+    put("draining", 100);
+    let position = |at: u64| gateway.metrics().contains(&format!("galenapath_list_position {at}"));
+    let revision = world.store.revision();
+    wait_until("the late write", || position(revision));
+    for n in 4..8 {
+        assert_eq!(gateway.look(&format!("ra{n}")).status, 200);
+    }
+}
+
+#[test]
+fn filing_sent_to_a_former_run_never_sent_again() {
+    let world = World::start();
+    for server in world.of("file") {
+        server.set_trouble(ServerTrouble::Hang);
+        let (key, entry) = server.entry_of_run("file", "ready", 100);
+        world.store.put(&key, &entry);
+    }
+    let gateway = Gateway::ready(&world, &[]);
+    std::thread::scope(|scope| {
+        let filing = scope.spawn(|| gateway.file("rf1"));
+        wait_until("the send", || world.ran("file") == 1);
+        for server in world.of("file") {
+            let (key, entry) = server.entry_of_run("file", "ready", 200);
+            world.store.put(&key, &entry);
+            server.set_trouble(ServerTrouble::None);
+        }
+        assert_eq!(filing.join().unwrap().status, 504);
+    });
+    assert_eq!(world.ran("file"), 1);
+    assert_eq!(gateway.log_of("rf1")["verdict"], "may-have-run");
+    assert_eq!(gateway.file("rf2").status, 200);
+}
+
 #[test]
 fn request_that_crashes_servers_refused_everywhere() {
     let world = World::start();
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -74,6 +74,40 @@
     assert_eq!(gateway.look("r2").status, 200);
 }
 
+#[test]
+fn entry_of_another_writer_names_no_server() {
+    let world = World::start();
+    world.store.put("servers/stranger", &json!({ "note": "left here by another program" }));
+    let gateway = Gateway::ready(&world, &[]);
+    wait_until("servers", || gateway.metrics().contains("galenapath_servers 6"));
+    assert_eq!(gateway.look("w1").status, 200);
+    // A good entry that turns bad under the same identity names no server.
+    let before = world.of("look")[0].seen().len();
+    let (key, mut entry) = world.of("look")[0].entry("look", "ready");
+    entry["state"] = json!("resting");
+    world.store.put(&key, &entry);
+    wait_until("five servers", || gateway.metrics().contains("galenapath_servers 5"));
+    world.store.put_bytes("servers/i-file0", b"\xff\xfe no text");
+    wait_until("four servers", || gateway.metrics().contains("galenapath_servers 4"));
+    for n in 2..6 {
+        assert_eq!(gateway.look(&format!("w{n}")).status, 200);
+    }
+    assert_eq!(world.of("look")[0].seen().len(), before);
+    let told = gateway.log().into_iter().filter(|line| line["event"] == "entry names no server");
+    let told: Vec<String> =
+        told.map(|line| format!("{}: {}", line["server"], line["error"])).collect();
+    for (id, why) in
+        [("stranger", "service"), ("i-look0", "resting"), ("i-file0", "expected value")]
+    {
+        assert!(told.iter().any(|line| line.contains(id) && line.contains(why)), "{id}: {told:?}");
+    }
+    assert!(!gateway.metrics().contains("galenapath_unreadable_entries_total 0"));
+    // And a good one again does.
+    entry["state"] = json!("ready");
+    world.store.put(&key, &entry);
+    wait_until("five servers", || gateway.metrics().contains("galenapath_servers 5"));
+}
+
 #[test]
 fn instance_cut_from_the_store_told_by_its_peer() {
     let world = World::start();
