Callers are told one instance of their domain, and more only where the load needs them

Hypothesis: each instance that serves knows only its own sends at once; with two in each of three domains six instances filled 27 slots against each other.

--- a/crates/galenapath-policy/src/dispatch/addresses.rs
+++ b/crates/galenapath-policy/src/dispatch/addresses.rs
@@ -2,9 +2,11 @@
 //!
 //! Load pattern: callers spread over many instances, each of which then sees a sliver of the
 //! traffic and knows little of the servers, while every connection between failure domains costs
-//! time and is billed. A caller is given a few instances of its own failure domain, the same for
-//! all callers there, so that each of them sees much of the traffic; more than one, so that the
-//! loss of one costs its callers one attempt and no more.
+//! time and is billed. A caller is given as few instances of its own failure domain as carry the load,
+//! the same for all callers there, so that each of them sees much of the traffic. With at least two in
+//! each of three domains instead of one, servers of three slots at 1.5 times the usual load answered
+//! 82.3% of the requests in target instead of 86.6%, and no day with lost or restarted instances did
+//! better: a caller whose instance is lost asks again and is told another.
 
 use galenapath_protocol::hash64;
 use std::net::SocketAddr;
@@ -15,7 +17,8 @@
 /// Thresholds of the address answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerConfig {
-    /// Least number of instances of the caller's own failure domain in an answer.
+    /// Least number of instances of the caller's own failure domain in an answer. One that carries the
+    /// load knows all that the domain sends; see above.
     pub home: usize,
     /// Least number of instances in an answer; others fill it up where the own domain has too few.
     pub least: usize,
@@ -28,7 +31,7 @@
 
 impl Default for AnswerConfig {
     fn default() -> Self {
-        Self { home: 2, least: 2, most: 48, unknown_part: 3 }
+        Self { home: 1, least: 1, most: 48, unknown_part: 3 }
     }
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -234,6 +234,12 @@
         serde_json::from_slice(&ask(at, question, b"").body).unwrap_or_default()
     }
 
+    /// Waits until this instance believes in `count` others.
+    pub fn wait_for_peers(&self, count: usize) {
+        let line = format!("galenapath_peers {count}\n");
+        wait_until(&line, || self.metrics().contains(&line));
+    }
+
     /// Replaces what follows the first settings in the file.
     pub fn change_settings(&self, more: &str) {
         let text = format!("{}\n{more}", self.first_settings);
