Requests that wait no longer hold up those that could start

Hypothesis: a fresh request behind a late one, or behind one that has been passed over by some servers, waits although there is a server for it: only the first of each kind was tried.

Change: a request goes straight to placement unless somebody in front of it waits; picky ones are tried with the first that takes any server behind them.

Two unit tests fail without it.

--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -120,17 +120,19 @@
 async fn place(call: &Call) -> Result<InFlight, NoServer> {
     let began = call.instance.now();
     let req = &call.req;
+    // What is known of the others is older, so that they may be better by now.
+    let passed_over: Vec<BackendId> =
+        call.tried.borrow().iter().chain(&*call.unfit.borrow()).cloned().collect();
     let entry = Entry {
         ticket: req.ticket,
         rank: req.route.rank,
         arrived: req.arrived,
         target: req.target_at,
         deadline: req.deadline,
+        is_picky: !passed_over.is_empty(),
     };
     let is_large = req.route.kind == RouteKind::Download;
     call.service.placement.borrow_mut().assume_work(req.route.target.into());
-    // What is known of the others is older, so that they may be better by now.
-    let passed_over = call.tried.borrow().iter().chain(&*call.unfit.borrow()).cloned().collect();
     let wanted = Wanted { entry, tried: passed_over, is_large };
     let mut result = call.service.place(&call.instance, wanted).await;
     if matches!(result, Err(NoServer::Nowhere)) && !call.unfit.take().is_empty() {
--- a/crates/galenapath-gateway/src/waiting.rs
+++ b/crates/galenapath-gateway/src/waiting.rs
@@ -49,7 +49,7 @@
         wanted: Wanted,
     ) -> Result<InFlight, NoServer> {
         let now = instance.now();
-        if self.queue.borrow().is_empty() {
+        if !self.queue.borrow().has_before(now, &wanted.entry) {
             let ask = Ask {
                 tried: &wanted.tried,
                 is_large: wanted.is_large,
@@ -134,8 +134,8 @@
 
     /// Starts one of those that are next; returns whether there was a server for any.
     fn start_next(&self, now: Micros) -> bool {
-        let heads: Vec<Entry> = self.queue.borrow().heads().copied().collect();
-        heads.iter().any(|entry| self.try_start(now, entry) == Tried::Started)
+        let next: Vec<Entry> = self.queue.borrow().next().copied().collect();
+        next.iter().any(|entry| self.try_start(now, entry) == Tried::Started)
     }
 
     fn try_start(&self, now: Micros, entry: &Entry) -> Tried {
--- a/crates/galenapath-policy/src/place/queue.rs
+++ b/crates/galenapath-policy/src/place/queue.rs
@@ -55,6 +55,9 @@
     pub target: Micros,
     /// When its caller has no more use for an answer.
     pub deadline: Micros,
+    /// Whether some servers are out of the question for it, because it was sent there or they turned out
+    /// unfit.
+    pub is_picky: bool,
 }
 
 /// A refusal: the request has not run.
@@ -96,6 +99,12 @@
         self.waiting.is_empty()
     }
 
+    /// Whether somebody waits who goes before a request that arrives now.
+    pub fn has_before(&self, now: Micros, entry: &Entry) -> bool {
+        let own = place(entry, entry.target <= now);
+        self.waiting.range(..own).next().is_some()
+    }
+
     /// Lets a request wait, or refuses it at once where its wait is predicted to be too long.
     /// `pace` is the mean time between two starts at this instance, `work` the time it then takes.
     ///
@@ -143,11 +152,17 @@
         Refusal { retry_after, predicted }
     }
 
-    /// Who goes next: the first of those that can meet their target, then the first late one, which
-    /// may take a server that is too slow for the others.
-    pub fn heads(&self) -> impl Iterator<Item = &Entry> {
-        let first = |is_late| self.waiting.iter().find(move |(place, _)| place.is_late == is_late);
-        [first(false), first(true)].into_iter().flatten().map(|(_, entry)| entry)
+    /// Who may go next, in order: of those that can meet their target the first one that takes any server,
+    /// which stands for all behind it, and the picky ones before it, which must not hold it up; then the
+    /// same of the late ones, which may take a server that is too slow for the others.
+    pub fn next(&self) -> impl Iterator<Item = &Entry> {
+        let first = |is_late: bool| {
+            let mut is_found = false;
+            let side = self.waiting.iter().filter(move |(place, _)| place.is_late == is_late);
+            side.map(|(_, entry)| entry)
+                .take_while(move |entry| !std::mem::replace(&mut is_found, !entry.is_picky))
+        };
+        first(false).chain(first(true))
     }
 
     /// Takes a request out, because it starts or its caller has gone.
--- a/crates/galenapath-policy/tests/place/queue.rs
+++ b/crates/galenapath-policy/tests/place/queue.rs
@@ -18,6 +18,7 @@
         arrived: START,
         target: START + ms(target),
         deadline: START + ms(deadline),
+        is_picky: false,
     }
 }
 
@@ -25,8 +26,8 @@
     WaitQueue::new(QueueConfig::default())
 }
 
-fn heads(queue: &WaitQueue) -> Vec<u64> {
-    queue.heads().map(|entry| entry.ticket).collect()
+fn next(queue: &WaitQueue) -> Vec<u64> {
+    queue.next().map(|entry| entry.ticket).collect()
 }
 
 #[test]
@@ -34,7 +35,7 @@
     let mut queue = queue();
     assert!(queue.offer(START, entry(1, 0, 50, 2_000), PACE, WORK).is_ok());
     assert!(queue.offer(START, entry(2, 1, 400, 1_200), PACE, WORK).is_ok());
-    assert_eq!(heads(&queue), [2, 1]);
+    assert_eq!(next(&queue), [2, 1]);
 }
 
 #[test]
@@ -43,9 +44,31 @@
     for (ticket, rank) in [(1, 2), (2, 1), (3, 1)] {
         assert!(queue.offer(START, entry(ticket, rank, 400, 1_200), PACE, WORK).is_ok());
     }
-    assert_eq!(heads(&queue), [2]);
+    assert_eq!(next(&queue), [2]);
     queue.remove(2);
-    assert_eq!(heads(&queue), [3]);
+    assert_eq!(next(&queue), [3]);
+}
+
+#[test]
+fn next_picky_holds_nobody_up() {
+    let mut queue = queue();
+    for (ticket, is_picky) in [(1, true), (2, true), (3, false), (4, false)] {
+        let entry = Entry { is_picky, ..entry(ticket, 0, 400, 1_200) };
+        assert!(queue.offer(START, entry, PACE, WORK).is_ok());
+    }
+    let late = Entry { is_picky: true, ..entry(5, 0, 50, 2_000) };
+    assert!(queue.offer(START, late, PACE, WORK).is_ok());
+    assert_eq!(next(&queue), [1, 2, 3, 5]);
+}
+
+#[test]
+fn has_before_late_ones_hold_up_nobody_in_time() {
+    let mut queue = queue();
+    assert!(queue.offer(START, entry(1, 0, 50, 2_000), PACE, WORK).is_ok());
+    assert!(!queue.has_before(START, &entry(2, 5, 400, 1_200)));
+    assert!(queue.has_before(START, &Entry { arrived: START + ms(1), ..entry(3, 0, 0, 1_200) }));
+    assert!(queue.offer(START, entry(2, 0, 400, 1_200), PACE, WORK).is_ok());
+    assert!(queue.has_before(START, &Entry { arrived: START + ms(1), ..entry(4, 0, 401, 1_200) }));
 }
 
 #[test]
