--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -10,9 +10,11 @@
     pub pace_fades: Micros,
     /// Time that a request is taken to run before any has been measured.
     pub assumed_work: Micros,
-    /// Cost of a server of another failure domain for an ordinary answer: the bytes are billed, and
-    /// there is time for some wait at the own domain.
-    pub crossing: Micros,
+    /// Part of the work time that a server of another failure domain costs for an ordinary answer: the
+    /// bytes are billed, and targets leave room for a wait and a fuller server at home. More than a full
+    /// server costs and less than a crowded or slow one. At 0.2 of the work time a third more bytes
+    /// crossed and no more answers were in target.
+    pub crossing: f32,
     /// Cost of a server of another failure domain for a large answer, whose bytes cost about as much
     /// as the answer is worth; less than a slow spell.
     pub crossing_large: Micros,
@@ -49,7 +51,7 @@
         Self {
             pace_fades: Micros::from_millis(300),
             assumed_work: Micros::from_millis(100),
-            crossing: Micros::from_millis(30),
+            crossing: 0.75,
             crossing_large: Micros::from_millis(250),
             fill_cost: 0.5,
             jitter: 0.15,
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -197,14 +197,14 @@
         let server = &self.servers[index];
         let work = self.work().0 as f32;
         let fill = server.fill();
-        let crossing = if is_large { cfg.crossing_large } else { cfg.crossing };
+        let crossing = if is_large { cfg.crossing_large.0 as f32 } else { cfg.crossing * work };
         let mut cost = self.lateness(now, index);
         cost += fill * fill * cfg.fill_cost * work;
         if fill > cfg.crowded_from {
             cost += (self.crowding() - 1.0).max(0.0) * work;
         }
         cost += server.trouble(now, cfg) * cfg.failure.0 as f32;
-        cost += if server.is_home { 0.0 } else { crossing.0 as f32 };
+        cost += if server.is_home { 0.0 } else { crossing };
         cost
     }
 
