Instances tell each other at once which slots they fill

Hypothesis: with three slots a server, what another instance sent a moment ago decides whether a slot is free; loads were told 50 ms late, without the sender's own request, and a changed number only every 150 ms. Seen in the logs: five requests of three instances to one server that had just become free.

Change: a send is told with the load that it makes; a third of the slots more or less is news at once; datagrams go out every 20 ms where there is news. What is news is decided in the policy, with tests.

--- a/crates/galenapath-gateway/src/in_flight.rs
+++ b/crates/galenapath-gateway/src/in_flight.rs
@@ -51,15 +51,28 @@
 impl InFlight {
     /// The request is on its way.
     pub(crate) fn sent(&self) {
+        self.count_sent();
+        self.share_load();
+    }
+
+    fn count_sent(&self) {
         if !self.is_sent.replace(true) {
             self.service.placement.borrow_mut().sent(&self.server);
         }
     }
+
+    /// Tells the others of the slot that this request takes: they would fill it as well.
+    fn share_load(&self) {
+        let placement = self.service.placement.borrow();
+        let Some(seen) = placement.seen(&self.server) else { return };
+        let load = placement.load(&self.server);
+        self.instance.share_load(&self.server, seen.with_load(load));
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.sent();
+        self.count_sent();
         self.service.placement.borrow_mut().finish(&self.server);
         self.service.poll(&self.instance);
         let Some(told) = self.told.take() else { return };
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -10,12 +10,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Time between two datagrams. A slow spell lasts half a second; a tenth of that is soon enough.
-const FLUSH_PERIOD: Micros = Micros::from_millis(50);
-
-/// Age of a load that was told after which it is told again although nothing but the number of
-/// requests has changed.
-const REFRESH: Micros = Micros::from_millis(150);
+/// Time between two datagrams: others that wait for a slot send their requests by what they know, and two
+/// that see the same slot free collide. From 200 to 50 ms another 1% of the requests was in target, from
+/// 50 to 20 ms a third of that more, at the same number of bytes: most periods have nothing new.
+const FLUSH_PERIOD: Micros = Micros::from_millis(20);
 
 /// Most notes in one datagram, so that it fits one packet.
 const MOST_NOTES: usize = 60;
@@ -40,13 +38,7 @@
     }
 
     fn add_load(&mut self, id: &BackendId, sighting: Sighting) {
-        let is_news = self.told.get(id).is_none_or(|told| {
-            let (before, now) = (told.report, sighting.report);
-            let is_changed = before.in_flight != now.in_flight || before.waiting != now.waiting;
-            told.is_slow() != sighting.is_slow()
-                || (is_changed && sighting.at - told.at >= REFRESH)
-                || sighting.at - told.at >= Micros(REFRESH.0 * 3)
-        });
+        let is_news = self.told.get(id).is_none_or(|told| sighting.is_news_after(told));
         if is_news {
             self.loads.insert(id.clone(), sighting);
             self.told.insert(id.clone(), sighting);
--- a/crates/galenapath-policy/tests/place/main.rs
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -1,6 +1,7 @@
 //! Placement on servers whose pace changes, and who waits for them.
 
 mod copies;
+mod known;
 mod placement;
 mod queue;
 mod replay;
