Slow servers are probed often where slots are scarce, others seldom

Hypothesis: a spell of slowness lasts 300 ms; the regular probe came every 200 ms whatever was known, so that the slots of a server whose spell was over stayed empty for another third of it, while servers that were asked by every request were probed as well.

Change: a probe is due by the age of the last sighting: 30 ms at slow servers of a service with more than two fifths of its good slots taken, 200 ms at other slow ones, 400 ms at the rest.

--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -2,7 +2,7 @@
 //!
 //! Each server is probed by one instance of its own failure domain, where one serves callers: a probe
 //! that crosses is billed. That instance tells the others. Every instance works out the same assignment
-//! from the members that it knows.
+//! from the members that it knows. When a server is due, placement says by what is known of it.
 
 use crate::health::{self, Health};
 use crate::instance::{Instance, sleep};
@@ -15,15 +15,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time between two probes of one server that no request has asked meanwhile. Requests ask the
-/// server itself before they go; the probes only keep the choice between servers from being blind.
-const PERIOD: Micros = Micros::from_millis(200);
+/// Time after a failed probe until the next one.
+const AFTER_FAILURE: Micros = Micros::from_millis(200);
 
 /// Time between two probes of a server that tells no load: they only show that it is there.
 const SILENT_PERIOD: Micros = Micros::from_secs(1);
 
 /// Time between two looks at which probes are due.
-const LOOK: Micros = Micros::from_millis(40);
+const LOOK: Micros = Micros::from_millis(15);
 
 /// Time between two looks at who probes which server.
 const REASSIGN: Micros = Micros::from_millis(250);
@@ -40,7 +39,8 @@
     service: Rc<Service>,
     id: BackendId,
     address: SocketAddr,
-    due: Micros,
+    /// Until when it is not probed, because a probe failed or it tells no load.
+    not_before: Micros,
     connection: Option<Connection>,
     is_running: bool,
     failures: u32,
@@ -53,7 +53,9 @@
     let targets = Targets::default();
     let mut assigned_at = Micros::ZERO;
     loop {
-        sleep(LOOK).await;
+        // Most instances of a large fleet have nothing to probe.
+        let is_idle = targets.borrow().is_empty();
+        sleep(if is_idle { REASSIGN } else { LOOK }).await;
         let now = instance.now();
         if now - assigned_at >= REASSIGN {
             assigned_at = now;
@@ -86,7 +88,7 @@
             service,
             id,
             address,
-            due: Micros::ZERO,
+            not_before: Micros::ZERO,
             connection: None,
             is_running: false,
             failures: 0,
@@ -130,14 +132,21 @@
 fn due(targets: &Targets, now: Micros) -> Vec<BackendId> {
     let mut targets = targets.borrow_mut();
     let mut due = Vec::new();
-    for target in targets.values_mut().filter(|t| !t.is_running && t.due <= now) {
+    for target in targets.values_mut().filter(|target| target.is_due(now)) {
         target.is_running = true;
-        target.due = now + PERIOD;
         due.push(target.id.clone());
     }
     due
 }
 
+impl Target {
+    fn is_due(&self, now: Micros) -> bool {
+        !self.is_running
+            && self.not_before <= now
+            && self.service.placement.borrow().look_at(now, &self.id) <= now
+    }
+}
+
 async fn probe(instance: Rc<Instance>, targets: Targets, id: BackendId) {
     let Some((service, address, kept)) = targets
         .borrow_mut()
@@ -162,12 +171,13 @@
             }
             target.failures = 0;
             if health.sighting.is_none() {
-                target.due = instance.now() + SILENT_PERIOD;
+                target.not_before = instance.now() + SILENT_PERIOD;
             }
         }
         Err(e) => {
             target.failures += 1;
             let now = instance.now();
+            target.not_before = now + AFTER_FAILURE;
             if target.failures == FAILURES {
                 log::info!(server:% = id, address:% = address, error:% = e; "server out of reach");
             }
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -39,6 +39,18 @@
     pub unreachable_for: Micros,
     /// Cost above which a server is no good choice for a second copy.
     pub good: Micros,
+    /// Time after the last sighting of a server at its usual pace at which it is probed: requests ask it
+    /// before they go there and tell what they see.
+    pub look_at_usual: Micros,
+    /// Time after the last sighting of a slow server at which it is probed where slots are scarce: nobody
+    /// asks it, and until its spell is known to be over its slots are lost. With 200 ms for all servers and
+    /// spells of 300 ms, 86.1% of the requests at 1.5 times the usual load were in target; with 30 ms for
+    /// slow and 400 ms for other servers 88.1%, by a fifth fewer probes.
+    pub look_at_slow: Micros,
+    /// The same while there are slots in plenty.
+    pub look_at_slow_calm: Micros,
+    /// Part of the good slots in use from which slots are scarce.
+    pub scarce_from: f32,
     /// Part of the slots up to which a server counts as uncrowded.
     pub crowded_from: f32,
     /// Work time on a crowded server over that on others from which its last slots are left free:
@@ -61,6 +73,10 @@
             failure_fades: Micros::from_secs(3),
             unreachable_for: Micros::from_secs(1),
             good: Micros::from_millis(120),
+            look_at_usual: Micros::from_millis(400),
+            look_at_slow: Micros::from_millis(30),
+            look_at_slow_calm: Micros::from_millis(200),
+            scarce_from: 0.4,
             crowded_from: 0.8,
             crowding_limit: 1.3,
         }
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -306,6 +306,29 @@
         self.servers.get(*self.by_id.get(id)?)?.seen()
     }
 
+    /// When a server is to be probed unless it is seen before; now where it was never seen.
+    pub fn look_at(&self, now: Micros, id: &BackendId) -> Micros {
+        let Some(seen) = self.seen(id) else { return now };
+        let after = if !seen.is_slow() {
+            self.cfg.look_at_usual
+        } else if self.is_scarce(now) {
+            self.cfg.look_at_slow
+        } else {
+            self.cfg.look_at_slow_calm
+        };
+        seen.at + after
+    }
+
+    /// Whether so many of the good slots are taken that another server is worth a probe.
+    fn is_scarce(&self, now: Micros) -> bool {
+        let (mut taken, mut slots) = (0, 0);
+        for server in self.servers.iter().filter(|server| server.is_good(now)) {
+            taken += server.load().min(server.slots);
+            slots += server.slots;
+        }
+        taken as f32 > self.cfg.scarce_from * slots as f32 || slots == 0
+    }
+
     /// Requests at a server, as far as this instance knows.
     pub fn load(&self, id: &BackendId) -> u32 {
         self.by_id.get(id).map_or(0, |at| self.servers[*at].load())
@@ -328,9 +351,8 @@
     pub fn good_slots(&self, now: Micros) -> f32 {
         let part =
             if self.crowding() < self.cfg.crowding_limit { 1.0 } else { self.cfg.crowded_from };
-        let is_slow = |s: &Server| s.seen().is_some_and(|seen| seen.is_slow());
-        let good = |s: &&Server| !s.is_leaving && s.is_reachable(now) && !is_slow(s);
-        self.servers.iter().filter(good).map(|s| (s.slots as f32 * part).floor()).sum()
+        let good = self.servers.iter().filter(|server| server.is_good(now));
+        good.map(|server| (server.slots as f32 * part).floor()).sum()
     }
 
     /// Time of an answer from a crowded server over that from another one.
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -78,6 +78,12 @@
         now >= self.unreachable_until
     }
 
+    /// Whether it can be reached, takes requests and is not known to be slow.
+    pub(super) fn is_good(&self, now: Micros) -> bool {
+        let is_slow = self.seen.is_some_and(|seen| seen.is_slow());
+        !self.is_leaving && self.is_reachable(now) && !is_slow
+    }
+
     pub(super) fn reached(&mut self) {
         self.unreachable_until = Micros::ZERO;
     }
--- a/crates/galenapath-policy/tests/place/placement.rs
+++ b/crates/galenapath-policy/tests/place/placement.rs
@@ -120,6 +120,32 @@
     assert_eq!(placement.choose(START, &patient), Choice::Server(id(1)));
 }
 
+#[test]
+fn look_at_slow_servers_first_where_slots_are_scarce() {
+    let after = |pace, running| {
+        let mut placement = placement(&[true, true, true]);
+        placement.see(&id(0), sighting(START, 0, pace));
+        for n in 1..3 {
+            placement.see(&id(n), sighting(START, running, 100));
+        }
+        placement.look_at(START, &id(0)) - START
+    };
+    let cfg = PlaceConfig::default();
+    assert_eq!(after(100, 5), cfg.look_at_usual);
+    assert_eq!(after(400, 5), cfg.look_at_slow);
+    assert_eq!(after(400, 0), cfg.look_at_slow_calm);
+}
+
+#[test]
+fn look_at_unseen_now_and_after_all_turned_slow_soon() {
+    let mut placement = placement(&[true, true]);
+    assert_eq!(placement.look_at(START, &id(0)), START);
+    placement.see(&id(0), sighting(START, 0, 400));
+    placement.see(&id(1), sighting(START, 0, 400));
+    let soon = START + PlaceConfig::default().look_at_slow;
+    assert_eq!(placement.look_at(START, &id(0)), soon);
+}
+
 #[test]
 fn choose_nowhere_without_servers() {
     let mut none = placement(&[]);
