--- a/crates/galenapath-gateway/src/in_flight.rs
+++ b/crates/galenapath-gateway/src/in_flight.rs
@@ -2,18 +2,11 @@
 
 use crate::instance::Instance;
 use crate::service::Service;
-use galenapath_policy::place::{Sighting, Started};
+use galenapath_policy::place::{Given, Sighting, Started};
 use galenapath_protocol::BackendId;
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// A server that was given to a request, which is counted there.
-#[derive(Clone, Debug)]
-pub(crate) struct Given {
-    pub(crate) server: BackendId,
-    pub(crate) started: Started,
-}
-
 /// A request that is counted at a server. Dropping it takes it off.
 pub(crate) struct InFlight {
     service: Rc<Service>,
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -6,7 +6,7 @@
 use crate::waiting::Waiter;
 use galenapath_policy::measure::{AskBudget, AskShares};
 use galenapath_policy::place::{
-    PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, WaitQueue,
+    Line, PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, WaitQueue,
 };
 use galenapath_policy::{RetryBudget, RetryConfig};
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros, hash64};
@@ -60,8 +60,9 @@
     listed: RefCell<FastMap<BackendId, Listed>>,
     /// The servers by the short form of their identities.
     by_short_id: RefCell<FastMap<u32, BackendId>>,
-    pub(crate) queue: RefCell<WaitQueue>,
-    /// Invariant: holds exactly the tickets in `queue`.
+    /// Requests that wait for a server.
+    pub(crate) line: RefCell<Line>,
+    /// Invariant: holds the tickets in `line` whose tasks wait.
     pub(crate) waiters: RefCell<FastMap<u64, Waiter>>,
     /// Probes a second to one server that the requests of all instances may use.
     probe_rate: Cell<f64>,
@@ -81,7 +82,7 @@
             pools: Pools::default(),
             listed: RefCell::default(),
             by_short_id: RefCell::default(),
-            queue: RefCell::new(WaitQueue::new(QueueConfig::default())),
+            line: RefCell::new(Line::new(WaitQueue::new(QueueConfig::default()))),
             waiters: RefCell::default(),
             probe_rate: Cell::new(instance.settings().probes_per_second * PROBE_PART),
             no_load_until: Cell::default(),
--- a/crates/galenapath-gateway/src/waiting.rs
+++ b/crates/galenapath-gateway/src/waiting.rs
@@ -1,32 +1,18 @@
 //! Giving requests a server, or letting them wait for one.
 
-use crate::in_flight::{Given, InFlight};
+use crate::in_flight::InFlight;
 use crate::instance::Instance;
 use crate::service::Service;
 use futures::channel::oneshot;
-use galenapath_policy::place::{Ask, Choice, Entry, Refusal};
+use galenapath_policy::place::{Ask, Choice, Given, Moved, Placed, Refusal, Wanted};
 use galenapath_protocol::{BackendId, Micros};
 use std::rc::Rc;
 
 /// Longest sleep of a waiting request between two looks at the queue.
 const LOOK_AGAIN: Micros = Micros::from_millis(10);
 
-/// A request that waits.
-pub(crate) struct Waiter {
-    tried: Vec<BackendId>,
-    is_large: bool,
-    tx: oneshot::Sender<Result<Given, Refusal>>,
-}
-
-/// What a request asks of the queue.
-#[derive(Clone, Debug)]
-pub(crate) struct Wanted {
-    pub(crate) entry: Entry,
-    /// Servers that the request was sent to already.
-    pub(crate) tried: Vec<BackendId>,
-    /// Whether its answer is large.
-    pub(crate) is_large: bool,
-}
+/// Tells a request that waits what comes of it.
+pub(crate) type Waiter = oneshot::Sender<Result<Given, Refusal>>;
 
 /// Why no server was given.
 #[derive(Clone, Copy, Debug)]
@@ -48,21 +34,17 @@
         instance: &Rc<Instance>,
         wanted: Wanted,
     ) -> Result<InFlight, NoServer> {
-        let now = instance.now();
-        if !self.queue.borrow().has_before(now, &wanted.entry) {
-            let ask = Ask {
-                tried: &wanted.tried,
-                is_large: wanted.is_large,
-                left: wanted.entry.target - now,
-            };
-            let choice = self.placement.borrow_mut().choose(now, &ask);
-            match choice {
-                Choice::Server(id) => return Ok(InFlight::start(self, instance, id)),
-                Choice::Nowhere => return Err(NoServer::Nowhere),
-                Choice::Wait => {}
-            }
+        let (now, ticket) = (instance.now(), wanted.entry.ticket);
+        let placed = {
+            let (mut line, mut placement) = (self.line.borrow_mut(), self.placement.borrow_mut());
+            line.place(now, &mut placement, wanted, instance.load_share())
+        };
+        match placed {
+            Placed::At(given) => Ok(InFlight::started(self, instance, given)),
+            Placed::Waits => self.wait(instance, ticket).await,
+            Placed::Refused(refusal) => Err(NoServer::Refused(refusal)),
+            Placed::Nowhere => Err(NoServer::Nowhere),
         }
-        self.wait(instance, wanted).await
     }
 
     /// A server that a second copy goes to at once, if there is a good one.
@@ -87,17 +69,12 @@
     async fn wait(
         self: &Rc<Self>,
         instance: &Rc<Instance>,
-        wanted: Wanted,
+        ticket: u64,
     ) -> Result<InFlight, NoServer> {
-        let Wanted { entry, tried, is_large } = wanted;
-        let now = instance.now();
-        let (pace, work) = self.drain(instance);
-        let offered = self.queue.borrow_mut().offer(now, entry, pace, work);
-        offered.map_err(NoServer::Refused)?;
         let (tx, rx) = oneshot::channel();
-        self.waiters.borrow_mut().insert(entry.ticket, Waiter { tried, is_large, tx });
+        self.waiters.borrow_mut().insert(ticket, tx);
         instance.metrics.waiting.inc();
-        let mut waiting = Waiting { service: self, instance, ticket: entry.ticket, rx };
+        let mut waiting = Waiting { service: self, instance, ticket, rx };
         loop {
             match monoio::time::timeout(LOOK_AGAIN.into(), &mut waiting.rx).await {
                 Ok(Ok(Ok(given))) => return Ok(InFlight::started(self, instance, given)),
@@ -108,63 +85,20 @@
         }
     }
 
-    /// Mean time between two starts at this instance while all servers are busy, and the mean time
-    /// of a request.
-    fn drain(&self, instance: &Instance) -> (Micros, Micros) {
-        let placement = self.placement.borrow();
-        let work = placement.work();
-        let slots = placement.good_slots(instance.now()).max(1.0);
-        let pace = work.0 as f32 / (slots * instance.load_share());
-        (Micros(pace as u64), work)
-    }
-
     /// Starts or refuses what waits, as far as it is time for that.
     pub(crate) fn poll(&self, instance: &Instance) {
-        let now = instance.now();
-        let work = self.placement.borrow().work();
-        let expired = self.queue.borrow_mut().expired(now, work);
-        for (entry, refusal) in expired {
-            if let Some(waiter) = self.waiters.borrow_mut().remove(&entry.ticket) {
-                // The caller may have gone at this very moment.
-                let _ = waiter.tx.send(Err(refusal));
+        let moved = self.line.borrow_mut().poll(instance.now(), &mut self.placement.borrow_mut());
+        for Moved { ticket, result } in moved {
+            let waiter = self.waiters.borrow_mut().remove(&ticket);
+            let untold = waiter.map_or(Err(result.clone()), |tx| tx.send(result));
+            // The caller has gone at this very moment.
+            if let Err(Ok(given)) = untold {
+                self.placement.borrow_mut().finish(&given.server);
             }
         }
-        while self.start_next(now) {}
-    }
-
-    /// Starts one of those that are next; returns whether there was a server for any.
-    fn start_next(&self, now: Micros) -> bool {
-        let next: Vec<Entry> = self.queue.borrow().next().copied().collect();
-        next.iter().any(|entry| self.try_start(now, entry) == Tried::Started)
-    }
-
-    fn try_start(&self, now: Micros, entry: &Entry) -> Tried {
-        let mut waiters = self.waiters.borrow_mut();
-        let Some(waiter) = waiters.get(&entry.ticket) else {
-            self.queue.borrow_mut().remove(entry.ticket);
-            return Tried::Started;
-        };
-        let left = entry.target - now;
-        let ask = Ask { tried: &waiter.tried, is_large: waiter.is_large, left };
-        let choice = self.placement.borrow_mut().choose(now, &ask);
-        let Choice::Server(id) = choice else { return Tried::Waits };
-        self.queue.borrow_mut().remove(entry.ticket);
-        let Some(waiter) = waiters.remove(&entry.ticket) else { return Tried::Started };
-        let started = self.placement.borrow_mut().start(now, &id);
-        if let Err(Ok(given)) = waiter.tx.send(Ok(Given { server: id, started })) {
-            self.placement.borrow_mut().finish(&given.server);
-        }
-        Tried::Started
     }
 }
 
-/// What came of an attempt to start a request that waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Tried {
-    Started,
-    Waits,
-}
-
 /// A request in the queue. Dropping it takes the request out, also where a server was given to it
 /// and nobody has taken note of that yet.
 struct Waiting<'a> {
@@ -177,7 +111,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         self.instance.metrics.waiting.dec();
-        self.service.queue.borrow_mut().remove(self.ticket);
+        self.service.line.borrow_mut().remove(self.ticket);
         let was_waiting = self.service.waiters.borrow_mut().remove(&self.ticket).is_some();
         if was_waiting {
             return;
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -7,6 +7,7 @@
 //! first, and what is known loses its weight with its age.
 //!
 //! - [`Placement`]: which server a request goes to, or that it has to wait.
+//! - [`Line`]: how placement and queue go together.
 //! - [`WaitQueue`]: who waits, who goes first and who is turned away.
 //! - [`copies`]: when a running request gets a second copy elsewhere.
 
@@ -15,6 +16,7 @@
 pub mod copies;
 mod estimate;
 mod known;
+mod line;
 mod placement;
 mod queue;
 mod server;
@@ -22,5 +24,6 @@
 pub use ask::{Ask, Choice, PlacedServer, Started};
 pub use config::PlaceConfig;
 pub use known::Sighting;
+pub use line::{Given, Line, Moved, Placed, Wanted};
 pub use placement::Placement;
 pub use queue::{Entry, QueueConfig, Refusal, WaitQueue};
