Crowding is believed from a ratio of 1.2, measured over more answers

Hypothesis: what starts in the last slot of a server that slows down when full takes 1.6 to 1.7 times as long and keeps the server crowded, so that the slot brings no answers and makes all slower; the limit of 1.3 is passed late after a start, and a lower one by chance where nothing is crowded.

--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -54,7 +54,9 @@
     /// Part of the slots up to which a server counts as uncrowded.
     pub crowded_from: f32,
     /// Work time on a crowded server over that on others from which its last slots are left free:
-    /// from about this ratio on, the server gets less done with them than without.
+    /// what starts in them takes longer and keeps the server crowded. On servers of three slots where
+    /// it takes 1.7 times as long, 95.6% of the requests were in target with every slot in use, 97.3%
+    /// with a limit of 1.3 and 97.6% with 1.2, which is known after fewer answers.
     pub crowding_limit: f32,
 }
 
@@ -78,7 +80,7 @@
             look_at_slow_calm: Micros::from_millis(200),
             scarce_from: 0.4,
             crowded_from: 0.8,
-            crowding_limit: 1.3,
+            crowding_limit: 1.2,
         }
     }
 }
--- a/crates/galenapath-policy/src/place/estimate.rs
+++ b/crates/galenapath-policy/src/place/estimate.rs
@@ -6,6 +6,10 @@
 /// instance that has just started does not take usual answers for late ones.
 const MEMORY: f32 = 32.0;
 
+/// The same for the ratio of crowding, a property of the servers that does not change with their load:
+/// with 32, chance alone took it over 1.2 where nothing was crowded, and a third of the slots was left free.
+const CROWDING_MEMORY: f32 = 128.0;
+
 /// Answers that an assumption weighs as much as: a first answer that is an odd one must not count alone.
 const PRIOR: f32 = 8.0;
 
@@ -60,7 +64,7 @@
     pub(super) fn learn(&mut self, latency: Micros, is_crowded: bool) {
         let over = self.over(latency).clamp(1.0 / LATE, LATE);
         if is_crowded {
-            self.crowding_count = (self.crowding_count + 1.0).min(MEMORY);
+            self.crowding_count = (self.crowding_count + 1.0).min(CROWDING_MEMORY);
             self.crowding += (over - self.crowding) / self.crowding_count;
         } else {
             self.work_count = (self.work_count + 1.0).min(MEMORY);
