--- /dev/null
+++ b/crates/galenapath-lab/src/play.rs
@@ -0,0 +1,427 @@
+//! The play: events in virtual time, which carry out what the decisions say.
+
+use crate::callers::{Arrival, arrivals, millis};
+use crate::deployment::Deployment;
+use crate::instance::{Instance, id_of, server_of};
+use crate::policy::Policy;
+use crate::report::{Outcome, Report};
+use crate::servers::{Reached, Run, Server};
+use crate::switch::Switch;
+use galenapath_policy::place::{Entry, Given, Moved, Placed, Refusal, Sighting, Wanted};
+use galenapath_protocol::{LoadReport, Micros};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Way between a caller and an instance.
+const CALLER_WAY: Micros = Micros::from_millis(1);
+/// Way within a failure domain.
+const HOME_WAY: Micros = Micros(100);
+/// Time between two looks of an instance at its line, as waiting requests look.
+const LOOK: Micros = Micros::from_millis(10);
+/// Time between two looks at which probes are due.
+const PROBE_LOOK: Micros = Micros::from_millis(15);
+/// Time between two datagrams with loads.
+const FLUSH: Micros = Micros::from_millis(20);
+/// Age up to which a load is trusted without a question.
+const FRESH_LOAD: Micros = Micros::from_millis(8);
+/// Servers that may turn out unfit before a request takes what it is given.
+const MOST_CHOICES: u32 = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives { request: usize, instance: usize, is_back: bool },
+    AskReaches { request: usize, instance: usize, server: usize, asked_at: Micros },
+    AskAnswered { request: usize, instance: usize, server: usize, load: Load, asked_at: Micros },
+    Reaches { request: usize, instance: usize, server: usize },
+    Ends { request: usize, instance: usize, server: usize },
+    Answered { request: usize, instance: usize, server: usize, load: Load },
+    Shed { request: usize, instance: usize, server: usize },
+    Told { instance: usize, server: usize, load: Load, at: Micros },
+    ProbeReaches { instance: usize, server: usize, asked_at: Micros },
+    Look { instance: usize },
+    Probes,
+    Flush { instance: usize },
+}
+
+/// A load report that can be ordered among events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Load {
+    in_flight: u32,
+    waiting: u32,
+    slots: u32,
+    pace: u32,
+}
+
+impl From<LoadReport> for Load {
+    fn from(report: LoadReport) -> Self {
+        let LoadReport { in_flight, waiting, slots, pace, .. } = report;
+        Self { in_flight, waiting, slots, pace }
+    }
+}
+
+impl From<Load> for LoadReport {
+    fn from(load: Load) -> Self {
+        let Load { in_flight, waiting, slots, pace } = load;
+        Self { in_flight, waiting, slots, pace, leaving: false }
+    }
+}
+
+/// Plays the deployment with the shipping decisions under a policy.
+pub fn play(deployment: &Deployment, seed: u64, policy: &Policy) -> Report {
+    Play::new(deployment, seed, policy).run()
+}
+
+struct Play<'a> {
+    deployment: &'a Deployment,
+    policy: &'a Policy,
+    arrivals: Vec<Arrival>,
+    /// Whether a request has come back after a refusal.
+    came_back: Vec<bool>,
+    done: Vec<bool>,
+    servers: Vec<Server>,
+    instances: Vec<Instance>,
+    events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    next_event: u64,
+    rng: SmallRng,
+    now: Micros,
+    open: usize,
+    report: Report,
+}
+
+impl<'a> Play<'a> {
+    fn new(deployment: &'a Deployment, seed: u64, policy: &'a Policy) -> Self {
+        let arrivals = arrivals(deployment, seed);
+        let mut instances = Vec::new();
+        for domain in 0..deployment.servers.per_domain.len() {
+            for n in 0..deployment.instances_per_domain {
+                let seed = seed ^ ((domain * 100 + n) as u64) << 32;
+                instances.push(Instance::new(deployment, domain, policy, seed));
+            }
+        }
+        Self {
+            deployment,
+            policy,
+            came_back: vec![false; arrivals.len()],
+            done: vec![false; arrivals.len()],
+            open: arrivals.len(),
+            arrivals,
+            servers: Server::all(deployment, seed),
+            instances,
+            events: BinaryHeap::new(),
+            next_event: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Micros::ZERO,
+            report: Report::default(),
+        }
+    }
+
+    fn run(mut self) -> Report {
+        for request in 0..self.arrivals.len() {
+            let Arrival { at, domain, .. } = self.arrivals[request];
+            let instance = self.instance_in(domain);
+            self.at(at + CALLER_WAY, Event::Arrives { request, instance, is_back: false });
+        }
+        for instance in 0..self.instances.len() {
+            self.at(LOOK, Event::Look { instance });
+            self.at(FLUSH, Event::Flush { instance });
+        }
+        self.at(PROBE_LOOK, Event::Probes);
+        while self.open > 0
+            && let Some(Reverse((at, _, event))) = self.events.pop()
+        {
+            self.now = at;
+            self.handle(event);
+        }
+        self.report
+    }
+
+    fn at(&mut self, at: Micros, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event, event)));
+    }
+
+    fn is_without(&self, switch: Switch) -> bool {
+        self.policy.is_without(switch)
+    }
+
+    fn instance_in(&mut self, domain: usize) -> usize {
+        let count = self.deployment.instances_per_domain;
+        domain * count + self.rng.random_range(0..count)
+    }
+
+    fn way(&self, instance: usize, server: usize) -> Micros {
+        let is_home = self.instances[instance].domain == self.servers[server].domain;
+        if is_home { HOME_WAY } else { millis(self.deployment.crossing_ms) }
+    }
+
+    fn load(&self, server: usize) -> Load {
+        self.servers[server].report(self.now, self.deployment.servers.slots).into()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrives { request, instance, is_back } => {
+                self.came_back[request] = is_back;
+                self.place(request, instance);
+            }
+            Event::AskReaches { request, instance, server, asked_at } => {
+                let load = self.load(server);
+                let answered = Event::AskAnswered { request, instance, server, load, asked_at };
+                self.at(self.now + self.way(instance, server), answered);
+            }
+            Event::AskAnswered { request, instance, server, load, asked_at } => {
+                self.see(instance, server, load, asked_at);
+                self.judge(request, instance, server);
+            }
+            Event::Reaches { request, instance, server } => self.reach(request, instance, server),
+            Event::Ends { request, instance, server } => self.end(request, instance, server),
+            Event::Answered { request, instance, server, load } => {
+                self.answered(request, instance, server, load);
+            }
+            Event::Shed { request, instance, server } => self.shed(request, instance, server),
+            Event::Told { instance, server, load, at } => {
+                let sighting = Sighting { at, report: load.into() };
+                self.instances[instance].placement.see(&id_of(server), sighting);
+                self.poll(instance);
+            }
+            Event::ProbeReaches { instance, server, asked_at } => {
+                self.see(instance, server, self.load(server), asked_at);
+                self.poll(instance);
+            }
+            Event::Look { instance } => {
+                self.poll(instance);
+                self.at(self.now + LOOK, Event::Look { instance });
+            }
+            Event::Probes => self.probe(),
+            Event::Flush { instance } => self.flush(instance),
+        }
+    }
+
+    /// Asks the line for a server.
+    fn place(&mut self, request: usize, instance: usize) {
+        let part = 1.0 / self.instances.len() as f32;
+        let wanted = self.wanted(request, instance);
+        let now = self.now;
+        let Instance { line, placement, .. } = &mut self.instances[instance];
+        match line.place(now, placement, wanted, part) {
+            Placed::At(given) => self.start(request, instance, &given),
+            Placed::Waits => {}
+            Placed::Refused(refusal) => self.refuse(request, refusal),
+            Placed::Nowhere => {
+                let call = self.instances[instance].calls.entry(request).or_default();
+                if call.passed_over.is_empty() {
+                    self.finish(request, Outcome::Refused);
+                } else {
+                    call.passed_over.clear();
+                    self.place(request, instance);
+                }
+            }
+        }
+    }
+
+    fn wanted(&mut self, request: usize, instance: usize) -> Wanted {
+        let Arrival { at, .. } = self.arrivals[request];
+        let callers = &self.deployment.callers;
+        let deadline =
+            (at + millis(callers.patience_ms)).min(self.now + millis(callers.timeout_ms));
+        let call = self.instances[instance].calls.entry(request).or_default();
+        Wanted {
+            entry: Entry {
+                ticket: request as u64,
+                rank: 0,
+                arrived: self.now,
+                target: at + millis(callers.target_ms),
+                deadline,
+                is_picky: !call.passed_over.is_empty(),
+            },
+            tried: call.passed_over.clone(),
+            is_large: false,
+        }
+    }
+
+    fn poll(&mut self, instance: usize) {
+        let now = self.now;
+        let Instance { line, placement, .. } = &mut self.instances[instance];
+        for Moved { ticket, result } in line.poll(now, placement) {
+            let request = ticket as usize;
+            match result {
+                Ok(given) => self.start(request, instance, &given),
+                Err(refusal) => self.refuse(request, refusal),
+            }
+        }
+    }
+
+    /// A request has a server: asks it first, unless it was seen just now.
+    fn start(&mut self, request: usize, instance: usize, given: &Given) {
+        let server = server_of(&given.server);
+        self.instances[instance].given(request, given);
+        let seen = self.instances[instance].placement.seen(&given.server);
+        let is_fresh = seen.is_some_and(|seen| self.now - seen.at <= FRESH_LOAD);
+        if is_fresh || self.is_without(Switch::Questions) {
+            self.send(request, instance, server);
+            return;
+        }
+        self.report.questions += 1;
+        let reaches = Event::AskReaches { request, instance, server, asked_at: self.now };
+        self.at(self.now + self.way(instance, server), reaches);
+    }
+
+    /// A server was asked: sends the request there, or looks for another one.
+    fn judge(&mut self, request: usize, instance: usize, server: usize) {
+        let (now, id) = (self.now, id_of(server));
+        let Instance { placement, calls, .. } = &mut self.instances[instance];
+        let call = calls.entry(request).or_default();
+        if placement.is_fit(now, &id, call.started) || call.choices >= MOST_CHOICES {
+            self.send(request, instance, server);
+            return;
+        }
+        call.choices += 1;
+        call.passed_over.push(id.clone());
+        placement.finish(&id);
+        self.place(request, instance);
+    }
+
+    fn send(&mut self, request: usize, instance: usize, server: usize) {
+        let (now, id) = (self.now, id_of(server));
+        let tells = !self.is_without(Switch::OwnSends);
+        let here = &mut self.instances[instance];
+        here.placement.sent(&id);
+        here.calls.entry(request).or_default().sent_at = now;
+        if tells && let Some(seen) = here.placement.seen(&id) {
+            let load = here.placement.load(&id);
+            here.tell(server, seen.with_load(load));
+        }
+        let reaches = Event::Reaches { request, instance, server };
+        self.at(now + self.way(instance, server), reaches);
+    }
+
+    fn reach(&mut self, request: usize, instance: usize, server: usize) {
+        let run = Run { request, work: self.arrivals[request].work };
+        match self.servers[server].reach(self.deployment, self.now, run) {
+            Reached::Began { ends } => self.at(ends, Event::Ends { request, instance, server }),
+            Reached::Waits => {}
+            Reached::Shed => {
+                self.report.shed += 1;
+                let shed = Event::Shed { request, instance, server };
+                self.at(self.now + self.way(instance, server), shed);
+            }
+        }
+    }
+
+    fn end(&mut self, request: usize, instance: usize, server: usize) {
+        if let Some((run, ends)) = self.servers[server].end(self.deployment, self.now) {
+            let owner = self.owner(run.request).unwrap_or(instance);
+            self.at(ends, Event::Ends { request: run.request, instance: owner, server });
+        }
+        let load = self.load(server);
+        let answered = Event::Answered { request, instance, server, load };
+        self.at(self.now + self.way(instance, server), answered);
+    }
+
+    /// The instance at which a request is in progress.
+    fn owner(&self, request: usize) -> Option<usize> {
+        self.instances.iter().position(|instance| instance.calls.contains_key(&request))
+    }
+
+    fn answered(&mut self, request: usize, instance: usize, server: usize, load: Load) {
+        let (now, id) = (self.now, id_of(server));
+        let here = &mut self.instances[instance];
+        if let Some(call) = here.calls.remove(&request) {
+            here.placement.finish(&id);
+            here.placement.served(now, &id, now - call.sent_at, call.started);
+        }
+        self.see(instance, server, load, now);
+        self.poll(instance);
+        let callers = &self.deployment.callers;
+        let took = now + CALLER_WAY - self.arrivals[request].at;
+        let outcome = if took <= millis(callers.target_ms) {
+            Outcome::InTarget
+        } else if took <= millis(callers.patience_ms) {
+            Outcome::Late
+        } else {
+            Outcome::Failed
+        };
+        self.finish(request, outcome);
+    }
+
+    fn shed(&mut self, request: usize, instance: usize, server: usize) {
+        let id = id_of(server);
+        let Instance { placement, calls, .. } = &mut self.instances[instance];
+        placement.finish(&id);
+        placement.failed(self.now, &id, 0.3);
+        calls.entry(request).or_default().passed_over.push(id);
+        self.place(request, instance);
+    }
+
+    /// Turns a request away; its caller comes back once.
+    fn refuse(&mut self, request: usize, refusal: Refusal) {
+        for instance in &mut self.instances {
+            instance.calls.remove(&request);
+        }
+        let Arrival { at, domain, .. } = self.arrivals[request];
+        let callers = &self.deployment.callers;
+        let left = at + millis(callers.patience_ms) - self.now;
+        if self.came_back[request] || left == Micros::ZERO {
+            self.finish(request, Outcome::Refused);
+            return;
+        }
+        let most = Micros((left.0 as f64 * callers.heeded_part) as u64);
+        let back = self.now + refusal.retry_after.min(most) + CALLER_WAY + CALLER_WAY;
+        let instance = self.instance_in(domain);
+        self.at(back, Event::Arrives { request, instance, is_back: true });
+    }
+
+    fn finish(&mut self, request: usize, outcome: Outcome) {
+        if std::mem::replace(&mut self.done[request], true) {
+            return;
+        }
+        self.open -= 1;
+        self.report.add(self.arrivals[request].at.as_millis_f64() / 1_000.0, outcome);
+    }
+
+    /// Takes in what a server told this instance, and keeps it for the others.
+    fn see(&mut self, instance: usize, server: usize, load: Load, at: Micros) {
+        let sighting = Sighting { at, report: load.into() };
+        let here = &mut self.instances[instance];
+        if here.placement.see(&id_of(server), sighting) {
+            here.tell(server, sighting);
+        }
+    }
+
+    /// Each server is probed by the first instance of its domain.
+    fn probe(&mut self) {
+        self.at(self.now + PROBE_LOOK, Event::Probes);
+        if self.is_without(Switch::Probes) {
+            return;
+        }
+        for server in 0..self.servers.len() {
+            let domain = self.servers[server].domain;
+            let instance = domain * self.deployment.instances_per_domain;
+            let due = self.instances[instance].placement.look_at(self.now, &id_of(server));
+            if due <= self.now {
+                self.report.probes += 1;
+                let reaches = Event::ProbeReaches { instance, server, asked_at: self.now };
+                self.at(self.now + HOME_WAY + HOME_WAY, reaches);
+            }
+        }
+    }
+
+    fn flush(&mut self, instance: usize) {
+        self.at(self.now + FLUSH, Event::Flush { instance });
+        let mut news: Vec<(usize, Sighting)> = self.instances[instance].outbox.drain().collect();
+        // The order of a map differs from run to run.
+        news.sort_by_key(|(server, _)| *server);
+        if self.is_without(Switch::Sharing) {
+            return;
+        }
+        let way = millis(self.deployment.crossing_ms);
+        for (server, Sighting { at, report }) in news {
+            for other in (0..self.instances.len()).filter(|other| *other != instance) {
+                let told = Event::Told { instance: other, server, load: report.into(), at };
+                self.at(self.now + way, told);
+            }
+        }
+    }
+}
