galenactl causes: why many requests were late, refused or failed

Each request that was not answered in target is counted under one cause, by service and by window, with an example for galenactl trace; the rest says unknown. The log line about a request gains target_ms, the time within which an answer was worth most when it came.

--- /dev/null
+++ b/crates/galenapath-ctl/src/causes/report.rs
@@ -0,0 +1,29 @@
+//! The command `causes`.
+
+use super::count::{CauseCount, Causes, WindowCount, causes};
+use crate::output::{self, Table};
+use crate::trace;
+use crate::{CtlError, OutputFormat};
+use std::path::PathBuf;
+
+/// Reads log files and prints why requests were late, refused or failed.
+pub(crate) fn run(format: OutputFormat, window_s: f64, files: &[PathBuf]) -> Result<(), CtlError> {
+    let lines = trace::read_all(files)?;
+    output::print(format, &causes(&lines, window_s), table)
+}
+
+fn table(found: &Causes) -> Table {
+    let mut table = Table::new(&["what", "requests", "cause", "example"]);
+    let text = str::to_owned;
+    table.row(vec![text("all with a line"), found.ended.to_string()]);
+    table.row(vec![text("lines left out"), found.left_out.to_string()]);
+    for CauseCount { service, cause, count, first } in &found.causes {
+        table.row(vec![service.clone(), count.to_string(), cause.to_string(), first.clone()]);
+    }
+    for WindowCount { from_s, ended, late, lost, most } in &found.windows {
+        let most = most.map_or_else(String::new, |cause| format!(", most {cause}"));
+        let what = format!("from {from_s:.0} s");
+        table.row(vec![what, ended.to_string(), format!("{late} late, {lost} lost{most}")]);
+    }
+    table
+}
--- a/crates/galenapath-ctl/src/lib.rs
+++ b/crates/galenapath-ctl/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operators' command line: reads its arguments, asks an entry instance, prints the answer.
 
+pub mod causes;
 mod classes;
 mod client;
 mod error;
--- a/crates/galenapath-ctl/src/options.rs
+++ b/crates/galenapath-ctl/src/options.rs
@@ -89,6 +89,19 @@
         #[arg(required = true, value_name = "FILE")]
         logs: Vec<PathBuf>,
     },
+    /// Count in gateways' logs why requests were late, refused or failed
+    #[command(
+        after_help = "Example:\n  galenactl causes logs/*\n\nGive the logs of all instances. \
+                            Follow one request with `galenactl trace`."
+    )]
+    Causes {
+        /// Length of the windows by which requests are counted, in seconds
+        #[arg(long, value_name = "SECONDS", default_value_t = 2)]
+        window: u32,
+        /// Files with the instances' standard output
+        #[arg(required = true, value_name = "FILE")]
+        logs: Vec<PathBuf>,
+    },
     /// Work with settings files
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/crates/galenapath-ctl/src/run.rs
+++ b/crates/galenapath-ctl/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::options::{Command, Options, SettingsCommand};
-use crate::{CtlError, classes, reports, settings, trace};
+use crate::{CtlError, causes, classes, reports, settings, trace};
 use monoio::{LegacyDriver, RuntimeBuilder};
 use std::path::Path;
 use std::time::Duration;
@@ -20,6 +20,9 @@
     if let Command::Trace { id, logs } = &options.command {
         return trace::run(options.output, id, logs);
     }
+    if let Command::Causes { window, logs } = &options.command {
+        return causes::run(options.output, f64::from((*window).max(1)), logs);
+    }
     let address = options.instance.ok_or(CtlError::NoInstance)?;
     let token = options.token_file.as_deref().map(read_token).transpose()?;
     let client = Client::new(address, token, Duration::from_secs(options.timeout));
@@ -35,6 +38,7 @@
         Command::Status => reports::status(client, format).await,
         Command::Audit { after } => reports::audit(client, format, after).await,
         Command::Trace { id, logs } => trace::run(format, &id, &logs),
+        Command::Causes { window, logs } => causes::run(format, f64::from(window.max(1)), &logs),
         Command::Explain { id } => reports::explain(client, format, &id).await,
         Command::Settings(SettingsCommand::Check { file }) => settings::check(&file),
     }
--- a/crates/galenapath-ctl/src/trace/report.rs
+++ b/crates/galenapath-ctl/src/trace/report.rs
@@ -9,12 +9,18 @@
 
 /// Reads log files and prints what they tell of a request.
 pub(crate) fn run(format: OutputFormat, id: &str, files: &[PathBuf]) -> Result<(), CtlError> {
+    let lines = read_all(files)?;
+    let found = trace(&lines, id).ok_or_else(|| CtlError::NotInLogs { id: id.to_owned() })?;
+    output::print(format, &found, table)
+}
+
+/// The lines of all files, in the order of the files.
+pub(crate) fn read_all(files: &[PathBuf]) -> Result<Vec<LogLine>, CtlError> {
     let mut lines = Vec::new();
     for file in files {
         lines.extend(read(file)?);
     }
-    let found = trace(&lines, id).ok_or_else(|| CtlError::NotInLogs { id: id.to_owned() })?;
-    output::print(format, &found, table)
+    Ok(lines)
 }
 
 fn read(file: &Path) -> Result<Vec<LogLine>, CtlError> {
--- /dev/null
+++ b/crates/galenapath-ctl/tests/causes.rs
@@ -0,0 +1,97 @@
+//! Why requests were late, refused or failed, from log lines.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use galenapath_ctl::causes::{Cause, Ended, causes};
+use galenapath_ctl::trace::LogLine;
+use serde_json::json;
+
+struct End {
+    status: u16,
+    outcome: &'static str,
+    took_ms: u64,
+    waited_ms: u64,
+    target_ms: u64,
+    steps: &'static str,
+}
+
+const GOOD: End = End {
+    status: 200,
+    outcome: "answered",
+    took_ms: 100,
+    waited_ms: 0,
+    target_ms: 400,
+    steps: "i-1:sent:load0/3:pace100:known2ms i-1:answered:100ms",
+};
+
+fn line(t: f64, end: &End) -> LogLine {
+    let End { status, outcome, took_ms, waited_ms, target_ms, steps } = end;
+    let text = json!({
+        "t": t, "level": "INFO", "event": "request ended", "request": format!("r{t}"),
+        "service": "s", "status": status, "outcome": outcome, "took_ms": took_ms,
+        "waited_ms": waited_ms, "target_ms": target_ms, "steps": steps, "verdict": "answered",
+    });
+    LogLine::parse(&text.to_string()).unwrap()
+}
+
+fn cause(end: &End) -> Cause {
+    let ended = Ended::read(&line(1.0, end)).unwrap();
+    assert!(!ended.is_good());
+    Cause::of(&ended)
+}
+
+#[test]
+fn cause_of_refused_and_failed() {
+    let lost =
+        |status, outcome, target_ms| cause(&End { status, outcome, target_ms, steps: "", ..GOOD });
+    assert_eq!(lost(503, "no_room", 400), Cause::NoRoom);
+    assert_eq!(lost(503, "no_room", 0), Cause::NoRoomAgain);
+    assert_eq!(lost(503, "no_server", 400), Cause::NoServer);
+    assert_eq!(lost(503, "refused", 400), Cause::Shed);
+    assert_eq!(lost(502, "broken", 400), Cause::BadAnswer);
+    assert_eq!(lost(504, "timeout", 400), Cause::Timeout);
+    assert_eq!(lost(500, "answered", 400), Cause::ServerError);
+    assert_eq!(lost(503, "something_new", 400), Cause::Unknown);
+}
+
+#[test]
+fn cause_of_late() {
+    let late = |took_ms, waited_ms, steps| cause(&End { took_ms, waited_ms, steps, ..GOOD });
+    let last = "i-1:sent:load2/3:pace100:known0ms i-1:answered:430ms";
+    assert_eq!(late(430, 0, last), Cause::LastSlot);
+    assert_eq!(late(430, 60, last), Cause::Waited);
+    // The wait alone did not make it late.
+    assert_eq!(late(430, 10, last), Cause::LastSlot);
+    let slow = "i-1:sent:load0/3:pace400:known90ms i-1:answered:640ms";
+    assert_eq!(late(640, 0, slow), Cause::SlowServer);
+    let work = "i-1:sent:load0/3:pace100:known2ms i-1:answered:450ms";
+    assert_eq!(late(450, 0, work), Cause::Work);
+    let over = "i-0:unfit:90ms i-1:sent:load0/3:pace100:known2ms i-1:answered:350ms";
+    assert_eq!(late(440, 0, over), Cause::PassedOver);
+    let copy = "i-0:sent:load0/3:pace100:known2ms copy i-1:sent:load1/3:pace100:known1ms \
+                i-1:answered:150ms";
+    assert_eq!(late(450, 0, copy), Cause::SentAgain);
+    let came = End { target_ms: 0, ..GOOD };
+    assert_eq!(cause(&came), Cause::CameLate);
+    assert_eq!(late(450, 0, ""), Cause::Unknown);
+}
+
+#[test]
+fn causes_counted_by_service_and_window() {
+    let refused = End { status: 503, outcome: "no_room", steps: "", ..GOOD };
+    let late = End { took_ms: 450, ..GOOD };
+    let mut lines = vec![line(10.0, &GOOD), line(10.5, &refused), line(13.0, &late)];
+    lines.push(line(13.1, &late));
+    lines.push(LogLine::parse(r#"{"t":10,"event":"started","lines_left_out":3}"#).unwrap());
+    lines.push(
+        LogLine::parse(r#"{"t":10,"event":"request ended","request":"half a line"}"#).unwrap(),
+    );
+    let found = causes(&lines, 2.0);
+    assert_eq!((found.ended, found.left_out), (4, 3));
+    let counts: Vec<_> = found.causes.iter().map(|count| (count.cause, count.count)).collect();
+    assert_eq!(counts, [(Cause::Work, 2), (Cause::NoRoom, 1)]);
+    assert_eq!(found.causes[0].first, "r13");
+    let windows: Vec<_> = found.windows.iter().map(|w| (w.ended, w.late, w.lost)).collect();
+    assert_eq!(windows, [(2, 0, 1), (2, 2, 0)]);
+    assert_eq!(found.windows[1].most, Some(Cause::Work));
+}
--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -120,6 +120,7 @@
         verdict:% = end.verdict,
         took_ms = took.0 / 1_000,
         waited_ms = waited.0 / 1_000,
+        target_ms = (req.target_at - req.arrived).0 / 1_000,
         time_ms = (req.deadline - req.arrived).0 / 1_000,
         retry_after_ms = end.retry_after.map_or(0, |span| span.0 / 1_000),
         sends = call.sends(),
