--- a/crates/galenapath-lab/src/lib.rs
+++ b/crates/galenapath-lab/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod callers;
 mod deployment;
+mod event;
 mod instance;
 mod oracle;
 mod play;
--- a/crates/galenapath-lab/src/play.rs
+++ b/crates/galenapath-lab/src/play.rs
@@ -2,13 +2,14 @@
 
 use crate::callers::{Arrival, arrivals, millis};
 use crate::deployment::Deployment;
+use crate::event::{Event, Load};
 use crate::instance::{Instance, id_of, server_of};
 use crate::policy::Policy;
 use crate::report::{Outcome, Report};
 use crate::servers::{Reached, Run, Server};
 use crate::switch::Switch;
 use galenapath_policy::place::{Entry, Given, Moved, Placed, Refusal, Sighting, Wanted};
-use galenapath_protocol::{LoadReport, Micros};
+use galenapath_protocol::Micros;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -29,45 +30,6 @@
 /// Servers that may turn out unfit before a request takes what it is given.
 const MOST_CHOICES: u32 = 4;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrives { request: usize, instance: usize, is_back: bool },
-    AskReaches { request: usize, instance: usize, server: usize, asked_at: Micros },
-    AskAnswered { request: usize, instance: usize, server: usize, load: Load, asked_at: Micros },
-    Reaches { request: usize, instance: usize, server: usize },
-    Ends { request: usize, instance: usize, server: usize },
-    Answered { request: usize, instance: usize, server: usize, load: Load },
-    Shed { request: usize, instance: usize, server: usize },
-    Told { instance: usize, server: usize, load: Load, at: Micros },
-    ProbeReaches { instance: usize, server: usize, asked_at: Micros },
-    Look { instance: usize },
-    Probes,
-    Flush { instance: usize },
-}
-
-/// A load report that can be ordered among events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Load {
-    in_flight: u32,
-    waiting: u32,
-    slots: u32,
-    pace: u32,
-}
-
-impl From<LoadReport> for Load {
-    fn from(report: LoadReport) -> Self {
-        let LoadReport { in_flight, waiting, slots, pace, .. } = report;
-        Self { in_flight, waiting, slots, pace }
-    }
-}
-
-impl From<Load> for LoadReport {
-    fn from(load: Load) -> Self {
-        let Load { in_flight, waiting, slots, pace } = load;
-        Self { in_flight, waiting, slots, pace, leaving: false }
-    }
-}
-
 /// Plays the deployment with the shipping decisions under a policy.
 pub fn play(deployment: &Deployment, seed: u64, policy: &Policy) -> Report {
     Play::new(deployment, seed, policy).run()
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -17,6 +17,7 @@
 mod estimate;
 mod known;
 mod line;
+mod look;
 mod placement;
 mod queue;
 mod server;
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -27,8 +27,8 @@
 /// Chooses servers of one service for one instance.
 #[derive(Debug)]
 pub struct Placement {
-    cfg: PlaceConfig,
-    servers: Vec<Server>,
+    pub(super) cfg: PlaceConfig,
+    pub(super) servers: Vec<Server>,
     by_id: FastMap<BackendId, usize>,
     rng: SmallRng,
     /// How long a request takes.
@@ -306,29 +306,6 @@
         self.servers.get(*self.by_id.get(id)?)?.seen()
     }
 
-    /// When a server is to be probed unless it is seen before; now where it was never seen.
-    pub fn look_at(&self, now: Micros, id: &BackendId) -> Micros {
-        let Some(seen) = self.seen(id) else { return now };
-        let after = if !seen.is_slow() {
-            self.cfg.look_at_usual
-        } else if self.is_scarce(now) {
-            self.cfg.look_at_slow
-        } else {
-            self.cfg.look_at_slow_calm
-        };
-        seen.at + after
-    }
-
-    /// Whether so many of the good slots are taken that another server is worth a probe.
-    fn is_scarce(&self, now: Micros) -> bool {
-        let (mut taken, mut slots) = (0, 0);
-        for server in self.servers.iter().filter(|server| server.is_good(now)) {
-            taken += server.load().min(server.slots);
-            slots += server.slots;
-        }
-        taken as f32 > self.cfg.scarce_from * slots as f32 || slots == 0
-    }
-
     /// Requests at a server, as far as this instance knows.
     pub fn load(&self, id: &BackendId) -> u32 {
         self.by_id.get(id).map_or(0, |at| self.servers[*at].load())
