A caller that waits a little less than others has spent nothing

Hypothesis: the longest wait told on a route was taken for that of all its callers. They counted as late too early and were refused or got copies.

--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -10,6 +10,7 @@
 use galenapath_filings::{SuspectConfig, Suspects};
 use galenapath_membership::{BeatConfig, Beats, Member, MemberStatus, Peer, StoreHealth, Vitals};
 use galenapath_policy::measure::{AskShares, QuestionTimes, ServedRates};
+use galenapath_policy::place::spent;
 use galenapath_policy::{LineBudget, LineKind};
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use galenapath_routes::{Route, SplitTurn};
@@ -291,7 +292,7 @@
     }
 
     /// When an answer to a request that arrives now is no longer worth most. A caller that says it
-    /// waits for less time than callers of its route do has spent the rest on earlier attempts.
+    /// waits for much less time than callers of its route do has spent the rest on earlier attempts.
     pub(crate) fn target_at(&self, route: &Route, arrived: Micros, told: Micros) -> Micros {
         let mut patience = self.patience.borrow_mut();
         let longest = match patience.get_mut(&route.name) {
@@ -299,8 +300,7 @@
             None => patience.entry(route.name.clone()).or_insert(told),
         };
         *longest = told.max(*longest);
-        let spent = *longest - told;
-        (arrived + route.target.into()) - spent
+        (arrived + route.target.into()) - spent(*longest, told)
     }
 
     /// Starts the shares of all routes anew, for a changed configuration.
--- /dev/null
+++ b/crates/galenapath-policy/src/place/patience.rs
@@ -0,0 +1,21 @@
+//! How much of its time a caller has spent on earlier attempts.
+//!
+//! Load pattern: callers who come back after a refusal, and say only how long they still wait. One that
+//! has come back has less of its target left, and takes a slot that a first attempt could use in time.
+//! But callers of one route differ in their patience: without a tolerance most first attempts had less
+//! time for their target than they should, and 0.9% of the requests instead of 0.4% were refused for good
+//! on days with faults.
+
+use galenapath_protocol::Micros;
+
+/// Part of the longest wait on its route from which a caller is taken to have spent nothing: callers of one
+/// route were seen to differ by up to three tenths. One that has spent less than that is given more time
+/// than it has, which costs one slot; the other way costs it the answer.
+const SAME_PATIENCE: f64 = 0.7;
+
+/// Time that a caller has spent which says that it waits for `told`, where callers of its route wait up to
+/// `longest`.
+pub fn spent(longest: Micros, told: Micros) -> Micros {
+    let is_first = told.0 as f64 >= SAME_PATIENCE * longest.0 as f64;
+    if is_first { Micros::ZERO } else { longest - told }
+}
--- a/crates/galenapath-policy/tests/place/main.rs
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -2,6 +2,7 @@
 
 mod copies;
 mod known;
+mod patience;
 mod placement;
 mod queue;
 mod replay;
