Retries by what each instance serves, and callers who come back known by their request

A service that sheds at chance: refused for lack of retry budget while others had theirs unused. The slack is split by the part of the requests that an instance serves; part of a spent budget is left to callers who have come back, for whom it is the last chance. They are known by the fingerprint of their request, which also says how much of their time is spent.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::crash;
+use crate::exchange::take_retry;
 use crate::fitness;
 use crate::health;
 use crate::in_flight::InFlight;
@@ -87,8 +88,8 @@
     call.note_attempt(&in_flight, took, &result);
     match &result {
         Ok(_) => {
-            let request = crash::fingerprint(call);
-            call.instance.suspects.borrow_mut().answered(call.instance.now(), request);
+            let (now, request) = (call.instance.now(), call.req.fingerprint);
+            call.instance.suspects.borrow_mut().answered(now, request);
         }
         Err(Fault::Broken) => crash::note_broken(call, &in_flight.server),
         Err(_) => {}
@@ -108,7 +109,8 @@
     let head = match head {
         // The server closed a kept connection while the request was on its way to it.
         Err(HttpError::Closed | HttpError::Io(_))
-            if is_kept && call.req.route.kind.may_repeat() =>
+            // It may have arrived all the same, so that it counts as a retry.
+            if is_kept && call.req.route.kind.may_repeat() && take_retry(call) =>
         {
             connection = connect(call, address).await?;
             put_head(call, &listed_id, &mut connection);
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -8,10 +8,12 @@
 use crate::request::{self, Request};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, select};
+use galenapath_filings::Fingerprint;
 use galenapath_http::{
     BadRequest, BodyState, Connection, Framing, HeadTimes, HttpError, RequestHead,
     expects_continue, request_framing, request_host, wants_keep_alive,
 };
+use galenapath_policy::Chance;
 use galenapath_protocol::{Micros, Verdict};
 use galenapath_routes::{CallerLimits, Route};
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
@@ -165,7 +167,6 @@
     };
     let told = request::time_left(&instance.names, &head.headers).unwrap_or(UNTOLD_TIME);
     let deadline = arrived + told.min(route.timeout.into());
-    let target_at = instance.target_at(&route, arrived, told);
     let body = match read_body(instance, caller, &head, framing, limits, deadline).await {
         Ok(Ok(body)) => body,
         Ok(Err(answer)) => {
@@ -178,10 +179,19 @@
             return Err(e);
         }
     };
+    let path = request::path(&head);
+    let fingerprint = Fingerprint::of(&route.host, head.method.as_str(), &path, &body);
+    let failed_first = instance.failed.borrow_mut().take(arrived, fingerprint.0);
+    let first_at = failed_first.unwrap_or(arrived);
+    let chance = if failed_first.is_some() { Chance::Last } else { Chance::First };
+    let target_at = instance.target_at(&route, arrived, first_at, told);
     let req = Request {
         ticket: instance.next_ticket(),
         id,
-        path: request::path(&head),
+        path,
+        fingerprint,
+        chance,
+        first_at,
         method: head.method,
         headers: request::forwarded(&instance.names, head.headers),
         body,
@@ -234,6 +244,8 @@
     match result {
         Some(Ok(reply)) => relay::send(&call, caller, reply).await,
         Some(Err(failure)) => {
+            let (now, req) = (instance.now(), &call.req);
+            instance.failed.borrow_mut().note(now, req.fingerprint.0, req.first_at);
             let end = End {
                 status: failure.status,
                 outcome: failure.reason,
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -22,12 +22,6 @@
 /// Longest wait for a server that may have crashed.
 const LOOK_TIME: Duration = Duration::from_millis(300);
 
-/// What makes two requests the same work.
-pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
-    let req = &call.req;
-    Fingerprint::of(&req.route.host, req.method.as_str(), &req.path, &req.body)
-}
-
 /// A suspect that runs. Dropping it lets the next one of the same request run.
 pub(crate) struct Trial<'a> {
     instance: &'a Instance,
@@ -47,7 +41,7 @@
 /// When it may be looked at again, for one that crashes servers or whose trial is running.
 pub(crate) fn clear(call: &Call) -> Result<Option<Trial<'_>>, Micros> {
     let instance = &call.instance;
-    let request = fingerprint(call);
+    let request = call.req.fingerprint;
     let mut suspects = instance.suspects.borrow_mut();
     match suspects.judge(instance.now(), request) {
         SuspectVerdict::Clear => Ok(None),
@@ -63,7 +57,7 @@
 /// has crashed.
 pub(crate) fn note_broken(call: &Call, server: &BackendId) {
     let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
-    let (server, request) = (server.clone(), fingerprint(call));
+    let (server, request) = (server.clone(), call.req.fingerprint);
     monoio::spawn(async move {
         if is_there(&instance, &service, &server).await {
             return;
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -166,8 +166,9 @@
     call.sends() < call.req.route.max_attempts && take_retry(call)
 }
 
-fn take_retry(call: &Call) -> bool {
-    let is_taken = call.service.retries.borrow_mut().try_retry(call.instance.now());
+pub(crate) fn take_retry(call: &Call) -> bool {
+    let now = call.instance.now();
+    let is_taken = call.service.retries.borrow_mut().try_retry_for(now, call.req.chance);
     if !is_taken {
         call.note("retry_budget_spent ");
     }
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -12,7 +12,7 @@
 use galenapath_membership::{BeatConfig, Beats, Member, MemberStatus, Peer, StoreHealth, Vitals};
 use galenapath_policy::measure::{AskShares, Crossings, QuestionTimes, ServedRates};
 use galenapath_policy::place::spent;
-use galenapath_policy::{LineBudget, LineKind};
+use galenapath_policy::{FailedRequests, LineBudget, LineKind};
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use galenapath_routes::{Route, SplitTurn};
 use galenapath_settings::GatewaySettings;
@@ -75,6 +75,8 @@
     patience: RefCell<FastMap<String, Micros>>,
     /// Requests that may crash backend servers.
     pub(crate) suspects: RefCell<Suspects>,
+    /// Requests that have failed here, whose callers may come back.
+    pub(crate) failed: RefCell<FailedRequests>,
     /// What is to be told to other instances with the next datagram.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) stage: Cell<Stage>,
@@ -126,6 +128,7 @@
             splits: RefCell::default(),
             patience: RefCell::default(),
             suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
+            failed: RefCell::default(),
             outbox: RefCell::default(),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
@@ -322,16 +325,27 @@
         &route.parts[turn.next(&route.parts)].service
     }
 
-    /// When an answer to a request that arrives now is no longer worth most. A caller that says it
-    /// waits for much less time than callers of its route do has spent the rest on earlier attempts.
-    pub(crate) fn target_at(&self, route: &Route, arrived: Micros, told: Micros) -> Micros {
+    /// When an answer to a request is no longer worth most, that arrived at `arrived` and whose caller's
+    /// first attempt is known to have come at `first_at`. A caller that says it waits for much less time
+    /// than callers of its route do has spent the rest on earlier attempts elsewhere.
+    pub(crate) fn target_at(
+        &self,
+        route: &Route,
+        arrived: Micros,
+        first_at: Micros,
+        told: Micros,
+    ) -> Micros {
+        let target = Micros::from(route.target);
+        if first_at < arrived {
+            return first_at + target;
+        }
         let mut patience = self.patience.borrow_mut();
         let longest = match patience.get_mut(&route.name) {
             Some(longest) => longest,
             None => patience.entry(route.name.clone()).or_insert(told),
         };
         *longest = told.max(*longest);
-        (arrived + route.target.into()) - spent(*longest, told)
+        (arrived + target) - spent(*longest, told)
     }
 
     /// Starts the shares of all routes anew, for a changed configuration.
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -73,6 +73,7 @@
     for service in instance.services.borrow().values() {
         service.pools.prune(now);
         service.share_probes(now, shares);
+        service.share_retries(instance);
     }
     let probers = probers(instance);
     if !probers.iter().any(|prober| prober.incarnation == instance.incarnation) {
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -2,7 +2,9 @@
 
 use crate::dialect::HeaderNames;
 use bytes::Bytes;
+use galenapath_filings::Fingerprint;
 use galenapath_http::{Framing, RequestHead, strip_hop_by_hop};
+use galenapath_policy::Chance;
 use galenapath_protocol::Micros;
 use galenapath_routes::Route;
 use http::Method;
@@ -23,6 +25,12 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
+    /// What makes two requests the same work.
+    pub(crate) fingerprint: Fingerprint,
+    /// Whether its caller has come back with it.
+    pub(crate) chance: Chance,
+    /// When the caller's first attempt arrived, as far as that is known.
+    pub(crate) first_at: Micros,
     /// When its head was read.
     pub(crate) arrived: Micros,
     /// When an answer is no longer worth most, counted from the caller's first attempt.
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -7,7 +7,7 @@
 use galenapath_policy::place::{
     Line, PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, WaitQueue,
 };
-use galenapath_policy::{RetryBudget, RetryConfig};
+use galenapath_policy::{RetryBudget, RetryConfig, SharedAllowance};
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros, hash64};
 use galenapath_routes::{ServerState, ServiceSpec};
 use galenapath_settings::RetryAllowance;
@@ -24,12 +24,14 @@
 /// Time without requests after which a service takes in a changed list only when the next one comes.
 const IDLE_AFTER: Micros = Micros::from_secs(1);
 
-/// Part of the shared retry allowance that is used: the rest is room for instances that do not yet
-/// know of each other.
-const RETRY_PART: f64 = 0.7;
+/// Part of the shared retry allowance of an instance that does not know yet what others serve.
+const UNKNOWN_RETRY_PART: f64 = 1.0 / 16.0;
 
-/// Retries that one instance may save up.
-const RETRY_BURST: f64 = 3.0;
+/// Largest part of it for one instance: another one that has just started may not be known yet.
+const MOST_RETRY_PART: f64 = 0.5;
+
+/// Time after its start for which an instance does not know what others serve.
+const RETRY_PART_UNKNOWN_FOR: Micros = Micros::from_secs(3);
 
 /// A server of the list.
 struct Listed {
@@ -84,7 +86,10 @@
             name: name.to_owned(),
             spec: RefCell::new(spec),
             placement: RefCell::new(Placement::new(PlaceConfig::default(), seed)),
-            retries: RefCell::new(retry_budget(&instance.settings().retries)),
+            retries: RefCell::new(RetryBudget::new(retry_config(
+                &instance.settings().retries,
+                UNKNOWN_RETRY_PART,
+            ))),
             pools: Pools::default(),
             listed: RefCell::default(),
             by_short_id: RefCell::default(),
@@ -100,9 +105,9 @@
 
     /// Takes changed settings over.
     pub(crate) fn take_settings(&self, instance: &Instance) {
-        let settings = instance.settings();
-        self.probe_rate.set(settings.probes_per_second * PROBE_PART);
-        *self.retries.borrow_mut() = retry_budget(&settings.retries);
+        self.probe_rate.set(instance.settings().probes_per_second * PROBE_PART);
+        self.shares.set(None);
+        self.share_retries(instance);
     }
 
     /// Whether nobody has wanted a server lately. Most instances of a large fleet serve a stray request now
@@ -210,6 +215,17 @@
         self.no_load_until.set(now + NO_LOAD_FOR);
     }
 
+    /// Takes over which part of the retries falls to this instance.
+    pub(crate) fn share_retries(&self, instance: &Instance) {
+        let part = if instance.clock.age() < RETRY_PART_UNKNOWN_FOR {
+            UNKNOWN_RETRY_PART
+        } else {
+            f64::from(instance.load_share()).min(MOST_RETRY_PART)
+        };
+        let cfg = retry_config(&instance.settings().retries, part);
+        self.retries.borrow_mut().set_config(instance.now(), cfg);
+    }
+
     /// Takes over which part of the budget of probes falls to this instance.
     pub(crate) fn share_probes(&self, now: Micros, shares: AskShares) {
         if self.shares.replace(Some(shares)) == Some(shares) {
@@ -230,17 +246,9 @@
     }
 }
 
-/// The part of the shared allowance that one instance may use. The share grows with its own
-/// requests; the slack is split as if all of it were used up at once.
-fn retry_budget(allowance: &RetryAllowance) -> RetryBudget {
-    /// Instances among which the slack is split.
-    const SHARERS: f64 = 16.0;
-    let per_second = allowance.slack / allowance.window.as_secs_f64().max(0.1) / SHARERS;
-    RetryBudget::new(RetryConfig {
-        share: allowance.ratio * RETRY_PART,
-        floor_per_second: per_second / 2.0,
-        burst: RETRY_BURST,
-    })
+fn retry_config(allowance: &RetryAllowance, part: f64) -> RetryConfig {
+    let RetryAllowance { ratio, slack, window } = *allowance;
+    SharedAllowance { ratio, slack, window: window.into() }.part(part)
 }
 
 impl Instance {
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -29,6 +29,6 @@
 pub use lines::{LineBudget, LineKind};
 pub use outcome::Outcome;
 pub use retry::{
-    AttemptCount, HedgeConfig, HedgePolicy, MAX_ATTEMPTS, RequestKind, RetryBudget, RetryConfig,
-    may_retry,
+    AttemptCount, Chance, FailedRequests, HedgeConfig, HedgePolicy, MAX_ATTEMPTS, RequestKind,
+    RetryBudget, RetryConfig, SharedAllowance, may_retry,
 };
