Connections kept where they are wanted, callers at a start wait for the state, accused instances answer everybody

An instance that two others took for gone while it took them for gone was accused for ever (70 times a second after a loss of all 311); test everybody_silent_ones_answered_as_well. A request in the first second of an instance waits for configuration and list for a quarter of its time at the most; tests request_at_the_start_*.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -149,7 +149,7 @@
 
 /// Opens a connection.
 pub(crate) async fn connect(call: &Call, address: SocketAddr) -> Result<Connection, Fault> {
-    call.instance.metrics.connects.inc();
+    call.instance.count_connect("request");
     let connecting = TcpStream::connect_addr(address);
     match monoio::time::timeout(CONNECT_TIME, connecting).await {
         Ok(Ok(io)) => Ok(Connection::new(io, HEAD_LIMIT)),
@@ -196,7 +196,7 @@
     let rest = if body.is_complete() {
         if !closes && !connection.has_unread() {
             let now = call.instance.now();
-            call.service.pools.keep(now, &in_flight.server, connection, stated);
+            call.service.keep_connection(now, &in_flight.server, connection, stated);
         }
         None
     } else {
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -6,6 +6,7 @@
 use crate::instance::{Instance, Stage};
 use crate::relay;
 use crate::request::{self, Request};
+use crate::start;
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, select};
 use galenapath_filings::Fingerprint;
@@ -156,6 +157,8 @@
         }
     };
     let id = head.headers.get(&instance.names.request_id).cloned();
+    let told = request::time_left(&instance.names, &head.headers).unwrap_or(UNTOLD_TIME);
+    start::wait_until_known(instance, told).await;
     let route = match find_route(instance, &head) {
         Ok(route) => route,
         Err(answer) => {
@@ -165,7 +168,6 @@
             return answer.send(instance, caller, id.as_ref()).await;
         }
     };
-    let told = request::time_left(&instance.names, &head.headers).unwrap_or(UNTOLD_TIME);
     let deadline = arrived + told.min(route.timeout.into());
     let body = match read_body(instance, caller, &head, framing, limits, deadline).await {
         Ok(Ok(body)) => body,
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -69,7 +69,7 @@
         return Err(Fault::NotAsked);
     }
     let now = call.instance.now();
-    let kept = service.pools.take(now, server).await;
+    let kept = service.take_connection(now, server).await;
     let is_once = call.req.route.kind == RouteKind::OnceOnly;
     let is_old = is_once && kept.as_ref().is_some_and(|kept| kept.idle > FRESH_IDLE);
     let may_ask_more = || service.tells_load(now) && service.take_probe(now, server);
@@ -129,7 +129,7 @@
         service.told_no_load(instance.now());
     }
     if let Err(Health { connection: Some(connection), .. }) = tx.send(health) {
-        service.pools.keep(instance.now(), &server, connection, None);
+        service.keep_connection(instance.now(), &server, connection, None);
     }
 }
 
@@ -148,7 +148,7 @@
             return Ok(health);
         }
     }
-    instance.metrics.connects.inc();
+    instance.count_connect("question");
     let io = TcpStream::connect_addr(address).await?;
     health::ask(instance, service, server, Connection::new(io, HEAD_LIMIT)).await
 }
@@ -163,7 +163,7 @@
     let is_fit = call.service.placement.borrow().is_fit(now, server, in_flight.started);
     if !is_fit && call.may_choose_anew() {
         if let Some(connection) = connection {
-            call.service.pools.keep(now, server, connection, None);
+            call.service.keep_connection(now, server, connection, None);
         }
         return Err(Fault::Unfit);
     }
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -241,7 +241,9 @@
     match datagram {
         Datagram::Beat(beat) => take_beat(instance, &beat, from),
         Datagram::Hello(member) => {
+            let incarnation = member.incarnation;
             learn(instance, member);
+            instance.beats.borrow_mut().spoke(instance.now(), incarnation);
             send_members(instance, from);
             // A new instance takes the state from whom it hears to have one.
             send_beat(instance, &[from]);
@@ -259,7 +261,12 @@
     let is_introduction = members.len() == 1;
     for member in members {
         let (address, is_home) = (member.peers, member.domain == instance.settings().domain);
-        match (learn(instance, member), address == from) {
+        let incarnation = member.incarnation;
+        let learned = learn(instance, member);
+        if address == from {
+            instance.beats.borrow_mut().spoke(instance.now(), incarnation);
+        }
+        match (learned, address == from) {
             // A new instance learns from the answer whether the store answers here, and more; one of its own
             // failure domain is enough for that.
             (Learned::News, true) if is_home || !is_introduction => send_beat(instance, &[address]),
@@ -300,7 +307,8 @@
     }
     instance.accused_at.set(now);
     log::info!("another instance has not heard this one; telling all");
-    announce(instance);
+    let everybody = instance.beats.borrow().everybody();
+    send_beat(instance, &everybody);
 }
 
 /// Tells another instance, which has only been heard of, that this one is there.
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -354,6 +354,11 @@
         self.patience.borrow_mut().clear();
     }
 
+    /// Counts a connection opened to a backend server.
+    pub(crate) fn count_connect(&self, what_for: &str) {
+        self.metrics.connects.with_label_values(&[what_for]).inc();
+    }
+
     /// Requests taken from callers so far.
     pub(crate) fn requests(&self) -> u64 {
         self.next_ticket.get()
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod run;
 mod service;
 mod sharing;
+mod start;
 mod state;
 mod stop;
 mod usage;
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -30,8 +30,8 @@
     pub sends: IntCounterVec,
     /// Second copies sent.
     pub copies: IntCounter,
-    /// Connections opened to backend servers.
-    pub connects: IntCounter,
+    /// Connections opened to backend servers, by what for.
+    pub connects: IntCounterVec,
     /// Bytes sent and received, by flow and by whose failure domain the other end is in.
     pub bytes: IntCounterVec,
     /// Load probes, by result.
@@ -74,7 +74,7 @@
             load_age: ages(&r, "load_age_seconds", "Mean age of the servers' loads")?,
             sends: counters(&r, "sends_total", "Sends to backend servers", &["outcome"])?,
             copies: counter(&r, "copies_total", "Second copies sent")?,
-            connects: counter(&r, "connects_total", "Connections to backend servers")?,
+            connects: counters(&r, "connects_total", "Connections to backend servers", &["for"])?,
             bytes: counters(&r, "bytes_total", "Bytes by flow", &["flow", "domain"])?,
             probes: counters(&r, "probes_total", "Load probes", &["result"])?,
             store_calls: counters(&r, "store_calls_total", "Store calls", &["call", "result"])?,
--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -68,10 +68,21 @@
         self.idle.borrow_mut().retain(|id, _| is_there(id));
     }
 
-    /// Closes connections that have been idle for too long.
-    pub(crate) fn prune(&self, now: Micros) {
-        for pool in self.idle.borrow_mut().values_mut() {
+    /// Whether a connection to the server is kept.
+    pub(crate) fn has(&self, id: &BackendId) -> bool {
+        self.idle.borrow().get(id).is_some_and(|pool| !pool.is_empty())
+    }
+
+    /// Closes connections that have been idle for too long. Returns the servers that none is left to.
+    pub(crate) fn prune(&self, now: Micros) -> Vec<BackendId> {
+        let mut left = Vec::new();
+        self.idle.borrow_mut().retain(|id, pool| {
             pool.retain(|idle| idle.until >= now);
-        }
+            if pool.is_empty() {
+                left.push(id.clone());
+            }
+            !pool.is_empty()
+        });
+        left
     }
 }
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -41,7 +41,6 @@
     address: SocketAddr,
     /// Until when it is not probed, because a probe failed or it tells no load.
     not_before: Micros,
-    connection: Option<Connection>,
     is_running: bool,
     failures: u32,
 }
@@ -71,7 +70,7 @@
 fn assign(instance: &Instance, targets: &Targets) {
     let (now, shares) = (instance.now(), instance.ask_shares());
     for service in instance.services.borrow().values() {
-        service.pools.prune(now);
+        service.prune_connections(now);
         service.share_probes(now, shares);
         service.share_retries(instance);
     }
@@ -97,7 +96,6 @@
             id,
             address,
             not_before: Micros::ZERO,
-            connection: None,
             is_running: false,
             failures: 0,
         });
@@ -156,13 +154,12 @@
 }
 
 async fn probe(instance: Rc<Instance>, targets: Targets, id: BackendId) {
-    let Some((service, address, kept)) = targets
-        .borrow_mut()
-        .get_mut(&id)
-        .map(|target| (Rc::clone(&target.service), target.address, target.connection.take()))
+    let Some((service, address)) =
+        targets.borrow().get(&id).map(|target| (Rc::clone(&target.service), target.address))
     else {
         return;
     };
+    let kept = service.take_connection(instance.now(), &id).await.map(|kept| kept.connection);
     let result =
         monoio::time::timeout(TIMEOUT, exchange(&instance, &service, &id, address, kept)).await;
     let result = result.unwrap_or_else(|_| Err(HttpError::HeadTimeout));
@@ -173,7 +170,9 @@
     target.is_running = false;
     match result {
         Ok(health) => {
-            target.connection = health.connection;
+            if let Some(connection) = health.connection {
+                service.keep_connection(instance.now(), &id, connection, None);
+            }
             if target.failures >= FAILURES {
                 log::info!(server:% = id; "server answers probes again");
             }
@@ -209,6 +208,7 @@
     {
         return Ok(health);
     }
+    instance.count_connect("probe");
     let io = TcpStream::connect_addr(address).await?;
     let connection = Connection::new(io, health::HEAD_LIMIT);
     health::ask(instance, service, id, connection).await
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -1,8 +1,9 @@
 //! One service: its backend servers, the decisions about them and who waits for them.
 
 use crate::instance::Instance;
-use crate::pool::Pools;
+use crate::pool::{Kept, Pools};
 use crate::waiting::Waiter;
+use galenapath_http::Connection;
 use galenapath_policy::measure::{AskBudget, AskShares};
 use galenapath_policy::place::{
     Line, PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, WaitQueue,
@@ -59,7 +60,7 @@
     pub(crate) placement: RefCell<Placement>,
     pub(crate) retries: RefCell<RetryBudget>,
     /// Idle connections to the servers.
-    pub(crate) pools: Pools,
+    pools: Pools,
     /// By the identities of their runs, as everything else here: a server that starts again is another one.
     listed: RefCell<FastMap<BackendId, Listed>>,
     /// The servers by the short form of their identities.
@@ -158,6 +159,32 @@
         self.placement.borrow_mut().set_servers(now, &list);
     }
 
+    /// Takes a kept connection to a server.
+    pub(crate) async fn take_connection(&self, now: Micros, id: &BackendId) -> Option<Kept> {
+        let kept = self.pools.take(now, id).await;
+        self.placement.borrow_mut().set_connected(id, self.pools.has(id));
+        kept
+    }
+
+    /// Keeps a connection whose last answer was read to its end. `stated` is the idle time after which the
+    /// server closes it.
+    pub(crate) fn keep_connection(
+        &self,
+        now: Micros,
+        id: &BackendId,
+        connection: Connection,
+        stated: Option<Micros>,
+    ) {
+        self.pools.keep(now, id, connection, stated);
+        self.placement.borrow_mut().set_connected(id, self.pools.has(id));
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn prune_connections(&self, now: Micros) {
+        let mut placement = self.placement.borrow_mut();
+        self.pools.prune(now).iter().for_each(|id| placement.set_connected(id, false));
+    }
+
     /// Where a server listens; `None` once it is gone.
     pub(crate) fn address(&self, id: &BackendId) -> Option<SocketAddr> {
         self.listed.borrow().get(id).map(|server| server.address)
--- a/crates/galenapath-gateway/src/usage.rs
+++ b/crates/galenapath-gateway/src/usage.rs
@@ -96,10 +96,15 @@
     }
 }
 
-/// Writes one line: for each flow its bytes inside the own failure domain and beyond it.
+/// Writes one line: for each flow its bytes inside the own failure domain and beyond it, and connections
+/// opened to backend servers by what for.
 pub(crate) fn note(instance: &Instance) {
     let bytes = instance.usage.line();
-    let connects = instance.metrics.connects.get();
+    let connects = ["request", "question", "probe"].map(|what_for| {
+        let count = instance.metrics.connects.with_label_values(&[what_for]).get();
+        format!("{what_for}:{count}")
+    });
+    let connects = connects.join(" ");
     let requests = instance.requests();
     log::info!(bytes, connects, requests; "usage so far");
 }
--- a/crates/galenapath-membership/src/beats.rs
+++ b/crates/galenapath-membership/src/beats.rs
@@ -124,6 +124,12 @@
         self.is_up
     }
 
+    fn heard(&mut self, now: Micros) {
+        self.heard_at = now;
+        self.accusers.clear();
+        self.is_missed = false;
+    }
+
     /// Whether callers may be sent to it.
     pub fn is_usable(&self) -> bool {
         self.is_up && self.vitals.is_ready && !self.vitals.is_leaving
@@ -214,6 +220,13 @@
         Learned::News
     }
 
+    /// An instance has said who it is, so that it is there, whatever others say.
+    pub fn spoke(&mut self, now: Micros, incarnation: Incarnation) {
+        if let Some(peer) = self.peers.get_mut(&incarnation) {
+            peer.heard(now);
+        }
+    }
+
     /// Takes in a heartbeat.
     pub fn hear(&mut self, now: Micros, beat: &Beat) -> Heard {
         for accused in &beat.accused {
@@ -222,10 +235,8 @@
             }
         }
         let Some(peer) = self.peers.get_mut(&beat.from) else { return Heard::Stranger };
-        peer.heard_at = now;
+        peer.heard(now);
         peer.vitals = beat.vitals;
-        peer.accusers.clear();
-        peer.is_missed = false;
         if beat.accused.contains(&self.own) {
             return Heard::Accused;
         }
@@ -346,6 +357,12 @@
         self.peers.values().filter(|peer| peer.is_up).map(|peer| peer.member.peers).collect()
     }
 
+    /// Addresses of all others, also of those that are silent: whoever takes this instance for gone may be
+    /// one that this instance has lost as well.
+    pub fn everybody(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.member.peers).collect()
+    }
+
     /// Addresses of those that answer of the own failure domain and of those that serve callers in others,
     /// for what only they use.
     pub fn home_and_serving(&self) -> Vec<SocketAddr> {
--- a/crates/galenapath-membership/tests/beats.rs
+++ b/crates/galenapath-membership/tests/beats.rs
@@ -132,6 +132,20 @@
     assert_eq!(beats.hear(START, &beat(50, &[0])), Heard::Accused);
 }
 
+#[test]
+fn everybody_silent_ones_answered_as_well() {
+    // Each of two takes the other for gone: an answer to those that are up would never end it.
+    let mut beats = beats(0, 0..60);
+    for accuser in [50, 51] {
+        beats.hear(START, &beat(accuser, &[20]));
+    }
+    beats.tick(START + Micros::from_millis(50));
+    assert_eq!((beats.all().len(), beats.everybody().len()), (58, 59));
+    beats.spoke(START, Incarnation(20));
+    beats.tick(START + Micros::from_millis(100));
+    assert_eq!(beats.all().len(), 59);
+}
+
 #[test]
 fn learn_of_one_taken_for_gone_is_doubted() {
     let mut beats = beats(0, 0..60);
--- a/crates/galenapath-membership/tests/fleet.rs
+++ b/crates/galenapath-membership/tests/fleet.rs
@@ -85,6 +85,7 @@
         }
         let asking = self.members[from].clone();
         self.nodes[to].learn(self.now, asking.clone());
+        self.nodes[to].spoke(self.now, asking.incarnation);
         let mut known: Vec<Member> =
             self.nodes[to].peers().filter(|p| p.is_up()).map(|p| p.member.clone()).collect();
         known.push(self.members[to].clone());
@@ -130,7 +131,9 @@
             return;
         }
         self.answered.insert(n, self.now);
-        (0..INSTANCES).filter(|to| *to != n).for_each(|to| self.tell(n, to));
+        for to in self.nodes[n].everybody() {
+            self.tell(n, usize::from(to.port() - 2_000));
+        }
     }
 
     fn restart(&mut self, n: usize) {
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -21,12 +21,18 @@
     /// Part of the work time that a full server costs beside an empty one, by the square of its
     /// fill: some servers slow down when nearly full.
     pub fill_cost: f32,
+    /// Part of the work time that a new connection costs: a handshake, which may wait for a slot, and which
+    /// takes a server's time. Less than one more request at the server does. Without it an instance that
+    /// gets a request now and then opened a connection for each.
+    pub connect: f32,
     /// Part of the work time within which chance decides, so that instances with the same knowledge
     /// do not all choose the same server.
     pub jitter: f32,
     /// Servers of the own failure domain, and as many of others, among which a request chooses. With 42%
     /// of them slow, all of twelve are slow once in 30,000 choices.
     pub sample: usize,
+    /// Servers of the own failure domain that a connection is kept to, which it looks at as well.
+    pub sample_connected: usize,
     /// Part of the work time by which a server that has just been asked may be slower than it was
     /// expected to be before the request looks for another.
     pub slower: f32,
@@ -68,8 +74,10 @@
             crossing: 0.75,
             crossing_large: Micros::from_millis(250),
             fill_cost: 0.5,
+            connect: 0.1,
             jitter: 0.15,
             sample: 12,
+            sample_connected: 4,
             slower: 0.5,
             failure: Micros::from_millis(400),
             failure_fades: Micros::from_secs(3),
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -97,7 +97,15 @@
         }
     }
 
-    /// Some servers of the own failure domain and some of the others, by chance.
+    /// Whether an idle connection to a server is kept.
+    pub fn set_connected(&mut self, id: &BackendId, is_connected: bool) {
+        if let Some(server) = self.server_mut(id) {
+            server.is_connected = is_connected;
+        }
+    }
+
+    /// Some servers of the own failure domain, some that a connection is kept to, and some of the others, by
+    /// chance.
     fn sample(&mut self) -> Vec<usize> {
         let size = self.cfg.sample;
         let mut taken = Vec::with_capacity(2 * size);
@@ -106,10 +114,23 @@
                 (0..self.servers.len()).filter(|at| self.servers[*at].is_home == is_home).collect();
             let (chosen, _) = side.partial_shuffle(&mut self.rng, size);
             taken.extend_from_slice(chosen);
+            if is_home {
+                self.add_connected(&mut taken);
+            }
         }
         taken
     }
 
+    /// Adds some servers of the own failure domain that a connection is kept to.
+    fn add_connected(&mut self, taken: &mut Vec<usize>) {
+        let is_near = |server: &Server| server.is_home && server.is_connected;
+        let mut connected: Vec<usize> =
+            (0..self.servers.len()).filter(|at| is_near(&self.servers[*at])).collect();
+        connected.retain(|at| !taken.contains(at));
+        let (chosen, _) = connected.partial_shuffle(&mut self.rng, self.cfg.sample_connected);
+        taken.extend_from_slice(chosen);
+    }
+
     /// The best of some servers that has room.
     fn best(&mut self, now: Micros, ask: &Ask<'_>, among: &[usize]) -> Best {
         let mut least = f32::INFINITY;
@@ -205,6 +226,7 @@
         }
         cost += server.trouble(now, cfg) * cfg.failure.0 as f32;
         cost += if server.is_home { 0.0 } else { crossing };
+        cost += if server.is_connected { 0.0 } else { cfg.connect * work };
         cost
     }
 
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -15,6 +15,8 @@
     /// Whether it is in the own failure domain.
     pub is_home: bool,
     pub is_leaving: bool,
+    /// Whether an idle connection to it is kept.
+    pub is_connected: bool,
     /// Until when it works slowly after its start.
     pub cold_until: Micros,
     /// Requests of this instance that are there now.
@@ -39,6 +41,7 @@
             slots: 1,
             is_home: false,
             is_leaving: false,
+            is_connected: false,
             cold_until: Micros::ZERO,
             own: 0,
             unsent: 0,
--- a/crates/galenapath-policy/tests/place/placement.rs
+++ b/crates/galenapath-policy/tests/place/placement.rs
@@ -53,6 +53,49 @@
     assert!(counts[0] > 20 && counts[2] > 20, "{counts:?}");
 }
 
+#[test]
+fn choose_connected_preferred_among_equals() {
+    let mut placement = placement(&[true; 8]);
+    placement.set_connected(&id(3), true);
+    let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 100);
+    assert!(counts[3] > 60, "{counts:?}");
+}
+
+#[test]
+fn choose_connected_does_not_excuse_slow_nor_full() {
+    for (running, pace) in [(0, 700), (5, 100)] {
+        let mut placement = placement(&[true; 8]);
+        placement.set_connected(&id(3), true);
+        placement.see(&id(3), sighting(START, running, pace));
+        let counts = spread(&mut placement, START, &ask(Micros::from_millis(400)), 100);
+        assert!(counts[3] < 10, "{running} running at {pace}: {counts:?}");
+    }
+}
+
+#[test]
+fn choose_few_connections_for_stray_requests() {
+    // One request in 700 ms among 120 servers; a connection is kept for 8 s.
+    let mut placement = placement(&[true; 120]);
+    let mut kept: Vec<(usize, Micros)> = Vec::new();
+    let mut opened = 0;
+    for n in 0..100 {
+        let now = START + Micros::from_millis(n * 700);
+        kept.retain(|(server, since)| {
+            let is_kept = now - *since < Micros::from_secs(8);
+            placement.set_connected(&id(*server), is_kept);
+            is_kept
+        });
+        let choice = placement.choose(now, &ask(Micros::from_millis(400)));
+        let Choice::Server(chosen) = choice else { panic!("{choice:?}") };
+        let server: usize = chosen.0[1..].parse().unwrap_or(0);
+        opened += usize::from(!kept.iter().any(|(known, _)| *known == server));
+        kept.retain(|(known, _)| *known != server);
+        kept.push((server, now));
+        placement.set_connected(&id(server), true);
+    }
+    assert!(opened < 40, "{opened} connections for 100 requests");
+}
+
 #[test]
 fn choose_slow_forgiven_with_age() {
     let mut placement = placement(&[true, true]);
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -3,6 +3,7 @@
 use crate::support::{Gateway, World, config, wait_until};
 use galenapath_dev::users_platform::KvTrouble;
 use serde_json::json;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -138,6 +139,36 @@
     assert_eq!(second.look("s1").status, 200);
 }
 
+#[test]
+fn request_at_the_start_waits_for_what_is_missing() {
+    let world = World::start();
+    let store = world.store.listen().unwrap();
+    world.store.trouble(store, KvTrouble::Busy);
+    let gateway = Gateway::start_at(store, &[]);
+    // It listens, and does not know any route yet.
+    wait_until("listening", || TcpStream::connect(gateway.callers()).is_ok());
+    let platform = world.store.clone();
+    let healing = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(150));
+        platform.trouble(store, KvTrouble::None);
+    });
+    let answer = gateway.request("GET", "/look/1", "early", 6_000, b"");
+    healing.join().unwrap();
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn request_at_the_start_refused_when_nothing_comes() {
+    let world = World::start();
+    let store = world.store.listen().unwrap();
+    world.store.trouble(store, KvTrouble::Busy);
+    let gateway = Gateway::start_at(store, &[]);
+    wait_until("listening", || TcpStream::connect(gateway.callers()).is_ok());
+    let began = Instant::now();
+    assert_eq!(gateway.request("GET", "/look/1", "early", 2_000, b"").status, 503);
+    assert!(began.elapsed() < Duration::from_millis(900), "{:?}", began.elapsed());
+}
+
 #[test]
 fn calm_store_called_seldom() {
     let world = World::start();
