--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -211,17 +211,20 @@
     }
 }
 
-/// Waits until a copy may go out, and places it; `None` where there is none to come.
+/// Waits until a copy may go out, or the server is found out of reach, and places it; `None` where there is
+/// none to come.
 async fn wait_for_copy(call: &Call, server: &BackendId) -> Option<InFlight> {
     let work = call.service.placement.borrow().work();
     let early = copies::early_after(work, call.left_for_target());
     let late = copies::late_after(work);
-    sleep(early).await;
+    let is_lost = call.service.lost_within(server, early).await;
     let is_ample = call.service.retries.borrow_mut().is_ample(call.instance.now());
-    if is_ample && let Some(copy) = place_copy(call) {
+    if (is_lost || is_ample)
+        && let Some(copy) = place_copy(call)
+    {
         return Some(copy);
     }
-    sleep(late - early).await;
+    call.service.lost_within(server, late - early).await;
     if let Some(copy) = place_copy(call) {
         return Some(copy);
     }
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod in_flight;
 mod instance;
 mod logging;
+mod loss;
 mod metrics;
 mod packed;
 mod pool;
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -15,7 +15,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time after a failed probe until the next one.
+/// Time after the first failed probe until the next one: requests are at the server.
+const AFTER_FIRST_FAILURE: Micros = Micros::from_millis(20);
+
+/// Time after further failed probes until the next one.
 const AFTER_FAILURE: Micros = Micros::from_millis(200);
 
 /// Time between two probes of a server that tells no load: they only show that it is there.
@@ -184,12 +187,13 @@
         Err(e) => {
             target.failures += 1;
             let now = instance.now();
-            target.not_before = now + AFTER_FAILURE;
+            let is_first = target.failures == 1;
+            target.not_before = now + if is_first { AFTER_FIRST_FAILURE } else { AFTER_FAILURE };
             if target.failures == FAILURES {
                 log::info!(server:% = id, address:% = address, error:% = e; "server out of reach");
             }
             if target.failures >= FAILURES {
-                service.placement.borrow_mut().not_reached(now, &id);
+                service.lost(now, &id);
                 instance.share_failure(&service, &id, 1.0);
             }
         }
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -1,6 +1,7 @@
 //! One service: its backend servers, the decisions about them and who waits for them.
 
 use crate::instance::Instance;
+use crate::loss::Losses;
 use crate::pool::{Kept, Pools};
 use crate::waiting::Waiter;
 use galenapath_http::Connection;
@@ -61,6 +62,8 @@
     pub(crate) retries: RefCell<RetryBudget>,
     /// Idle connections to the servers.
     pools: Pools,
+    /// Requests that wait to hear that their server is out of reach.
+    losses: Losses,
     /// By the identities of their runs, as everything else here: a server that starts again is another one.
     listed: RefCell<FastMap<BackendId, Listed>>,
     /// The servers by the short form of their identities.
@@ -92,6 +95,7 @@
                 UNKNOWN_RETRY_PART,
             ))),
             pools: Pools::default(),
+            losses: Losses::default(),
             listed: RefCell::default(),
             by_short_id: RefCell::default(),
             line: RefCell::new(Line::new(WaitQueue::new(QueueConfig::default()))),
@@ -154,11 +158,23 @@
             });
         }
         self.pools.retain(|id| listed.contains_key(id));
+        self.losses.retain(|id| listed.contains_key(id));
         *self.by_short_id.borrow_mut() = listed.keys().map(|id| (id.short(), id.clone())).collect();
         *self.listed.borrow_mut() = listed;
         self.placement.borrow_mut().set_servers(now, &list);
     }
 
+    /// A server answers no probe.
+    pub(crate) fn lost(&self, now: Micros, id: &BackendId) {
+        self.placement.borrow_mut().not_reached(now, id);
+        self.losses.tell(id);
+    }
+
+    /// Waits for `span`, or until a server is found out of reach; returns whether it was.
+    pub(crate) async fn lost_within(&self, id: &BackendId, span: Micros) -> bool {
+        matches!(monoio::time::timeout(span.into(), self.losses.of(id)).await, Ok(Ok(())))
+    }
+
     /// Takes a kept connection to a server.
     pub(crate) async fn take_connection(&self, now: Micros, id: &BackendId) -> Option<Kept> {
         let kept = self.pools.take(now, id).await;
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -1,8 +1,10 @@
 //! Backend servers that fail, leave, slow down and crash.
 
-use crate::support::{Gateway, World, wait_until};
+use crate::support::{Gateway, World, config, wait_until};
+use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::ServerTrouble;
-use std::time::Duration;
+use serde_json::json;
+use std::time::{Duration, Instant};
 
 #[test]
 fn filing_run_never_sent_again() {
@@ -258,3 +260,27 @@
     wait_until("service", || gateway.look("zr9").status == 200);
     assert!(!gateway.log().iter().any(|line| line["outcome"] == "crashes_servers"));
 }
+
+#[test]
+fn request_at_server_out_of_reach_copied_before_it_is_late() {
+    let world = World::start_linked();
+    // Work may take two seconds: by time alone a copy would leave after 2.8 s.
+    let patient =
+        [("look", "target_latency_ms", json!(5_000)), ("look", "timeout_ms", json!(9_000))];
+    world.store.put("op/config", &config(2, &patient));
+    let gateway = Gateway::ready(&world, &[]);
+    for server in world.of("look") {
+        server.set_trouble(ServerTrouble::Hang);
+    }
+    let began = Instant::now();
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| gateway.request("GET", "/look/1", "dark", 9_000, b""));
+        wait_until("the request", || world.ran("look") == 1);
+        let at = usize::from(world.of("look")[0].seen().is_empty());
+        world.links[at].set_fault(LinkFault::Hold);
+        world.of("look")[1 - at].set_trouble(ServerTrouble::None);
+        asking.join().unwrap()
+    });
+    assert_eq!(answer.status, 200);
+    assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
+}
