--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -82,17 +82,17 @@
         };
     }
     let kept = kept.map(|kept| kept.connection);
-    let connection = ask(call, server, address, kept).await?;
-    judge_fitness(call, in_flight, address, connection).await
+    let health = ask(call, server, address, kept).await?;
+    judge_fitness(call, in_flight, address, health).await
 }
 
-/// Asks the server for its load; returns the connection where it can be used again.
+/// Asks the server for its load.
 async fn ask(
     call: &Call,
     server: &BackendId,
     address: SocketAddr,
     kept: Option<Connection>,
-) -> Result<Option<Connection>, Fault> {
+) -> Result<Health, Fault> {
     let instance = &call.instance;
     let patience = instance.patience_with_questions();
     let (tx, rx) = oneshot::channel();
@@ -106,7 +106,7 @@
     ));
     match monoio::time::timeout(patience.into(), rx).await {
         Ok(Ok(Health { is_other: true, .. })) => Err(Fault::OtherServer),
-        Ok(Ok(health)) => Ok(health.connection),
+        Ok(Ok(health)) => Ok(health),
         // Whether the server is out of reach is for the regular probes to say.
         Ok(Err(_)) | Err(_) => Err(Fault::Unfit),
     }
@@ -128,8 +128,8 @@
     if health.sighting.is_none() {
         service.told_no_load(instance.now());
     }
-    if let Err(Health { connection: Some(connection), .. }) = tx.send(health) {
-        service.keep_connection(instance.now(), &server, connection, None);
+    if let Err(Health { connection: Some(connection), stated_idle, .. }) = tx.send(health) {
+        service.keep_connection(instance.now(), &server, connection, stated_idle);
     }
 }
 
@@ -157,13 +157,13 @@
     call: &Call,
     in_flight: &InFlight,
     address: SocketAddr,
-    connection: Option<Connection>,
+    Health { connection, stated_idle, .. }: Health,
 ) -> Result<(Connection, bool), Fault> {
     let (now, server) = (call.instance.now(), &in_flight.server);
     let is_fit = call.service.placement.borrow().is_fit(now, server, in_flight.started);
     if !is_fit && call.may_choose_anew() {
         if let Some(connection) = connection {
-            call.service.keep_connection(now, server, connection, None);
+            call.service.keep_connection(now, server, connection, stated_idle);
         }
         return Err(Fault::Unfit);
     }
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -2,7 +2,7 @@
 
 use super::message::{Datagram, decode, encode};
 use super::pull;
-use crate::instance::{Instance, sleep};
+use crate::instance::{Instance, sleep, sleep_to_next};
 use crate::usage::Flow;
 use galenapath_membership::{Beat, Belief, Heard, Learned, Member, StoreHealth, Vitals};
 use galenapath_policy::LineKind;
@@ -48,7 +48,7 @@
     let mut told = Vitals::default();
     let mut tellings = Tellings::default();
     loop {
-        sleep(LOOK).await;
+        sleep_to_next(&instance, LOOK).await;
         let now = instance.now();
         let changes = instance.beats.borrow_mut().tick(now);
         changes.iter().for_each(|change| log_belief(&instance, change));
--- a/crates/galenapath-gateway/src/health.rs
+++ b/crates/galenapath-gateway/src/health.rs
@@ -28,6 +28,8 @@
     pub(crate) is_other: bool,
     /// The connection, where it can be used again.
     pub(crate) connection: Option<Connection>,
+    /// Idle time after which the server closes it, where it says.
+    pub(crate) stated_idle: Option<Micros>,
 }
 
 /// Asks the server behind `connection` and takes note of what it says. Its status is not believed:
@@ -60,6 +62,7 @@
         sighting: note(instance, service, id, &head, asked_at),
         is_other: is_other(instance, service, id, &head),
         connection: is_clean.then_some(connection),
+        stated_idle: reply::stated_idle(&head.headers),
     })
 }
 
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -379,6 +379,12 @@
     peers.filter(|peer| peer.vitals.serves_callers)
 }
 
+/// Sleeps until the age of the instance is a multiple of `span`. Tasks that look at something now and then
+/// wake together by it: an instance that serves nobody wakes 20 times a second instead of 45.
+pub(crate) async fn sleep_to_next(instance: &Instance, span: Micros) {
+    sleep(span - Micros(instance.clock.age().0 % span.0)).await;
+}
+
 /// Sleeps for `span`.
 pub(crate) async fn sleep(span: Micros) {
     monoio::time::sleep(Duration::from(span)).await;
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -1,15 +1,15 @@
 //! Load probes to backend servers.
 //!
-//! Each server is probed by one instance of its own failure domain, where one serves callers: a probe
-//! that crosses is billed. That instance tells the others. Every instance works out the same assignment
-//! from the members that it knows. When a server is due, placement says by what is known of it.
+//! Each server is probed by one of the instances that serve callers, which tells the others. Every instance
+//! works out the same assignment from the members that it knows. When a server is due, placement says by
+//! what is known of it.
 
 use crate::health::{self, Health};
-use crate::instance::{Instance, sleep};
-use crate::service::{ServerAt, Service};
+use crate::instance::{Instance, sleep_to_next};
+use crate::service::Service;
 use galenapath_http::{Connection, HttpError};
-use galenapath_membership::Peer;
-use galenapath_protocol::{BackendId, DomainId, FastMap, Incarnation, Micros, hash64};
+use galenapath_policy::measure::{Prober, prober};
+use galenapath_protocol::{BackendId, FastMap, Micros};
 use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +27,9 @@
 /// Time between two looks at which probes are due.
 const LOOK: Micros = Micros::from_millis(15);
 
+/// Time after the start of an instance for which it probes nobody: it does not know all others yet.
+const SETTLES_WITHIN: Micros = Micros::from_secs(1);
+
 /// Time between two looks at who probes which server.
 const REASSIGN: Micros = Micros::from_millis(250);
 
@@ -57,7 +60,7 @@
     loop {
         // Most instances of a large fleet have nothing to probe.
         let is_idle = targets.borrow().is_empty();
-        sleep(if is_idle { REASSIGN } else { LOOK }).await;
+        sleep_to_next(&instance, if is_idle { REASSIGN } else { LOOK }).await;
         let now = instance.now();
         if now - assigned_at >= REASSIGN {
             assigned_at = now;
@@ -77,20 +80,7 @@
         service.share_probes(now, shares);
         service.share_retries(instance);
     }
-    let probers = probers(instance);
-    if !probers.iter().any(|prober| prober.incarnation == instance.incarnation) {
-        targets.borrow_mut().clear();
-        return;
-    }
-    let mut mine: FastMap<BackendId, (Rc<Service>, SocketAddr)> = FastMap::default();
-    for service in instance.services.borrow().values() {
-        service.refresh(instance);
-        for server in service.servers() {
-            if prober(&probers, &server) == Some(instance.incarnation) {
-                mine.insert(server.id, (Rc::clone(service), server.address));
-            }
-        }
-    }
+    let mine = if may_probe(instance) { mine(instance) } else { FastMap::default() };
     let mut targets = targets.borrow_mut();
     targets.retain(|id, target| mine.get(id).is_some_and(|(_, at)| *at == target.address));
     for (id, (service, address)) in mine {
@@ -105,37 +95,46 @@
     }
 }
 
-/// An instance that probes.
-struct Prober {
-    incarnation: Incarnation,
-    domain: DomainId,
+/// Whether this instance is one of those that probe: it serves callers, or nobody does.
+fn may_probe(instance: &Instance) -> bool {
+    let is_settled = instance.clock.age() >= SETTLES_WITHIN;
+    is_settled && (instance.vitals().serves_callers || !is_anyone_serving(instance))
 }
 
-/// The instances that probe: those that serve callers, or all while nobody does.
-fn probers(instance: &Instance) -> Vec<Prober> {
+fn is_anyone_serving(instance: &Instance) -> bool {
     let beats = instance.beats.borrow();
-    let own = instance.vitals();
-    let usable = || beats.peers().filter(|peer| peer.is_usable());
-    let is_anyone = own.serves_callers || usable().any(|p| p.vitals.serves_callers);
-    let others = usable().filter(|p| !is_anyone || p.vitals.serves_callers);
-    let prober = |peer: &Peer| Prober {
-        incarnation: peer.member.incarnation,
-        domain: peer.member.domain.clone(),
-    };
-    let mut probers: Vec<Prober> = others.map(prober).collect();
-    if !is_anyone || own.serves_callers {
-        let domain = instance.settings().domain.clone();
-        probers.push(Prober { incarnation: instance.incarnation, domain });
-    }
-    probers
+    beats.peers().any(|peer| peer.is_usable() && peer.vitals.serves_callers)
 }
 
-/// Which of the instances probes a server.
-fn prober(probers: &[Prober], server: &ServerAt) -> Option<Incarnation> {
-    let seed = hash64(0, server.id.0.as_bytes());
-    let score = |p: &Prober| hash64(seed, &p.incarnation.0.to_le_bytes());
-    let rank = |p: &&Prober| (p.domain == server.domain, score(p));
-    probers.iter().max_by_key(rank).map(|prober| prober.incarnation)
+/// The servers that fall to this instance, which probes.
+fn mine(instance: &Instance) -> FastMap<BackendId, (Rc<Service>, SocketAddr)> {
+    let is_anyone = instance.vitals().serves_callers || is_anyone_serving(instance);
+    let beats = instance.beats.borrow();
+    let settings = instance.settings();
+    let others = beats.peers().filter(|peer| peer.is_usable());
+    let mut probing: Vec<Prober<'_>> = others
+        .filter(|peer| !is_anyone || peer.vitals.serves_callers)
+        .map(|peer| Prober {
+            incarnation: peer.member.incarnation,
+            domain: &peer.member.domain,
+            crosses: peer.vitals.crosses,
+        })
+        .collect();
+    probing.push(Prober {
+        incarnation: instance.incarnation,
+        domain: &settings.domain,
+        crosses: instance.vitals().crosses,
+    });
+    let mut mine = FastMap::default();
+    for service in instance.services.borrow().values() {
+        service.refresh(instance);
+        for server in service.servers() {
+            if prober(&probing, &server.domain, &server.id) == Some(instance.incarnation) {
+                mine.insert(server.id, (Rc::clone(service), server.address));
+            }
+        }
+    }
+    mine
 }
 
 fn due(targets: &Targets, now: Micros) -> Vec<BackendId> {
@@ -174,7 +173,7 @@
     match result {
         Ok(health) => {
             if let Some(connection) = health.connection {
-                service.keep_connection(instance.now(), &id, connection, None);
+                service.keep_connection(instance.now(), &id, connection, health.stated_idle);
             }
             if target.failures >= FAILURES {
                 log::info!(server:% = id; "server answers probes again");
--- a/crates/galenapath-gateway/src/reload.rs
+++ b/crates/galenapath-gateway/src/reload.rs
@@ -1,6 +1,6 @@
 //! Settings that change while the instance runs.
 
-use crate::instance::{Instance, sleep};
+use crate::instance::{Instance, sleep_to_next};
 use crate::stop::Signals;
 use galenapath_protocol::Micros;
 use galenapath_settings::{GatewaySettings, SettingsError};
@@ -20,7 +20,7 @@
     let mut looks = 0;
     let mut was_bad = false;
     loop {
-        sleep(LOOK).await;
+        sleep_to_next(&instance, LOOK).await;
         looks += 1;
         let is_asked = signals.take_reload();
         if !is_asked && looks < LOOKS_PER_READ {
--- a/crates/galenapath-gateway/src/stop.rs
+++ b/crates/galenapath-gateway/src/stop.rs
@@ -1,6 +1,6 @@
 //! Signals, and a planned stop.
 
-use crate::instance::{Instance, Stage, sleep};
+use crate::instance::{Instance, Stage, sleep, sleep_to_next};
 use crate::{GatewayError, fleet, usage};
 use error_stack::{Report, ResultExt};
 use galenapath_protocol::Micros;
@@ -53,7 +53,7 @@
 /// Waits for the signal to stop and then for what is in progress. Returns when the process may end.
 pub(crate) async fn run(instance: &Rc<Instance>, signals: &Signals) {
     while !signals.stop.load(Ordering::Relaxed) {
-        sleep(LOOK).await;
+        sleep_to_next(instance, LOOK).await;
     }
     let began = instance.now();
     let in_progress = instance.in_progress.get();
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -1,7 +1,7 @@
 //! The platform's store: the first read, the watch and the way back after an outage.
 
 use crate::fleet;
-use crate::instance::{Instance, sleep};
+use crate::instance::{Instance, sleep, sleep_to_next};
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_membership::{StoreHealth, WatchRole, reads_first, watch_role};
@@ -111,7 +111,7 @@
         if instance.store.get() == StoreHealth::Failing && since_failure > FORGIVE {
             instance.store.set(StoreHealth::Untried);
         }
-        sleep(REST).await;
+        sleep_to_next(instance, REST).await;
     }
 
     /// Tries whether the store answers again.
--- a/crates/galenapath-policy/src/measure/mod.rs
+++ b/crates/galenapath-policy/src/measure/mod.rs
@@ -3,11 +3,13 @@
 mod asks;
 mod budget;
 mod crossings;
+mod probers;
 mod question_times;
 mod shares;
 
 pub use asks::AskBudget;
 pub use budget::ProbeBudget;
 pub use crossings::Crossings;
+pub use probers::{Prober, prober};
 pub use question_times::QuestionTimes;
 pub use shares::{AskShares, ServedRates};
--- a/crates/galenapath-policy/tests/measure/main.rs
+++ b/crates/galenapath-policy/tests/measure/main.rs
@@ -3,5 +3,6 @@
 mod asks;
 mod budget;
 mod crossings;
+mod probers;
 mod question_times;
 mod shares;
