--- a/crates/galenapath-lab/src/policy.rs
+++ b/crates/galenapath-lab/src/policy.rs
@@ -64,7 +64,7 @@
             Knob::Jitter => place.jitter *= factor,
             Knob::Sample => place.sample = ((place.sample as f32 * factor) as usize).max(1),
             Knob::Slower => place.slower *= factor,
-            Knob::Failure => span(&mut place.failure),
+            Knob::Failure => place.failure *= factor,
             Knob::FailureFades => span(&mut place.failure_fades),
             Knob::LookAtUsual => span(&mut place.look_at_usual),
             Knob::LookAtSlow => span(&mut place.look_at_slow),
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -15,9 +15,9 @@
     /// server costs and less than a crowded or slow one. At 0.2 of the work time a third more bytes
     /// crossed and no more answers were in target.
     pub crossing: f32,
-    /// Cost of a server of another failure domain for a large answer, whose bytes cost about as much
-    /// as the answer is worth; less than a slow spell.
-    pub crossing_large: Micros,
+    /// The same for a large answer, whose bytes cost about as much as the answer is worth; less than a slow
+    /// spell.
+    pub crossing_large: f32,
     /// Part of the work time that a full server costs beside an empty one, by the square of its
     /// fill: some servers slow down when nearly full.
     pub fill_cost: f32,
@@ -36,15 +36,17 @@
     /// Part of the work time by which a server that has just been asked may be slower than it was
     /// expected to be before the request looks for another.
     pub slower: f32,
-    /// Cost of one recent failure. More than a slow spell, so that a failing server is the last
-    /// choice.
-    pub failure: Micros,
+    /// Part of the work time that one recent failure costs: more than a crossing, so that a failing server
+    /// is the last choice at home and goes before a slow one.
+    pub failure: f32,
     /// Time in which a failure loses half its weight; then the server gets a trial by itself.
     pub failure_fades: Micros,
     /// Time for which a server that could not be reached gets nothing, unless a probe reaches it.
     pub unreachable_for: Micros,
-    /// Cost above which a server is no good choice for a second copy.
-    pub good: Micros,
+    /// Cost as a part of the work time above which a server is no good choice for a second copy. With
+    /// 120 ms no server with a third of its slots taken was good where work takes a second, and no request
+    /// at a server that had vanished got a copy.
+    pub good: f32,
     /// Time after the last sighting of a server at its usual pace at which it is probed: requests ask it
     /// before they go there and tell what they see.
     pub look_at_usual: Micros,
@@ -72,17 +74,17 @@
             pace_fades: Micros::from_millis(300),
             assumed_work: Micros::from_millis(100),
             crossing: 0.75,
-            crossing_large: Micros::from_millis(250),
+            crossing_large: 2.5,
             fill_cost: 0.5,
             connect: 0.1,
             jitter: 0.15,
             sample: 12,
             sample_connected: 4,
             slower: 0.5,
-            failure: Micros::from_millis(400),
+            failure: 2.5,
             failure_fades: Micros::from_secs(3),
             unreachable_for: Micros::from_secs(1),
-            good: Micros::from_millis(120),
+            good: 0.75,
             look_at_usual: Micros::from_millis(400),
             look_at_slow: Micros::from_millis(30),
             look_at_slow_calm: Micros::from_millis(200),
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -181,7 +181,7 @@
     /// Whether a server other than those tried is expected to answer soon: it has room, works at
     /// its usual pace and does not fail.
     pub fn has_good(&self, now: Micros, ask: &Ask<'_>) -> bool {
-        let limit = self.cfg.good.0 as f32;
+        let limit = self.cfg.good * self.work().0 as f32;
         (0..self.servers.len()).any(|index| {
             self.is_candidate(now, index, ask)
                 && self.has_room(index)
@@ -218,14 +218,14 @@
         let server = &self.servers[index];
         let work = self.work().0 as f32;
         let fill = server.fill();
-        let crossing = if is_large { cfg.crossing_large.0 as f32 } else { cfg.crossing * work };
+        let crossing = if is_large { cfg.crossing_large } else { cfg.crossing };
         let mut cost = self.lateness(now, index);
         cost += fill * fill * cfg.fill_cost * work;
         if fill > cfg.crowded_from {
             cost += (self.crowding() - 1.0).max(0.0) * work;
         }
-        cost += server.trouble(now, cfg) * cfg.failure.0 as f32;
-        cost += if server.is_home { 0.0 } else { crossing };
+        cost += server.trouble(now, cfg) * cfg.failure * work;
+        cost += if server.is_home { 0.0 } else { crossing * work };
         cost += if server.is_connected { 0.0 } else { cfg.connect * work };
         cost
     }
--- a/crates/galenapath-policy/tests/place/placement.rs
+++ b/crates/galenapath-policy/tests/place/placement.rs
@@ -72,6 +72,21 @@
     }
 }
 
+#[test]
+fn has_good_whatever_the_work_takes() {
+    for work in [20, 160, 1_200] {
+        let mut placement = placement(&[true, true, false]);
+        placement.assume_work(Micros::from_millis(work * 5 / 2));
+        placement.see(&id(0), sighting(START, 2, 100));
+        placement.see(&id(1), sighting(START, 6, 100));
+        placement.see(&id(2), sighting(START, 0, 700));
+        assert!(placement.has_good(START, &ask(Micros::ZERO)), "work of {work} ms");
+        let tried = [id(0)];
+        let others = Ask { tried: &tried, ..ask(Micros::ZERO) };
+        assert!(!placement.has_good(START, &others), "work of {work} ms");
+    }
+}
+
 #[test]
 fn choose_few_connections_for_stray_requests() {
     // One request in 700 ms among 120 servers; a connection is kept for 8 s.
