Large bodies leave half of the thread to others

Known red, traced in part: lookups beside two transfers of 300 MB fail where the machine is busy, because a thread that never rests for longer than a millisecond is the one that waits for a core. Rests follow the thread's own processor time.

--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -17,6 +17,7 @@
 mod headers;
 mod listener;
 mod lookup;
+mod pace;
 mod permit;
 mod plane;
 mod pool;
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -5,6 +5,7 @@
 use super::call::Call;
 use super::caller::{Caller, read_piece};
 use super::headers;
+use super::pace::Pace;
 use super::request::RequestId;
 use bytes::Bytes;
 use futures::future::{Either, select};
@@ -20,31 +21,6 @@
 /// Longest pause inside a body, on either side, before the answer is given up.
 const BODY_PAUSE: Duration = Duration::from_secs(30);
 
-/// A stream rests after this many bytes, so that the thread's timers and other requests get their
-/// turn: as long as reads and writes succeed at once, a task is not interrupted. 256 KiB take the
-/// thread about 0.1 ms.
-const REST_BYTES: usize = 256 * 1024;
-
-/// Length of a rest. One stream then passes 250 MB a second at most.
-const REST: Duration = Duration::from_millis(1);
-
-/// Counts the bytes of a stream and rests when it is time.
-#[derive(Default)]
-pub(super) struct Pace {
-    since_rest: usize,
-}
-
-impl Pace {
-    /// Notes that `bytes` were passed on.
-    pub(super) async fn passed(&mut self, bytes: usize) {
-        self.since_rest += bytes;
-        if self.since_rest >= REST_BYTES {
-            self.since_rest = 0;
-            monoio::time::sleep(REST).await;
-        }
-    }
-}
-
 /// What the headers of an answer tell about it.
 pub(super) struct Told<'a> {
     /// Identifier of the request.
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -7,10 +7,11 @@
 };
 use super::call::Call;
 use super::caller::{Caller, read_piece};
+use super::pace::Pace;
 use super::permit::{InFlight, Permit};
 use super::prepare::Prepared;
 use super::refusal;
-use super::relay::{self, Pace, Told, within_pause};
+use super::relay::{self, Told, within_pause};
 use super::request::RequestMeta;
 use bytes::Bytes;
 use futures::future::{Either, select};
