--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -3,7 +3,8 @@
 //! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak` plays other seeds for longer.
 //! Each seed draws instances that are killed, paused, stopped and started, a store that is away for
 //! one or for all, links to the store and to servers that are cut, delayed or silenced one way or both,
-//! servers that fail in every way the stand-in knows, and configurations. Two faults go on at a time.
+//! servers that fail in every way the stand-in knows or start again under their identity, entries of other
+//! writers, and configurations. Two faults go on at a time.
 //! Some callers keep their connection for as long as it lasts.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
@@ -34,6 +35,8 @@
 /// Faults that go on at a time.
 const TROUBLES: u64 = 2;
 const CALLERS: usize = 4;
+/// Unix millisecond of the first start of a server that starts again.
+const FIRST_START: u64 = 1_764_720_000_000;
 
 /// What a caller was told.
 #[derive(Clone, Debug)]
@@ -116,6 +119,8 @@
     /// Relays between the instances and the store.
     store_links: Vec<Relay>,
     version: AtomicU64,
+    /// Unix millisecond of the next start of a server.
+    starts: AtomicU64,
     trace: Mutex<Vec<String>>,
 }
 
@@ -133,7 +138,16 @@
         }
         let gateways = gateways.into_iter().map(Mutex::new).collect();
         let (version, trace) = (AtomicU64::new(1), Mutex::default());
-        Self { world, gateways, store_links, version, trace }
+        let starts = AtomicU64::new(FIRST_START);
+        Self { world, gateways, store_links, version, starts, trace }
+    }
+
+    /// Lists a server as one that has started again under its identity.
+    fn list_again(&self, at: usize, started: u64) {
+        let (service, server) = &self.world.servers[at];
+        let (key, mut entry) = server.entry_of_run(service, "ready", started);
+        entry["address"] = json!(self.world.links[at].addr.to_string());
+        self.world.store.put(&key, &entry);
     }
 
     fn gateway(&self, n: usize) -> MutexGuard<'_, Gateway> {
@@ -190,7 +204,7 @@
 fn fault(rng: &mut SmallRng, stage: &Stage) -> String {
     let n = rng.random_range(0..stage.gateways.len());
     let span = Duration::from_millis(rng.random_range(100..1_500));
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 => {
             stage.gateway(n).kill_and_start();
             format!("kill {n}")
@@ -246,6 +260,19 @@
             let version = stage.configure(more, &[("look", "timeout_ms", timeout)]);
             format!("configuration {version}")
         }
+        8 => {
+            let at = rng.random_range(0..stage.world.servers.len());
+            let started = stage.starts.fetch_add(1, Ordering::Relaxed);
+            stage.list_again(at, started);
+            format!("server {at} started again at {started}")
+        }
+        9 => {
+            let entries = [json!("text"), json!({ "service": 7 }), json!({ "zone": "d1" })];
+            let entry = draw(rng, &entries);
+            let key = format!("servers/other{}", rng.random_range(0..3));
+            stage.world.store.put(&key, entry);
+            format!("entry of another writer {entry}")
+        }
         _ => {
             stage.world.store.forget_history();
             let gateway = stage.gateway(n);
