--- a/crates/galenapath-ctl/src/causes/count.rs
+++ b/crates/galenapath-ctl/src/causes/count.rs
@@ -22,7 +22,7 @@
 /// Requests that ended within one window.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct WindowCount {
-    /// Start, in seconds since the first line.
+    /// Start, in seconds since the start of the first window.
     pub from_s: f64,
     /// Requests with a line. Of those that went well only a part has one.
     pub ended: usize,
@@ -47,52 +47,89 @@
     pub windows: Vec<WindowCount>,
 }
 
-/// Counts why the requests in `lines` were late, refused or failed, by windows of `window_s` seconds.
-pub fn causes(lines: &[LogLine], window_s: f64) -> Causes {
-    let ended: Vec<(&LogLine, Ended)> =
-        lines.iter().filter_map(|line| Some((line, Ended::read(line)?))).collect();
-    let left_out = lines.iter().filter_map(|line| line.rest.get("lines_left_out")?.as_u64()).sum();
-    Causes {
-        ended: ended.len(),
-        left_out,
-        causes: by_service(&ended),
-        windows: by_window(&ended, window_s),
-    }
+/// Counts why requests were late, refused or failed, one line at a time. What it keeps grows with the causes
+/// and the time that the logs cover, not with their lines.
+#[derive(Clone, Debug)]
+pub struct Counter {
+    window_s: f64,
+    ended: usize,
+    left_out: u64,
+    /// By service and cause, with the time of the first.
+    causes: BTreeMap<(String, Cause), (CauseCount, f64)>,
+    /// By the number of the window since the epoch.
+    windows: BTreeMap<u64, Window>,
 }
 
-fn by_service(all: &[(&LogLine, Ended)]) -> Vec<CauseCount> {
-    let mut counts: BTreeMap<(&str, Cause), CauseCount> = BTreeMap::new();
-    for (line, ended) in all.iter().filter(|(_, ended)| !ended.is_good()) {
-        let cause = Cause::of(ended);
-        let service = ended.fields.service.as_str();
-        let count = counts.entry((service, cause)).or_insert_with(|| CauseCount {
-            service: service.to_owned(),
-            cause,
-            count: 0,
-            first: line.request.clone().unwrap_or_default(),
-        });
+#[derive(Clone, Debug, Default)]
+struct Window {
+    ended: usize,
+    late: usize,
+    lost: usize,
+    causes: BTreeMap<Cause, usize>,
+}
+
+impl Counter {
+    /// Counts by windows of `window_s` seconds.
+    pub fn new(window_s: f64) -> Self {
+        let (causes, windows) = (BTreeMap::new(), BTreeMap::new());
+        Self { window_s, ended: 0, left_out: 0, causes, windows }
+    }
+
+    /// Takes in one line.
+    pub fn take(&mut self, line: &LogLine) {
+        let left_out = line.rest.get("lines_left_out").and_then(serde_json::Value::as_u64);
+        self.left_out += left_out.unwrap_or(0);
+        let Some(ended) = Ended::read(line) else { return };
+        self.ended += 1;
+        let window = self.windows.entry((ended.t / self.window_s) as u64).or_default();
+        window.ended += 1;
+        if ended.is_good() {
+            return;
+        }
+        let cause = Cause::of(&ended);
+        window.late += usize::from(ended.is_answered());
+        window.lost += usize::from(!ended.is_answered());
+        *window.causes.entry(cause).or_default() += 1;
+        self.count(&ended, cause, line.request.as_deref().unwrap_or_default());
+    }
+
+    fn count(&mut self, ended: &Ended, cause: Cause, request: &str) {
+        let service = &ended.fields.service;
+        let new = || {
+            let first = request.to_owned();
+            (CauseCount { service: service.clone(), cause, count: 0, first }, ended.t)
+        };
+        let (count, first_at) = self.causes.entry((service.clone(), cause)).or_insert_with(new);
         count.count += 1;
+        if ended.t < *first_at {
+            *first_at = ended.t;
+            request.clone_into(&mut count.first);
+        }
     }
-    let mut counts: Vec<CauseCount> = counts.into_values().collect();
-    counts.sort_by(|a, b| a.service.cmp(&b.service).then(b.count.cmp(&a.count)));
-    counts
-}
 
-fn by_window(all: &[(&LogLine, Ended)], window_s: f64) -> Vec<WindowCount> {
-    let start = all.iter().map(|(_, ended)| ended.t).fold(f64::INFINITY, f64::min);
-    let mut windows: BTreeMap<u64, Vec<&Ended>> = BTreeMap::new();
-    for (_, ended) in all {
-        windows.entry(((ended.t - start) / window_s) as u64).or_default().push(ended);
+    /// What was counted.
+    pub fn finish(self) -> Causes {
+        let mut causes: Vec<CauseCount> =
+            self.causes.into_values().map(|(count, _)| count).collect();
+        causes.sort_by(|a, b| a.service.cmp(&b.service).then(b.count.cmp(&a.count)));
+        let first = self.windows.keys().next().copied().unwrap_or(0);
+        let windows = self.windows.into_iter().map(|(index, window)| {
+            let most = window.causes.into_iter().max_by_key(|(_, count)| *count);
+            WindowCount {
+                from_s: (index - first) as f64 * self.window_s,
+                ended: window.ended,
+                late: window.late,
+                lost: window.lost,
+                most: most.map(|(cause, _)| cause),
+            }
+        });
+        Causes { ended: self.ended, left_out: self.left_out, causes, windows: windows.collect() }
     }
-    let windows = windows.into_iter();
-    windows.map(|(index, ended)| window(index as f64 * window_s, &ended)).collect()
 }
 
-fn window(from_s: f64, all: &[&Ended]) -> WindowCount {
-    let bad: Vec<&&Ended> = all.iter().filter(|ended| !ended.is_good()).collect();
-    let late = bad.iter().filter(|ended| ended.is_answered()).count();
-    let mut counts: BTreeMap<Cause, usize> = BTreeMap::new();
-    bad.iter().for_each(|ended| *counts.entry(Cause::of(ended)).or_default() += 1);
-    let most = counts.into_iter().max_by_key(|(_, count)| *count).map(|(cause, _)| cause);
-    WindowCount { from_s, ended: all.len(), late, lost: bad.len() - late, most }
+/// Counts why the requests in `lines` were late, refused or failed, by windows of `window_s` seconds.
+pub fn causes(lines: &[LogLine], window_s: f64) -> Causes {
+    let mut counter = Counter::new(window_s);
+    lines.iter().for_each(|line| counter.take(line));
+    counter.finish()
 }
--- a/crates/galenapath-ctl/src/causes/mod.rs
+++ b/crates/galenapath-ctl/src/causes/mod.rs
@@ -6,6 +6,6 @@
 mod report;
 
 pub use cause::Cause;
-pub use count::{CauseCount, Causes, WindowCount, causes};
+pub use count::{CauseCount, Causes, Counter, WindowCount, causes};
 pub use ended::Ended;
 pub(crate) use report::run;
--- a/crates/galenapath-ctl/src/causes/report.rs
+++ b/crates/galenapath-ctl/src/causes/report.rs
@@ -1,15 +1,15 @@
 //! The command `causes`.
 
-use super::count::{CauseCount, Causes, WindowCount, causes};
+use super::count::{CauseCount, Causes, Counter, WindowCount};
 use crate::output::{self, Table};
-use crate::trace;
-use crate::{CtlError, OutputFormat};
+use crate::{CtlError, OutputFormat, logs};
 use std::path::PathBuf;
 
 /// Reads log files and prints why requests were late, refused or failed.
 pub(crate) fn run(format: OutputFormat, window_s: f64, files: &[PathBuf]) -> Result<(), CtlError> {
-    let lines = trace::read_all(files)?;
-    output::print(format, &causes(&lines, window_s), table)
+    let mut counter = Counter::new(window_s);
+    logs::for_each_line(files, |line| counter.take(&line))?;
+    output::print(format, &counter.finish(), table)
 }
 
 fn table(found: &Causes) -> Table {
--- a/crates/galenapath-ctl/src/lib.rs
+++ b/crates/galenapath-ctl/src/lib.rs
@@ -4,6 +4,7 @@
 mod classes;
 mod client;
 mod error;
+mod logs;
 mod options;
 mod output;
 mod reports;
--- a/crates/galenapath-ctl/src/trace/find.rs
+++ b/crates/galenapath-ctl/src/trace/find.rs
@@ -45,22 +45,49 @@
     }
 }
 
+/// A search for what explains a request.
+#[derive(Clone, Debug)]
+pub(super) struct Search {
+    /// Invariant: not empty.
+    requests: Vec<LogLine>,
+    /// Servers that it was sent to.
+    servers: Vec<String>,
+    /// First and last moment of the lines that explain it.
+    from: f64,
+    to: f64,
+}
+
+impl Search {
+    /// A search for what explains the request that `requests` tell of; `None` where there are none.
+    pub(super) fn new(requests: Vec<LogLine>) -> Option<Self> {
+        let first = requests.first()?.t;
+        let last = requests.iter().map(|line| line.t).fold(first, f64::max);
+        let servers = servers(&requests);
+        Some(Self { requests, servers, from: first - BEFORE, to: last + AFTER })
+    }
+
+    /// Whether a line tells of the request's servers or of the configuration at its time.
+    pub(super) fn explains(&self, line: &LogLine) -> bool {
+        let is_server = line.server.as_ref().is_some_and(|server| self.servers.contains(server));
+        let is_belief = line.request.is_none();
+        let is_config = line.event.starts_with("configuration");
+        let is_then = line.t >= self.from && line.t <= self.to;
+        is_belief && is_then && (is_server || is_config)
+    }
+
+    /// What was found, with the lines that explain it.
+    pub(super) fn found(self, mut beliefs: Vec<LogLine>) -> Trace {
+        beliefs.sort_by(|a, b| a.t.total_cmp(&b.t));
+        Trace { requests: self.requests, beliefs: joined(beliefs) }
+    }
+}
+
 /// Finds what `lines` tell of the request `id`; `None` where it has no line.
 pub fn trace(lines: &[LogLine], id: &str) -> Option<Trace> {
     let is_own = |line: &&LogLine| line.request.as_deref() == Some(id);
-    let requests: Vec<LogLine> = lines.iter().filter(is_own).cloned().collect();
-    let (first, last) = (requests.first()?.t, requests.iter().map(|line| line.t));
-    let (from, to) = (first - BEFORE, last.fold(first, f64::max) + AFTER);
-    let servers = servers(&requests);
-    let explains = |line: &&LogLine| {
-        let is_server = line.server.as_ref().is_some_and(|server| servers.contains(server));
-        let is_belief = line.request.is_none();
-        let is_config = line.event.starts_with("configuration");
-        is_belief && line.t >= from && line.t <= to && (is_server || is_config)
-    };
-    let mut found: Vec<LogLine> = lines.iter().filter(explains).cloned().collect();
-    found.sort_by(|a, b| a.t.total_cmp(&b.t));
-    Some(Trace { requests, beliefs: joined(found) })
+    let search = Search::new(lines.iter().filter(is_own).cloned().collect())?;
+    let beliefs = lines.iter().filter(|line| search.explains(line)).cloned().collect();
+    Some(search.found(beliefs))
 }
 
 /// One belief for all instances that came to the same.
--- a/crates/galenapath-ctl/src/trace/mod.rs
+++ b/crates/galenapath-ctl/src/trace/mod.rs
@@ -7,5 +7,5 @@
 
 pub use find::{Belief, Trace, trace};
 pub use line::LogLine;
-pub(crate) use report::{read_all, run};
+pub(crate) use report::run;
 pub use step::Step;
--- a/crates/galenapath-ctl/src/trace/report.rs
+++ b/crates/galenapath-ctl/src/trace/report.rs
@@ -1,33 +1,28 @@
 //! The command `trace`.
 
-use super::find::{Belief, Trace, trace};
-use super::line::LogLine;
+use super::find::{Belief, Search, Trace};
 use super::step::Step;
 use crate::output::{self, Table};
-use crate::{CtlError, OutputFormat};
-use std::path::{Path, PathBuf};
+use crate::{CtlError, OutputFormat, logs};
+use std::path::PathBuf;
 
-/// Reads log files and prints what they tell of a request.
+/// Reads log files and prints what they tell of a request. They are read twice, so that only the lines that
+/// belong to it are kept.
 pub(crate) fn run(format: OutputFormat, id: &str, files: &[PathBuf]) -> Result<(), CtlError> {
-    let lines = read_all(files)?;
-    let found = trace(&lines, id).ok_or_else(|| CtlError::NotInLogs { id: id.to_owned() })?;
-    output::print(format, &found, table)
-}
-
-/// The lines of all files, in the order of the files.
-pub(crate) fn read_all(files: &[PathBuf]) -> Result<Vec<LogLine>, CtlError> {
-    let mut lines = Vec::new();
-    for file in files {
-        lines.extend(read(file)?);
-    }
-    Ok(lines)
-}
-
-fn read(file: &Path) -> Result<Vec<LogLine>, CtlError> {
-    let bytes = std::fs::read(file)
-        .map_err(|e| CtlError::File { file: file.display().to_string(), reason: e.to_string() })?;
-    let text = String::from_utf8_lossy(&bytes);
-    Ok(text.lines().filter_map(LogLine::parse).collect())
+    let mut requests = Vec::new();
+    logs::for_each_line(files, |line| {
+        if line.request.as_deref() == Some(id) {
+            requests.push(line);
+        }
+    })?;
+    let search = Search::new(requests).ok_or_else(|| CtlError::NotInLogs { id: id.to_owned() })?;
+    let mut beliefs = Vec::new();
+    logs::for_each_line(files, |line| {
+        if search.explains(&line) {
+            beliefs.push(line);
+        }
+    })?;
+    output::print(format, &search.found(beliefs), table)
 }
 
 fn table(trace: &Trace) -> Table {
--- a/crates/galenapath-ctl/tests/causes.rs
+++ b/crates/galenapath-ctl/tests/causes.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use galenapath_ctl::causes::{Cause, Ended, causes};
+use galenapath_ctl::causes::{Cause, Counter, Ended, causes};
 use galenapath_ctl::trace::LogLine;
 use serde_json::json;
 
@@ -95,3 +95,16 @@
     assert_eq!(windows, [(2, 0, 1), (2, 2, 0)]);
     assert_eq!(found.windows[1].most, Some(Cause::Work));
 }
+
+#[test]
+fn counter_first_is_the_earliest_whatever_the_order_of_the_logs() {
+    let refused = End { status: 503, outcome: "no_room", steps: "", ..GOOD };
+    let mut counter = Counter::new(2.0);
+    for t in [30.0, 12.0, 21.0] {
+        counter.take(&line(t, &refused));
+    }
+    let found = counter.finish();
+    assert_eq!((found.causes[0].count, found.causes[0].first.as_str()), (3, "r12"));
+    let starts: Vec<_> = found.windows.iter().map(|window| window.from_s).collect();
+    assert_eq!(starts, [0.0, 8.0, 18.0]);
+}
