--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -4,10 +4,12 @@
 #[allow(missing_docs, dead_code, clippy::pedantic)]
 #[rustfmt::skip]
 mod generated;
+mod joining;
 mod message;
 mod pull;
 mod tasks;
 
+pub(crate) use joining::{ask, join};
 pub(crate) use message::{CrashNote, Datagram, FailureNote, LoadNote, Loads, encode};
 pub(crate) use pull::serve_pulls;
-pub(crate) use tasks::{announce, ask, join, receive, run, tell_end};
+pub(crate) use tasks::{announce, receive, run, tell_end};
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -1,10 +1,11 @@
-//! Heartbeats, joining and what comes in by datagram.
+//! Heartbeats, and what comes in by datagram.
 
+use super::joining::{ask, learn, send_members, take_members};
 use super::message::{Datagram, decode, encode};
 use super::pull;
 use crate::instance::{Instance, sleep, sleep_to_next};
 use crate::usage::Flow;
-use galenapath_membership::{Beat, Belief, Heard, Learned, Member, StoreHealth, Vitals};
+use galenapath_membership::{Beat, Belief, Heard, StoreHealth, Vitals};
 use galenapath_policy::LineKind;
 use galenapath_protocol::Micros;
 use monoio::net::udp::UdpSocket;
@@ -14,16 +15,6 @@
 /// Time between two looks at heartbeats that are due.
 const LOOK: Micros = Micros::from_millis(50);
 
-/// Time between two questions to the seeds of an instance that has just started and knows nobody: all
-/// instances of a deployment start within a third of a second, seeds as well.
-const ASK_AGAIN: Micros = Micros::from_millis(25);
-
-/// Time between two questions to the seeds after `ASK_OFTEN`.
-const ASK_SELDOM: Micros = Micros::from_secs(1);
-
-/// Time after the start for which the seeds are asked often.
-const ASK_OFTEN: Micros = Micros::from_secs(1);
-
 /// Time between two tellings of instances that were found silent, so that one lost datagram leaves
 /// nobody with a dead instance among the addresses that it tells.
 const TELL_AGAIN: Micros = Micros::from_millis(700);
@@ -37,9 +28,6 @@
 /// Requests a second from which a doubling or halving is told to all; below it, chance doubles them.
 const TELLING_RATE: u32 = 32;
 
-/// Members in one datagram, so that it fits one packet.
-const MEMBERS_PER_DATAGRAM: usize = 12;
-
 /// Largest datagram that is read, in bytes.
 const LARGEST: usize = 2 * 1024;
 
@@ -157,7 +145,7 @@
     send_beat(instance, &targets);
 }
 
-fn send_beat(instance: &Instance, to: &[SocketAddr]) {
+pub(super) fn send_beat(instance: &Instance, to: &[SocketAddr]) {
     if to.is_empty() {
         return;
     }
@@ -177,43 +165,6 @@
     all.iter().for_each(|address| instance.send(*address, &datagram, Flow::Members));
 }
 
-/// Asks the seeds who is there for as long as nobody is known: often after the start, seldom later.
-/// Whoever is heard of then gets to know this instance, so that one answer is enough; what is missed
-/// shows by the digests.
-pub(crate) async fn join(instance: Rc<Instance>) {
-    let mut tries = usize::from(rand::random::<u8>());
-    loop {
-        if instance.beats.borrow().is_alone() {
-            ask_a_seed(&instance, tries);
-            tries += 1;
-        }
-        let is_new = instance.clock.age() < ASK_OFTEN;
-        sleep(if is_new { ASK_AGAIN } else { ASK_SELDOM }).await;
-    }
-}
-
-/// Asks one seed who is there, another one with each try, and makes this instance known to the others:
-/// with an answer from each, hundreds of instances that start together sent 28 KB to each of them.
-fn ask_a_seed(instance: &Instance, tries: usize) {
-    let settings = instance.settings();
-    let (own, seeds) = (settings.listen.peers, &settings.listen.seeds);
-    let others: Vec<SocketAddr> = seeds.iter().copied().filter(|seed| *seed != own).collect();
-    if others.is_empty() {
-        return;
-    }
-    let asked = others[tries % others.len()];
-    ask(instance, &[asked]);
-    others.iter().filter(|seed| **seed != asked).for_each(|seed| introduce(instance, *seed));
-}
-
-/// Tells who this instance is and asks who is there.
-pub(crate) fn ask(instance: &Instance, to: &[SocketAddr]) {
-    let own = instance.member();
-    let datagram = encode(&Datagram::Hello(own.clone()));
-    let others = to.iter().filter(|address| **address != own.peers);
-    others.for_each(|address| instance.send(*address, &datagram, Flow::Members));
-}
-
 /// Takes datagrams in, for as long as the instance runs.
 pub(crate) async fn receive(instance: Rc<Instance>, socket: UdpSocket) {
     let mut buf = vec![0; LARGEST];
@@ -257,29 +208,6 @@
     }
 }
 
-fn take_members(instance: &Instance, members: Vec<Member>, from: SocketAddr) {
-    let is_introduction = members.len() == 1;
-    for member in members {
-        let (address, is_home) = (member.peers, member.domain == instance.settings().domain);
-        let incarnation = member.incarnation;
-        let learned = learn(instance, member);
-        if address == from {
-            instance.beats.borrow_mut().spoke(instance.now(), incarnation);
-        }
-        match (learned, address == from) {
-            // A new instance learns from the answer whether the store answers here, and more; one of its own
-            // failure domain is enough for that.
-            (Learned::News, true) if is_home || !is_introduction => send_beat(instance, &[address]),
-            // It has taken this instance for gone, or has lost the first answer.
-            (Learned::Known | Learned::Doubted, true) if is_introduction => {
-                send_beat(instance, &[address]);
-            }
-            (Learned::News | Learned::Doubted, false) => introduce(instance, address),
-            _ => {}
-        }
-    }
-}
-
 fn take_beat(instance: &Rc<Instance>, beat: &Beat, from: SocketAddr) {
     let heard = instance.beats.borrow_mut().hear(instance.now(), beat);
     if beat.vitals.store == StoreHealth::Answering {
@@ -310,33 +238,3 @@
     let everybody = instance.beats.borrow().everybody();
     send_beat(instance, &everybody);
 }
-
-/// Tells another instance, which has only been heard of, that this one is there.
-fn introduce(instance: &Instance, to: SocketAddr) {
-    let datagram = encode(&Datagram::Members(vec![instance.member()]));
-    instance.send(to, &datagram, Flow::Members);
-}
-
-/// Takes in who an instance is.
-fn learn(instance: &Instance, member: Member) -> Learned {
-    let now = instance.now();
-    let joined = (member.id.0.clone(), member.incarnation);
-    let learned = instance.beats.borrow_mut().learn(now, member);
-    // Hundreds that start together would else write a line each on all of them.
-    if learned == Learned::News && instance.may_log(LineKind::Peer) {
-        log::info!(peer = joined.0, incarnation:% = joined.1; "instance joined");
-    }
-    learned
-}
-
-fn send_members(instance: &Instance, to: SocketAddr) {
-    let own = instance.member();
-    let mut members: Vec<Member> = {
-        let beats = instance.beats.borrow();
-        beats.peers().filter(|peer| peer.is_up()).map(|peer| peer.member.clone()).collect()
-    };
-    members.push(own);
-    for part in members.chunks(MEMBERS_PER_DATAGRAM) {
-        instance.send(to, &encode(&Datagram::Members(part.to_vec())), Flow::Members);
-    }
-}
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod request;
 mod run;
 mod service;
+mod serving;
 mod sharing;
 mod start;
 mod state;
--- a/crates/galenapath-membership/src/beats.rs
+++ b/crates/galenapath-membership/src/beats.rs
@@ -16,126 +16,10 @@
 //! waits for heartbeats that go to the new one instead, and accuses the living. So a heartbeat carries a
 //! digest of the instances that its sender believes in, and who finds another one for long asks.
 
-use crate::{Beat, Heard, Member, MemberStatus, Vitals, ring};
+use crate::{Beat, BeatConfig, Belief, Heard, Learned, Member, Peer, ring};
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use std::net::SocketAddr;
 
-/// Thresholds of heartbeats.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BeatConfig {
-    /// Time between two heartbeats.
-    pub period: Micros,
-    /// Silence after which an instance is no longer given to callers: three heartbeats in a row,
-    /// which at 5% loss go missing together once in 8,000.
-    pub silent_after: Micros,
-    /// Instances up to which everybody sends heartbeats to everybody.
-    pub all_up_to: usize,
-    /// Instances that one sends heartbeats to in a larger fleet. An instance is taken out when two of
-    /// those that hear it find it silent.
-    pub fan_out: usize,
-    /// Of these, those of other failure domains: as many as it takes to miss a domain that is lost whole.
-    pub fan_out_away: usize,
-    /// Time between two heartbeats of an instance that serves callers to the others of its failure
-    /// domain, which tell callers how many instances it takes to carry the load.
-    pub home_period: Micros,
-    /// Time between two heartbeats to an instance that is silent, from those that hear it or that it
-    /// hears, so that it is found again. From everybody, a fifth of 300 instances cut off cost those left
-    /// 14,000 datagrams a second.
-    pub silent_period: Micros,
-    /// Silence after which an instance is forgotten.
-    pub forget_after: Micros,
-    /// Accusers without whom an instance that is not monitored itself stays believed in.
-    pub accusers: usize,
-    /// Time for which the digests of all heartbeats heard may be other than the own one before the
-    /// sender of one is asked whom it knows: a start or an end is known to all much sooner.
-    pub settles_within: Micros,
-    /// Least time between two such questions; an answer has 60 bytes for each instance.
-    pub ask_pause: Micros,
-    /// How long an accusation counts.
-    pub accusation: Micros,
-    /// Gap between two calls of `tick` after which the instance was itself asleep, so that the
-    /// silence of the others says nothing.
-    pub own_pause: Micros,
-}
-
-impl Default for BeatConfig {
-    fn default() -> Self {
-        Self {
-            period: Micros::from_millis(250),
-            silent_after: Micros::from_millis(800),
-            all_up_to: 16,
-            fan_out: 6,
-            fan_out_away: 2,
-            home_period: Micros::from_millis(500),
-            silent_period: Micros::from_secs(1),
-            forget_after: Micros::from_secs(60),
-            accusers: 2,
-            settles_within: Micros::from_millis(600),
-            ask_pause: Micros::from_secs(2),
-            accusation: Micros::from_secs(3),
-            own_pause: Micros::from_millis(500),
-        }
-    }
-}
-
-/// A change of what is believed of another instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
-    /// The instance.
-    pub member: Member,
-    /// Whether it is believed to answer now.
-    pub is_up: bool,
-    /// Silence that led to it.
-    pub silence: Micros,
-    /// Whether this instance found that itself and the others have to be told.
-    pub is_own: bool,
-}
-
-/// What learning of an instance says about it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Learned {
-    /// It is new.
-    News,
-    /// It is known.
-    Known,
-    /// It is known and taken for gone: whoever tells of it knows better, or does not know it yet.
-    Doubted,
-}
-
-/// Another instance.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Who it is.
-    pub member: Member,
-    /// What it last told.
-    pub vitals: Vitals,
-    heard_at: Micros,
-    sent_at: Micros,
-    is_up: bool,
-    /// Whether it was taken for gone and has not been heard since.
-    is_missed: bool,
-    /// Who finds it silent, and since when.
-    accusers: FastMap<Incarnation, Micros>,
-}
-
-impl Peer {
-    /// Whether it is believed to answer.
-    pub fn is_up(&self) -> bool {
-        self.is_up
-    }
-
-    fn heard(&mut self, now: Micros) {
-        self.heard_at = now;
-        self.accusers.clear();
-        self.is_missed = false;
-    }
-
-    /// Whether callers may be sent to it.
-    pub fn is_usable(&self) -> bool {
-        self.is_up && self.vitals.is_ready && !self.vitals.is_leaving
-    }
-}
-
 /// The other instances as one of them knows them.
 #[derive(Debug)]
 pub struct Beats {
@@ -206,15 +90,7 @@
         } else {
             self.home.remove(&member.peers);
         }
-        let peer = Peer {
-            vitals: Vitals::default(),
-            heard_at: now,
-            sent_at: Micros::ZERO,
-            is_up: member.status != MemberStatus::Gone,
-            is_missed: false,
-            accusers: FastMap::default(),
-            member,
-        };
+        let peer = Peer::new(now, member);
         self.peers.insert(peer.member.incarnation, peer);
         self.is_rearranged = false;
         Learned::News
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -14,6 +14,7 @@
 mod ask;
 mod config;
 pub mod copies;
+mod cost;
 mod estimate;
 mod known;
 mod line;
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -34,7 +34,7 @@
     /// How long a request takes.
     estimate: Estimate,
     /// Average delay that the pace costs, over all sightings.
-    usual: f32,
+    pub(super) usual: f32,
 }
 
 impl Placement {
@@ -153,15 +153,6 @@
         best
     }
 
-    /// Whether an answer from the server is expected too late although that of a better one could
-    /// be in time; for a request that is late anyway, whether the server is a bad one.
-    fn is_too_late(&self, now: Micros, index: usize, left: Micros) -> bool {
-        let late = self.lateness(now, index);
-        let work = self.work().0 as f32;
-        let left = left.0 as f32;
-        if left > work { late + work > left } else { late > work }
-    }
-
     fn is_candidate(&self, now: Micros, index: usize, ask: &Ask<'_>) -> bool {
         let server = &self.servers[index];
         !server.is_leaving && server.is_reachable(now) && !ask.tried.contains(&server.id)
@@ -206,30 +197,6 @@
         !server.is_leaving && !is_worse && server.is_reachable(now)
     }
 
-    /// Time beyond the usual that an answer from the server is expected to take.
-    fn lateness(&self, now: Micros, index: usize) -> f32 {
-        let server = &self.servers[index];
-        let cold = if server.cold_until > now { self.work().0 as f32 } else { 0.0 };
-        server.delay(now, self.work(), self.usual, &self.cfg) + cold
-    }
-
-    fn cost(&self, now: Micros, index: usize, is_large: bool) -> f32 {
-        let cfg = &self.cfg;
-        let server = &self.servers[index];
-        let work = self.work().0 as f32;
-        let fill = server.fill();
-        let crossing = if is_large { cfg.crossing_large } else { cfg.crossing };
-        let mut cost = self.lateness(now, index);
-        cost += fill * fill * cfg.fill_cost * work;
-        if fill > cfg.crowded_from {
-            cost += (self.crowding() - 1.0).max(0.0) * work;
-        }
-        cost += server.trouble(now, cfg) * cfg.failure * work;
-        cost += if server.is_home { 0.0 } else { crossing * work };
-        cost += if server.is_connected { 0.0 } else { cfg.connect * work };
-        cost
-    }
-
     /// A request is sent to the server. Returns how it looks.
     pub fn start(&mut self, now: Micros, id: &BackendId) -> Started {
         let crowded_from = self.cfg.crowded_from;
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -7,7 +7,7 @@
 //! under its identity while a write of its former run is still on its way: without the time of the start
 //! that write would bring the former run back, or keep the new one from getting requests.
 
-use crate::{ServerRecord, StartedAt};
+use crate::{Change, ListNews, ListedServer, Removal, ServerChanges, ServerRecord, StartedAt};
 use galenapath_protocol::{BackendId, FastMap, FastSet, Micros};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -15,72 +15,6 @@
 /// Removals that are remembered for peers that are behind. A day of 440 replacements fits.
 const REMEMBERED: usize = 1_024;
 
-/// One change of the list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// A server was added or changed.
-    Put(ServerRecord),
-    /// A server's entry was removed.
-    Removed(BackendId),
-}
-
-/// An entry as it is passed between instances.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedServer {
-    /// Revision at which the store wrote the entry, or removed it if it lapses.
-    pub revision: u64,
-    /// The entry.
-    pub record: ServerRecord,
-    /// Time left for the entry to come back, for one that vanished while the store was away.
-    pub lapses_in: Option<Micros>,
-}
-
-/// A removed entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Removal {
-    /// Revision of the removal.
-    pub revision: u64,
-    /// The server that is gone.
-    pub id: BackendId,
-}
-
-/// Changes after a position; what a peer that is behind takes in.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ServerChanges {
-    /// Whether `puts` is the whole list, so that a server missing in it is gone.
-    pub is_whole: bool,
-    /// Short forms of the identities of all servers listed, so that one missing among them is gone; empty
-    /// where `removals` says all that has gone, or `puts` is the whole list.
-    pub present: Vec<u32>,
-    /// Entries that were added or changed.
-    pub puts: Vec<ListedServer>,
-    /// Entries that were removed.
-    pub removals: Vec<Removal>,
-    /// Position after the changes.
-    pub position: u64,
-}
-
-/// A change of the list that a reader of it can see, whichever way it was learned.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ListNews {
-    /// A server was added or changed.
-    Listed {
-        /// Revision of the entry.
-        revision: u64,
-        /// The entry.
-        record: Arc<ServerRecord>,
-    },
-    /// A server's entry has gone.
-    Removed {
-        /// Revision of the removal.
-        revision: u64,
-        /// The run that was listed.
-        id: BackendId,
-        /// Until when the entry may come back; `None` where the server is gone at once.
-        gone_at: Option<Micros>,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Listed {
     revision: u64,
--- a/crates/galenapath-routes/src/lib.rs
+++ b/crates/galenapath-routes/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Pure values and rules: nothing here reads a socket or a clock.
 
+mod changes;
 mod directory;
 mod limits;
 mod route;
@@ -11,7 +12,8 @@
 mod split;
 mod table;
 
-pub use directory::{Change, Directory, ListNews, ListedServer, Removal, ServerChanges};
+pub use changes::{Change, ListNews, ListedServer, Removal, ServerChanges};
+pub use directory::Directory;
 pub use limits::CallerLimits;
 pub use route::{Part, Route, RouteKind};
 pub use server::{ServerRecord, ServerState, StartedAt};
