A watch waits two seconds again

Ruled out by the log: peers (all 116 had it 0.2 s after the first), pulls from home. Two seconds as before.

--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -11,9 +11,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest wait of one watch. A connection may fall silent for good, which only the end of the wait shows
-/// where the pings' connection still answers; a watch of three seconds costs a third of a call a second.
-const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Longest wait of one watch. A connection may fall silent for good, and a watch may hear nothing while
+/// changes are made and be told only at its end that the history is gone: a change is then in force after
+/// this and a read. With three seconds that took 4.1 s, where 2.5 are allowed. A watch of two seconds costs
+/// half a call a second.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two pings beside a watch, which show at a tenth of a call's price that the store
 /// still answers this instance.
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -56,7 +56,8 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.contains("connection: close"), "{answer}");
     assert!(told.wait().success());
-    assert!(told.log().iter().any(|line| line["event"] == "stopped"));
+    // The process has ended; what reads its output may not have come to its end.
+    wait_until("the last line", || told.log().iter().any(|line| line["event"] == "stopped"));
 }
 
 #[test]
