--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -33,6 +33,8 @@
     Limited,
     /// Connections are closed.
     Reset,
+    /// Watches hear nothing, and are told at the end of their wait that the history is gone.
+    Deaf,
 }
 
 #[derive(Debug, Default)]
@@ -137,8 +139,10 @@
     lock(inner).calls.push(format!("{} {path}", head.method));
     let trouble = trouble_at(inner, port);
     let (status, answer) = match trouble {
-        KvTrouble::None if path == "/-/kv-watch" => watch(inner, port, &query).await?,
-        KvTrouble::None => call(inner, &path, &query, &body),
+        KvTrouble::None | KvTrouble::Deaf if path == "/-/kv-watch" => {
+            watch(inner, port, &query).await?
+        }
+        KvTrouble::None | KvTrouble::Deaf => call(inner, &path, &query, &body),
         KvTrouble::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         KvTrouble::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
         KvTrouble::Reset => return Err(WireError::Closed),
@@ -188,7 +192,11 @@
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     let after = query.after.parse().unwrap_or(0);
     loop {
-        {
+        let is_deaf = trouble_at(inner, port) == KvTrouble::Deaf;
+        if is_deaf && Instant::now() >= until {
+            return Ok((StatusCode::GONE, json!({})));
+        }
+        if !is_deaf {
             let inner = lock(inner);
             let Some(events) = inner.state.events(&query.prefix, after) else {
                 return Ok((StatusCode::GONE, json!({})));
@@ -202,7 +210,7 @@
         match trouble_at(inner, port) {
             KvTrouble::Silent => never().await,
             KvTrouble::Reset => return Err(WireError::Closed),
-            KvTrouble::None | KvTrouble::Busy | KvTrouble::Limited => {}
+            KvTrouble::None | KvTrouble::Deaf | KvTrouble::Busy | KvTrouble::Limited => {}
         }
     }
 }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -169,6 +169,20 @@
     assert!(began.elapsed() < Duration::from_millis(900), "{:?}", began.elapsed());
 }
 
+#[test]
+fn watch_that_hears_nothing_costs_no_more_than_its_wait() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    // It watches by now.
+    wait_until("a watch", || world.store.calls().iter().any(|call| call.ends_with("kv-watch")));
+    world.store.trouble(gateway.store, KvTrouble::Deaf);
+    let began = Instant::now();
+    world.store.put("op/config", &config(5, &[]));
+    wait_until("version 5", || gateway.metrics().contains("galenapath_config_version 5"));
+    // A change has to be in force 2.5 s after the store has acknowledged it.
+    assert!(began.elapsed() < Duration::from_millis(2_500), "{:?}", began.elapsed());
+}
+
 #[test]
 fn calm_store_called_seldom() {
     let world = World::start();
