A server's rate limit is read from its answers and logged; no decision goes by it yet

Neither logs nor metrics told whether an instance knew of a limit, so that of the hypotheses of the incident none could be told from the others. A line says who names a limit, in an answer to a request or to a question; galenapath_limited_servers counts them. An answer of another server at the address no longer counts as the load of the one that was asked.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::fitness;
 use crate::health;
 use crate::in_flight::InFlight;
+use crate::notices::{self, Answered};
 use crate::reply::{self, HeadVerdict, Reply, Rest};
 use crate::request::set;
 use crate::usage::Flow;
@@ -109,6 +110,7 @@
     put_head(call, &listed_id, &mut connection);
     in_flight.sent();
     call.sent(&in_flight.server);
+    let mut sent_at = call.instance.now();
     let head = exchange_head(call, &mut connection).await;
     let head = match head {
         // The server closed a kept connection while the request was on its way to it.
@@ -121,12 +123,16 @@
         {
             connection = connect(call, address).await?;
             put_head(call, &listed_id, &mut connection);
+            sent_at = call.instance.now();
             exchange_head(call, &mut connection).await
         }
         head => head,
     };
     let (head, verdict) = head.map_err(|e| broken(&e))?;
-    in_flight.told.set(health::note_answer(&call.instance, service, server, &head));
+    if let Some(answered) = speaks_as(verdict) {
+        in_flight.told.set(health::note_answer(&call.instance, service, server, &head));
+        notices::note(&call.instance, service, server, &head, answered, sent_at);
+    }
     match verdict {
         HeadVerdict::NotRun => call.not_run(),
         HeadVerdict::OtherServer => {
@@ -145,6 +151,15 @@
     }
 }
 
+/// How far an answer speaks for the server that the request was sent to; `None` where another one wrote it.
+const fn speaks_as(verdict: HeadVerdict) -> Option<Answered> {
+    match verdict {
+        HeadVerdict::Answer | HeadVerdict::NotRun => Some(Answered::Request),
+        HeadVerdict::Foreign | HeadVerdict::Bad(_) => Some(Answered::RequestBadly),
+        HeadVerdict::OtherServer => None,
+    }
+}
+
 fn broken(e: &HttpError) -> Fault {
     match e {
         HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::HeadTooLarge { .. } => {
--- a/crates/galenapath-gateway/src/dialect.rs
+++ b/crates/galenapath-gateway/src/dialect.rs
@@ -27,6 +27,8 @@
     pub server_id: HeaderName,
     /// Milliseconds for which the backend server stays cold, with its answers to questions.
     pub cold_ms: HeaderName,
+    /// Requests a second that the backend server takes from all instances together, while it names them.
+    pub rate_limit: HeaderName,
 }
 
 /// What a caller tells about itself when it asks where to connect.
--- a/crates/galenapath-gateway/src/health.rs
+++ b/crates/galenapath-gateway/src/health.rs
@@ -1,6 +1,7 @@
 //! Asking a backend server for its load.
 
 use crate::instance::Instance;
+use crate::notices::{self, Answered};
 use crate::reply;
 use crate::service::Service;
 use crate::usage::Flow;
@@ -63,6 +64,7 @@
     let is_other = is_other(instance, service, id, &head);
     if !is_other {
         note_warmth(instance, service, id, &head);
+        notices::note(instance, service, id, &head, Answered::Question, asked_at);
     }
     let closes = reply::closes(&head.headers) || framing == Framing::UntilClose;
     let is_clean = !closes && !connection.has_unread();
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -244,6 +244,8 @@
         let services = self.services.borrow();
         let cold = services.values().map(|service| service.placement.borrow().cold_count(now));
         self.metrics.cold_servers.set(i64::try_from(cold.sum::<usize>()).unwrap_or(i64::MAX));
+        let limited = services.values().map(|service| service.placement.borrow().limited_count());
+        self.metrics.limited_servers.set(i64::try_from(limited.sum::<usize>()).unwrap_or(i64::MAX));
         for service in services.values() {
             let age = seconds(service.placement.borrow().mean_age(now));
             self.metrics.load_age.with_label_values(&[&service.name]).set(age);
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod logging;
 mod loss;
 mod metrics;
+mod notices;
 mod packed;
 mod pool;
 mod probe;
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub evacuated_domains: IntGauge,
     /// Backend servers taken to be cold.
     pub cold_servers: IntGauge,
+    /// Backend servers that name a rate limit.
+    pub limited_servers: IntGauge,
     /// Other instances that answer.
     pub peers: IntGauge,
 }
@@ -95,6 +97,7 @@
             servers: gauge(&r, "servers", "Backend servers listed")?,
             evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains evacuated")?,
             cold_servers: gauge(&r, "cold_servers", "Backend servers taken to be cold")?,
+            limited_servers: gauge(&r, "limited_servers", "Backend servers with a rate limit")?,
             peers: gauge(&r, "peers", "Other instances that answer")?,
             registry: r,
         })
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -2,6 +2,7 @@
 
 use super::config::PlaceConfig;
 use super::known::Sighting;
+use super::rate_limit::Limited;
 use super::warming::Warming;
 use galenapath_protocol::{BackendId, Micros};
 
@@ -26,6 +27,7 @@
     /// Until when it is taken to be cold: it works slowly and can take few requests.
     pub cold_until: Micros,
     pub warming: Warming,
+    pub limited: Limited,
     /// Requests of this instance that are there now.
     pub own: u32,
     /// Of these, those that are not sent yet: no sighting counts them.
@@ -52,6 +54,7 @@
             is_connected: false,
             cold_until: Micros::ZERO,
             warming: Warming::default(),
+            limited: Limited::default(),
             own: 0,
             unsent: 0,
             seen: None,
