Failing tests: a server that names a rate limit gets as many requests as before

The stand-in names a limit in its answers to requests and counts what comes in any four seconds, from half a second after it first named it.

--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod kv;
 mod kv_state;
+mod limit;
 mod server;
 mod thread;
 
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -1,6 +1,7 @@
 //! A backend server that signs its answers and tells its load and the pace of its machine.
 
 use super::cold::Cold;
+use super::limit::Limit;
 use super::thread::{listen, never};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use http::{HeaderMap, StatusCode};
@@ -84,12 +85,14 @@
     down_until: Option<Instant>,
     cold: Cold,
     crashes: usize,
+    limit: Limit,
 }
 
 impl Inner {
     /// Counts a request; the server crashes when it is cold and gets too many.
     fn press(&mut self) {
         let now = Instant::now();
+        self.limit.press(now);
         if self.cold.press(now) {
             self.crashes += 1;
             self.down_until = Some(now + DOWN);
@@ -126,6 +129,7 @@
             down_until: None,
             cold: Cold::default(),
             crashes: 0,
+            limit: Limit::default(),
         }));
         let shared = Arc::clone(&inner);
         let address = listen(move || {
@@ -189,6 +193,21 @@
         self.lock().crashes
     }
 
+    /// Names a limit of requests a second in its answers to requests, or none any more.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        self.lock().limit.set(per_second);
+    }
+
+    /// Most requests that came within four seconds while it named a limit.
+    pub fn most_limited(&self) -> usize {
+        self.lock().limit.most()
+    }
+
+    /// Requests that came although the limit that it named left no room for them.
+    pub fn overruns(&self) -> usize {
+        self.lock().limit.overruns()
+    }
+
     /// Sets the length of its answers.
     pub fn set_body(&self, bytes: usize) {
         self.lock().body = bytes;
@@ -345,12 +364,14 @@
 fn whole(inner: &Mutex<Inner>, status: StatusCode, id: &str, body: &str) -> String {
     let load = load(inner);
     let length = body.len().to_string();
-    let headers = [
+    let mut headers = vec![
         ("x-attempt-id", id),
         ("x-response-signature", "3e1b.07"),
         ("x-backend-load", load.as_str()),
         ("content-length", length.as_str()),
     ];
+    let limit = lock(inner).limit.text();
+    headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
     answer_head(status, &headers) + body
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod evacuation;
 #[path = "gateway/fleet.rs"]
 mod fleet;
+#[path = "gateway/limits.rs"]
+mod limits;
 #[path = "gateway/requests.rs"]
 mod requests;
 #[path = "gateway/servers.rs"]
--- /dev/null
+++ b/tests/gateway/limits.rs
@@ -0,0 +1,47 @@
+//! Servers that name a rate limit, and callers that send more than that.
+
+use crate::support::{World, fleet, press};
+use std::time::Duration;
+
+/// Requests a second that a server in need takes.
+const LIMIT: f64 = 2.0;
+
+/// Longer than the span over which a server counts.
+const LONG: Duration = Duration::from_secs(5);
+
+#[test]
+fn server_that_names_a_limit_gets_no_more_from_all_instances_together() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    press(&gateways, Duration::from_millis(1_500));
+    let limited = world.of("look")[0];
+    limited.set_limit(Some(LIMIT));
+    assert!(press(&gateways, LONG) > 0);
+    let most = limited.most_limited();
+    assert_eq!(limited.overruns(), 0, "{most} requests within four seconds");
+    // It gets a good part of what it takes.
+    assert!(most as f64 > LIMIT, "{most} requests within four seconds");
+    // And as much as any other once it names no limit.
+    limited.set_limit(None);
+    press(&gateways, Duration::from_secs(2));
+    let before = limited.seen().len();
+    press(&gateways, Duration::from_secs(1));
+    assert!(limited.seen().len() > before + 20, "{}", limited.seen().len() - before);
+}
+
+#[test]
+fn servers_that_all_name_a_limit_get_no_more_from_instances_that_restart() {
+    let world = World::start();
+    let mut gateways = fleet(&world);
+    press(&gateways, Duration::from_millis(500));
+    for server in world.of("look") {
+        server.set_limit(Some(LIMIT));
+    }
+    press(&gateways, Duration::from_secs(2));
+    gateways[1].kill_and_start();
+    press(&gateways, LONG);
+    for server in world.of("look") {
+        let most = server.most_limited();
+        assert_eq!(server.overruns(), 0, "{most} requests within four seconds");
+    }
+}
--- a/tests/gateway/warming.rs
+++ b/tests/gateway/warming.rs
@@ -1,51 +1,13 @@
 //! Servers that are cold, at their start or at any other moment.
 
-use crate::support::{COLD_PER_SECOND, Gateway, World, wait_until};
+use crate::support::{COLD_PER_SECOND, World, fleet, press, wait_until};
 use galenapath_dev::users_platform::ServerStandIn;
 use serde_json::json;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time for which servers are cold.
 const COLD: Duration = Duration::from_secs(3);
 
-/// Threads that send lookups one after the other.
-const CALLERS: usize = 6;
-
-/// Sends lookups to all instances for `span`; returns how many were answered.
-fn press(gateways: &[Gateway], span: Duration) -> usize {
-    let end = Instant::now() + span;
-    std::thread::scope(|scope| {
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|caller| {
-                scope.spawn(move || {
-                    let mut answered = 0;
-                    for n in 0.. {
-                        if Instant::now() >= end {
-                            break;
-                        }
-                        let gateway = &gateways[(caller + n) % gateways.len()];
-                        let answer = gateway.look(&format!("w{caller}-{n}"));
-                        answered += usize::from(answer.status == 200);
-                        std::thread::sleep(Duration::from_millis(10));
-                    }
-                    answered
-                })
-            })
-            .collect();
-        callers.into_iter().map(|caller| caller.join().unwrap()).sum()
-    })
-}
-
-fn fleet(world: &World) -> Vec<Gateway> {
-    let mut gateways = vec![Gateway::ready(world, &[])];
-    for _ in 0..2 {
-        let next = Gateway::ready(world, &[&gateways[0]]);
-        gateways.push(next);
-    }
-    gateways.iter().for_each(|gateway| gateway.wait_for_peers(2));
-    gateways
-}
-
 fn assert_spared(servers: &[&ServerStandIn]) {
     for server in servers {
         assert_eq!(server.crashes(), 0, "{} requests within a second", server.most_cold());
