A server that names a rate limit gets no more than that from all instances together

Callers saw nothing of it; the servers did: two that had named limits of 2.1 and 6.1 requests a second got 43 and 90 requests in four seconds, where 18 and 42 are allowed.

Cause: nothing read the limit in a server's answer. The choice goes by load, pace and failures, and a server in need looks as free as before. The class of fault: what a server says of itself in answers is taken in only as far as one of them, its load, is known; and a bound on what all instances send together cannot be kept by each of them alone.

Ruled out: that instances knew of the limit (no header of that name was read anywhere; arrivals at the two servers were the same before and after the second in which they named it), and that only waiting requests, copies or retries went past a choice that kept it (85 arrivals in four seconds, nearly all first sends).

Change: what a server says of its limit is kept by run and by age; whoever hears something new tells all instances that serve callers, and one of them tells it again every two seconds. The limit goes in equal parts to as many instances as get a request a second each; the others leave the server alone. Sends, copies, retries, requests that wait, sends on a new connection after a kept one was closed, and probes all take from the same budget; questions before a send are not asked there. A request that was given to a server before it named its limit goes elsewhere. An answer ends a limit only when its request was sent after the limit was last named. Requests that must wait for a limited server are refused by what the limit lets through.

--- a/crates/galenapath-ctl/src/causes/cause.rs
+++ b/crates/galenapath-ctl/src/causes/cause.rs
@@ -16,6 +16,8 @@
     Evacuated,
     /// Refused: most servers of its service are cold and can take few requests.
     ServersCold,
+    /// Refused: most servers of its service name a rate limit.
+    ServersLimited,
     /// Refused: there was no server to send it to.
     NoServer,
     /// Refused: a server that seemed free did not take it, and no retry was left.
@@ -59,6 +61,7 @@
         match fields.outcome.as_str() {
             "no_room" | "no_server" if ended.count("withdrawn") > 0 => Self::Evacuated,
             "no_room" | "no_server" if ended.count("cold") > 0 => Self::ServersCold,
+            "no_room" | "no_server" if ended.count("limited") > 0 => Self::ServersLimited,
             "no_room" if ended.came_late() => Self::NoRoomAgain,
             "no_room" => Self::NoRoom,
             "no_server" | "unreachable" => Self::NoServer,
@@ -103,6 +106,7 @@
             Self::NoRoomAgain => "refused: no room, came after its target",
             Self::Evacuated => "refused: failure domain evacuated",
             Self::ServersCold => "refused: servers cold",
+            Self::ServersLimited => "refused: servers name rate limits",
             Self::NoServer => "refused: no server",
             Self::Shed => "refused: shed by a server",
             Self::CrashesServers => "refused: crashes servers",
--- a/crates/galenapath-ctl/src/trace/step.rs
+++ b/crates/galenapath-ctl/src/trace/step.rs
@@ -87,6 +87,7 @@
                 "copy" => write!(f, "a second copy went out"),
                 "withdrawn" => write!(f, "most servers were in evacuated failure domains"),
                 "cold" => write!(f, "most servers were cold"),
+                "limited" => write!(f, "most servers named a rate limit"),
                 "silent" => write!(f, "no answer after three times the usual"),
                 "retry_budget_spent" => write!(f, "the retry budget was spent: not sent again"),
                 other => write!(f, "{other}"),
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -102,8 +102,9 @@
     let (service, server) = (&call.service, &in_flight.server);
     let address = service.address(server).ok_or(Fault::Unreachable)?;
     let (mut connection, is_kept) = fitness::connect_fit(call, in_flight, address).await?;
-    // It may have begun to leave, or its failure domain may have been evacuated, since it was chosen.
-    if !service.takes_requests(&call.instance, server) {
+    // It may have begun to leave, turned cold or named a limit, or its failure domain may have been evacuated,
+    // since it was chosen.
+    if !service.may_send(&call.instance, server, in_flight.started) {
         return Err(Fault::Unfit);
     }
     let listed_id = service.listed_id(server).ok_or(Fault::Unreachable)?;
@@ -118,7 +119,7 @@
             // It may have arrived all the same, so that it counts as a retry.
             if is_kept
                 && call.req.route.kind.may_repeat()
-                && service.takes_requests(&call.instance, server)
+                && service.send_again(&call.instance, server)
                 && take_retry(call) =>
         {
             connection = connect(call, address).await?;
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -11,14 +11,11 @@
 use crate::service::Service;
 use galenapath_filings::{Fingerprint, SuspectVerdict};
 use galenapath_http::Connection;
-use galenapath_protocol::{BackendId, Micros, hash64};
+use galenapath_protocol::{BackendId, Micros};
 use monoio::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Seed of the hash that names a backend server among suspects; the same on every instance.
-const SERVER_SEED: u64 = 0;
-
 /// Longest wait for a server that may have crashed.
 const LOOK_TIME: Duration = Duration::from_millis(300);
 
@@ -62,7 +59,7 @@
         if is_there(&instance, &service, &server).await {
             return;
         }
-        let note = CrashNote { server: hash64(SERVER_SEED, server.0.as_bytes()), request };
+        let note = CrashNote { server: server.hash(), request };
         log::warn!(server:% = server, request_hash:% = format!("{:032x}", request.0);
             "server crashed with a request");
         instance.take_crash(&note);
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -45,7 +45,8 @@
     let (now, service) = (call.instance.now(), &call.service);
     let seen = service.placement.borrow().seen(server);
     let is_fresh = seen.is_some_and(|seen| now - seen.at <= FRESH_LOAD);
-    if is_fresh || !service.tells_load(now) {
+    // A question takes from what a server bears that names a limit, and few others send there.
+    if is_fresh || !service.tells_load(now) || service.is_limited(server) {
         Asking::Needless
     } else if service.take_probe(now, server) {
         Asking::Allowed
@@ -71,7 +72,9 @@
     let kept = service.take_connection(now, server).await;
     let is_once = call.req.route.kind == RouteKind::OnceOnly;
     let is_old = is_once && kept.as_ref().is_some_and(|kept| kept.idle > FRESH_IDLE);
-    let may_ask_more = || service.tells_load(now) && service.take_probe(now, server);
+    let may_ask_more = || {
+        service.tells_load(now) && !service.is_limited(server) && service.take_probe(now, server)
+    };
     let asks =
         asking == Asking::Allowed || (asking == Asking::Needless && is_old && may_ask_more());
     if !asks {
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -2,9 +2,12 @@
 
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
-    HelloWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, RemovalWire, WarmthWire,
+    HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
+    RemovalWire, WarmthWire,
+};
+use super::message::{
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, WarmthNote,
 };
-use super::message::{CrashNote, Datagram, FailureNote, LoadNote, Loads, WarmthNote};
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Beat, Member, MemberStatus, StoreHealth, Vitals};
 use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros};
@@ -181,6 +184,35 @@
     }
 }
 
+impl From<&LimitNote> for LimitWire {
+    fn from(note: &LimitNote) -> Self {
+        let LimitNote { server, per_second, age } = *note;
+        let (is_named, per_second) = (per_second.is_some(), per_second.unwrap_or(0.0));
+        Self { server, age_ms: millis(age), is_named, per_second }
+    }
+}
+
+impl From<LimitWire> for LimitNote {
+    fn from(wire: LimitWire) -> Self {
+        let LimitWire { server, age_ms, is_named, per_second } = wire;
+        let is_limit = is_named && per_second.is_finite() && per_second >= 0.0;
+        let age = Micros::from_millis(u64::from(age_ms));
+        Self { server, per_second: is_limit.then_some(per_second), age }
+    }
+}
+
+impl From<&Notices> for NoticesWire {
+    fn from(notices: &Notices) -> Self {
+        Self { limits: notices.limits.iter().map(Into::into).collect() }
+    }
+}
+
+impl From<NoticesWire> for Notices {
+    fn from(wire: NoticesWire) -> Self {
+        Self { limits: wire.limits.into_iter().map(Into::into).collect() }
+    }
+}
+
 impl From<&Datagram> for DatagramWire {
     fn from(datagram: &Datagram) -> Self {
         match datagram {
@@ -195,6 +227,7 @@
                 crashes: loads.crashes.iter().map(Into::into).collect(),
                 warmth: loads.warmth.iter().map(Into::into).collect(),
             }),
+            Datagram::Notices(notices) => Self::N(notices.into()),
             Datagram::End(incarnation) => Self::E(EndWire { from: incarnation.0 }),
         }
     }
@@ -217,6 +250,7 @@
                 crashes: loads.crashes.into_iter().map(Into::into).collect(),
                 warmth: loads.warmth.into_iter().map(Into::into).collect(),
             }),
+            DatagramWire::N(notices) => Self::Notices(notices.into()),
             DatagramWire::E(end) => Self::End(Incarnation(end.from)),
         })
     }
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -43,6 +43,8 @@
     M(MembersWire),
     #[serde(rename = "l")]
     L(LoadsWire),
+    #[serde(rename = "n")]
+    N(NoticesWire),
     #[serde(rename = "e")]
     E(EndWire),
 }
@@ -66,6 +68,11 @@
         Self::L(value)
     }
 }
+impl ::std::convert::From<NoticesWire> for DatagramWire {
+    fn from(value: NoticesWire) -> Self {
+        Self::N(value)
+    }
+}
 impl ::std::convert::From<EndWire> for DatagramWire {
     fn from(value: EndWire) -> Self {
         Self::E(value)
@@ -122,6 +129,19 @@
 pub struct HelloWire {
     pub from: FleetMemberWire,
 }
+///One backend server's rate limit.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LimitWire {
+    ///Age of its word when this was sent.
+    pub age_ms: u32,
+    ///Whether it names a limit; false once it names none any more.
+    pub is_named: bool,
+    ///Requests a second that it takes from all instances together.
+    pub per_second: f64,
+    ///Hash of the server's identity.
+    pub server: u64,
+}
 ///A backend server's entry.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -171,6 +191,12 @@
 pub struct MembersWire {
     pub members: ::std::vec::Vec<FleetMemberWire>,
 }
+///What backend servers have said of themselves in their answers, beside their loads.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct NoticesWire {
+    pub limits: ::std::vec::Vec<LimitWire>,
+}
 ///What the asking instance has.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -19,6 +19,8 @@
     Members(Vec<Member>),
     /// What was seen of backend servers.
     Loads(Loads),
+    /// What backend servers have said of themselves.
+    Notices(Notices),
     /// The sender ends now.
     End(Incarnation),
 }
@@ -42,6 +44,30 @@
     }
 }
 
+/// What backend servers have said of themselves in their answers, beside their loads.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Notices {
+    pub(crate) limits: Vec<LimitNote>,
+}
+
+impl Notices {
+    /// Whether there is nothing to tell.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+}
+
+/// One backend server's rate limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LimitNote {
+    /// Hash of the server's identity.
+    pub(crate) server: u64,
+    /// Requests a second that it takes from all instances together; `None` where it names no limit any more.
+    pub(crate) per_second: Option<f64>,
+    /// Age of its word when this was sent.
+    pub(crate) age: Micros,
+}
+
 /// A request that ran on a backend server when it crashed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashNote {
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 mod tasks;
 
 pub(crate) use joining::{ask, join};
-pub(crate) use message::{CrashNote, Datagram, FailureNote, LoadNote, Loads, WarmthNote, encode};
+pub(crate) use message::{
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, WarmthNote, encode,
+};
 pub(crate) use pull::serve_pulls;
 pub(crate) use tasks::{announce, receive, run, tell_end};
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -201,6 +201,7 @@
         }
         Datagram::Members(members) => take_members(instance, members, from),
         Datagram::Loads(loads) => instance.take_loads(&loads),
+        Datagram::Notices(notices) => instance.take_notices(&notices),
         Datagram::End(incarnation) => {
             log::info!(incarnation:% = incarnation; "instance has ended");
             instance.beats.borrow_mut().ended(incarnation);
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -1,12 +1,27 @@
-//! What a backend server says of itself in its answers, beside its load.
+//! What a backend server says of itself in its answers, beside its load, and what instances tell each other
+//! of it.
+//!
+//! Whoever hears something new tells all instances that serve callers at once. One of them tells it again now
+//! and then, for those that have missed it or have begun to serve since.
 
-use crate::instance::Instance;
+use crate::fleet::{self, Datagram, LimitNote, Notices};
+use crate::instance::{Instance, sleep_to_next};
+use crate::probe;
 use crate::service::Service;
+use crate::usage::Flow;
 use galenapath_http::ResponseHead;
 use galenapath_policy::LineKind;
 use galenapath_policy::place::RateLimit;
 use galenapath_protocol::{BackendId, Micros};
 use http::header::HeaderName;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time between two tellings of what is no news.
+const TELL_AGAIN: Micros = Micros::from_secs(2);
+
+/// Most notes in one datagram, so that it fits one packet.
+const MOST_NOTES: usize = 50;
 
 /// How far an answer speaks for its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,13 +61,8 @@
         (None, _) => return,
     };
     let word = RateLimit { per_second, said_at };
-    if !service.placement.borrow_mut().hear_limit(id, word) {
-        return;
-    }
-    if instance.may_log(LineKind::Peer) {
-        let (told_by, limit) = (answered.as_str(), per_second.unwrap_or(0.0));
-        let is_limited = per_second.is_some();
-        log::info!(server:% = id, is_limited, limit, told_by; "rate limit of a server");
+    if instance.hear_limit(service, id, word, answered.as_str()) {
+        instance.tell(Notices { limits: vec![limit_note(instance.now(), id, word)] });
     }
 }
 
@@ -62,3 +72,77 @@
     let per_second: f64 = text.trim().parse().ok()?;
     (per_second.is_finite() && per_second >= 0.0).then_some(per_second)
 }
+
+fn limit_note(now: Micros, id: &BackendId, word: RateLimit) -> LimitNote {
+    let RateLimit { per_second, said_at } = word;
+    LimitNote { server: id.hash(), per_second, age: now - said_at }
+}
+
+impl Instance {
+    /// Takes in what a server said of its rate limit; returns whether it is news.
+    fn hear_limit(
+        &self,
+        service: &Service,
+        id: &BackendId,
+        word: RateLimit,
+        told_by: &'static str,
+    ) -> bool {
+        if !service.placement.borrow_mut().hear_limit(self.now(), id, word) {
+            return false;
+        }
+        probe::share_scarce(self);
+        if self.may_log(LineKind::Peer) {
+            let (is_limited, limit) = (word.per_second.is_some(), word.per_second.unwrap_or(0.0));
+            log::info!(server:% = id, is_limited, limit, told_by; "rate limit of a server");
+        }
+        true
+    }
+
+    /// Takes in what another instance has heard from servers.
+    pub(crate) fn take_notices(&self, notices: &Notices) {
+        let now = self.now();
+        let services: Vec<_> = self.services.borrow().values().cloned().collect();
+        for service in services {
+            for note in &notices.limits {
+                let Some(id) = service.by_hash(note.server) else { continue };
+                let word = RateLimit { per_second: note.per_second, said_at: now - note.age };
+                self.hear_limit(&service, &id, word, "peer");
+            }
+        }
+    }
+
+    /// Tells the instances that serve callers what servers have said.
+    fn tell(&self, notices: Notices) {
+        if notices.is_empty() {
+            return;
+        }
+        let to: Vec<SocketAddr> = {
+            let beats = self.beats.borrow();
+            let serving = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers);
+            serving.map(|peer| peer.member.peers).collect()
+        };
+        for limits in notices.limits.chunks(MOST_NOTES) {
+            let datagram = fleet::encode(&Datagram::Notices(Notices { limits: limits.to_vec() }));
+            to.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
+        }
+    }
+
+    /// What falls to this instance to be told again.
+    fn told_again(&self) -> Notices {
+        let now = self.now();
+        let mut notices = Notices::default();
+        for service in self.services.borrow().values() {
+            let limits = service.placement.borrow().limits_told_again(now);
+            notices.limits.extend(limits.iter().map(|(id, word)| limit_note(now, id, *word)));
+        }
+        notices
+    }
+}
+
+/// Tells now and then what servers have said and is no news any more, for as long as the instance runs.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    loop {
+        sleep_to_next(&instance, TELL_AGAIN).await;
+        instance.tell(instance.told_again());
+    }
+}
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -9,7 +9,7 @@
 use crate::service::Service;
 use galenapath_http::{Connection, HttpError};
 use galenapath_membership::Beats;
-use galenapath_policy::measure::{Prober, prober, warmer};
+use galenapath_policy::measure::{LimitShare, Prober, limit_share, prober, warmer};
 use galenapath_protocol::{BackendId, FastMap, Micros};
 use monoio::net::TcpStream;
 use std::net::SocketAddr;
@@ -82,7 +82,7 @@
         service.share_retries(instance);
     }
     let mine = if may_probe(instance) { mine(instance) } else { FastMap::default() };
-    share_warming(instance);
+    share_scarce(instance);
     let mut targets = targets.borrow_mut();
     targets.retain(|id, target| mine.get(id).is_some_and(|(_, at)| *at == target.address));
     for (id, (service, address)) in mine {
@@ -108,19 +108,26 @@
     beats.peers().any(|peer| peer.is_usable() && peer.vitals.serves_callers)
 }
 
-/// Takes over which cold servers this instance warms.
-pub(crate) fn share_warming(instance: &Instance) {
-    let now = instance.now();
+/// Takes over what falls to this instance of the servers that take few requests: which cold ones it warms, and
+/// its parts of the rate limits that servers name.
+pub(crate) fn share_scarce(instance: &Instance) {
+    let (now, own) = (instance.now(), instance.incarnation);
     // An instance that is cut off takes servers over from others that it does not hear, and which send on.
-    let may_warm = may_probe(instance) && !instance.beats.borrow().is_doubtful();
+    let may_send = may_probe(instance) && !instance.beats.borrow().is_doubtful();
     let beats = instance.beats.borrow();
     let probing = probing(instance, &beats);
     for service in instance.services.borrow().values() {
+        let domain = |id: &BackendId| service.domain(id).filter(|_| may_send);
         let is_ours = |id: &BackendId| {
-            let domain = service.domain(id).filter(|_| may_warm);
-            domain.is_some_and(|domain| warmer(&probing, &domain, id) == Some(instance.incarnation))
+            domain(id).is_some_and(|domain| warmer(&probing, &domain, id) == Some(own))
         };
-        service.placement.borrow_mut().share_warming(now, is_ours);
+        let share = |id: &BackendId, per_second: f64| {
+            let share = |domain| limit_share(&probing, &domain, id, own, per_second);
+            domain(id).map_or(LimitShare::NONE, share)
+        };
+        let mut placement = service.placement.borrow_mut();
+        placement.share_warming(now, is_ours);
+        placement.share_limits(now, share);
     }
 }
 
@@ -164,6 +171,9 @@
     let mut targets = targets.borrow_mut();
     let mut due = Vec::new();
     for target in targets.values_mut().filter(|target| target.is_due(now)) {
+        if !target.service.placement.borrow_mut().take_question(now, &target.id) {
+            continue;
+        }
         target.is_running = true;
         due.push(target.id.clone());
     }
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Metrics;
 use crate::reload::{self, ReadSettings};
 use crate::stop::Signals;
-use crate::{GatewayError, caller, fleet, probe, questions, sharing, stop, usage, watch};
+use crate::{GatewayError, caller, fleet, notices, probe, questions, sharing, stop, usage, watch};
 use error_stack::{Report, ResultExt};
 use futures::future::{Either, select};
 use galenapath_platform::KeyStore;
@@ -102,6 +102,7 @@
     monoio::spawn(fleet::run(Rc::clone(instance)));
     monoio::spawn(sharing::run(Rc::clone(instance)));
     monoio::spawn(probe::run(Rc::clone(instance)));
+    monoio::spawn(notices::run(Rc::clone(instance)));
     monoio::spawn(usage::run(Rc::clone(instance)));
     monoio::spawn(watch::run(Rc::clone(instance), store));
     Ok(())
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -7,7 +7,7 @@
 use galenapath_http::Connection;
 use galenapath_policy::measure::{AskBudget, AskShares};
 use galenapath_policy::place::{
-    Line, PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, WaitQueue, WarmUp,
+    Line, PlaceConfig, PlacedServer, Placement, QueueConfig, Sighting, Started, WaitQueue, WarmUp,
 };
 use galenapath_policy::{RetryBudget, RetryConfig, SharedAllowance};
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros, hash64};
@@ -242,6 +242,11 @@
         self.by_short_id.borrow().get(&short).cloned()
     }
 
+    /// The server whose identity has this hash.
+    pub(crate) fn by_hash(&self, hash: u64) -> Option<BackendId> {
+        self.by_short_id(hash as u32).filter(|id| id.hash() == hash)
+    }
+
     /// The servers that may get requests as far as their failure domains go.
     pub(crate) fn servers(&self) -> Vec<ServerAt> {
         let listed = self.listed.borrow();
@@ -254,10 +259,22 @@
         all.collect()
     }
 
-    /// Whether a server that was chosen before may still get a request.
-    pub(crate) fn takes_requests(&self, instance: &Instance, id: &BackendId) -> bool {
+    /// Whether a request that was given to a server as `started` says may still be sent there.
+    pub(crate) fn may_send(&self, instance: &Instance, id: &BackendId, started: Started) -> bool {
         self.refresh(instance);
-        self.placement.borrow().takes_requests(id)
+        self.placement.borrow().may_send(instance.now(), id, started)
+    }
+
+    /// Counts one more send to a server of a request that was sent there before; false where the server
+    /// cannot take it.
+    pub(crate) fn send_again(&self, instance: &Instance, id: &BackendId) -> bool {
+        self.refresh(instance);
+        self.placement.borrow_mut().send_again(instance.now(), id)
+    }
+
+    /// Whether a server names a rate limit.
+    pub(crate) fn is_limited(&self, id: &BackendId) -> bool {
+        self.placement.borrow().is_limited(id)
     }
 
     /// Takes in what was seen of a server; returns whether it was news.
--- a/crates/galenapath-gateway/src/services.rs
+++ b/crates/galenapath-gateway/src/services.rs
@@ -30,7 +30,7 @@
         let in_use = || all.iter().filter(|service| !service.is_idle(now));
         in_use().for_each(|service| service.refresh(self));
         // Servers that have come back cold get their first requests at once.
-        probe::share_warming(self);
+        probe::share_scarce(self);
         in_use().for_each(|service| service.poll(self));
         let state = self.state.borrow();
         let servers = i64::try_from(state.directory().servers().count()).unwrap_or(i64::MAX);
--- a/crates/galenapath-policy/src/measure/asks.rs
+++ b/crates/galenapath-policy/src/measure/asks.rs
@@ -10,7 +10,8 @@
 /// Seconds of its part that a budget saves up.
 const SAVED: f32 = 1.0;
 
-/// One instance's part of the questions to one backend server, or of the requests that a cold one can take.
+/// One instance's part of the questions to one backend server, or of the requests that one can take which is
+/// cold or names a rate limit.
 #[derive(Clone, Copy, Debug)]
 pub struct AskBudget {
     /// Questions a second.
@@ -33,6 +34,11 @@
         Self { rate: rate as f32, saved, tokens: 1.0, filled_at: now }
     }
 
+    /// The same without a question to start with.
+    pub fn empty(now: Micros, rate: f64, saved: f32) -> Self {
+        Self { tokens: 0.0, ..Self::saving(now, rate, saved) }
+    }
+
     /// Changes the part.
     pub fn set_rate(&mut self, now: Micros, rate: f64) {
         self.fill(now);
--- a/crates/galenapath-policy/src/measure/mod.rs
+++ b/crates/galenapath-policy/src/measure/mod.rs
@@ -10,6 +10,6 @@
 pub use asks::AskBudget;
 pub use budget::ProbeBudget;
 pub use crossings::Crossings;
-pub use probers::{Prober, prober, warmer};
+pub use probers::{LimitShare, Prober, limit_share, prober, warmer};
 pub use question_times::QuestionTimes;
 pub use shares::{AskShares, ServedRates};
--- a/crates/galenapath-policy/src/place/ask.rs
+++ b/crates/galenapath-policy/src/place/ask.rs
@@ -39,6 +39,8 @@
     pub is_slow: bool,
     /// Whether it was known to be cold, so that the request counts among those that it can take.
     pub is_cold: bool,
+    /// Whether it named a rate limit, so that the request counts among those that it takes.
+    pub is_limited: bool,
     /// Whether nobody had seen it lately.
     pub is_guess: bool,
     /// Time beyond the usual that its answer was expected to take. An old sighting of a slow spell
--- a/crates/galenapath-policy/src/place/choose.rs
+++ b/crates/galenapath-policy/src/place/choose.rs
@@ -83,8 +83,8 @@
                 continue;
             }
             if !self.can_take(now, index) {
-                // What another instance warms is not worth a wait.
-                best.has_full |= self.servers[index].is_ours_to_warm();
+                // What falls to another instance is not worth a wait.
+                best.has_full |= self.is_ours(now, index);
                 continue;
             }
             let chance = self.rng.random::<f32>() * self.cfg.jitter * self.work().0 as f32;
@@ -102,6 +102,13 @@
         server.takes_requests() && server.is_reachable(now) && !ask.tried.contains(&server.id)
     }
 
+    /// Whether this instance may send to a server that takes few requests: one that is cold or names a limit.
+    fn is_ours(&self, now: Micros, index: usize) -> bool {
+        let server = &self.servers[index];
+        let may_warm = !server.is_cold(now) || server.is_ours_to_warm();
+        may_warm && (!server.is_limited() || server.limited.is_ours())
+    }
+
     /// Whether a slot is free, of those that are used: where crowding costs more than it brings, the
     /// last ones are not.
     fn has_room(&self, index: usize) -> bool {
--- a/crates/galenapath-policy/src/place/config.rs
+++ b/crates/galenapath-policy/src/place/config.rs
@@ -52,6 +52,9 @@
     pub look_at_slow: Micros,
     /// The same while there are slots in plenty.
     pub look_at_slow_calm: Micros,
+    /// Time after the last sighting of a server that names a rate limit at which it is probed: a probe takes
+    /// from what it bears, and requests bring sightings.
+    pub look_at_limited: Micros,
     /// Part of the good slots in use from which slots are scarce.
     pub scarce_from: f32,
     /// Part of the slots up to which a server counts as uncrowded.
@@ -82,6 +85,7 @@
             look_at_usual: Micros::from_millis(400),
             look_at_slow: Micros::from_millis(30),
             look_at_slow_calm: Micros::from_millis(200),
+            look_at_limited: Micros::from_secs(1),
             scarce_from: 0.4,
             crowded_from: 0.8,
             crowding_limit: 1.2,
--- a/crates/galenapath-policy/src/place/line.rs
+++ b/crates/galenapath-policy/src/place/line.rs
@@ -89,7 +89,8 @@
             }
         }
         let work = placement.work();
-        let slots = placement.good_slots(now).max(1.0);
+        let good = placement.good_slots(now);
+        let slots = if good > 0.0 { good } else { 1.0 };
         let pace = Micros((work.0 as f32 / (slots * part)) as u64);
         match self.queue.offer(now, wanted.entry, pace, work) {
             Ok(()) => {
--- a/crates/galenapath-policy/src/place/look.rs
+++ b/crates/galenapath-policy/src/place/look.rs
@@ -12,7 +12,9 @@
     /// When a server is to be probed unless it is seen before; now where it was never seen.
     pub fn look_at(&self, now: Micros, id: &BackendId) -> Micros {
         let Some(seen) = self.seen(id) else { return now };
-        let after = if !seen.is_slow() {
+        let after = if self.is_limited(id) {
+            self.cfg.look_at_limited
+        } else if !seen.is_slow() {
             self.cfg.look_at_usual
         } else if self.is_scarce(now) {
             self.cfg.look_at_slow
@@ -26,6 +28,9 @@
     fn is_scarce(&self, now: Micros) -> bool {
         let (mut taken, mut slots) = (0, 0);
         for server in self.servers.iter().filter(|server| server.is_good(now)) {
+            if server.is_limited() {
+                continue;
+            }
             taken += server.load().min(server.slots);
             slots += server.slots;
         }
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -96,10 +96,29 @@
         let is_crowded = self.crowding() >= self.cfg.crowding_limit
             && !started.is_crowded
             && server.load() as f32 > self.cfg.crowded_from * server.slots as f32;
-        // It has turned cold since, and others may send it as much as it can take.
-        let can_take_more = self.warm_up.is_none() || started.is_cold || !server.is_cold(now);
-        let is_worse = is_slower || is_full || is_crowded || !can_take_more;
-        server.takes_requests() && !is_worse && server.is_reachable(now)
+        let is_worse = is_slower || is_full || is_crowded;
+        self.may_send(now, id, started) && !is_worse && server.is_reachable(now)
+    }
+
+    /// Whether a request that was given to a server as `started` says may still be sent there. One that has
+    /// turned cold or named a limit since may be getting as much as it can take from others.
+    pub fn may_send(&self, now: Micros, id: &BackendId, started: Started) -> bool {
+        let Some(server) = self.server(id) else { return false };
+        let has_turned_cold = self.warm_up.is_some() && server.is_cold(now) && !started.is_cold;
+        let has_named_limit = server.is_limited() && !started.is_limited;
+        server.takes_requests() && !has_turned_cold && !has_named_limit
+    }
+
+    /// Counts one more send to a server of a request that was sent there before; false where the server
+    /// cannot take it.
+    pub fn send_again(&mut self, now: Micros, id: &BackendId) -> bool {
+        let Some(index) = self.by_id.get(id).copied() else { return false };
+        let can_take = self.servers[index].takes_requests() && self.can_take(now, index);
+        if can_take {
+            self.count_warming(now, index);
+            self.servers[index].limited.count(now);
+        }
+        can_take
     }
 
     /// A request is sent to the server. Returns how it looks.
@@ -110,10 +129,12 @@
         let is_cold = self.count_warming(now, index);
         let is_guess = !self.servers[index].is_known(now, &self.cfg);
         let server = &mut self.servers[index];
+        let is_limited = server.limited.count(now);
         let started = Started {
             is_crowded: server.fill() > crowded_from,
             is_slow: is_cold || server.seen().is_some_and(|seen| seen.is_slow()),
             is_cold,
+            is_limited,
             is_guess,
             expected_delay,
         };
@@ -209,7 +230,7 @@
 
     /// The newest sighting of a server.
     pub fn seen(&self, id: &BackendId) -> Option<Sighting> {
-        self.servers.get(*self.by_id.get(id)?)?.seen()
+        self.server(id)?.seen()
     }
 
     /// Requests at a server, as far as this instance knows.
@@ -235,12 +256,13 @@
     }
 
     /// Slots in which a request is expected to be answered at the usual pace: those of servers that
-    /// can be reached, take requests and are not slow.
+    /// can be reached, take requests and are not slow, as far as the limits that they name let them be used.
     pub fn good_slots(&self, now: Micros) -> f32 {
         let part =
             if self.crowding() < self.cfg.crowding_limit { 1.0 } else { self.cfg.crowded_from };
         let good = self.servers.iter().filter(|server| server.is_good(now));
-        good.map(|server| (server.slots as f32 * part).floor()).sum()
+        let slots = |server: &Server| (server.slots as f32 * part).floor();
+        good.map(|server| server.slots_within_limit(slots(server), self.work())).sum()
     }
 
     /// Time of an answer from a crowded server over that from another one.
@@ -248,6 +270,10 @@
         self.estimate.crowding()
     }
 
+    pub(super) fn server(&self, id: &BackendId) -> Option<&Server> {
+        self.servers.get(*self.by_id.get(id)?)
+    }
+
     pub(super) fn server_mut(&mut self, id: &BackendId) -> Option<&mut Server> {
         self.servers.get_mut(*self.by_id.get(id)?)
     }
--- a/crates/galenapath-policy/src/place/shortage.rs
+++ b/crates/galenapath-policy/src/place/shortage.rs
@@ -10,6 +10,8 @@
     Withdrawn,
     /// They are cold and can take few requests.
     Cold,
+    /// They name a rate limit.
+    Limited,
 }
 
 impl Shortage {
@@ -18,6 +20,7 @@
         match self {
             Self::Withdrawn => "withdrawn",
             Self::Cold => "cold",
+            Self::Limited => "limited",
         }
     }
 }
@@ -30,6 +33,9 @@
         if is_most(withdrawn) {
             return Some(Shortage::Withdrawn);
         }
-        is_most(self.cold_count(now)).then_some(Shortage::Cold)
+        if is_most(self.cold_count(now)) {
+            return Some(Shortage::Cold);
+        }
+        is_most(self.limited_count()).then_some(Shortage::Limited)
     }
 }
--- a/crates/galenapath-policy/src/place/warming.rs
+++ b/crates/galenapath-policy/src/place/warming.rs
@@ -95,7 +95,8 @@
     /// Whether a server can take one more request of this instance now.
     pub(super) fn can_take(&self, now: Micros, index: usize) -> bool {
         let server = &self.servers[index];
-        self.warm_up.is_none() || !server.is_cold(now) || server.may_warm(now)
+        let is_warm_enough = self.warm_up.is_none() || !server.is_cold(now) || server.may_warm(now);
+        is_warm_enough && server.limited.has_room(now)
     }
 
     /// Counts a request that is sent to a server. Returns whether the server is cold.
--- a/crates/galenapath-policy/tests/place/main.rs
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -6,6 +6,7 @@
 mod patience;
 mod placement;
 mod queue;
+mod rate_limit;
 mod replay;
 mod support;
 mod warming;
--- a/crates/galenapath-protocol/src/ident.rs
+++ b/crates/galenapath-protocol/src/ident.rs
@@ -43,9 +43,14 @@
 pub struct BackendId(pub Arc<str>);
 
 impl BackendId {
-    /// Short form between instances: long enough that hardly any two servers of a fleet have the same.
+    /// Hash that names it between instances; the same on all of them.
+    pub fn hash(&self) -> u64 {
+        hash64(0, self.0.as_bytes())
+    }
+
+    /// Lower half of the hash: long enough that hardly any two servers of a fleet have the same.
     pub fn short(&self) -> u32 {
-        hash64(0, self.0.as_bytes()) as u32
+        self.hash() as u32
     }
 }
 
