--- a/crates/galenapath-gateway/src/dialect.rs
+++ b/crates/galenapath-gateway/src/dialect.rs
@@ -29,6 +29,8 @@
     pub cold_ms: HeaderName,
     /// Requests a second that the backend server takes from all instances together, while it names them.
     pub rate_limit: HeaderName,
+    /// Present, and not `0`, where the backend server leaves.
+    pub leaving: HeaderName,
 }
 
 /// What a caller tells about itself when it asks where to connect.
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -23,6 +23,9 @@
 /// Most notes in one datagram, so that it fits one packet.
 const MOST_NOTES: usize = 50;
 
+/// What a server says that does not leave, where it says anything.
+const NOT_LEAVING: &str = "0";
+
 /// How far an answer speaks for its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Answered {
@@ -52,6 +55,7 @@
     answered: Answered,
     sent_at: Micros,
 ) {
+    note_leaving(instance, id, head, answered);
     let per_second = rate_limit(&instance.names.rate_limit, head);
     let is_named = head.headers.contains_key(&instance.names.rate_limit);
     let said_at = match (per_second, answered) {
@@ -66,6 +70,13 @@
     }
 }
 
+fn note_leaving(instance: &Instance, id: &BackendId, head: &ResponseHead, answered: Answered) {
+    let told = head.headers.get(&instance.names.leaving);
+    if told.is_some_and(|told| told != NOT_LEAVING) && instance.may_log(LineKind::Peer) {
+        log::info!(server:% = id, told_by = answered.as_str(); "server says that it leaves");
+    }
+}
+
 /// Requests a second that the server takes from all instances together, where it names them.
 fn rate_limit(name: &HeaderName, head: &ResponseHead) -> Option<f64> {
     let text = head.headers.get(name)?.to_str().ok()?;
