Failing tests: a server that says in its answers that it leaves goes on getting requests

While the store is away; after its entry was gone and is back; from an instance that starts later; and where all servers of a service leave.

--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -86,6 +86,7 @@
     cold: Cold,
     crashes: usize,
     limit: Limit,
+    is_leaving: bool,
 }
 
 impl Inner {
@@ -130,6 +131,7 @@
             cold: Cold::default(),
             crashes: 0,
             limit: Limit::default(),
+            is_leaving: false,
         }));
         let shared = Arc::clone(&inner);
         let address = listen(move || {
@@ -198,6 +200,11 @@
         self.lock().limit.set(per_second);
     }
 
+    /// Says in all its answers that it leaves, or no more.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.lock().is_leaving = is_leaving;
+    }
+
     /// Most requests that came within four seconds while it named a limit.
     pub fn most_limited(&self) -> usize {
         self.lock().limit.most()
@@ -292,7 +299,9 @@
         return plain(conn, StatusCode::MISDIRECTED_REQUEST, &[("x-instance-id", "i-other")]).await;
     }
     if trouble == ServerTrouble::Shed {
-        return plain(conn, StatusCode::SERVICE_UNAVAILABLE, &[("x-not-executed", "1")]).await;
+        let mut headers = vec![("x-not-executed", "1")];
+        headers.extend(leaving(inner));
+        return plain(conn, StatusCode::SERVICE_UNAVAILABLE, &headers).await;
     }
     let line = format!("{} {}", head.method, head.uri);
     let left_ms = told("x-request-deadline-ms").parse().unwrap_or(0);
@@ -372,6 +381,7 @@
     ];
     let limit = lock(inner).limit.text();
     headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
+    headers.extend(leaving(inner));
     answer_head(status, &headers) + body
 }
 
@@ -391,12 +401,20 @@
         let inner = lock(inner);
         (inner.id.clone(), inner.cold.left().as_millis().to_string())
     };
-    let headers = [
+    let mut headers = vec![
         ("x-instance-id", id.as_str()),
         ("x-backend-load", load.as_str()),
         ("x-warmup-ms", cold_ms.as_str()),
     ];
-    plain(conn, StatusCode::OK, &headers).await
+    let leaving = leaving(inner);
+    headers.extend(leaving);
+    let status = leaving.map_or(StatusCode::OK, |_| StatusCode::SERVICE_UNAVAILABLE);
+    plain(conn, status, &headers).await
+}
+
+/// The header of a server that leaves.
+fn leaving(inner: &Mutex<Inner>) -> Option<(&'static str, &'static str)> {
+    lock(inner).is_leaving.then_some(("server-leaving", "1"))
 }
 
 fn load(inner: &Mutex<Inner>) -> String {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod evacuation;
 #[path = "gateway/fleet.rs"]
 mod fleet;
+#[path = "gateway/leaving.rs"]
+mod leaving;
 #[path = "gateway/limits.rs"]
 mod limits;
 #[path = "gateway/requests.rs"]
--- /dev/null
+++ b/tests/gateway/leaving.rs
@@ -0,0 +1,85 @@
+//! Servers that say in their answers that they leave, before the list does.
+
+use crate::support::{Gateway, World, fleet, press, wait_until};
+use galenapath_dev::users_platform::{KvTrouble, ServerStandIn, ServerTrouble};
+use std::time::{Duration, Instant};
+
+/// Time after which nothing that was on its way reaches a server any more.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Sends lookups until the server says to some instance that it leaves, and waits for what is on its way.
+fn leave(gateways: &[Gateway], server: &ServerStandIn) {
+    server.set_leaving(true);
+    let before = server.seen().len();
+    wait_until("an answer of the server that leaves", || {
+        press(gateways, Duration::from_millis(50));
+        server.seen().len() > before
+    });
+    std::thread::sleep(SETTLE);
+}
+
+/// Requests that reach the server while lookups are sent for half a second, all of which are answered.
+fn reach(gateways: &[Gateway], server: &ServerStandIn) -> usize {
+    let before = server.seen().len();
+    assert!(press(gateways, Duration::from_millis(500)) > 0);
+    server.seen().len() - before
+}
+
+#[test]
+fn server_that_says_it_leaves_gets_nothing_new_while_the_store_is_away() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    press(&gateways, Duration::from_millis(500));
+    for gateway in &gateways {
+        world.store.trouble(gateway.store, KvTrouble::Silent);
+    }
+    let leaving = world.of("look")[0];
+    leave(&gateways, leaving);
+    assert_eq!(reach(&gateways, leaving), 0);
+}
+
+#[test]
+fn server_that_says_it_leaves_gets_nothing_when_its_entry_is_back() {
+    let world = World::start();
+    let gateways = [Gateway::ready(&world, &[])];
+    let leaving = world.of("look")[0];
+    leave(&gateways, leaving);
+    let (key, entry) = leaving.entry("look", "ready");
+    world.store.delete(&key);
+    let has = |event: &str| gateways[0].log().iter().filter(|l| l["event"] == event).count();
+    wait_until("the removal", || has("server removed") > 0);
+    let listed = has("server listed");
+    world.store.put(&key, &entry);
+    wait_until("the entry", || has("server listed") > listed);
+    assert_eq!(reach(&gateways, leaving), 0);
+}
+
+#[test]
+fn server_that_says_it_leaves_gets_nothing_from_an_instance_that_starts_later() {
+    let world = World::start();
+    let mut gateways = fleet(&world);
+    press(&gateways, Duration::from_millis(500));
+    let leaving = world.of("look")[0];
+    leave(&gateways, leaving);
+    gateways[2].kill_and_start();
+    wait_until("readiness", || gateways[2].is_ready());
+    assert_eq!(reach(&gateways[2..], leaving), 0);
+}
+
+#[test]
+fn servers_that_all_say_they_leave_refused_at_once() {
+    let world = World::start();
+    let gateway = Gateway::ready(&world, &[]);
+    for server in world.of("file") {
+        server.set_trouble(ServerTrouble::Shed);
+        server.set_leaving(true);
+    }
+    gateway.file("fl0");
+    gateway.file("fl1");
+    let began = Instant::now();
+    let answer = gateway.file("fl2");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
+    assert_eq!(gateway.log_of("fl2")["sends"], 0);
+}
