A server that says in its answers that it leaves gets nothing new, whatever the list says

Callers saw nothing of it; the server went on getting 2 to 16 requests a second for twelve seconds after it had told the instances that sent them, while the store could not be written.

Cause: the one source of the fact was the server's entry, which lags, cannot be written while the store is away, and lapses and comes back. The class of fault: a fact that reaches an instance by two ways was taken from one; and what an instance had concluded of a server was kept no longer than its entry stood in the list.

Ruled out: that the word was read and forgotten (no header of that name was read anywhere), and that only waiting requests, copies or retries went past the choice (the record shows first sends of new requests).

Change: a run of a server that leaves is marked, whoever said so first: its entry, its answer to a request or to a question, or another instance. A mark outlives the entry. Whoever hears it from the server tells all instances that serve callers, and tells it again for ten seconds; an instance that starts takes it in with the list.

What is counted after that is unchanged.

--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -87,6 +87,8 @@
     crashes: usize,
     limit: Limit,
     is_leaving: bool,
+    /// Whether answers to questions say of limit and leaving what those to requests say.
+    tells_askers: bool,
 }
 
 impl Inner {
@@ -132,6 +134,7 @@
             crashes: 0,
             limit: Limit::default(),
             is_leaving: false,
+            tells_askers: false,
         }));
         let shared = Arc::clone(&inner);
         let address = listen(move || {
@@ -200,11 +203,16 @@
         self.lock().limit.set(per_second);
     }
 
-    /// Says in all its answers that it leaves, or no more.
+    /// Says in its answers to requests that it leaves, or no more.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.lock().is_leaving = is_leaving;
     }
 
+    /// Says in its answers to questions as well whether it leaves and what limit it names.
+    pub fn tell_askers(&self) {
+        self.lock().tells_askers = true;
+    }
+
     /// Most requests that came within four seconds while it named a limit.
     pub fn most_limited(&self) -> usize {
         self.lock().limit.most()
@@ -407,7 +415,11 @@
         ("x-warmup-ms", cold_ms.as_str()),
     ];
     let leaving = leaving(inner);
-    headers.extend(leaving);
+    let limit = lock(inner).limit.text();
+    if lock(inner).tells_askers {
+        headers.extend(leaving);
+        headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
+    }
     let status = leaving.map_or(StatusCode::OK, |_| StatusCode::SERVICE_UNAVAILABLE);
     plain(conn, status, &headers).await
 }
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -203,13 +203,15 @@
 
 impl From<&Notices> for NoticesWire {
     fn from(notices: &Notices) -> Self {
-        Self { limits: notices.limits.iter().map(Into::into).collect() }
+        let limits = notices.limits.iter().map(Into::into).collect();
+        Self { leaving: notices.leaving.clone(), limits }
     }
 }
 
 impl From<NoticesWire> for Notices {
     fn from(wire: NoticesWire) -> Self {
-        Self { limits: wire.limits.into_iter().map(Into::into).collect() }
+        let limits = wire.limits.into_iter().map(Into::into).collect();
+        Self { limits, leaving: wire.leaving }
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -195,6 +195,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct NoticesWire {
+    ///Hashes of the identities of those that leave.
+    pub leaving: ::std::vec::Vec<u64>,
     pub limits: ::std::vec::Vec<LimitWire>,
 }
 ///What the asking instance has.
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -48,12 +48,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Notices {
     pub(crate) limits: Vec<LimitNote>,
+    /// Hashes of the identities of those that leave.
+    pub(crate) leaving: Vec<u64>,
 }
 
 impl Notices {
     /// Whether there is nothing to tell.
     pub(crate) fn is_empty(&self) -> bool {
-        self.limits.is_empty()
+        self.limits.is_empty() && self.leaving.is_empty()
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/pull.rs
+++ b/crates/galenapath-gateway/src/fleet/pull.rs
@@ -226,7 +226,7 @@
         let state = instance.state.borrow();
         let is_newer = state.table().version() > question.config_version;
         let config = state.config().filter(|_| question.wants_config && is_newer);
-        let changes = state.directory().changes_after(question.position, instance.now());
+        let changes = state.changes_after(question.position, instance.now());
         StateWire {
             is_busy: false,
             config: config.map(|packed| packed.0.clone()).unwrap_or_default(),
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod health;
 mod in_flight;
 mod instance;
+mod leaving;
 mod logging;
 mod loss;
 mod metrics;
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -55,7 +55,19 @@
     answered: Answered,
     sent_at: Micros,
 ) {
-    note_leaving(instance, id, head, answered);
+    note_leaving(instance, service, id, head, answered);
+    note_rate_limit(instance, service, id, head, answered, sent_at);
+}
+
+/// Takes note of the rate limit that a server names, or of its end.
+fn note_rate_limit(
+    instance: &Instance,
+    service: &Service,
+    id: &BackendId,
+    head: &ResponseHead,
+    answered: Answered,
+    sent_at: Micros,
+) {
     let per_second = rate_limit(&instance.names.rate_limit, head);
     let is_named = head.headers.contains_key(&instance.names.rate_limit);
     let said_at = match (per_second, answered) {
@@ -66,14 +78,24 @@
     };
     let word = RateLimit { per_second, said_at };
     if instance.hear_limit(service, id, word, answered.as_str()) {
-        instance.tell(Notices { limits: vec![limit_note(instance.now(), id, word)] });
+        let limits = vec![limit_note(instance.now(), id, word)];
+        instance.tell(&Notices { limits, ..Notices::default() });
     }
 }
 
-fn note_leaving(instance: &Instance, id: &BackendId, head: &ResponseHead, answered: Answered) {
+/// Takes note of a server that says that it leaves.
+fn note_leaving(
+    instance: &Instance,
+    service: &Service,
+    id: &BackendId,
+    head: &ResponseHead,
+    answered: Answered,
+) {
     let told = head.headers.get(&instance.names.leaving);
-    if told.is_some_and(|told| told != NOT_LEAVING) && instance.may_log(LineKind::Peer) {
-        log::info!(server:% = id, told_by = answered.as_str(); "server says that it leaves");
+    let is_leaving = told.is_some_and(|told| told != NOT_LEAVING);
+    if is_leaving && instance.hear_leaving(service, id, answered.as_str()) {
+        instance.state.borrow_mut().leaving.heard(instance.now(), id);
+        instance.tell(&Notices { leaving: vec![id.hash()], ..Notices::default() });
     }
 }
 
@@ -109,6 +131,18 @@
         true
     }
 
+    /// Takes in that a server leaves; returns whether it is news.
+    fn hear_leaving(&self, service: &Service, id: &BackendId, told_by: &'static str) -> bool {
+        if !self.state.borrow_mut().leaving.add(self.now(), id) {
+            return false;
+        }
+        service.placement.borrow_mut().mark_leaving(id);
+        if self.may_log(LineKind::Peer) {
+            log::info!(server:% = id, told_by; "server says that it leaves");
+        }
+        true
+    }
+
     /// Takes in what another instance has heard from servers.
     pub(crate) fn take_notices(&self, notices: &Notices) {
         let now = self.now();
@@ -119,11 +153,14 @@
                 let word = RateLimit { per_second: note.per_second, said_at: now - note.age };
                 self.hear_limit(&service, &id, word, "peer");
             }
+            for id in notices.leaving.iter().filter_map(|hash| service.by_hash(*hash)) {
+                self.hear_leaving(&service, &id, "peer");
+            }
         }
     }
 
     /// Tells the instances that serve callers what servers have said.
-    fn tell(&self, notices: Notices) {
+    fn tell(&self, notices: &Notices) {
         if notices.is_empty() {
             return;
         }
@@ -132,8 +169,8 @@
             let serving = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers);
             serving.map(|peer| peer.member.peers).collect()
         };
-        for limits in notices.limits.chunks(MOST_NOTES) {
-            let datagram = fleet::encode(&Datagram::Notices(Notices { limits: limits.to_vec() }));
+        for part in split(notices) {
+            let datagram = fleet::encode(&Datagram::Notices(part));
             to.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
         }
     }
@@ -141,7 +178,9 @@
     /// What falls to this instance to be told again.
     fn told_again(&self) -> Notices {
         let now = self.now();
-        let mut notices = Notices::default();
+        let leaving =
+            self.state.borrow_mut().leaving.told_again(now).map(BackendId::hash).collect();
+        let mut notices = Notices { leaving, ..Notices::default() };
         for service in self.services.borrow().values() {
             let limits = service.placement.borrow().limits_told_again(now);
             notices.limits.extend(limits.iter().map(|(id, word)| limit_note(now, id, *word)));
@@ -150,10 +189,19 @@
     }
 }
 
+/// The notices in parts that fit a datagram each.
+fn split(notices: &Notices) -> Vec<Notices> {
+    let limits = notices.limits.chunks(MOST_NOTES);
+    let limits = limits.map(|part| Notices { limits: part.to_vec(), ..Notices::default() });
+    let leaving = notices.leaving.chunks(MOST_NOTES);
+    let leaving = leaving.map(|part| Notices { leaving: part.to_vec(), ..Notices::default() });
+    limits.chain(leaving).collect()
+}
+
 /// Tells now and then what servers have said and is no news any more, for as long as the instance runs.
 pub(crate) async fn run(instance: Rc<Instance>) {
     loop {
         sleep_to_next(&instance, TELL_AGAIN).await;
-        instance.tell(instance.told_again());
+        instance.tell(&instance.told_again());
     }
 }
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -160,7 +160,7 @@
                 id: run.clone(),
                 slots: record.slots,
                 is_home,
-                is_leaving: record.state == ServerState::Leaving,
+                is_leaving: record.state == ServerState::Leaving || state.leaving.contains(&run),
                 is_withdrawn,
                 cold_for: if has_turned_cold { record.cold_for.into() } else { Micros::ZERO },
             });
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -1,12 +1,14 @@
 //! The configuration and the list of backend servers, as far as this instance knows them.
 
 use crate::instance::Instance;
+use crate::leaving::Leaving;
 use crate::packed::Packed;
 use galenapath_platform::{Item, KeyEvent};
 use galenapath_policy::LineKind;
 use galenapath_protocol::{BackendId, Micros};
 use galenapath_routes::{
     Change, Directory, Evacuations, ListNews, ListedServer, Removal, RouteTable, ServerChanges,
+    ServerState,
 };
 use std::rc::Rc;
 
@@ -28,6 +30,8 @@
     /// Failure domains whose servers get nothing. Whoever takes in a list takes these in before it, so that
     /// no instance serves without them.
     pub(crate) evacuations: Evacuations,
+    /// Servers that leave.
+    pub(crate) leaving: Leaving,
     /// Until when vanished entries are given time to come back; set when the store is back after
     /// no instance was answered.
     comes_back_until: Micros,
@@ -54,6 +58,17 @@
         &self.directory
     }
 
+    /// What a peer at `position` lacks of the list. Servers that have said that they leave are told as such.
+    pub(crate) fn changes_after(&self, position: u64, now: Micros) -> ServerChanges {
+        let mut changes = self.directory.changes_after(position, now);
+        for put in &mut changes.puts {
+            if self.leaving.contains(&put.record.run_id()) {
+                put.record.state = ServerState::Leaving;
+            }
+        }
+        changes
+    }
+
     /// Position in the store up to which all is known. The operator's keys and the servers' entries are read
     /// one after the other: what the operator changed between the two reads is still to come.
     pub(crate) fn position(&self) -> u64 {
@@ -246,20 +261,34 @@
 impl Instance {
     /// Writes a line for each change of the list of backend servers.
     fn note_list_news(&self, source: Source) {
+        let now = self.now();
         let (news, position) = {
             let mut state = self.state.borrow_mut();
-            (state.directory.take_news(), state.position())
+            let news = state.directory.take_news();
+            news.iter().filter_map(leaving_run).for_each(|run| {
+                state.leaving.add(now, &run);
+            });
+            (news, state.position())
         };
         let source = source.as_str();
         if news.len() > MOST_LINES {
             log::info!(changes = news.len(), position, source; "list of servers taken");
             return;
         }
-        let now = self.now();
         news.iter().for_each(|news| log_news(now, news, source));
     }
 }
 
+/// The run that an entry says leaves.
+fn leaving_run(news: &ListNews) -> Option<BackendId> {
+    match news {
+        ListNews::Listed { record, .. } if record.state == ServerState::Leaving => {
+            Some(record.run_id())
+        }
+        ListNews::Listed { .. } | ListNews::Removed { .. } => None,
+    }
+}
+
 fn log_news(now: Micros, news: &ListNews, source: &str) {
     match news {
         ListNews::Listed { revision, record } => {
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -7,13 +7,15 @@
 /// Time after which nothing that was on its way reaches a server any more.
 const SETTLE: Duration = Duration::from_millis(300);
 
-/// Sends lookups until the server says to some instance that it leaves, and waits for what is on its way.
+/// Sends lookups until some instance has heard that the server leaves, and waits for what is on its way.
 fn leave(gateways: &[Gateway], server: &ServerStandIn) {
     server.set_leaving(true);
-    let before = server.seen().len();
-    wait_until("an answer of the server that leaves", || {
+    let is_heard = |gateway: &Gateway| {
+        gateway.log().iter().any(|line| line["event"] == "server says that it leaves")
+    };
+    wait_until("word that a server leaves", || {
         press(gateways, Duration::from_millis(50));
-        server.seen().len() > before
+        gateways.iter().any(is_heard)
     });
     std::thread::sleep(SETTLE);
 }
@@ -83,3 +85,20 @@
     assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
     assert_eq!(gateway.log_of("fl2")["sends"], 0);
 }
+
+#[test]
+fn server_that_tells_only_askers_that_it_leaves_gets_nothing_new() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    let leaving = world.of("look")[0];
+    leaving.tell_askers();
+    leaving.set_leaving(true);
+    let is_heard = || {
+        let log = gateways.iter().flat_map(Gateway::log);
+        log.into_iter().any(|line| line["told_by"] == "question")
+    };
+    // Nothing is sent to any server: a probe hears of it.
+    wait_until("word that a server leaves", is_heard);
+    std::thread::sleep(SETTLE);
+    assert_eq!(reach(&gateways, leaving), 0);
+}
