A server's rate limit outlives an entry that lapses and comes back

An entry that vanished while the store was away took with it all that was known of the server; at its return every instance sent as to any other until the next answer. Found by looking for the same cause elsewhere: what an instance has concluded of a server was kept no longer than its entry stood in the list.

--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -11,6 +11,7 @@
 //! - [`WaitQueue`]: who waits, who goes first and who is turned away.
 //! - [`copies`]: when a running request gets a second copy elsewhere.
 
+mod absent;
 mod ask;
 mod choose;
 mod config;
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -1,5 +1,6 @@
 //! What placement knows, and what it is told.
 
+use super::absent::Absent;
 use super::ask::{PlacedServer, Started};
 use super::config::PlaceConfig;
 use super::estimate::{Estimate, LATE};
@@ -22,6 +23,7 @@
     pub(super) cfg: PlaceConfig,
     pub(super) servers: Vec<Server>,
     by_id: FastMap<BackendId, usize>,
+    absent: Absent,
     pub(super) rng: SmallRng,
     /// How long a request takes.
     estimate: Estimate,
@@ -41,6 +43,7 @@
             cfg,
             servers: Vec::new(),
             by_id: FastMap::default(),
+            absent: Absent::default(),
             rng: SmallRng::seed_from_u64(seed),
             estimate,
             usual: 0.0,
@@ -52,13 +55,18 @@
     /// Takes a new list. Servers that stay keep what is known of them.
     pub fn set_servers(&mut self, now: Micros, list: &[PlacedServer]) {
         let listed: FastSet<&BackendId> = list.iter().map(|s| &s.id).collect();
-        self.servers.retain(|server| listed.contains(&server.id));
-        let mut known: FastMap<BackendId, Server> =
-            self.servers.drain(..).map(|server| (server.id.clone(), server)).collect();
+        let mut known = FastMap::default();
+        for server in self.servers.drain(..) {
+            if listed.contains(&server.id) {
+                known.insert(server.id.clone(), server);
+            } else {
+                self.absent.remember(now, server);
+            }
+        }
         for entry in list {
             let server = known.remove(&entry.id);
             let is_new = server.is_none();
-            let mut server = server.unwrap_or_else(|| Server::new(entry.id.clone()));
+            let mut server = server.unwrap_or_else(|| self.absent.recall(now, &entry.id));
             server.slots = if is_new { entry.slots } else { server.slots };
             server.is_home = entry.is_home;
             server.is_leaving |= entry.is_leaving;
--- a/crates/galenapath-policy/src/place/rate_limit.rs
+++ b/crates/galenapath-policy/src/place/rate_limit.rs
@@ -73,6 +73,11 @@
         self.word?.per_second
     }
 
+    /// The same while no part of the limit falls to this instance.
+    pub(super) fn without_share(self) -> Self {
+        Self { share: LimitShare::NONE, ..self }
+    }
+
     /// Whether a part of the limit falls to this instance.
     pub(super) fn is_ours(&self) -> bool {
         self.share.part > 0.0
--- a/crates/galenapath-policy/tests/place/rate_limit.rs
+++ b/crates/galenapath-policy/tests/place/rate_limit.rs
@@ -395,3 +395,18 @@
     let work = placement.work().0 as f32 / 1e6;
     assert!((placement.good_slots(START) - (6.0 + 2.0 * work)).abs() < 0.01);
 }
+
+#[test]
+fn limit_outlives_an_entry_that_lapses_and_comes_back() {
+    let mut placement = limited(2.0);
+    let both = [server(0, true), server(1, true)];
+    placement.set_servers(START, &both[1..]);
+    let back = START + Micros::from_secs(8);
+    placement.set_servers(back, &both);
+    assert!(placement.is_limited(&id(0)));
+    assert!(!placement.is_limited(&id(1)));
+    // It is long since the server said so: another run of it may have said otherwise to nobody.
+    placement.set_servers(back, &both[1..]);
+    placement.set_servers(back + Micros::from_secs(60), &both);
+    assert!(!placement.is_limited(&id(0)));
+}
