A server that says with a refusal for how long it wants nothing gets nothing from the instance for so long

What was wrong: Retry-After in a server's 503 was not read. The instance came back as soon as its choice found the server best again, for requests as for questions; requests that only such servers could take were told to come back in 25 or 250 ms.

Cause, of the same class as the limit and the leaving: what a server's answer says of itself was taken in only as far as its load.

Change: a pause is kept by run, for this instance alone, beyond an entry that lapses; a later word makes it longer, never shorter. Choice, copies, waiting requests, sends given before, sends on a new connection, questions, probes and the look after a broken connection ask for it. A request that nobody takes is refused at once, with the time until the first server takes one again: the end of its pause, or the next request that its limit lets through; so is one that waits, once that is too late for it.

Evidence: both process tests failed before (131 requests and questions in the pause, none allowed; 0.025 s told where the first server was back in 2 s) and pass; a property test draws pauses.

--- a/crates/galenapath-ctl/src/causes/cause.rs
+++ b/crates/galenapath-ctl/src/causes/cause.rs
@@ -18,6 +18,8 @@
     ServersCold,
     /// Refused: most servers of its service name a rate limit.
     ServersLimited,
+    /// Refused: most servers of its service wanted nothing from the instance for a while.
+    ServersPaused,
     /// Refused: there was no server to send it to.
     NoServer,
     /// Refused: a server that seemed free did not take it, and no retry was left.
@@ -62,6 +64,7 @@
             "no_room" | "no_server" if ended.count("withdrawn") > 0 => Self::Evacuated,
             "no_room" | "no_server" if ended.count("cold") > 0 => Self::ServersCold,
             "no_room" | "no_server" if ended.count("limited") > 0 => Self::ServersLimited,
+            "no_room" | "no_server" if ended.count("paused") > 0 => Self::ServersPaused,
             "no_room" if ended.came_late() => Self::NoRoomAgain,
             "no_room" => Self::NoRoom,
             "no_server" | "unreachable" => Self::NoServer,
@@ -107,6 +110,7 @@
             Self::Evacuated => "refused: failure domain evacuated",
             Self::ServersCold => "refused: servers cold",
             Self::ServersLimited => "refused: servers name rate limits",
+            Self::ServersPaused => "refused: servers want nothing for a while",
             Self::NoServer => "refused: no server",
             Self::Shed => "refused: shed by a server",
             Self::CrashesServers => "refused: crashes servers",
--- a/crates/galenapath-ctl/src/trace/step.rs
+++ b/crates/galenapath-ctl/src/trace/step.rs
@@ -88,6 +88,7 @@
                 "withdrawn" => write!(f, "most servers were in evacuated failure domains"),
                 "cold" => write!(f, "most servers were cold"),
                 "limited" => write!(f, "most servers named a rate limit"),
+                "paused" => write!(f, "most servers wanted nothing from the instance"),
                 "silent" => write!(f, "no answer after three times the usual"),
                 "retry_budget_spent" => write!(f, "the retry budget was spent: not sent again"),
                 other => write!(f, "{other}"),
--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -5,6 +5,7 @@
 mod kv;
 mod kv_state;
 mod limit;
+mod pause;
 mod server;
 mod thread;
 
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -2,6 +2,7 @@
 
 use super::cold::Cold;
 use super::limit::Limit;
+use super::pause::Pause;
 use super::thread::{listen, never};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use http::{HeaderMap, StatusCode};
@@ -86,6 +87,7 @@
     cold: Cold,
     crashes: usize,
     limit: Limit,
+    pause: Pause,
     is_leaving: bool,
     /// Whether answers to questions say of limit and leaving what those to requests say.
     tells_askers: bool,
@@ -133,6 +135,7 @@
             cold: Cold::default(),
             crashes: 0,
             limit: Limit::default(),
+            pause: Pause::default(),
             is_leaving: false,
             tells_askers: false,
         }));
@@ -203,6 +206,16 @@
         self.lock().limit.set(per_second);
     }
 
+    /// Says for how long it wants nothing with each request that it turns away with status 503, or no more.
+    pub fn set_pause(&self, stated: Option<Duration>) {
+        self.lock().pause.state(stated);
+    }
+
+    /// Requests and questions that came while it wanted nothing.
+    pub fn arrivals_in_pause(&self) -> usize {
+        self.lock().pause.arrivals()
+    }
+
     /// Says in its answers to requests that it leaves, or no more.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.lock().is_leaving = is_leaving;
@@ -296,6 +309,7 @@
     if trouble == ServerTrouble::ForgetsIdle && used.elapsed() > IDLE {
         return Err(WireError::Closed);
     }
+    lock(inner).pause.arrived();
     if head.uri.path() == "/health" {
         lock(inner).probes += 1;
         return health(inner, conn).await;
@@ -309,6 +323,8 @@
     if trouble == ServerTrouble::Shed {
         let mut headers = vec![("x-not-executed", "1")];
         headers.extend(leaving(inner));
+        let pause = lock(inner).pause.begin();
+        headers.extend(pause.as_deref().map(|seconds| ("retry-after", seconds)));
         return plain(conn, StatusCode::SERVICE_UNAVAILABLE, &headers).await;
     }
     let line = format!("{} {}", head.method, head.uri);
@@ -360,7 +376,11 @@
         ServerTrouble::Errors => {
             conn.write(whole(inner, StatusCode::INTERNAL_SERVER_ERROR, id, "failed")).await
         }
-        ServerTrouble::Busy => plain(conn, StatusCode::SERVICE_UNAVAILABLE, &[]).await,
+        ServerTrouble::Busy => {
+            let pause = lock(inner).pause.begin();
+            let headers: Vec<_> = pause.iter().map(|s| ("retry-after", s.as_str())).collect();
+            plain(conn, StatusCode::SERVICE_UNAVAILABLE, &headers).await
+        }
         ServerTrouble::Unsigned => plain(conn, StatusCode::OK, &[("x-attempt-id", id)]).await,
         ServerTrouble::BreaksOff => {
             conn.write(good[..good.len() - 1].to_owned()).await?;
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -101,9 +101,12 @@
 async fn send(call: &Call, in_flight: &InFlight) -> Result<Reply, Fault> {
     let (service, server) = (&call.service, &in_flight.server);
     let address = service.address(server).ok_or(Fault::Unreachable)?;
+    // Nor is a server asked that wants nothing.
+    if !service.may_send(&call.instance, server, in_flight.started) {
+        return Err(Fault::Unfit);
+    }
     let (mut connection, is_kept) = fitness::connect_fit(call, in_flight, address).await?;
-    // It may have begun to leave, turned cold or named a limit, or its failure domain may have been evacuated,
-    // since it was chosen.
+    // What it takes may have changed meanwhile, or its failure domain may have been evacuated.
     if !service.may_send(&call.instance, server, in_flight.started) {
         return Err(Fault::Unfit);
     }
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -69,6 +69,10 @@
 
 async fn is_there(instance: &Instance, service: &Service, server: &BackendId) -> bool {
     let Some(address) = service.address(server) else { return false };
+    // One that has just turned a request away is there, and is not to be asked.
+    if service.placement.borrow().is_paused(instance.now(), server) {
+        return true;
+    }
     let look = async {
         let io = TcpStream::connect_addr(address).await.ok()?;
         let connection = Connection::new(io, health::HEAD_LIMIT);
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -91,7 +91,10 @@
             }
             Err(NoServer::Nowhere) => {
                 note_shortage(call);
-                return fallback.ok_or(ended(call, "no_server", StatusCode::BAD_GATEWAY));
+                let mut failure = ended(call, "no_server", StatusCode::BAD_GATEWAY);
+                failure.retry_after =
+                    failure.retry_after.map(|usual| back_in(call).unwrap_or(usual));
+                return fallback.ok_or(failure);
             }
         };
         let server = in_flight.server.clone();
@@ -144,6 +147,12 @@
     result
 }
 
+/// Time until a server takes the request that was not sent to it, where the servers have said so.
+fn back_in(call: &Call) -> Option<Micros> {
+    let placement = call.service.placement.borrow();
+    placement.takes_one_in(call.instance.now(), &call.tried.borrow())
+}
+
 /// Says in the log what keeps most of the servers from getting requests.
 fn note_shortage(call: &Call) {
     let shortage = call.service.placement.borrow().shortage(call.instance.now());
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -13,9 +13,11 @@
 use galenapath_policy::LineKind;
 use galenapath_policy::place::RateLimit;
 use galenapath_protocol::{BackendId, Micros};
-use http::header::HeaderName;
+use http::StatusCode;
+use http::header::{HeaderName, RETRY_AFTER};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Time between two tellings of what is no news.
 const TELL_AGAIN: Micros = Micros::from_secs(2);
@@ -56,9 +58,37 @@
     sent_at: Micros,
 ) {
     note_leaving(instance, service, id, head, answered);
+    note_pause(instance, service, id, head, answered);
     note_rate_limit(instance, service, id, head, answered, sent_at);
 }
 
+/// Takes note of a server that has turned something away and says for how long it wants nothing. That holds
+/// for this instance alone.
+fn note_pause(
+    instance: &Instance,
+    service: &Service,
+    id: &BackendId,
+    head: &ResponseHead,
+    answered: Answered,
+) {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let Some(span) = pause(head) else { return };
+    let is_news = service.placement.borrow_mut().pause(instance.now(), id, span);
+    if is_news && instance.may_log(LineKind::Peer) {
+        let (for_ms, told_by) = (span.0 / 1_000, answered.as_str());
+        log::info!(server:% = id, for_ms, told_by; "server wants nothing");
+    }
+}
+
+/// Time for which the server wants nothing, where it says so.
+fn pause(head: &ResponseHead) -> Option<Micros> {
+    let text = head.headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().map(Micros::from)
+}
+
 /// Takes note of the rate limit that a server names, or of its end.
 fn note_rate_limit(
     instance: &Instance,
--- a/crates/galenapath-policy/src/measure/asks.rs
+++ b/crates/galenapath-policy/src/measure/asks.rs
@@ -61,6 +61,16 @@
         self.tokens_at(now) >= 1.0
     }
 
+    /// Time until there is one in the budget; the longest there is where there will be none.
+    pub fn next_in(&self, now: Micros) -> Micros {
+        let missing = (1.0 - self.tokens_at(now)).max(0.0);
+        if missing > 0.0 && self.rate <= 0.0 {
+            return Micros(u64::MAX);
+        }
+        // A whole microsecond on, so that the one is there by then.
+        Micros((missing / self.rate.max(f32::MIN_POSITIVE) * 1e6).ceil() as u64)
+    }
+
     fn most(&self) -> f32 {
         (self.rate * self.saved).max(1.0)
     }
--- a/crates/galenapath-policy/src/place/absent.rs
+++ b/crates/galenapath-policy/src/place/absent.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 struct Asked {
     limited: Limited,
+    /// Until when it wants nothing from this instance.
+    paused_until: Micros,
     /// When its entry vanished.
     since: Micros,
 }
@@ -29,9 +31,9 @@
     /// Remembers what a server that vanishes from the list has asked for.
     pub(super) fn remember(&mut self, now: Micros, server: Server) {
         self.servers.retain(|_, asked| now - asked.since < REMEMBERED_FOR);
-        if server.is_limited() {
-            let limited = server.limited.without_share();
-            self.servers.insert(server.id, Asked { limited, since: now });
+        if server.is_limited() || server.is_paused(now) {
+            let (limited, paused_until) = (server.limited.without_share(), server.paused_until);
+            self.servers.insert(server.id, Asked { limited, paused_until, since: now });
         }
     }
 
@@ -41,6 +43,7 @@
         let asked = self.servers.remove(id);
         if let Some(asked) = asked.filter(|asked| now - asked.since < REMEMBERED_FOR) {
             server.limited = asked.limited;
+            server.paused_until = asked.paused_until;
         }
         server
     }
--- a/crates/galenapath-policy/src/place/choose.rs
+++ b/crates/galenapath-policy/src/place/choose.rs
@@ -99,7 +99,7 @@
 
     fn is_candidate(&self, now: Micros, index: usize, ask: &Ask<'_>) -> bool {
         let server = &self.servers[index];
-        server.takes_requests() && server.is_reachable(now) && !ask.tried.contains(&server.id)
+        server.takes_requests() && server.is_available(now) && !ask.tried.contains(&server.id)
     }
 
     /// Whether this instance may send to a server that takes few requests: one that is cold or names a limit.
--- a/crates/galenapath-policy/src/place/line.rs
+++ b/crates/galenapath-policy/src/place/line.rs
@@ -114,18 +114,23 @@
         moved
     }
 
-    /// Starts one of those that are next, if there is a server for any.
+    /// Starts one of those that are next, if there is a server for any, or turns one away that there will be
+    /// none for in time.
     fn start_next(&mut self, now: Micros, placement: &mut Placement) -> Option<Moved> {
         let mut choose = |wanted: &Wanted| match placement.choose(now, &wanted.ask(now)) {
-            Choice::Server(server) => Some((wanted.entry.ticket, server)),
-            Choice::Wait | Choice::Nowhere => None,
+            Choice::Server(server) => Some((wanted.entry.ticket, Ok(server))),
+            Choice::Wait => None,
+            Choice::Nowhere => {
+                let refusal = placement.hopeless(now, &wanted.entry, &wanted.tried)?;
+                Some((wanted.entry.ticket, Err(refusal)))
+            }
         };
-        let (ticket, server) = {
+        let (ticket, found) = {
             let mut next = self.queue.next().filter_map(|entry| self.wanted.get(&entry.ticket));
             next.find_map(&mut choose)?
         };
         self.remove(ticket);
-        Some(Moved { ticket, result: Ok(give(now, placement, server)) })
+        Some(Moved { ticket, result: found.map(|server| give(now, placement, server)) })
     }
 
     /// A request no longer waits, because its caller has gone.
--- a/crates/galenapath-policy/src/place/mod.rs
+++ b/crates/galenapath-policy/src/place/mod.rs
@@ -23,6 +23,7 @@
 mod line;
 mod look;
 mod patience;
+mod pause;
 mod placement;
 mod queue;
 mod rate_limit;
--- a/crates/galenapath-policy/src/place/rate_limit.rs
+++ b/crates/galenapath-policy/src/place/rate_limit.rs
@@ -88,6 +88,14 @@
         self.per_second().is_none() || (self.is_ours() && self.budget.has(now))
     }
 
+    /// Time until it takes one more request of this instance; `None` where no part of the limit falls to it.
+    pub(super) fn room_in(&self, now: Micros) -> Option<Micros> {
+        match self.per_second() {
+            None => Some(Micros::ZERO),
+            Some(_) => self.is_ours().then(|| self.budget.next_in(now)),
+        }
+    }
+
     /// Counts a request where the server names a limit; returns whether it does.
     pub(super) fn count(&mut self, now: Micros) -> bool {
         let is_limited = self.per_second().is_some();
@@ -204,10 +212,10 @@
     }
 
     /// Takes a question to a server out of what the server takes, where it names a limit; false where that
-    /// leaves no room for one.
+    /// leaves no room for one, or the server wants nothing for now.
     pub fn take_question(&mut self, now: Micros, id: &BackendId) -> bool {
         let Some(server) = self.server_mut(id) else { return false };
-        let has_room = server.limited.has_room(now);
+        let has_room = !server.is_paused(now) && server.limited.has_room(now);
         if has_room {
             server.limited.count(now);
         }
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -28,6 +28,8 @@
     pub cold_until: Micros,
     pub warming: Warming,
     pub limited: Limited,
+    /// Until when it wants nothing from this instance.
+    pub paused_until: Micros,
     /// Requests of this instance that are there now.
     pub own: u32,
     /// Of these, those that are not sent yet: no sighting counts them.
@@ -55,6 +57,7 @@
             cold_until: Micros::ZERO,
             warming: Warming::default(),
             limited: Limited::default(),
+            paused_until: Micros::ZERO,
             own: 0,
             unsent: 0,
             seen: None,
@@ -93,6 +96,11 @@
         now >= self.unreachable_until
     }
 
+    /// Whether it can be reached and wants requests of this instance.
+    pub(super) fn is_available(&self, now: Micros) -> bool {
+        self.is_reachable(now) && !self.is_paused(now)
+    }
+
     /// Whether it may get requests at all.
     pub(super) fn takes_requests(&self) -> bool {
         !self.is_leaving && !self.is_withdrawn
@@ -107,7 +115,7 @@
     /// Whether it can be reached, takes requests and is not known to be slow.
     pub(super) fn is_good(&self, now: Micros) -> bool {
         let is_slow = self.seen.is_some_and(|seen| seen.is_slow());
-        self.takes_requests() && self.is_reachable(now) && !is_slow
+        self.takes_requests() && self.is_available(now) && !is_slow
     }
 
     pub(super) fn reached(&mut self) {
--- a/crates/galenapath-policy/src/place/shortage.rs
+++ b/crates/galenapath-policy/src/place/shortage.rs
@@ -12,6 +12,8 @@
     Cold,
     /// They name a rate limit.
     Limited,
+    /// They want nothing from this instance for now.
+    Paused,
 }
 
 impl Shortage {
@@ -21,6 +23,7 @@
             Self::Withdrawn => "withdrawn",
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Paused => "paused",
         }
     }
 }
@@ -36,6 +39,9 @@
         if is_most(self.cold_count(now)) {
             return Some(Shortage::Cold);
         }
-        is_most(self.limited_count()).then_some(Shortage::Limited)
+        if is_most(self.limited_count()) {
+            return Some(Shortage::Limited);
+        }
+        is_most(self.paused_count(now)).then_some(Shortage::Paused)
     }
 }
--- a/crates/galenapath-policy/tests/place/main.rs
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod known;
 mod patience;
+mod pause;
 mod placement;
 mod queue;
 mod rate_limit;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod leaving;
 #[path = "gateway/limits.rs"]
 mod limits;
+#[path = "gateway/pauses.rs"]
+mod pauses;
 #[path = "gateway/requests.rs"]
 mod requests;
 #[path = "gateway/servers.rs"]
