Scenario and soak: servers that name a rate limit, leave, or want nothing for a while

The scenario language can say what a server asks for and press gateways with lookups. The soak draws the three among its faults, and at its end names a limit and then leaves, under full load. Two metrics count servers that leave and that want nothing.

A request whose every server had been tried was told to come back after the usual time although the servers had said when: seen in the scenario's log (250 ms told, 3 s right). It is told the time of the first server now, tried or not.

--- a/crates/galenapath-dev/src/scenario/run.rs
+++ b/crates/galenapath-dev/src/scenario/run.rs
@@ -79,8 +79,13 @@
 async fn step(cluster: &mut Cluster, line: &Line) -> Result<(), ScenarioError> {
     match line.word(0) {
         "store" | "class" | "backend" | "instance" | "start" => start(cluster, line).await,
-        "gateway" | "server" | "routes" | "mark" | "trouble" | "cool" | "evacuate" | "restore" => {
-            on_users_platform(cluster, line)
+        "gateway" | "server" | "routes" | "mark" | "trouble" | "cool" | "says" | "evacuate"
+        | "restore" => on_users_platform(cluster, line),
+        "press" => {
+            let names = cluster.process_names(line.word(1));
+            let callers = names.iter().map(|name| Ok(cluster.instance(name)?.callers));
+            let to = callers.collect::<Result<Vec<_>, ScenarioError>>()?;
+            cluster.users.press(line, &to).await
         }
         "ask" => {
             let addr = cluster.instance(line.word(2))?.callers;
@@ -116,6 +121,7 @@
         "routes" => cluster.users.configure(line),
         "mark" => cluster.users.mark(line.word(1), line.word(2)),
         "cool" => cluster.users.cool(line),
+        "says" => cluster.users.say(line),
         "evacuate" => {
             cluster.users.evacuate(line.word(1));
             Ok(())
--- a/crates/galenapath-dev/src/scenario/users.rs
+++ b/crates/galenapath-dev/src/scenario/users.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Host of all routes.
 const HOST: &str = "h.example";
@@ -93,6 +93,17 @@
         Ok(())
     }
 
+    /// `says NAME [limit=N] [leaving=yes] [pause=T]`: what the server asks for in its answers from now on, and no
+    /// more than that.
+    pub fn say(&self, line: &Line) -> Result<(), ScenarioError> {
+        let server = &self.listed(line.word(1))?.server;
+        let limit = line.option("limit").map(str::parse).transpose();
+        server.set_limit(limit.map_err(|_| ScenarioError::bad("no number"))?);
+        server.set_leaving(line.option("leaving").is_some());
+        server.set_pause(line.option("pause").map(duration).transpose()?);
+        Ok(())
+    }
+
     /// `evacuate DOMAIN`: nothing more is to be sent to the servers of a failure domain.
     pub fn evacuate(&self, domain: &str) {
         self.store.put(&format!("op/evacuate/{domain}"), &json!({}));
@@ -164,12 +175,41 @@
         Err(ScenarioError::Unexpected { expected, got })
     }
 
-    /// `runs`: requests that a server ran; `crashes`: how often it crashed because it was cold and got too many.
+    /// `press GATEWAYS PATH for=T`: sends lookups to the gateways in turn, one after the other, for a while; some
+    /// have to be answered.
+    pub async fn press(&mut self, line: &Line, to: &[SocketAddr]) -> Result<(), ScenarioError> {
+        let span = duration(line.option("for").ok_or_else(|| ScenarioError::bad("no for="))?)?;
+        let end = Instant::now() + span;
+        let (mut sent, mut answered) = (0, 0);
+        for addr in to.iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            let id = format!("{}-{sent}", line.word(2));
+            let asking = exchange(*addr, &id, "GET", line.word(2));
+            let status = monoio::time::timeout(ANSWER_LIMIT, asking).await;
+            let status =
+                status.map_err(|_| ScenarioError::bad(format!("{id} is not answered")))??;
+            sent += 1;
+            answered += usize::from(status == StatusCode::OK);
+        }
+        if answered > 0 {
+            return Ok(());
+        }
+        let expected = "some answers".to_owned();
+        Err(ScenarioError::Unexpected { expected, got: format!("none to {sent} requests") })
+    }
+
+    /// `runs`: requests that a server ran; `crashes`: how often it crashed because it was cold and got too many;
+    /// `overruns`: requests beyond the limit that it named; `paused_arrivals`: requests and questions while it
+    /// wanted nothing.
     pub fn counter(&self, name: &str, field: &str) -> Option<f64> {
         let server = &self.servers.get(name)?.server;
         match field {
             "runs" => Some(server.seen().len() as f64),
             "crashes" => Some(server.crashes() as f64),
+            "overruns" => Some(server.overruns() as f64),
+            "paused_arrivals" => Some(server.arrivals_in_pause() as f64),
             _ => None,
         }
     }
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -147,10 +147,11 @@
     result
 }
 
-/// Time until a server takes the request that was not sent to it, where the servers have said so.
+/// Time until a server takes the request when its caller comes back, where all have said that it is later.
 fn back_in(call: &Call) -> Option<Micros> {
     let placement = call.service.placement.borrow();
-    placement.takes_one_in(call.instance.now(), &call.tried.borrow())
+    let left = placement.takes_one_in(call.instance.now(), &[])?;
+    (left > Micros::ZERO).then_some(left)
 }
 
 /// Says in the log what keeps most of the servers from getting requests.
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -12,7 +12,7 @@
 use galenapath_membership::{BeatConfig, Beats, Member, MemberStatus, StoreHealth, Vitals};
 use galenapath_policy::dispatch::RecentLoad;
 use galenapath_policy::measure::{Crossings, QuestionTimes};
-use galenapath_policy::place::spent;
+use galenapath_policy::place::{Placement, spent};
 use galenapath_policy::{FailedRequests, LineBudget, LineKind};
 use galenapath_protocol::{DomainId, FastMap, Incarnation, Micros};
 use galenapath_routes::{Route, SplitTurn};
@@ -242,10 +242,14 @@
         self.metrics.store_age.set(seconds(now - self.store_heard_at.get()));
         self.metrics.peer_silence.set(seconds(self.beats.borrow().longest_silence(now)));
         let services = self.services.borrow();
-        let cold = services.values().map(|service| service.placement.borrow().cold_count(now));
-        self.metrics.cold_servers.set(i64::try_from(cold.sum::<usize>()).unwrap_or(i64::MAX));
-        let limited = services.values().map(|service| service.placement.borrow().limited_count());
-        self.metrics.limited_servers.set(i64::try_from(limited.sum::<usize>()).unwrap_or(i64::MAX));
+        let count = |of: fn(&Placement, Micros) -> usize| {
+            let counts = services.values().map(|service| of(&service.placement.borrow(), now));
+            i64::try_from(counts.sum::<usize>()).unwrap_or(i64::MAX)
+        };
+        self.metrics.cold_servers.set(count(Placement::cold_count));
+        self.metrics.limited_servers.set(count(|placement, _| placement.limited_count()));
+        self.metrics.leaving_servers.set(count(|placement, _| placement.leaving_count()));
+        self.metrics.paused_servers.set(count(Placement::paused_count));
         for service in services.values() {
             let age = seconds(service.placement.borrow().mean_age(now));
             self.metrics.load_age.with_label_values(&[&service.name]).set(age);
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -58,6 +58,10 @@
     pub cold_servers: IntGauge,
     /// Backend servers that name a rate limit.
     pub limited_servers: IntGauge,
+    /// Backend servers listed that leave.
+    pub leaving_servers: IntGauge,
+    /// Backend servers that want nothing from this instance for now.
+    pub paused_servers: IntGauge,
     /// Other instances that answer.
     pub peers: IntGauge,
 }
@@ -98,6 +102,8 @@
             evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains evacuated")?,
             cold_servers: gauge(&r, "cold_servers", "Backend servers taken to be cold")?,
             limited_servers: gauge(&r, "limited_servers", "Backend servers with a rate limit")?,
+            leaving_servers: gauge(&r, "leaving_servers", "Backend servers that leave")?,
+            paused_servers: gauge(&r, "paused_servers", "Backend servers that want nothing now")?,
             peers: gauge(&r, "peers", "Other instances that answer")?,
             registry: r,
         })
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -261,6 +261,11 @@
         }
     }
 
+    /// Servers that leave.
+    pub fn leaving_count(&self) -> usize {
+        self.servers.iter().filter(|server| server.is_leaving).count()
+    }
+
     /// Mean time of an answer at the usual pace.
     pub fn work(&self) -> Micros {
         self.estimate.work()
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -3,8 +3,8 @@
 //! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak` plays other seeds for longer.
 //! Each seed draws instances that are killed, paused, stopped and started, a store that is away for
 //! one or for all, links to the store and to servers that are cut, delayed or silenced one way or both,
-//! servers that fail in every way the stand-in knows, turn cold or start again under their identity, entries of
-//! other writers, a failure domain that is evacuated, and configurations. Two faults go on at a time.
+//! servers that fail in every way the stand-in knows, turn cold, name a rate limit, leave, want nothing for a
+//! while or start again under their identity, entries of other writers, a failure domain that is evacuated, and configurations. Two faults go on at a time.
 //! Some callers keep their connection for as long as it lasts.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
@@ -204,10 +204,11 @@
 
 /// Draws one fault and carries it out; some take a while.
 fn fault(rng: &mut SmallRng, stage: &Stage) -> String {
-    match rng.random_range(0..13) {
+    match rng.random_range(0..16) {
         kind @ 0..=3 => instance_fault(rng, stage, kind),
         kind @ 4..=8 => server_fault(rng, stage, kind),
-        kind => platform_fault(rng, stage, kind),
+        kind @ 9..=12 => platform_fault(rng, stage, kind),
+        kind => server_says(rng, stage, kind),
     }
 }
 
@@ -287,6 +288,38 @@
     }
 }
 
+/// A server asks for less: it names a rate limit, wants nothing for a while, or leaves and starts again.
+fn server_says(rng: &mut SmallRng, stage: &Stage, kind: u32) -> String {
+    let span = draw_span(rng);
+    let at = rng.random_range(0..stage.world.servers.len());
+    let server = &stage.world.servers[at].1;
+    match kind {
+        13 => {
+            let limit = rng.random_range(0.0..20.0);
+            server.set_limit(Some(limit));
+            std::thread::sleep(span);
+            server.set_limit(None);
+            format!("server {at} takes {limit:.1} requests a second for {span:?}")
+        }
+        14 => {
+            server.set_pause(Some(span));
+            server.set_trouble(*draw(rng, &[ServerTrouble::Shed, ServerTrouble::Busy]));
+            std::thread::sleep(draw_span(rng));
+            server.set_trouble(ServerTrouble::None);
+            server.set_pause(None);
+            format!("server {at} wants nothing for {span:?}")
+        }
+        _ => {
+            server.set_leaving(true);
+            std::thread::sleep(span);
+            server.set_leaving(false);
+            let started = stage.starts.fetch_add(1, Ordering::Relaxed);
+            stage.list_again(at, started);
+            format!("server {at} leaves for {span:?} and starts again at {started}")
+        }
+    }
+}
+
 /// The store is out of reach or forgets, or the operator or another program writes there.
 fn platform_fault(rng: &mut SmallRng, stage: &Stage, kind: u32) -> String {
     let span = draw_span(rng);
@@ -372,6 +405,7 @@
         });
     }
     evacuate_at_the_end(&stage, &trace);
+    ask_for_less_at_the_end(&stage, &trace);
     let told = callers.end();
     let served = told.iter().filter(|told| told.answer.status == 200).count();
     println!("seed {seed}: {} requests, {served} served, faults {trace:?}", told.len());
@@ -399,6 +433,32 @@
     }
 }
 
+/// Whatever went before, a server gets no more than it takes from all instances together, and nothing new once it
+/// leaves. Of each service one server is left, whose callers send much more than that.
+fn ask_for_less_at_the_end(stage: &Stage, trace: &[String]) {
+    /// Longer than the span over which the server counts.
+    const LONG: Duration = Duration::from_millis(4_700);
+    const SETTLE: Duration = Duration::from_millis(300);
+    let server = stage.world.of("look")[0];
+    let before = server.overruns();
+    server.set_limit(Some(2.0));
+    std::thread::sleep(LONG);
+    let most = server.most_limited();
+    assert_eq!(server.overruns(), before, "{most} requests within four seconds: {trace:?}");
+    server.set_limit(None);
+    server.set_leaving(true);
+    for n in 0..INSTANCES {
+        let gateway = stage.gateway(n);
+        wait_until(&format!("word that a server leaves after {trace:?}"), || {
+            !gateway.metrics().contains("galenapath_leaving_servers 0\n")
+        });
+    }
+    std::thread::sleep(SETTLE);
+    let ran = server.seen().len();
+    std::thread::sleep(SETTLE);
+    assert_eq!(server.seen().len(), ran, "requests at a server that leaves: {trace:?}");
+}
+
 fn setting(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,6 +107,7 @@
     scenario_garbage: "garbage",
     scenario_gateway_each_kind_change_leave_stop: "gateway-each-kind-change-leave-stop",
     scenario_gateway_domain_evacuated_and_cold: "gateway-domain-evacuated-and-cold",
+    scenario_gateway_servers_ask_for_less: "gateway-servers-ask-for-less",
     scenario_gateway_store_away_filing_refused: "gateway-store-away-filing-refused",
     scenario_idle_callers: "idle-callers",
     scenario_instance_killed: "instance-killed",
