An instance that stops leaves its part of a server's limit to the others

While an instance stopped it went on sending its part of a limit, and so did the instance that had taken the part over: up to twice the limit for as long as the stop lasts. The same of the rate of a cold server.

--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -5,10 +5,10 @@
 //! what is known of it.
 
 use crate::health::{self, Health};
-use crate::instance::{Instance, sleep_to_next};
+use crate::instance::{Instance, Stage, sleep_to_next};
 use crate::service::Service;
 use galenapath_http::{Connection, HttpError};
-use galenapath_membership::Beats;
+use galenapath_membership::{Beats, Peer};
 use galenapath_policy::measure::{LimitShare, Prober, limit_share, prober, warmer};
 use galenapath_protocol::{BackendId, FastMap, Micros};
 use monoio::net::TcpStream;
@@ -112,9 +112,11 @@
 /// its parts of the rate limits that servers name.
 pub(crate) fn share_scarce(instance: &Instance) {
     let (now, own) = (instance.now(), instance.incarnation);
-    // An instance that is cut off takes servers over from others that it does not hear, and which send on.
-    let may_send = may_probe(instance) && !instance.beats.borrow().is_doubtful();
     let beats = instance.beats.borrow();
+    // An instance that is cut off takes servers over from others that it does not hear, and which send on.
+    // One that stops has left its part to others, if there are any.
+    let is_replaced = instance.stage.get() >= Stage::Leaving && beats.peers().any(Peer::is_usable);
+    let may_send = may_probe(instance) && !beats.is_doubtful() && !is_replaced;
     let probing = probing(instance, &beats);
     for service in instance.services.borrow().values() {
         let domain = |id: &BackendId| service.domain(id).filter(|_| may_send);
