--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -6,6 +6,7 @@
 mod kv_state;
 mod limit;
 mod pause;
+mod serve;
 mod server;
 mod thread;
 
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -3,9 +3,8 @@
 use super::cold::Cold;
 use super::limit::Limit;
 use super::pause::Pause;
-use super::thread::{listen, never};
-use crate::wire::{Conn, Framing, WireError, answer_head};
-use http::{HeaderMap, StatusCode};
+use super::serve::serve;
+use super::thread::listen;
 use monoio::net::TcpStream;
 use serde_json::{Value, json};
 use std::io;
@@ -13,14 +12,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Largest body that is read.
-const BODY_LIMIT: usize = 8 << 20;
-
-/// Idle time after which a server that forgets does so.
-const IDLE: Duration = Duration::from_millis(300);
-
 /// Time for which a crashed server is down.
-const DOWN: Duration = Duration::from_secs(1);
+pub(super) const DOWN: Duration = Duration::from_secs(1);
 
 /// What a server does wrong with requests; its health answers stay good.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -67,35 +60,36 @@
     pub body: Vec<u8>,
 }
 
+/// What a server is and has got.
 #[derive(Debug)]
-struct Inner {
-    id: String,
-    trouble: ServerTrouble,
-    work: Duration,
+pub(super) struct Inner {
+    pub(super) id: String,
+    pub(super) trouble: ServerTrouble,
+    pub(super) work: Duration,
     /// Pace of the machine in percent.
-    pace: u32,
-    body: usize,
+    pub(super) pace: u32,
+    pub(super) body: usize,
     /// Time for which a new connection waits before it is served.
-    greeting: Duration,
-    running: u32,
-    seen: Vec<Seen>,
-    probes: usize,
-    connections: usize,
-    cancelled: usize,
+    pub(super) greeting: Duration,
+    pub(super) running: u32,
+    pub(super) seen: Vec<Seen>,
+    pub(super) probes: usize,
+    pub(super) connections: usize,
+    pub(super) cancelled: usize,
     /// Until when the server is down.
-    down_until: Option<Instant>,
-    cold: Cold,
-    crashes: usize,
-    limit: Limit,
-    pause: Pause,
-    is_leaving: bool,
+    pub(super) down_until: Option<Instant>,
+    pub(super) cold: Cold,
+    pub(super) crashes: usize,
+    pub(super) limit: Limit,
+    pub(super) pause: Pause,
+    pub(super) is_leaving: bool,
     /// Whether answers to questions say of limit and leaving what those to requests say.
-    tells_askers: bool,
+    pub(super) tells_askers: bool,
 }
 
 impl Inner {
     /// Counts a request; the server crashes when it is cold and gets too many.
-    fn press(&mut self) {
+    pub(super) fn press(&mut self) {
         let now = Instant::now();
         self.limit.press(now);
         if self.cold.press(now) {
@@ -271,189 +265,6 @@
     }
 }
 
-fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+pub(super) fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
     inner.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Counts a running request; dropping it takes it off.
-struct Running<'a>(&'a Mutex<Inner>);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        lock(self.0).running -= 1;
-    }
-}
-
-async fn serve(inner: Arc<Mutex<Inner>>, io: TcpStream) {
-    let greeting = {
-        let mut inner = lock(&inner);
-        inner.connections += 1;
-        inner.greeting
-    };
-    monoio::time::sleep(greeting).await;
-    let mut conn = Conn::new(io);
-    let mut used = Instant::now();
-    while serve_one(&inner, &mut conn, used).await.is_ok() {
-        used = Instant::now();
-    }
-}
-
-async fn serve_one(inner: &Mutex<Inner>, conn: &mut Conn, used: Instant) -> Result<(), WireError> {
-    let head = conn.read_request().await?;
-    let mut framing = Framing::of_request(&head.headers);
-    let body = conn.read_body(&mut framing, BODY_LIMIT).await?;
-    let trouble = lock(inner).trouble;
-    if lock(inner).down_until.is_some_and(|until| Instant::now() < until) {
-        return Err(WireError::Closed);
-    }
-    if trouble == ServerTrouble::ForgetsIdle && used.elapsed() > IDLE {
-        return Err(WireError::Closed);
-    }
-    lock(inner).pause.arrived();
-    if head.uri.path() == "/health" {
-        lock(inner).probes += 1;
-        return health(inner, conn).await;
-    }
-    let told = |name: &str| text(&head.headers, name).to_owned();
-    let id = told("x-attempt-id");
-    let expected = told("x-expected-instance");
-    if trouble == ServerTrouble::Other || (!expected.is_empty() && expected != lock(inner).id) {
-        return plain(conn, StatusCode::MISDIRECTED_REQUEST, &[("x-instance-id", "i-other")]).await;
-    }
-    if trouble == ServerTrouble::Shed {
-        let mut headers = vec![("x-not-executed", "1")];
-        headers.extend(leaving(inner));
-        let pause = lock(inner).pause.begin();
-        headers.extend(pause.as_deref().map(|seconds| ("retry-after", seconds)));
-        return plain(conn, StatusCode::SERVICE_UNAVAILABLE, &headers).await;
-    }
-    let line = format!("{} {}", head.method, head.uri);
-    let left_ms = told("x-request-deadline-ms").parse().unwrap_or(0);
-    let work = {
-        let mut inner = lock(inner);
-        inner.press();
-        if inner.down_until.is_some_and(|until| Instant::now() < until) {
-            return Err(WireError::Closed);
-        }
-        inner.seen.push(Seen { line, id: id.clone(), left_ms, body });
-        inner.running += 1;
-        inner.work * inner.pace / 100
-    };
-    let running = Running(inner);
-    if trouble == ServerTrouble::CrashesOnPoison && head.uri.path().contains("poison") {
-        lock(inner).down_until = Some(Instant::now() + DOWN);
-        return Err(WireError::Closed);
-    }
-    run(inner, conn, work).await?;
-    drop(running);
-    answer(inner, conn, trouble, &id).await
-}
-
-/// Works, unless the connection closes first.
-async fn run(inner: &Mutex<Inner>, conn: &mut Conn, work: Duration) -> Result<(), WireError> {
-    let worked = std::pin::pin!(monoio::time::sleep(work));
-    let closed = std::pin::pin!(conn.closed());
-    match futures::future::select(worked, closed).await {
-        futures::future::Either::Left(_) => Ok(()),
-        futures::future::Either::Right(_) => {
-            lock(inner).cancelled += 1;
-            Err(WireError::Closed)
-        }
-    }
-}
-
-async fn answer(
-    inner: &Mutex<Inner>,
-    conn: &mut Conn,
-    trouble: ServerTrouble,
-    id: &str,
-) -> Result<(), WireError> {
-    let body = "x".repeat(lock(inner).body);
-    let good = whole(inner, StatusCode::OK, id, &body);
-    match trouble {
-        ServerTrouble::Mute => Err(WireError::Closed),
-        ServerTrouble::Hang => never().await,
-        ServerTrouble::Errors => {
-            conn.write(whole(inner, StatusCode::INTERNAL_SERVER_ERROR, id, "failed")).await
-        }
-        ServerTrouble::Busy => {
-            let pause = lock(inner).pause.begin();
-            let headers: Vec<_> = pause.iter().map(|s| ("retry-after", s.as_str())).collect();
-            plain(conn, StatusCode::SERVICE_UNAVAILABLE, &headers).await
-        }
-        ServerTrouble::Unsigned => plain(conn, StatusCode::OK, &[("x-attempt-id", id)]).await,
-        ServerTrouble::BreaksOff => {
-            conn.write(good[..good.len() - 1].to_owned()).await?;
-            Err(WireError::Closed)
-        }
-        ServerTrouble::Extra => conn.write(good.clone() + &good).await,
-        ServerTrouble::Foreign => {
-            conn.write(whole(inner, StatusCode::OK, "another", "not yours") + &good).await
-        }
-        ServerTrouble::None
-        | ServerTrouble::Shed
-        | ServerTrouble::Other
-        | ServerTrouble::CrashesOnPoison
-        | ServerTrouble::ForgetsIdle => conn.write(good).await,
-    }
-}
-
-fn whole(inner: &Mutex<Inner>, status: StatusCode, id: &str, body: &str) -> String {
-    let load = load(inner);
-    let length = body.len().to_string();
-    let mut headers = vec![
-        ("x-attempt-id", id),
-        ("x-response-signature", "3e1b.07"),
-        ("x-backend-load", load.as_str()),
-        ("content-length", length.as_str()),
-    ];
-    let limit = lock(inner).limit.text();
-    headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
-    headers.extend(leaving(inner));
-    answer_head(status, &headers) + body
-}
-
-async fn plain(
-    conn: &mut Conn,
-    status: StatusCode,
-    headers: &[(&str, &str)],
-) -> Result<(), WireError> {
-    let mut all = vec![("content-length", "0")];
-    all.extend_from_slice(headers);
-    conn.write(answer_head(status, &all)).await
-}
-
-async fn health(inner: &Mutex<Inner>, conn: &mut Conn) -> Result<(), WireError> {
-    let load = load(inner);
-    let (id, cold_ms) = {
-        let inner = lock(inner);
-        (inner.id.clone(), inner.cold.left().as_millis().to_string())
-    };
-    let mut headers = vec![
-        ("x-instance-id", id.as_str()),
-        ("x-backend-load", load.as_str()),
-        ("x-warmup-ms", cold_ms.as_str()),
-    ];
-    let leaving = leaving(inner);
-    let limit = lock(inner).limit.text();
-    if lock(inner).tells_askers {
-        headers.extend(leaving);
-        headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
-    }
-    let status = leaving.map_or(StatusCode::OK, |_| StatusCode::SERVICE_UNAVAILABLE);
-    plain(conn, status, &headers).await
-}
-
-/// The header of a server that leaves.
-fn leaving(inner: &Mutex<Inner>) -> Option<(&'static str, &'static str)> {
-    lock(inner).is_leaving.then_some(("server-leaving", "1"))
-}
-
-fn load(inner: &Mutex<Inner>) -> String {
-    let inner = lock(inner);
-    format!("{},0,6,{}", inner.running, inner.pace)
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
-}
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -6,9 +6,9 @@
 use crate::fitness;
 use crate::health;
 use crate::in_flight::InFlight;
-use crate::notices::{self, Answered};
 use crate::reply::{self, HeadVerdict, Reply, Rest};
 use crate::request::set;
+use crate::said::{Answer, Answered};
 use crate::usage::Flow;
 use galenapath_http::{
     BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
@@ -135,7 +135,8 @@
     let (head, verdict) = head.map_err(|e| broken(&e))?;
     if let Some(answered) = speaks_as(verdict) {
         in_flight.told.set(health::note_answer(&call.instance, service, server, &head));
-        notices::note(&call.instance, service, server, &head, answered, sent_at);
+        let (instance, id, head) = (&call.instance, server, &head);
+        Answer { instance, service, id, head, answered, sent_at }.note();
     }
     match verdict {
         HeadVerdict::NotRun => call.not_run(),
--- a/crates/galenapath-gateway/src/health.rs
+++ b/crates/galenapath-gateway/src/health.rs
@@ -1,8 +1,8 @@
 //! Asking a backend server for its load.
 
 use crate::instance::Instance;
-use crate::notices::{self, Answered};
 use crate::reply;
+use crate::said::{Answer, Answered};
 use crate::service::Service;
 use crate::usage::Flow;
 use galenapath_http::{
@@ -64,7 +64,8 @@
     let is_other = is_other(instance, service, id, &head);
     if !is_other {
         note_warmth(instance, service, id, &head);
-        notices::note(instance, service, id, &head, Answered::Question, asked_at);
+        let (head, answered, sent_at) = (&head, Answered::Question, asked_at);
+        Answer { instance, service, id, head, answered, sent_at }.note();
     }
     let closes = reply::closes(&head.headers) || framing == Framing::UntilClose;
     let is_clean = !closes && !connection.has_unread();
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod reply;
 mod request;
 mod run;
+mod said;
 mod service;
 mod services;
 mod serving;
--- a/crates/galenapath-policy/tests/place/main.rs
+++ b/crates/galenapath-policy/tests/place/main.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod copies;
 mod known;
+mod limited_fleet;
 mod patience;
 mod pause;
 mod placement;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -1,10 +1,8 @@
 //! Gateway instances as processes, beside stand-ins of the users' platform.
 
-#![allow(dead_code, reason = "each test program uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test program uses a part of it")]
 
-use galenapath_dev::link::Relay;
-use galenapath_dev::users_platform::{KvStandIn, ServerStandIn};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::io::{BufRead, BufReader, Read};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -15,8 +13,14 @@
 
 #[path = "callers.rs"]
 pub mod callers;
+#[path = "press.rs"]
+mod press;
+#[path = "world.rs"]
+mod world;
 
 pub use callers::{Answer, ask};
+pub use press::{fleet, press};
+pub use world::{COLD_PER_SECOND, World, config};
 
 /// Longest wait for a condition or an answer.
 pub const LIMIT: Duration = Duration::from_secs(20);
@@ -27,9 +31,6 @@
 const PEERS: u16 = 8104;
 const METRICS: u16 = 8105;
 
-/// Requests a second that a cold server can take.
-pub const COLD_PER_SECOND: f64 = 6.0;
-
 /// Waits until `condition` holds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + LIMIT;
@@ -48,113 +49,6 @@
     Ipv4Addr::new(127, 1 + high % 127, low, (n % 250 + 1) as u8)
 }
 
-/// A configuration with one route for each kind, each to a service of its own.
-pub fn config(version: u64, changes: &[(&str, &str, Value)]) -> Value {
-    let mut resources = vec![json!({
-        "resource_type": "limits", "metadata": {},
-        "spec": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
-                  "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
-    })];
-    for (name, kind) in [("look", "idempotent"), ("file", "non_idempotent"), ("load", "download")] {
-        let mut spec = json!({
-            "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 2000, "target_latency_ms": 400, "priority": 1,
-            "service": name, "max_attempts": 2,
-        });
-        for (_, key, value) in changes.iter().filter(|(route, _, _)| *route == name) {
-            spec[*key] = value.clone();
-        }
-        resources.push(json!({
-            "resource_type": "routes", "metadata": { "name": name }, "spec": spec,
-        }));
-        resources.push(json!({
-            "resource_type": "services", "metadata": { "name": name },
-            "spec": { "health_path": "/health", "max_conns": 240, "protocol": "h1", "tls": false,
-                      "warmup_s": 3, "warmup_per_s": COLD_PER_SECOND },
-        }));
-    }
-    json!({ "version": format!("{version:08x}"), "resources": resources })
-}
-
-/// The stand-ins of a test: a store and servers, two for each service.
-pub struct World {
-    /// The store.
-    pub store: KvStandIn,
-    /// Servers by service: lookups, filings, downloads.
-    pub servers: Vec<(&'static str, ServerStandIn)>,
-    /// Relays before the servers, where there are any.
-    pub links: Vec<Relay>,
-}
-
-impl World {
-    /// A store with a configuration and listed servers whose work takes 20 ms.
-    pub fn start() -> Self {
-        let store = KvStandIn::default();
-        store.put("op/config", &config(1, &[]));
-        let mut servers = Vec::new();
-        for service in ["look", "file", "load"] {
-            for n in 0..2 {
-                let id = format!("i-{service}{n}");
-                let server = ServerStandIn::start(&id, Duration::from_millis(20)).unwrap();
-                let (key, entry) = server.entry(service, "ready");
-                store.put(&key, &entry);
-                servers.push((service, server));
-            }
-        }
-        Self { store, servers, links: Vec::new() }
-    }
-
-    /// The same with a relay before each server, whose link can be cut.
-    pub fn start_linked() -> Self {
-        let mut world = Self::start();
-        for (service, server) in &world.servers {
-            let relay = Relay::start_on_thread(server.address()).unwrap();
-            let (key, mut entry) = server.entry(service, "ready");
-            entry["address"] = json!(relay.addr.to_string());
-            world.store.put(&key, &entry);
-            world.links.push(relay);
-        }
-        world
-    }
-
-    /// Failure domain in which a server is listed by [`Self::spread`].
-    pub fn domain_of(at: usize) -> &'static str {
-        if at.is_multiple_of(2) { "d1" } else { "d2" }
-    }
-
-    /// Lists the second server of each service in a failure domain of its own, `d2`.
-    pub fn spread(&self) {
-        for (at, (service, server)) in self.servers.iter().enumerate() {
-            let (key, mut entry) = server.entry(service, "ready");
-            entry["zone"] = json!(Self::domain_of(at));
-            if let Some(link) = self.links.get(at) {
-                entry["address"] = json!(link.addr.to_string());
-            }
-            self.store.put(&key, &entry);
-        }
-    }
-
-    /// Evacuates a failure domain.
-    pub fn evacuate(&self, domain: &str) {
-        self.store.put(&format!("op/evacuate/{domain}"), &json!({}));
-    }
-
-    /// Takes a failure domain back.
-    pub fn restore(&self, domain: &str) {
-        self.store.delete(&format!("op/evacuate/{domain}"));
-    }
-
-    /// The servers of a service.
-    pub fn of(&self, service: &str) -> Vec<&ServerStandIn> {
-        self.servers.iter().filter(|(name, _)| *name == service).map(|(_, s)| s).collect()
-    }
-
-    /// Requests that the servers of a service ran.
-    pub fn ran(&self, service: &str) -> usize {
-        self.of(service).iter().map(|server| server.seen().len()).sum()
-    }
-}
-
 /// A running instance; killed when dropped.
 pub struct Gateway {
     ip: Ipv4Addr,
@@ -367,42 +261,3 @@
     });
     child
 }
-
-/// Threads that send lookups one after the other.
-const LOOKUP_THREADS: usize = 6;
-
-/// Sends lookups to all instances for `span`; returns how many were answered.
-pub fn press(gateways: &[Gateway], span: Duration) -> usize {
-    let end = Instant::now() + span;
-    std::thread::scope(|scope| {
-        let callers: Vec<_> = (0..LOOKUP_THREADS)
-            .map(|caller| {
-                scope.spawn(move || {
-                    let mut answered = 0;
-                    for n in 0.. {
-                        if Instant::now() >= end {
-                            break;
-                        }
-                        let gateway = &gateways[(caller + n) % gateways.len()];
-                        let answer = gateway.look(&format!("w{caller}-{n}"));
-                        answered += usize::from(answer.status == 200);
-                        std::thread::sleep(Duration::from_millis(10));
-                    }
-                    answered
-                })
-            })
-            .collect();
-        callers.into_iter().map(|caller| caller.join().unwrap()).sum()
-    })
-}
-
-/// Three instances that know each other.
-pub fn fleet(world: &World) -> Vec<Gateway> {
-    let mut gateways = vec![Gateway::ready(world, &[])];
-    for _ in 0..2 {
-        let next = Gateway::ready(world, &[&gateways[0]]);
-        gateways.push(next);
-    }
-    gateways.iter().for_each(|gateway| gateway.wait_for_peers(2));
-    gateways
-}
