--- a/crates/galenapath-ctl/src/trace/find.rs
+++ b/crates/galenapath-ctl/src/trace/find.rs
@@ -40,6 +40,7 @@
         let without_source = |line: &LogLine| {
             let mut rest = line.rest.clone();
             rest.remove("source");
+            rest.remove("told_by");
             rest
         };
         self.first.event == line.event
