What servers have asked for outlives a configuration that leaves their service out

A version that left a service out dropped all that was known of its servers; one that named it again began anew, and every instance sent to limited servers as to any other until the next answer. The test failed before (no server was limited any more).

--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -4,7 +4,7 @@
 use crate::dialect::{Dialect, HeaderNames};
 use crate::metrics::Metrics;
 use crate::rate::Rate;
-use crate::service::Service;
+use crate::services::Services;
 use crate::sharing::Outbox;
 use crate::state::State;
 use crate::usage::{Flow, Usage};
@@ -49,7 +49,7 @@
     /// Other instances.
     pub(crate) beats: RefCell<Beats>,
     /// Services of the configuration.
-    pub(crate) services: RefCell<FastMap<String, Rc<Service>>>,
+    pub(crate) services: RefCell<Services>,
     splits: RefCell<FastMap<String, SplitTurn>>,
     /// Longest time that callers of a route have said they wait.
     patience: RefCell<FastMap<String, Micros>>,
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -1,6 +1,6 @@
 //! Servers that name a rate limit, and callers that send more than that.
 
-use crate::support::{World, fleet, press};
+use crate::support::{Gateway, World, config, fleet, press, wait_until};
 use std::time::Duration;
 
 /// Requests a second that a server in need takes.
@@ -65,3 +65,25 @@
     }
     assert!(limited.most_limited() <= MOST, "{} within four seconds", limited.most_limited());
 }
+
+#[test]
+fn limit_outlives_a_configuration_that_leaves_its_service_out() {
+    let world = World::start();
+    let gateways = [Gateway::ready(&world, &[])];
+    let limited = world.of("look")[0];
+    limited.set_limit(Some(LIMIT));
+    let has = |line: &str| gateways[0].metrics().contains(line);
+    wait_until("word of a limit", || {
+        press(&gateways, Duration::from_millis(100));
+        has("galenapath_limited_servers 1\n")
+    });
+    let mut without = config(2, &[]);
+    let resources = without["resources"].as_array_mut().unwrap();
+    resources.retain(|resource| resource["metadata"]["name"] != "look");
+    world.store.put("op/config", &without);
+    wait_until("the version without it", || has("galenapath_config_version 2\n"));
+    assert!(has("galenapath_limited_servers 0\n"));
+    world.store.put("op/config", &config(3, &[]));
+    wait_until("the version with it", || has("galenapath_config_version 3\n"));
+    assert!(has("galenapath_limited_servers 1\n"));
+}
