--- a/crates/galenapath-policy/src/place/choose.rs
+++ b/crates/galenapath-policy/src/place/choose.rs
@@ -83,8 +83,7 @@
                 continue;
             }
             if !self.can_take(now, index) {
-                // What falls to another instance is not worth a wait.
-                best.has_full |= self.is_ours(now, index);
+                best.has_full |= self.is_worth_a_wait(now, index, ask.left);
                 continue;
             }
             let chance = self.rng.random::<f32>() * self.cfg.jitter * self.work().0 as f32;
@@ -99,14 +98,17 @@
 
     fn is_candidate(&self, now: Micros, index: usize, ask: &Ask<'_>) -> bool {
         let server = &self.servers[index];
-        server.takes_requests() && server.is_available(now) && !ask.tried.contains(&server.id)
+        server.wants_requests(now) && server.is_reachable(now) && !ask.tried.contains(&server.id)
     }
 
-    /// Whether this instance may send to a server that takes few requests: one that is cold or names a limit.
-    fn is_ours(&self, now: Micros, index: usize) -> bool {
+    /// Whether to wait for a server that takes few requests, since it is cold or names a limit: one that takes
+    /// those of this instance, and the next one in time.
+    fn is_worth_a_wait(&self, now: Micros, index: usize, left: Micros) -> bool {
         let server = &self.servers[index];
         let may_warm = !server.is_cold(now) || server.is_ours_to_warm();
-        may_warm && (!server.is_limited() || server.limited.is_ours())
+        let is_in_time = !server.is_limited()
+            || server.limited.room_in(now).is_some_and(|room_in| room_in + self.work() <= left);
+        may_warm && is_in_time
     }
 
     /// Whether a slot is free, of those that are used: where crowding costs more than it brings, the
--- a/crates/galenapath-policy/src/place/pause.rs
+++ b/crates/galenapath-policy/src/place/pause.rs
@@ -17,6 +17,11 @@
         now < self.paused_until
     }
 
+    /// Whether it may get requests, as far as it is not a question of how many.
+    pub(super) fn wants_requests(&self, now: Micros) -> bool {
+        self.takes_requests() && !self.is_paused(now)
+    }
+
     /// Time until it takes a request of this instance, where that is known: at the end of its pause, and when
     /// its limit lets another one through. A cold one takes what the instance that warms it sends.
     fn takes_one_in(&self, now: Micros) -> Option<Micros> {
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -114,17 +114,14 @@
         let Some(server) = self.server(id) else { return false };
         let has_turned_cold = self.warm_up.is_some() && server.is_cold(now) && !started.is_cold;
         let has_named_limit = server.is_limited() && !started.is_limited;
-        let wants_it = server.takes_requests() && !server.is_paused(now);
-        wants_it && !has_turned_cold && !has_named_limit
+        server.wants_requests(now) && !has_turned_cold && !has_named_limit
     }
 
     /// Counts one more send to a server of a request that was sent there before; false where the server
     /// cannot take it.
     pub fn send_again(&mut self, now: Micros, id: &BackendId) -> bool {
         let Some(index) = self.by_id.get(id).copied() else { return false };
-        let server = &self.servers[index];
-        let wants_it = server.takes_requests() && !server.is_paused(now);
-        let can_take = wants_it && self.can_take(now, index);
+        let can_take = self.servers[index].wants_requests(now) && self.can_take(now, index);
         if can_take {
             self.count_warming(now, index);
             self.servers[index].limited.count(now);
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -96,11 +96,6 @@
         now >= self.unreachable_until
     }
 
-    /// Whether it can be reached and wants requests of this instance.
-    pub(super) fn is_available(&self, now: Micros) -> bool {
-        self.is_reachable(now) && !self.is_paused(now)
-    }
-
     /// Whether it may get requests at all.
     pub(super) fn takes_requests(&self) -> bool {
         !self.is_leaving && !self.is_withdrawn
@@ -115,7 +110,7 @@
     /// Whether it can be reached, takes requests and is not known to be slow.
     pub(super) fn is_good(&self, now: Micros) -> bool {
         let is_slow = self.seen.is_some_and(|seen| seen.is_slow());
-        self.takes_requests() && self.is_available(now) && !is_slow
+        self.wants_requests(now) && self.is_reachable(now) && !is_slow
     }
 
     pub(super) fn reached(&mut self) {
--- a/crates/galenapath-policy/tests/place/rate_limit.rs
+++ b/crates/galenapath-policy/tests/place/rate_limit.rs
@@ -1,8 +1,8 @@
 //! A server that names a rate limit under the load of many instances, some of which restart.
 
 use crate::limited_fleet::{ALL, ENDS_AT, Plan, allowed, play, play_until};
-use crate::support::{START, id, server};
-use galenapath_policy::place::{Placement, RateLimit, Started};
+use crate::support::{START, ask, id, server, sighting};
+use galenapath_policy::place::{Choice, Placement, RateLimit, Started};
 use galenapath_protocol::Micros;
 use proptest::prelude::*;
 
@@ -147,3 +147,19 @@
     placement.set_servers(back + Micros::from_secs(60), &both);
     assert!(!placement.is_limited(&id(0)));
 }
+
+#[test]
+fn limited_server_is_waited_for_only_where_its_turn_comes_in_time() {
+    // The other one is slow: its answer would be too late for most.
+    let mut placement = limited(2.0);
+    placement.see(&id(0), sighting(START, 0, 100));
+    placement.see(&id(1), sighting(START, 0, 3_000));
+    let chosen = |placement: &mut Placement, left_ms| {
+        placement.choose(START, &ask(Micros::from_millis(left_ms)))
+    };
+    assert_eq!(chosen(&mut placement, 700), Choice::Wait);
+    assert_eq!(chosen(&mut placement, 400), Choice::Server(id(1)));
+    placement.mark_leaving(&id(1));
+    assert_eq!(chosen(&mut placement, 700), Choice::Wait);
+    assert_eq!(chosen(&mut placement, 400), Choice::Nowhere);
+}
