An instance that becomes ready is told at once what servers have said

An instance that started sent to a limited server as to any other until one of its own requests was answered, or up to two seconds until it was told again: allowed, and with instances that restart in turn more than the server takes. The others see by a heartbeat that it has become ready; those of its failure domain tell it what they know. Notes on servers of a service that nobody uses yet are no longer lost.

--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -210,7 +210,11 @@
 }
 
 fn take_beat(instance: &Rc<Instance>, beat: &Beat, from: SocketAddr) {
+    let was_ready = instance.beats.borrow().is_ready(beat.from);
     let heard = instance.beats.borrow_mut().hear(instance.now(), beat);
+    if !was_ready && instance.beats.borrow().is_ready(beat.from) {
+        instance.tell_newcomer(from);
+    }
     if beat.vitals.store == StoreHealth::Answering {
         instance.store_heard();
     }
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -1,7 +1,7 @@
 //! What instances know and tell each other of what backend servers have said of themselves.
 //!
 //! Whoever hears something new tells all instances that serve callers at once. One of them tells it again now
-//! and then, for those that have missed it or have begun to serve since.
+//! and then, for those that have missed it, and one that becomes ready is told what is known.
 
 use crate::fleet::{self, Datagram, LimitNote, Notices};
 use crate::instance::{Instance, sleep_to_next};
@@ -9,7 +9,7 @@
 use crate::service::Service;
 use crate::usage::Flow;
 use galenapath_policy::LineKind;
-use galenapath_policy::place::RateLimit;
+use galenapath_policy::place::{Placement, RateLimit};
 use galenapath_protocol::{BackendId, Micros};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,6 +68,8 @@
         let now = self.now();
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
+            // One that nobody uses yet may not have taken the list in.
+            service.refresh(self);
             for note in &notices.limits {
                 let Some(id) = service.by_hash(note.server) else { continue };
                 let word = RateLimit { per_second: note.per_second, said_at: now - note.age };
@@ -89,20 +91,32 @@
             let serving = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers);
             serving.map(|peer| peer.member.peers).collect()
         };
+        self.send_notices(notices, &to);
+    }
+
+    /// Tells an instance that has just become ready what servers have said: all that is known, where it is of the
+    /// own failure domain, so that it need not be told by the servers.
+    pub(crate) fn tell_newcomer(&self, newcomer: SocketAddr) {
+        let is_home = self.beats.borrow().is_home(&newcomer);
+        let limits = if is_home { Placement::limits_told } else { Placement::limits_told_again };
+        self.send_notices(&self.notices(limits), &[newcomer]);
+    }
+
+    fn send_notices(&self, notices: &Notices, to: &[SocketAddr]) {
         for part in split(notices) {
             let datagram = fleet::encode(&Datagram::Notices(part));
             to.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
         }
     }
 
-    /// What falls to this instance to be told again.
-    fn told_again(&self) -> Notices {
+    /// Servers that have told this instance lately that they leave, and the limits that `limits` picks.
+    fn notices(&self, limits: fn(&Placement, Micros) -> Vec<(BackendId, RateLimit)>) -> Notices {
         let now = self.now();
         let leaving =
             self.state.borrow_mut().leaving.told_again(now).map(BackendId::hash).collect();
         let mut notices = Notices { leaving, ..Notices::default() };
         for service in self.services.borrow().values() {
-            let limits = service.placement.borrow().limits_told_again(now);
+            let limits = limits(&service.placement.borrow(), now);
             notices.limits.extend(limits.iter().map(|(id, word)| limit_note(now, id, *word)));
         }
         notices
@@ -122,6 +136,6 @@
 pub(crate) async fn run(instance: Rc<Instance>) {
     loop {
         sleep_to_next(&instance, TELL_AGAIN).await;
-        instance.tell(&instance.told_again());
+        instance.tell(&instance.notices(Placement::limits_told_again));
     }
 }
--- a/crates/galenapath-membership/src/beats.rs
+++ b/crates/galenapath-membership/src/beats.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether an instance is known to be ready.
+    pub fn is_ready(&self, incarnation: Incarnation) -> bool {
+        self.peers.get(&incarnation).is_some_and(|peer| peer.vitals.is_ready)
+    }
+
     /// Takes in a heartbeat.
     pub fn hear(&mut self, now: Micros, beat: &Beat) -> Heard {
         for accused in &beat.accused {
--- a/crates/galenapath-policy/src/place/rate_limit.rs
+++ b/crates/galenapath-policy/src/place/rate_limit.rs
@@ -152,9 +152,9 @@
         }
     }
 
-    /// What this instance tells the others again, so that one that has missed it hears of it.
-    fn told_again(&self, now: Micros) -> Option<RateLimit> {
-        let word = self.word.filter(|_| self.share.is_first && self.is_told(now))?;
+    /// What others hear of it that may have missed it.
+    fn told(&self, now: Micros) -> Option<RateLimit> {
+        let word = self.word.filter(|_| self.is_told(now))?;
         (now - word.said_at < TOLD_AGAIN_FOR).then_some(word)
     }
 }
@@ -195,12 +195,20 @@
         }
     }
 
-    /// What the servers said of their limits that this instance is to tell the others again.
-    pub fn limits_told_again(&self, now: Micros) -> Vec<(BackendId, RateLimit)> {
-        let told = |server: &Server| Some((server.id.clone(), server.limited.told_again(now)?));
+    /// What the servers said of their limits that an instance is to hear which has just become ready.
+    pub fn limits_told(&self, now: Micros) -> Vec<(BackendId, RateLimit)> {
+        let told = |server: &Server| Some((server.id.clone(), server.limited.told(now)?));
         self.servers.iter().filter_map(told).collect()
     }
 
+    /// What of that this instance is to tell all others again.
+    pub fn limits_told_again(&self, now: Micros) -> Vec<(BackendId, RateLimit)> {
+        let is_first = |id: &BackendId| self.server(id).is_some_and(|s| s.limited.share.is_first);
+        let mut told = self.limits_told(now);
+        told.retain(|(id, _)| is_first(id));
+        told
+    }
+
     /// Servers that name a rate limit.
     pub fn limited_count(&self) -> usize {
         self.servers.iter().filter(|server| server.is_limited()).count()
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -89,3 +89,21 @@
     wait_until("the version with it", || has("galenapath_config_version 3\n"));
     assert!(has("galenapath_limited_servers 1\n"));
 }
+
+#[test]
+fn instance_that_starts_is_told_of_limits_before_it_sends_anything() {
+    let world = World::start();
+    let mut gateways = fleet(&world);
+    let limited = world.of("look")[0];
+    limited.set_limit(Some(LIMIT));
+    let knows = |gateway: &Gateway| gateway.metrics().contains("galenapath_limited_servers 1\n");
+    wait_until("word of a limit", || {
+        press(&gateways, Duration::from_millis(100));
+        gateways.iter().all(knows)
+    });
+    gateways[1].kill_and_start();
+    wait_until("readiness", || gateways[1].is_ready());
+    // A heartbeat tells the others that it is ready, and one of them tells it.
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(knows(&gateways[1]));
+}
