A refusal or failure that does not name a server's limit does not end it

Whatever answer left the limit out ended it, also a refusal of a full server, which may be written by another part of it: all instances were told, and sent to the server as to any other. Only an answer with success ends a limit by leaving it out. The test failed before (the end was logged once).

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -14,6 +14,7 @@
     BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
 };
 use galenapath_protocol::{BackendId, Verdict};
+use http::StatusCode;
 use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -133,7 +134,7 @@
         head => head,
     };
     let (head, verdict) = head.map_err(|e| broken(&e))?;
-    if let Some(answered) = speaks_as(verdict) {
+    if let Some(answered) = answered(verdict, head.status) {
         in_flight.told.set(health::note_answer(&call.instance, service, server, &head));
         let (instance, id, head) = (&call.instance, server, &head);
         Answer { instance, service, id, head, answered, sent_at }.note();
@@ -156,11 +157,13 @@
     }
 }
 
-/// How far an answer speaks for the server that the request was sent to; `None` where another one wrote it.
-const fn speaks_as(verdict: HeadVerdict) -> Option<Answered> {
+/// How the server that the request was sent to has answered; `None` where another one wrote the answer.
+fn answered(verdict: HeadVerdict, status: StatusCode) -> Option<Answered> {
     match verdict {
-        HeadVerdict::Answer | HeadVerdict::NotRun => Some(Answered::Request),
-        HeadVerdict::Foreign | HeadVerdict::Bad(_) => Some(Answered::RequestBadly),
+        HeadVerdict::Answer if status.is_success() => Some(Answered::Request),
+        HeadVerdict::Answer | HeadVerdict::NotRun | HeadVerdict::Foreign | HeadVerdict::Bad(_) => {
+            Some(Answered::RequestFailed)
+        }
         HeadVerdict::OtherServer => None,
     }
 }
--- a/crates/galenapath-gateway/src/said.rs
+++ b/crates/galenapath-gateway/src/said.rs
@@ -16,21 +16,22 @@
 /// What a server says that does not leave, where it says anything.
 const NOT_LEAVING: &str = "0";
 
-/// What an answer is to.
+/// What an answer is to, and how. Only one with success shows by what it leaves out that the server no longer
+/// says it: refusals and failures may be written by another part of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Answered {
-    /// A request; what it leaves out the server no longer says.
+    /// A request, with success.
     Request,
-    /// A request, in a way that cannot be passed on; what it leaves out tells nothing.
-    RequestBadly,
-    /// A question; what it leaves out tells nothing.
+    /// A request, in any other way.
+    RequestFailed,
+    /// A question.
     Question,
 }
 
 impl Answered {
     const fn as_str(self) -> &'static str {
         match self {
-            Self::Request | Self::RequestBadly => "request",
+            Self::Request | Self::RequestFailed => "request",
             Self::Question => "question",
         }
     }
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -1,6 +1,7 @@
 //! Servers that name a rate limit, and callers that send more than that.
 
 use crate::support::{Gateway, World, config, fleet, press, wait_until};
+use galenapath_dev::users_platform::ServerTrouble;
 use std::time::Duration;
 
 /// Requests a second that a server in need takes.
@@ -107,3 +108,25 @@
     std::thread::sleep(Duration::from_millis(300));
     assert!(knows(&gateways[1]));
 }
+
+#[test]
+fn limit_not_ended_by_a_refusal_that_does_not_name_it() {
+    let world = World::start();
+    let gateways = [Gateway::ready(&world, &[])];
+    let limited = world.of("look")[0];
+    limited.set_limit(Some(20.0));
+    let lines = |is_limited: bool| {
+        let log = gateways[0].log();
+        let is_it = |line: &&serde_json::Value| line["is_limited"] == is_limited;
+        log.iter().filter(|line| line["event"] == "rate limit of a server").filter(is_it).count()
+    };
+    wait_until("word of a limit", || {
+        press(&gateways, Duration::from_millis(100));
+        lines(true) > 0
+    });
+    // The limit falls to an instance a second after its start.
+    press(&gateways, Duration::from_millis(1_200));
+    limited.set_trouble(ServerTrouble::Shed);
+    press(&gateways, Duration::from_millis(500));
+    assert_eq!(lines(false), 0);
+}
