--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -1,7 +1,7 @@
 //! What instances know and tell each other of what backend servers have said of themselves.
 //!
-//! Whoever hears something new tells all instances that serve callers at once. One of them tells it again now
-//! and then, for those that have missed it, and one that becomes ready is told what is known.
+//! Whoever hears something new tells all instances at once. One of them tells it again now and then to those that
+//! serve callers, some of which may have missed it, and one that becomes ready is told what is known.
 
 use crate::fleet::{self, Datagram, LimitNote, Notices};
 use crate::instance::{Instance, sleep_to_next};
@@ -81,8 +81,15 @@
         }
     }
 
-    /// Tells the instances that serve callers what servers have said.
+    /// Tells all instances what is news: stray requests come to any of them.
     pub(crate) fn tell(&self, notices: &Notices) {
+        let all = self.beats.borrow().all();
+        self.send_notices(notices, &all);
+    }
+
+    /// Tells the instances that serve callers what is no news any more.
+    fn tell_again(&self) {
+        let notices = self.notices(Placement::limits_told_again);
         if notices.is_empty() {
             return;
         }
@@ -91,7 +98,7 @@
             let serving = beats.peers().filter(|p| p.is_up() && p.vitals.serves_callers);
             serving.map(|peer| peer.member.peers).collect()
         };
-        self.send_notices(notices, &to);
+        self.send_notices(&notices, &to);
     }
 
     /// Tells an instance that has just become ready what servers have said: all that is known, where it is of the
@@ -136,6 +143,6 @@
 pub(crate) async fn run(instance: Rc<Instance>) {
     loop {
         sleep_to_next(&instance, TELL_AGAIN).await;
-        instance.tell(&instance.notices(Placement::limits_told_again));
+        instance.tell_again();
     }
 }
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -130,3 +130,18 @@
     press(&gateways, Duration::from_millis(500));
     assert_eq!(lines(false), 0);
 }
+
+#[test]
+fn limit_told_to_instances_that_serve_nobody() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    world.of("look")[0].set_limit(Some(LIMIT));
+    let knows = |gateway: &Gateway| gateway.metrics().contains("galenapath_limited_servers 1\n");
+    wait_until("word of a limit", || {
+        press(&gateways[..1], Duration::from_millis(100));
+        knows(&gateways[0])
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    // A stray request may come to any of them.
+    assert!(gateways.iter().all(knows));
+}
