--- a/crates/galenapath-policy/src/place/absent.rs
+++ b/crates/galenapath-policy/src/place/absent.rs
@@ -12,11 +12,11 @@
 const REMEMBERED_FOR: Micros = Micros::from_secs(60);
 
 /// What a server has asked for.
-#[derive(Debug)]
-struct Asked {
-    limited: Limited,
+#[derive(Debug, Default)]
+pub(super) struct Asked {
+    pub(super) limited: Limited,
     /// Until when it wants nothing from this instance.
-    paused_until: Micros,
+    pub(super) paused_until: Micros,
     /// When its entry vanished.
     since: Micros,
 }
@@ -37,6 +37,11 @@
         }
     }
 
+    /// What a server has asked for that is not in the list; it may answer a request that was sent before.
+    pub(super) fn of(&mut self, now: Micros, id: &BackendId) -> &mut Asked {
+        self.servers.entry(id.clone()).or_insert(Asked { since: now, ..Asked::default() })
+    }
+
     /// A server that is new in the list, with what it had asked for where it was there before.
     pub(super) fn recall(&mut self, now: Micros, id: &BackendId) -> Server {
         let mut server = Server::new(id.clone());
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -23,7 +23,7 @@
     pub(super) cfg: PlaceConfig,
     pub(super) servers: Vec<Server>,
     by_id: FastMap<BackendId, usize>,
-    absent: Absent,
+    pub(super) absent: Absent,
     pub(super) rng: SmallRng,
     /// How long a request takes.
     estimate: Estimate,
--- a/crates/galenapath-policy/src/place/rate_limit.rs
+++ b/crates/galenapath-policy/src/place/rate_limit.rs
@@ -183,7 +183,15 @@
 impl Placement {
     /// Takes in what a server said of its rate limit; returns whether it is news.
     pub fn hear_limit(&mut self, now: Micros, id: &BackendId, word: RateLimit) -> bool {
-        self.server_mut(id).is_some_and(|server| server.limited.hear(now, word))
+        match self.server_mut(id) {
+            Some(server) => server.limited.hear(now, word),
+            None => {
+                if word.per_second.is_some() {
+                    self.absent.of(now, id).limited.hear(now, word);
+                }
+                false
+            }
+        }
     }
 
     /// Takes over which part falls to this instance of the limit of each server that names one.
--- a/crates/galenapath-policy/tests/place/rate_limit.rs
+++ b/crates/galenapath-policy/tests/place/rate_limit.rs
@@ -163,3 +163,14 @@
     assert_eq!(chosen(&mut placement, 700), Choice::Wait);
     assert_eq!(chosen(&mut placement, 400), Choice::Nowhere);
 }
+
+#[test]
+fn limit_named_while_the_entry_is_gone_holds_when_it_is_back() {
+    let mut placement = crate::support::placement(&[true, true]);
+    let both = [server(0, true), server(1, true)];
+    placement.set_servers(START, &both[1..]);
+    // The answer to a request that was sent before.
+    assert!(!hear(&mut placement, Some(2.0), START));
+    placement.set_servers(START + Micros::from_secs(3), &both);
+    assert!(placement.is_limited(&id(0)));
+}
