--- a/crates/galenapath-policy/src/place/pause.rs
+++ b/crates/galenapath-policy/src/place/pause.rs
@@ -35,9 +35,14 @@
     /// The server wants nothing from this instance for `span`. Returns whether that is news: it wanted
     /// something until now.
     pub fn pause(&mut self, now: Micros, id: &BackendId, span: Micros) -> bool {
-        let Some(server) = self.server_mut(id) else { return false };
+        let until = now + span;
+        let Some(server) = self.server_mut(id) else {
+            let asked = self.absent.of(now, id);
+            asked.paused_until = asked.paused_until.max(until);
+            return false;
+        };
         let was_paused = server.is_paused(now);
-        server.paused_until = server.paused_until.max(now + span);
+        server.paused_until = server.paused_until.max(until);
         !was_paused && server.is_paused(now)
     }
 
--- a/crates/galenapath-policy/tests/place/pause.rs
+++ b/crates/galenapath-policy/tests/place/pause.rs
@@ -144,3 +144,14 @@
         }
     }
 }
+
+#[test]
+fn pause_asked_for_while_the_entry_is_gone_holds_when_it_is_back() {
+    let mut placement = placement(&[true, true]);
+    let both = [server(0, true), server(1, true)];
+    placement.set_servers(START, &both[1..]);
+    placement.pause(START, &id(0), PAUSE);
+    let back = START + Micros::from_secs(1);
+    placement.set_servers(back, &both);
+    assert!(placement.is_paused(back, &id(0)));
+}
