--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -1,6 +1,7 @@
 //! Random faults on running programs, and what callers and servers see meanwhile.
 //!
-//! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak` plays other seeds for longer.
+//! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak` plays other seeds for longer;
+//! `SOAK_INSTANCES=100` starts more instances, and then one seed goes on at a time.
 //! Each seed draws instances that are killed, paused, stopped and started, a store that is away for
 //! one or for all, links to the store and to servers that are cut, delayed or silenced one way or both,
 //! servers that fail in every way the stand-in knows, turn cold, name a rate limit, leave, want nothing for a
@@ -31,9 +32,12 @@
 const SEEDS: &[u64] = &[1, 2];
 
 /// Length of a run whose length is not set.
-const SECONDS: u64 = 6;
+const SECONDS: usize = 6;
 
+/// Instances of a run whose number is not set.
 const INSTANCES: usize = 3;
+/// Runs that go on at a time, of few instances: each is a dozen processes and threads.
+const RUNS: usize = 3;
 /// Faults that go on at a time.
 const TROUBLES: u64 = 2;
 const CALLERS: usize = 4;
@@ -127,11 +131,11 @@
 }
 
 impl Stage {
-    fn start() -> Self {
+    fn start(instances: usize) -> Self {
         let world = World::start_linked();
         world.spread();
         let (mut gateways, mut store_links): (Vec<Gateway>, Vec<Relay>) = (Vec::new(), Vec::new());
-        for _ in 0..INSTANCES {
+        for _ in 0..instances {
             let link = Relay::start_on_thread(world.store.listen().unwrap()).unwrap();
             let seeds: Vec<&Gateway> = gateways.first().into_iter().collect();
             let gateway = Gateway::start_at(link.addr, &seeds);
@@ -201,9 +205,9 @@
     }
 }
 
-fn play(seed: u64, seconds: u64) {
-    let stage = Stage::start();
-    let addresses: Vec<SocketAddr> = (0..INSTANCES).map(|n| stage.gateway(n).callers()).collect();
+fn play(seed: u64, seconds: u64, instances: usize) {
+    let stage = Stage::start(instances);
+    let addresses: Vec<SocketAddr> = (0..instances).map(|n| stage.gateway(n).callers()).collect();
     let callers = Callers::start(seed, &addresses);
     let end = Instant::now() + Duration::from_secs(seconds);
     std::thread::scope(|scope| {
@@ -215,7 +219,7 @@
     let trace = stage.trace();
     let version = stage.configure(1, &[]);
     let wanted = format!("galenapath_config_version {version}");
-    for n in 0..INSTANCES {
+    for n in 0..stage.gateways.len() {
         let gateway = stage.gateway(n);
         wait_until(&format!("version {version} after {trace:?}"), || {
             gateway.metrics().contains(&wanted)
@@ -238,7 +242,7 @@
     /// Time that a request that was sent before may take, and that one after it is waited for.
     const SETTLE: Duration = Duration::from_millis(300);
     stage.world.evacuate("d2");
-    for n in 0..INSTANCES {
+    for n in 0..stage.gateways.len() {
         stage.gateway(n).wait_for_evacuated(1);
     }
     std::thread::sleep(SETTLE);
@@ -267,7 +271,7 @@
     assert_eq!(server.overruns(), before, "{most} requests within four seconds: {trace:?}");
     server.set_limit(None);
     server.set_leaving(true);
-    for n in 0..INSTANCES {
+    for n in 0..stage.gateways.len() {
         let gateway = stage.gateway(n);
         wait_until(&format!("word that a server leaves after {trace:?}"), || {
             !gateway.metrics().contains("galenapath_leaving_servers 0\n")
@@ -283,20 +287,25 @@
     std::env::var(name).ok()
 }
 
+fn number(name: &str, usual: usize) -> usize {
+    setting(name).map_or(usual, |text| text.parse().unwrap())
+}
+
 #[test]
 fn soak_promises_held() {
     let seeds: Vec<u64> = match setting("SOAK_SEEDS") {
         Some(text) => text.split(',').map(|seed| seed.trim().parse().unwrap()).collect(),
         None => SEEDS.to_vec(),
     };
-    let seconds = setting("SOAK_SECONDS").map_or(SECONDS, |text| text.parse().unwrap());
-    // A few at a time: each seed is a dozen processes and threads.
+    let seconds = number("SOAK_SECONDS", SECONDS) as u64;
+    let instances = number("SOAK_INSTANCES", INSTANCES);
+    let runs = if instances > INSTANCES { 1 } else { RUNS };
     let queue = Mutex::new(seeds);
     std::thread::scope(|scope| {
-        for _ in 0..3 {
+        for _ in 0..runs {
             scope.spawn(|| {
                 while let Some(seed) = { queue.lock().unwrap().pop() } {
-                    play(seed, seconds);
+                    play(seed, seconds, instances);
                 }
             });
         }
--- a/tests/gateway_soak/faults.rs
+++ b/tests/gateway_soak/faults.rs
@@ -1,6 +1,6 @@
 //! The faults that a run draws.
 
-use super::{INSTANCES, Stage, wait_until};
+use super::{Stage, wait_until};
 use crate::support::COLD_PER_SECOND;
 use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::ServerTrouble;
@@ -161,7 +161,7 @@
         9 => {
             let fault = *draw(rng, LINK_FAULTS);
             let n = rng.random_range(0..stage.gateways.len());
-            let count = if rng.random_bool(0.5) { 1 } else { INSTANCES };
+            let count = if rng.random_bool(0.5) { 1 } else { stage.gateways.len() };
             let links = || stage.store_links.iter().cycle().skip(n).take(count);
             links().for_each(|link| link.set_fault(fault));
             std::thread::sleep(span);
