A server that turns cold is told to all instances at once, not only to those that serve callers

Nobody counts as one that serves there, so that each instance heard of the cold from the server alone. That a server is cold no more goes to those that use it, as before: the others forget it by themselves.

--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -28,8 +28,8 @@
 struct Notes {
     loads: FastMap<BackendId, Sighting>,
     failures: FastMap<BackendId, f32>,
-    /// Until when servers stay cold, of those that have turned cold or are cold no more.
-    cold_until: FastMap<BackendId, Micros>,
+    /// Servers that are cold no more.
+    warm: Vec<BackendId>,
 }
 
 /// Notes that wait for the next datagram, by the failure domain of their servers.
@@ -38,13 +38,15 @@
     by_domain: FastMap<DomainId, Notes>,
     told: FastMap<BackendId, Sighting>,
     crashes: Vec<CrashNote>,
+    /// Until when servers stay cold that have turned cold.
+    turned_cold: FastMap<BackendId, Micros>,
     /// Whoever waits for the first note.
     waker: Option<Waker>,
 }
 
 impl Outbox {
     fn is_empty(&self) -> bool {
-        self.by_domain.is_empty() && self.crashes.is_empty()
+        self.by_domain.is_empty() && self.crashes.is_empty() && self.turned_cold.is_empty()
     }
 
     /// Wakes whoever waits for the first note.
@@ -69,9 +71,13 @@
         self.wake();
     }
 
-    fn add_warmth(&mut self, domain: DomainId, id: &BackendId, cold_until: Micros) {
-        let notes = self.by_domain.entry(domain).or_default();
-        notes.cold_until.insert(id.clone(), cold_until);
+    fn add_turned_cold(&mut self, id: &BackendId, cold_until: Micros) {
+        self.turned_cold.insert(id.clone(), cold_until);
+        self.wake();
+    }
+
+    fn add_warm(&mut self, domain: DomainId, id: &BackendId) {
+        self.by_domain.entry(domain).or_default().warm.push(id.clone());
         self.wake();
     }
 
@@ -90,13 +96,12 @@
             report: seen.report,
         };
         let failure = |(id, weight): (BackendId, f32)| FailureNote { server: id.short(), weight };
-        let warmth =
-            |(id, until): (BackendId, Micros)| WarmthNote { server: id.short(), left: until - now };
+        let warmth = |id: &BackendId| WarmthNote { server: id.short(), left: Micros::ZERO };
         Loads {
             loads: self.loads.into_iter().map(load).collect(),
             failures: self.failures.into_iter().map(failure).collect(),
             crashes: Vec::new(),
-            warmth: self.cold_until.into_iter().map(warmth).collect(),
+            warmth: self.warm.iter().map(warmth).collect(),
         }
     }
 }
@@ -114,10 +119,13 @@
         self.outbox.borrow_mut().add_failure(domain, id, weight);
     }
 
-    /// Tells the other instances that a server has turned cold, or is cold no more.
+    /// Tells all other instances that a server has turned cold, or those that use it that it is cold no more.
     pub(crate) fn share_warmth(&self, service: &Service, id: &BackendId, cold_until: Micros) {
-        let Some(domain) = service.domain(id) else { return };
-        self.outbox.borrow_mut().add_warmth(domain, id, cold_until);
+        if cold_until > self.now() {
+            self.outbox.borrow_mut().add_turned_cold(id, cold_until);
+        } else if let Some(domain) = service.domain(id) {
+            self.outbox.borrow_mut().add_warm(domain, id);
+        }
     }
 
     /// Tells the other instances of a crash.
@@ -131,6 +139,10 @@
         loads.crashes.iter().for_each(|note| self.take_crash(note));
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
+            if !loads.warmth.is_empty() {
+                // One that nobody uses yet may not have taken the list in.
+                service.refresh(self);
+            }
             for note in &loads.loads {
                 if let Some(id) = service.by_short_id(note.server) {
                     let sighting = Sighting { at: now - note.age, report: note.report };
@@ -162,12 +174,16 @@
 
     fn flush_outbox(&self) {
         let now = self.now();
-        let (by_domain, crashes) = {
+        let (by_domain, crashes, turned_cold) = {
             let mut outbox = self.outbox.borrow_mut();
             if outbox.is_empty() {
                 return;
             }
-            (std::mem::take(&mut outbox.by_domain), std::mem::take(&mut outbox.crashes))
+            (
+                std::mem::take(&mut outbox.by_domain),
+                std::mem::take(&mut outbox.crashes),
+                std::mem::take(&mut outbox.turned_cold),
+            )
         };
         let readers = self.readers();
         let mut all = Loads::default();
@@ -180,7 +196,10 @@
             all.warmth.extend(notes.warmth);
         }
         self.send_loads(&all, readers.iter().filter(|reader| reader.hears_all));
-        self.send_crashes(crashes);
+        let warmth =
+            |(id, until): (BackendId, Micros)| WarmthNote { server: id.short(), left: until - now };
+        let warmth = turned_cold.into_iter().map(warmth).collect();
+        self.send_to_all(&Loads { crashes, warmth, ..Loads::default() });
     }
 
     fn send_loads<'a>(&self, notes: &Loads, to: impl Iterator<Item = &'a Reader>) {
@@ -194,15 +213,17 @@
         }
     }
 
-    /// Callers take a request that crashes servers to any instance.
-    fn send_crashes(&self, crashes: Vec<CrashNote>) {
-        if crashes.is_empty() {
+    /// Callers take a request that crashes servers to any instance, and stray requests for a server that has
+    /// turned cold come to any.
+    fn send_to_all(&self, notes: &Loads) {
+        if notes.is_empty() {
             return;
         }
-        let datagram =
-            fleet::encode(&fleet::Datagram::Loads(Loads { crashes, ..Loads::default() }));
         let all = self.beats.borrow().all();
-        all.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
+        for part in split(notes) {
+            let datagram = fleet::encode(&fleet::Datagram::Loads(part));
+            all.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
+        }
     }
 
     /// The instances that hear what was seen of servers.
@@ -234,6 +255,7 @@
         parts.push(Loads::default());
     }
     parts[0].failures.clone_from(&notes.failures);
+    parts[0].crashes.clone_from(&notes.crashes);
     let more = notes.warmth.chunks(MOST_NOTES);
     parts.extend(more.map(|part| Loads { warmth: part.to_vec(), ..Loads::default() }));
     parts.retain(|part| !part.is_empty());
--- a/tests/gateway/warming.rs
+++ b/tests/gateway/warming.rs
@@ -1,6 +1,6 @@
 //! Servers that are cold, at their start or at any other moment.
 
-use crate::support::{COLD_PER_SECOND, World, fleet, press, wait_until};
+use crate::support::{COLD_PER_SECOND, Gateway, World, fleet, press, wait_until};
 use galenapath_dev::users_platform::ServerStandIn;
 use serde_json::json;
 use std::time::Duration;
@@ -70,3 +70,18 @@
     press(&gateways, COLD);
     assert_spared(&world.of("look"));
 }
+
+#[test]
+fn server_that_turns_cold_told_to_instances_that_serve_nobody() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    world.of("look")[0].turn_cold(Duration::from_secs(20), COLD_PER_SECOND);
+    let knows = |gateway: &Gateway| gateway.metrics().contains("galenapath_cold_servers 1\n");
+    wait_until("word of a cold server", || {
+        press(&gateways[..1], Duration::from_millis(100));
+        knows(&gateways[0])
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    // A stray request may come to any of them.
+    assert!(gateways.iter().all(knows));
+}
