Servers of failure domains without instances are asked where one domain has all the instances

A server that turns cold says so only where it is asked. Their part of such a budget is now what they would have at home.

--- a/crates/galenapath-policy/src/measure/shares.rs
+++ b/crates/galenapath-policy/src/measure/shares.rs
@@ -49,7 +49,8 @@
             None => UNCOUNTED,
         };
         match rates.domains {
-            0 | 1 => Self { home: part, away: 0.0 },
+            // Nobody else asks the servers of domains without instances.
+            0 | 1 => Self { home: part, away: part },
             domains => {
                 Self { home: part * HOME, away: part * (1.0 - HOME) / f64::from(domains - 1) }
             }
--- a/crates/galenapath-policy/tests/measure/shares.rs
+++ b/crates/galenapath-policy/tests/measure/shares.rs
@@ -36,3 +36,12 @@
     let uncounted = shares(None, 0);
     assert!(uncounted.home > 0.0 && uncounted.home < 0.1, "{uncounted:?}");
 }
+
+#[test]
+fn shares_of_the_only_domain_with_instances_ask_servers_of_others_as_well() {
+    let shares = |own: u32| {
+        AskShares::by_rates(&ServedRates { own: Some(own), others_at_home: 115 - own, domains: 1 })
+    };
+    let away: f64 = LARGE.iter().map(|own| shares(*own).away).sum();
+    assert!(away > 0.9 && away <= 1.0, "{away}");
+}
