--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -31,6 +31,15 @@
 /// Seeds that are played every time; each that ever failed stays here with the cause.
 const SEEDS: &[u64] = &[1, 2];
 
+/// Seeds that are played with many instances, and few callers for each. Nobody counted as one that serves callers, so
+/// that nobody was told of a rate limit (601); nobody asked the servers of a domain without instances, so that
+/// nobody heard that one had turned cold (602).
+const SEEDS_OF_MANY: &[u64] = &[601, 602];
+
+/// Instances of these runs, and their length in seconds.
+const MANY: usize = 60;
+const SECONDS_OF_MANY: u64 = 10;
+
 /// Length of a run whose length is not set.
 const SECONDS: usize = 6;
 
@@ -311,3 +320,10 @@
         }
     });
 }
+
+#[test]
+fn soak_of_many_instances_promises_held() {
+    for seed in SEEDS_OF_MANY {
+        play(*seed, SECONDS_OF_MANY, MANY);
+    }
+}
