--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -1,7 +1,8 @@
 //! What instances tell each other of backend servers: loads and failures, a few bytes each, in
 //! batches.
 //!
-//! Only instances that serve callers hear of it; the others decide nothing by it. Of servers of other
+//! Only instances that serve callers hear of it; the others decide little by it, but for crashes and servers that
+//! have turned cold, which a single stray request can harm. Of servers of other
 //! failure domains they hear while they send requests there.
 
 use crate::fleet::{self, CrashNote, FailureNote, LoadNote, Loads, WarmthNote};
