Policy: quotas of workspaces, kept by all instances together

Nothing in the gateway knew workspaces, and a quota over all instances did not exist; the admission's workspaces are weights inside one process.

Weighed: equal parts of the rate (a workspace whose callers meet few of 130 instances would be refused most of its quota), one owner that lends parts of the rate (a round trip to each first request, and nothing while it restarts), and accounts of the whole quota at every instance that are charged with reports. The last is built: reports go to two owners while plenty is left, to all once less than half of the burst is.

--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`LogLineBudget`]: which log lines about requests are written.
 //! - [`measure`]: when a backend server may be probed, within a fixed budget.
 //! - [`place`]: placement and queueing for servers whose speed changes within a request.
+//! - [`quota`]: which requests are within the quota of their workspace.
 //! - [`retry`]: when a request may be retried, and when it may be hedged.
 
 pub mod admission;
@@ -19,6 +20,7 @@
 mod outcome;
 pub mod place;
 mod quantile;
+pub mod quota;
 pub mod retry;
 
 pub use admission::{
--- /dev/null
+++ b/crates/galenapath-policy/src/quota/account.rs
@@ -0,0 +1,316 @@
+//! One workspace's quota as one instance knows it.
+
+use super::demand::Demand;
+use super::ledger::UsageNote;
+use galenapath_protocol::{FastMap, Incarnation, Micros, Quota};
+
+/// Part of the burst below which the quota counts as contended.
+const CONTENDED_BELOW: f64 = 0.5;
+
+/// Part of what is left that one instance may grant between two reports while the quota is not
+/// contended.
+const PART_WHILE_AMPLE: f64 = 0.5;
+
+/// Seconds of the rate in the account of an instance that has just started and does not know yet
+/// what others have granted.
+const INITIAL_SECS: f64 = 0.25;
+
+/// Time after the start of an instance within which it hears what others have granted, and its
+/// account refills if there are none.
+const SETTLING_TIME: Micros = Micros::from_secs(1);
+
+/// Time without a report after which a peer's demand no longer counts. Longer than
+/// [`DEMAND_REPORT_PERIOD`].
+const DEMAND_EXPIRY: Micros = Micros::from_millis(1_200);
+
+/// Time between two reports of an instance whose requests are all refused, so that others leave its
+/// share to it.
+const DEMAND_REPORT_PERIOD: Micros = Micros::from_millis(500);
+
+/// Time without a request after which an instance no longer takes part, and what it knows of the
+/// account may be old.
+const PARTICIPATION_EXPIRY: Micros = Micros::from_secs(10);
+
+/// Time after its first report within which an instance hears what others have granted.
+const JOIN_TIME: Micros = Micros::from_millis(150);
+
+/// Time after which an instance that is cut off knows that.
+const CUT_OFF_DETECTION: Micros = Micros::from_secs(1);
+
+/// Seconds of refill by which the level that a peer states may lag behind: the delay of a datagram
+/// and of its handling. Without it, instances that adopt each other's lower level would lose the
+/// refill of each such delay.
+const LEVEL_DELAY_SECS: f64 = 0.05;
+
+/// Time for which the sum that a peer reported is kept. A later report of it counts as its first.
+const PEER_RETENTION: Micros = Micros::from_secs(60);
+
+/// Seconds of the rate, beside the burst, that instances which did not hear each other are charged
+/// with at most: about the time after which each knows that it is cut off.
+const MAX_DEBT_SECS: f64 = 3.0;
+
+/// Bounds of the time that a refused caller is told to wait.
+const MIN_RETRY_AFTER: Micros = Micros::from_millis(20);
+const MAX_RETRY_AFTER: Micros = Micros::from_secs(30);
+
+/// What one peer has reported.
+#[derive(Clone, Copy, Debug)]
+struct PeerUsage {
+    used: i64,
+    demand: f64,
+    heard_at: Micros,
+}
+
+/// What an account needs to know about the other instances.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Surroundings {
+    /// Instances that serve callers, this one included.
+    pub(super) serving: f64,
+    /// Part of the fleet's load on instances that this one hears, itself included; 1 if it hears
+    /// all.
+    pub(super) heard_part: f64,
+}
+
+impl Surroundings {
+    /// The part of one of the instances that serve callers.
+    fn equal_share(self) -> f64 {
+        1.0 / self.serving.max(1.0)
+    }
+}
+
+/// Who is to get a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Audience {
+    Nobody,
+    Owners,
+    All,
+}
+
+/// A workspace's quota at one instance.
+///
+/// Invariant: `level` is what may be granted now by what this instance knows: refilled up to
+/// `capacity`, less what it has granted and what peers have reported. It is negative after
+/// instances together have granted more than was left.
+#[derive(Clone, Debug)]
+pub(super) struct Account {
+    rate: f64,
+    capacity: f64,
+    level: f64,
+    filled_at: Micros,
+    /// Until when the level of an instance that has just started says nothing about what others
+    /// have granted.
+    unsettled_until: Micros,
+    /// Requests granted here, less those that did not run.
+    used: i64,
+    /// `used` as last reported.
+    reported: i64,
+    /// When it was last reported; zero before the first report.
+    reported_at: Micros,
+    /// Since when this instance takes part; `None` while it does not.
+    joined_at: Option<Micros>,
+    demand: Demand,
+    requested_at: Micros,
+    /// Part of the load on instances that this one heard at `filled_at`.
+    heard_part: f64,
+    /// Since when the quota is contended; `None` while it is not.
+    contended_since: Option<Micros>,
+    /// Whether all have to hear that the quota has become contended.
+    must_announce: bool,
+    peers: FastMap<Incarnation, PeerUsage>,
+}
+
+impl Account {
+    /// Creates the account of `quota`. `margin` requests are added to its burst. At the start of an
+    /// instance it is nearly empty.
+    pub(super) fn new(now: Micros, quota: Quota, margin: f64, is_at_start: bool) -> Self {
+        let capacity = capacity(quota, margin);
+        let initial = if is_at_start { quota.per_second * INITIAL_SECS + 1.0 } else { capacity };
+        Self {
+            rate: quota.per_second,
+            capacity,
+            level: initial.min(capacity),
+            filled_at: now,
+            unsettled_until: if is_at_start { now + SETTLING_TIME } else { now },
+            used: 0,
+            reported: 0,
+            reported_at: Micros::ZERO,
+            joined_at: None,
+            demand: Demand::default(),
+            requested_at: Micros::ZERO,
+            heard_part: 1.0,
+            contended_since: None,
+            must_announce: false,
+            peers: FastMap::default(),
+        }
+    }
+
+    /// Applies the quota of a further configuration.
+    pub(super) fn set_quota(
+        &mut self,
+        now: Micros,
+        quota: Quota,
+        margin: f64,
+        around: Surroundings,
+    ) {
+        self.peers.retain(|_, peer| now - peer.heard_at < PEER_RETENTION);
+        self.refill(now, around);
+        self.rate = quota.per_second;
+        self.capacity = capacity(quota, margin);
+        self.level = self.level.min(self.capacity);
+    }
+
+    /// Grants a request.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the caller may come back.
+    pub(super) fn take(&mut self, now: Micros, around: Surroundings) -> Result<(), Micros> {
+        self.refill(now, around);
+        if now - self.requested_at > PARTICIPATION_EXPIRY {
+            self.joined_at = None;
+        }
+        self.requested_at = now;
+        self.demand.record(now);
+        let share = self.share(now, around);
+        let unreported = (self.used - self.reported).max(0) as f64;
+        let part = if self.is_contended() { share } else { share.max(PART_WHILE_AMPLE) };
+        let allowance = (self.level + unreported) * part;
+        if self.level < 1.0 || unreported + 1.0 > allowance.max(1.0) {
+            return Err(self.time_until_grant(share));
+        }
+        self.level -= 1.0;
+        self.used += 1;
+        Ok(())
+    }
+
+    /// Returns a granted request that did not run.
+    pub(super) fn give_back(&mut self) {
+        self.level = (self.level + 1.0).min(self.capacity);
+        self.used -= 1;
+    }
+
+    /// Applies a peer's report.
+    pub(super) fn apply(
+        &mut self,
+        now: Micros,
+        from: Incarnation,
+        note: &UsageNote,
+        around: Surroundings,
+    ) {
+        self.refill(now, around);
+        let was_contended = self.is_contended();
+        let usage = PeerUsage { used: note.used, demand: note.demand.max(0.0), heard_at: now };
+        // A report that was overtaken by a later one is charged back, and the next one corrects it.
+        // Of a peer's first report only the level counts: the sum may be hours old.
+        if let Some(before) = self.peers.insert(from, usage) {
+            self.level -= (note.used - before.used) as f64;
+        }
+        let stated = note.level + self.rate * LEVEL_DELAY_SECS + 1.0;
+        self.level = self.level.min(stated).max(-self.capacity - self.rate * MAX_DEBT_SECS);
+        self.must_announce |= self.is_contended() && !was_contended;
+    }
+
+    /// Forgets a peer that has ended. What it granted stays charged.
+    pub(super) fn forget(&mut self, peer: Incarnation) {
+        self.peers.remove(&peer);
+    }
+
+    /// Who is to get a report now.
+    pub(super) fn audience(&self, now: Micros, around: Surroundings) -> Audience {
+        let unreported = (self.used - self.reported).abs() as f64;
+        let since_report = now - self.reported_at;
+        if self.is_contended() {
+            let has_requests = self.requested_at > self.reported_at;
+            let is_due = unreported >= 1.0
+                || self.must_announce
+                || (has_requests && since_report >= DEMAND_REPORT_PERIOD);
+            return if is_due { Audience::All } else { Audience::Nobody };
+        }
+        let tolerable = self.capacity * CONTENDED_BELOW * around.equal_share();
+        let is_due =
+            unreported >= tolerable.max(1.0) || (unreported >= 1.0 && self.joined_at.is_none());
+        if is_due { Audience::Owners } else { Audience::Nobody }
+    }
+
+    /// Whether there may be something to report later although there is nothing now and no further
+    /// request arrives.
+    pub(super) fn is_pending(&self) -> bool {
+        let has_news = self.used != self.reported || self.requested_at > self.reported_at;
+        self.is_contended() && has_news
+    }
+
+    /// Makes a report.
+    pub(super) fn report(&mut self, now: Micros) -> UsageReport {
+        self.reported = self.used;
+        self.reported_at = now;
+        self.joined_at.get_or_insert(now);
+        self.must_announce = false;
+        let level = if now < self.unsettled_until { self.capacity } else { self.level };
+        UsageReport { used: self.used, level, demand: self.demand.per_second(now) }
+    }
+
+    /// Requests that may be granted now.
+    pub(super) fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Whether so little is left that all instances have to hear of each request.
+    pub(super) fn is_contended(&self) -> bool {
+        self.level < self.capacity * CONTENDED_BELOW
+    }
+
+    fn refill(&mut self, now: Micros, around: Surroundings) {
+        let seconds = (now - self.filled_at).0 as f64 / 1e6;
+        self.filled_at = now.max(self.filled_at);
+        // Instances that are no longer heard may have used their part of the burst meanwhile.
+        let lost = (self.heard_part - around.heard_part).max(0.0);
+        self.heard_part = around.heard_part;
+        self.level -= self.capacity * lost;
+        let limit = if self.may_be_cut_off(now) { around.equal_share() } else { 1.0 };
+        let part = around.heard_part.min(limit);
+        self.level = (self.level + seconds * self.rate * part).min(self.capacity);
+        self.contended_since = self.is_contended().then(|| self.contended_since.unwrap_or(now));
+    }
+
+    /// Whether the quota has become contended a moment ago and no peer has reported since. Either
+    /// no other instance has requests of the workspace, or this one is cut off and does not know it
+    /// yet.
+    fn may_be_cut_off(&self, now: Micros) -> bool {
+        self.contended_since.is_some_and(|since| {
+            now - since < CUT_OFF_DETECTION
+                && !self.peers.values().any(|peer| peer.heard_at >= since)
+        })
+    }
+
+    /// Part of what is left that this instance may grant until its next report.
+    fn share(&self, now: Micros, around: Surroundings) -> f64 {
+        let equal = around.equal_share();
+        if self.joined_at.is_none_or(|since| now - since < JOIN_TIME) {
+            return equal;
+        }
+        let is_recent = |peer: &&PeerUsage| now - peer.heard_at < DEMAND_EXPIRY;
+        let others: f64 = self.peers.values().filter(is_recent).map(|peer| peer.demand).sum();
+        let own = self.demand.per_second(now);
+        (own / (own + others)).max(equal)
+    }
+
+    /// When this instance may grant the next request.
+    fn time_until_grant(&self, share: f64) -> Micros {
+        let missing = (1.0 - self.level).max(0.0) / self.rate;
+        let turn = 1.0 / (self.rate * share);
+        let micros = Micros(((missing + turn) * 1e6) as u64);
+        micros.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+}
+
+/// A report without the workspace that it is about.
+pub(super) struct UsageReport {
+    pub(super) used: i64,
+    pub(super) level: f64,
+    pub(super) demand: f64,
+}
+
+/// Requests that may be granted at once: the burst, at least one.
+fn capacity(quota: Quota, margin: f64) -> f64 {
+    (quota.burst + margin).max(1.0)
+}
--- a/crates/galenapath-protocol/src/lib.rs
+++ b/crates/galenapath-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod report;
 mod time;
 mod verdict;
+mod workspace;
 
 pub use collections::{FastMap, FastSet};
 pub use header::{
@@ -18,3 +19,4 @@
 pub use report::{LoadReport, ParseReportError};
 pub use time::Micros;
 pub use verdict::Verdict;
+pub use workspace::{Quota, WorkspaceId};
