--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -74,13 +74,16 @@
     }
     let line = format!("{} {}", head.method, head.uri);
     let left_ms = header("x-request-deadline-ms").parse().unwrap_or(0);
+    let workspace = head.headers.get("x-tenant").and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let has_key = head.headers.contains_key("authorization");
     let work = {
         let mut inner = lock(inner);
         inner.record_request();
         if inner.down_until.is_some_and(|until| Instant::now() < until) {
             return Err(WireError::Closed);
         }
-        inner.executed.push(ExecutedRequest { line, id: id.clone(), left_ms, body });
+        let id = id.clone();
+        inner.executed.push(ExecutedRequest { line, id, left_ms, body, workspace, has_key });
         inner.running += 1;
         inner.work * inner.slowdown / 100
     };
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -60,6 +60,10 @@
     pub left_ms: u64,
     /// Request body.
     pub body: Vec<u8>,
+    /// Name of the workspace, as set by the instance.
+    pub workspace: Option<String>,
+    /// Whether the caller's key was passed on.
+    pub has_key: bool,
 }
 
 /// State of a server and records of what it received.
--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -110,8 +110,10 @@
         return;
     }
     let config = instance.state.borrow().table().version();
+    let workspace = req.workspace.as_ref().map_or("-", |workspace| workspace.name.as_str());
     log::info!(
         request = req.id_text(),
+        workspace,
         route = req.route.name.as_str(),
         service = call.service.name.as_str(),
         status = end.status.as_u16(),
--- /dev/null
+++ b/crates/galenapath-gateway/src/body.rs
@@ -0,0 +1,129 @@
+//! Reads the bodies of callers' requests, within a bound on the memory that they take together.
+//!
+//! Load pattern: large uploads from many slow callers at once. Each would take its size for as long
+//! as its caller sends, and instances have 112 MB. A request that does not fit is rejected before
+//! its body is read.
+
+use crate::answer::LocalAnswer;
+use crate::caller::Caller;
+use crate::instance::Instance;
+use bytes::{Bytes, BytesMut};
+use galenapath_http::{BodyState, Framing, HttpError, RequestHead, expects_continue};
+use galenapath_protocol::Micros;
+use galenapath_routes::CallerLimits;
+use http::StatusCode;
+use std::ops::Deref;
+use std::rc::Rc;
+
+/// `Retry-After` if the bodies in memory leave no room for another one.
+const NO_ROOM_RETRY_AFTER: Micros = Micros::from_millis(250);
+
+/// Part of the instance's memory for the bodies of requests.
+const MEMORY_PART: f64 = 0.125;
+
+/// Bytes of bodies in memory; dropping it returns them.
+pub(crate) struct BodyRoom {
+    instance: Rc<Instance>,
+    len: usize,
+}
+
+impl BodyRoom {
+    fn empty(instance: &Rc<Instance>) -> Self {
+        Self { instance: Rc::clone(instance), len: 0 }
+    }
+
+    /// Enlarges it to `len` bytes; false if there is no room.
+    fn grow_to(&mut self, len: usize) -> bool {
+        let more = len.saturating_sub(self.len);
+        if more == 0 {
+            return true;
+        }
+        let in_use = self.instance.body_bytes.get() + more;
+        let limit = self.instance.settings().memory_mb * 1024.0 * 1024.0 * MEMORY_PART;
+        // One body is always accepted, or none could be on a very small instance.
+        if in_use as f64 > limit && in_use > more {
+            return false;
+        }
+        self.instance.body_bytes.set(in_use);
+        self.len += more;
+        true
+    }
+}
+
+impl Drop for BodyRoom {
+    fn drop(&mut self) {
+        let in_use = self.instance.body_bytes.get();
+        self.instance.body_bytes.set(in_use.saturating_sub(self.len));
+    }
+}
+
+/// A whole body, and its room in memory.
+pub(crate) struct Body {
+    pub(crate) bytes: Bytes,
+    _room: Option<BodyRoom>,
+}
+
+impl Body {
+    /// The body of a request that has none.
+    pub(crate) const fn none() -> Self {
+        Self { bytes: Bytes::new(), _room: None }
+    }
+}
+
+impl Deref for Body {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the whole body. The inner error is the answer to a body that is too large or too late, or
+/// for which there is no room.
+pub(crate) async fn read(
+    instance: &Rc<Instance>,
+    caller: &mut Caller,
+    head: &RequestHead,
+    framing: Framing,
+    limits: &CallerLimits,
+    deadline: Micros,
+) -> Result<Result<Body, LocalAnswer>, HttpError> {
+    let too_large = LocalAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+    let no_room = LocalAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no_room_for_body")
+        .with_retry_after(NO_ROOM_RETRY_AFTER);
+    let known_len = match framing {
+        Framing::None => return Ok(Ok(Body::none())),
+        Framing::Length(n) if n > limits.body_bytes => return Ok(Err(too_large)),
+        Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
+        Framing::Chunked | Framing::UntilClose => 0,
+    };
+    let mut room = BodyRoom::empty(instance);
+    if !room.grow_to(known_len) {
+        return Ok(Err(no_room));
+    }
+    if expects_continue(head) {
+        caller.connection.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        caller.connection.flush().await?;
+    }
+    let mut state = BodyState::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        let left = deadline - instance.now();
+        let piece = caller.connection.read_body(&mut state);
+        match monoio::time::timeout(left.into(), piece).await {
+            Ok(piece) => match piece? {
+                Some(piece) => body.extend_from_slice(&piece),
+                None => return Ok(Ok(Body { bytes: body.freeze(), _room: Some(room) })),
+            },
+            Err(_) => {
+                return Ok(Err(LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "body_timeout")));
+            }
+        }
+        if body.len() as u64 > limits.body_bytes {
+            return Ok(Err(too_large));
+        }
+        if !room.grow_to(body.len()) {
+            return Ok(Err(no_room));
+        }
+    }
+}
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -62,6 +62,7 @@
             self.add_step(&format!("{}:sent:unknown ", server.0));
         }
         self.unresolved.set(self.unresolved.get() + 1);
+        self.update_charge();
         if self.sends.replace(self.sends.get() + 1) == 0 {
             self.service.retries.borrow_mut().record_first_attempt(now);
         }
@@ -70,6 +71,14 @@
     /// Records that the last server addressed did not run the request.
     pub(crate) fn record_not_run(&self) {
         self.unresolved.set(self.unresolved.get().saturating_sub(1));
+        self.update_charge();
+    }
+
+    /// A request that has not run is not charged to its workspace's quota.
+    fn update_charge(&self) {
+        if let Some(charge) = &self.req.charge {
+            charge.set_may_have_run(self.unresolved.get() > 0);
+        }
     }
 
     /// Whether the request may have run.
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -1,40 +1,28 @@
 //! Serves the requests on a caller's connection.
 
 use crate::answer::{LocalAnswer, RequestEnd, record_end, record_rejected};
+use crate::body::{self, Body};
 use crate::call::Call;
-use crate::exchange;
 use crate::instance::{Instance, Stage};
+use crate::intake::{self, Admitted};
+use crate::pipeline::{self, Outcome, Pipeline, Started};
 use crate::relay;
-use crate::request::{self, Request};
 use crate::startup;
-use bytes::{Bytes, BytesMut};
 use futures::future::{Either, select};
-use galenapath_filings::Fingerprint;
-use galenapath_http::{
-    BadRequest, BodyState, Connection, Framing, HeadTimeouts, HttpError, RequestHead,
-    expects_continue, is_keep_alive, request_framing, request_host,
-};
-use galenapath_policy::CallerAttempt;
-use galenapath_protocol::{Micros, Verdict};
-use galenapath_routes::{CallerLimits, Route};
+use galenapath_http::{Connection, Framing, HeadTimeouts, HttpError, RequestHead, request_framing};
+use galenapath_protocol::Verdict;
+use galenapath_routes::CallerLimits;
 use http::header::{CONNECTION, HeaderMap, HeaderValue};
-use http::{Method, StatusCode, Version};
+use http::{Method, StatusCode};
 use monoio::net::TcpStream;
 use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// How long input from the caller is still read and discarded while its connection closes.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// `Retry-After` of answers from an instance that has no configuration yet.
-const NO_CONFIG_RETRY_AFTER: Micros = Micros::from_millis(200);
-
-/// Caller timeout assumed for callers that state none; the route's timeout applies as well.
-const DEFAULT_CALLER_TIMEOUT: Micros = Micros::from_secs(60);
-
 /// A caller's connection and properties of its current request.
 pub(crate) struct Caller {
     pub(crate) connection: Connection,
@@ -66,22 +54,6 @@
     }
 }
 
-/// Counts a request in progress until dropped.
-struct InProgressGuard<'a>(&'a Instance);
-
-impl<'a> InProgressGuard<'a> {
-    fn begin(instance: &'a Instance) -> Self {
-        instance.in_progress.set(instance.in_progress.get() + 1);
-        Self(instance)
-    }
-}
-
-impl Drop for InProgressGuard<'_> {
-    fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get().saturating_sub(1));
-    }
-}
-
 /// Serves requests on a connection until either side closes it.
 pub(crate) async fn serve(instance: Rc<Instance>, io: TcpStream) {
     instance.metrics.callers.inc();
@@ -93,62 +65,49 @@
         keep_alive: true,
         is_http_10: false,
     };
+    let mut pipeline = Pipeline::default();
     loop {
-        let limits = *instance.state.borrow().table().limits();
-        let times = HeadTimeouts { idle: limits.idle_timeout, head: limits.header_timeout };
-        let head = match caller.connection.read_request(times).await {
-            Ok(head) => head,
-            Err(e) => {
-                reject_head(&instance, &mut caller, &e).await;
-                caller.connection.close(CLOSE_TIMEOUT).await;
-                return;
+        if pipeline.is_empty() {
+            let limits = *instance.state.borrow().table().limits();
+            let times = HeadTimeouts { idle: limits.idle_timeout, head: limits.header_timeout };
+            let head = match caller.connection.read_request(times).await {
+                Ok(head) => head,
+                Err(e) => {
+                    reject_head(&instance, &mut caller, &e).await;
+                    caller.connection.close(CLOSE_TIMEOUT).await;
+                    return;
+                }
+            };
+            // Boxed, so that an idle connection does not hold the memory of a request in progress.
+            let started = Box::pin(start(&instance, &mut caller, head, &limits)).await;
+            match started {
+                Ok(started) => pipeline.push(started),
+                Err(_) => {
+                    caller.connection.close(CLOSE_TIMEOUT).await;
+                    return;
+                }
             }
-        };
-        let _progress = InProgressGuard::begin(&instance);
-        // Boxed, so that an idle connection does not hold the memory of a request in progress.
-        let result = Box::pin(serve_one(&instance, &mut caller, head, &limits)).await;
-        if result.is_err() || !caller.keep_alive {
+        }
+        let answered = Box::pin(answer_first(&instance, &mut caller, &mut pipeline)).await;
+        if answered.is_err() || !caller.keep_alive {
+            pipeline.abandon();
             caller.connection.close(CLOSE_TIMEOUT).await;
             return;
         }
     }
 }
 
-/// Answers a request that could not be read, unless the caller has closed the connection or sent
-/// nothing. The connection must close afterwards, because the start of the next request is unknown.
-async fn reject_head(instance: &Instance, caller: &mut Caller, e: &HttpError) {
-    let answer = match e {
-        HttpError::Io(e) if e.kind() == ErrorKind::TimedOut => {
-            LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "body_timeout")
-        }
-        HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => return,
-        HttpError::HeadTooLarge { .. } => {
-            LocalAnswer::new(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
-        }
-        // No request was begun on the idle connection, so no answer is expected.
-        HttpError::HeadTimeout if !caller.connection.has_unread() => return,
-        HttpError::HeadTimeout => LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "head_timeout"),
-        HttpError::BadHead(_) | HttpError::BadFraming(_) => {
-            LocalAnswer::new(StatusCode::BAD_REQUEST, "bad_request")
-        }
-    };
-    caller.keep_alive = false;
-    record_rejected(instance, None, "-", &answer);
-    if let Err(e) = answer.send(instance, caller, None).await {
-        log::debug!(error:% = e; "caller disconnected before its answer was sent");
-    }
-}
-
-async fn serve_one(
+/// Starts to serve the request with this head. After an error the connection has to be closed.
+async fn start(
     instance: &Rc<Instance>,
     caller: &mut Caller,
     head: RequestHead,
     limits: &CallerLimits,
-) -> Result<(), HttpError> {
+) -> Result<Started, HttpError> {
     let arrived = instance.now();
+    let mut started = Started::new(instance, &head);
     caller.method = head.method.clone();
-    caller.is_http_10 = head.version == Version::HTTP_10;
-    caller.keep_alive = is_keep_alive(&head) && instance.stage.get() == Stage::Serving;
+    caller.is_http_10 = started.is_http_10;
     let framing = match request_framing(head.version, &head.headers) {
         Ok(framing) => framing,
         Err(e) => {
@@ -156,98 +115,119 @@
             return Err(e);
         }
     };
-    let id = head.headers.get(&instance.names.request_id).cloned();
-    let caller_timeout =
-        request::caller_timeout(&instance.names, &head.headers).unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    let caller_timeout = intake::caller_timeout(instance, &head);
     startup::wait_until_known(instance, caller_timeout).await;
-    let route = match find_route(instance, &head) {
-        Ok(route) => route,
+    let admitted = intake::find_target(instance, &head)
+        .and_then(|target| intake::admit(instance, target, arrived, caller_timeout));
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
         Err(answer) => {
             // An unread body would be parsed as the next request.
-            caller.keep_alive &= framing == Framing::None;
-            record_rejected(instance, id.as_ref(), head.uri.path(), &answer);
-            return answer.send(instance, caller, id.as_ref()).await;
+            started.is_keep_alive &= framing == Framing::None;
+            started.reject(instance, head.uri.path(), answer);
+            return Ok(started);
         }
     };
-    let deadline = arrived + caller_timeout.min(route.timeout.into());
-    let body = match read_body(instance, caller, &head, framing, limits, deadline).await {
+    let deadline = admitted.deadline;
+    let body = match body::read(instance, caller, &head, framing, limits, deadline).await {
         Ok(Ok(body)) => body,
         Ok(Err(answer)) => {
-            caller.keep_alive = false;
-            record_rejected(instance, id.as_ref(), head.uri.path(), &answer);
-            return answer.send(instance, caller, id.as_ref()).await;
+            started.is_keep_alive = false;
+            started.reject(instance, head.uri.path(), answer);
+            return Ok(started);
         }
         Err(e) => {
             reject_head(instance, caller, &e).await;
             return Err(e);
         }
     };
-    let path = request::path(&head);
-    let fingerprint = Fingerprint::of(&route.host, head.method.as_str(), &path, &body);
-    let failed_first = instance.failed_requests.borrow_mut().take(arrived, fingerprint.0);
-    let first_at = failed_first.unwrap_or(arrived);
-    let caller_attempt =
-        if failed_first.is_some() { CallerAttempt::Repeated } else { CallerAttempt::First };
-    let target_at = instance.target_at(&route, arrived, first_at, caller_timeout);
-    let req = Request {
-        ticket: instance.next_request_number(),
-        id,
-        path,
-        fingerprint,
-        caller_attempt,
-        first_at,
-        method: head.method,
-        headers: request::server_headers(&instance.names, head.headers),
-        body,
-        route,
-        arrived,
-        target_at,
-        deadline,
-    };
-    serve_request(instance, caller, req).await
+    begin_call(instance, &mut started, admitted, head, body);
+    Ok(started)
 }
 
-fn find_route(instance: &Instance, head: &RequestHead) -> Result<Arc<Route>, LocalAnswer> {
-    let host = match request_host(head) {
-        Ok(host) => host,
-        Err(BadRequest::Version) => {
-            let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
-            return Err(LocalAnswer::new(status, BadRequest::Version.as_str()));
+/// Starts the exchange of an admitted request with a backend server.
+fn begin_call(
+    instance: &Rc<Instance>,
+    started: &mut Started,
+    admitted: Admitted,
+    head: RequestHead,
+    body: Body,
+) {
+    let req = intake::request(instance, admitted, head, body);
+    let service_name = instance.pick_service(&req.route).to_owned();
+    match instance.service(&service_name) {
+        Some(service) => started.run(Rc::new(Call::new(instance, service, req))),
+        None => {
+            let answer = LocalAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no_service");
+            started.reject(instance, &req.path, answer);
         }
-        Err(bad) => return Err(LocalAnswer::new(StatusCode::BAD_REQUEST, bad.as_str())),
-    };
-    let state = instance.state.borrow();
-    if state.config().is_none() {
-        let answer = LocalAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no_configuration");
-        return Err(answer.with_retry_after(NO_CONFIG_RETRY_AFTER));
     }
-    let route = state.table().find(host, head.uri.path());
-    route.cloned().ok_or(LocalAnswer::new(StatusCode::NOT_FOUND, "no_route"))
 }
 
-async fn serve_request(
+/// Serves the requests in progress until the first one has its answer, and sends that. Meanwhile
+/// further requests that have arrived may start. After an error the connection has to be closed.
+async fn answer_first(
     instance: &Rc<Instance>,
     caller: &mut Caller,
-    req: Request,
+    pipeline: &mut Pipeline,
 ) -> Result<(), HttpError> {
-    let service_name = instance.pick_service(&req.route).to_owned();
-    let Some(service) = instance.service(&service_name) else {
-        let answer = LocalAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no_service");
-        record_rejected(instance, req.id.as_ref(), &req.path, &answer);
-        return answer.send(instance, caller, req.id.as_ref()).await;
+    let (first, outcome) = loop {
+        start_early(instance, caller, pipeline);
+        let read = {
+            let finished = pin!(pipeline.finish_first());
+            let read = pin!(caller.connection.read_ahead());
+            match select(finished, read).await {
+                Either::Left(_) => Ok(()),
+                Either::Right((read, _)) => read,
+            }
+        };
+        if let Some(finished) = pipeline.pop_finished() {
+            break finished;
+        }
+        read?;
     };
-    let call = Call::new(instance, service, req);
-    let result = {
-        let work = pin!(exchange::run(&call));
-        let closed = pin!(caller.connection.closed());
-        match select(work, closed).await {
-            Either::Left((result, _)) => Some(result),
-            Either::Right(_) => None,
+    caller.method = first.method.clone();
+    caller.is_http_10 = first.is_http_10;
+    // Requests that have started behind this one get their answers before the connection closes.
+    let may_stay = instance.stage.get() == Stage::Serving || !pipeline.is_empty();
+    caller.keep_alive = first.is_keep_alive && may_stay;
+    let sent = {
+        let sending = pin!(send(instance, caller, &first, outcome));
+        let serving = pin!(pipeline.serve());
+        match select(sending, serving).await {
+            Either::Left((sent, _)) => sent,
+            Either::Right(((), sending)) => sending.await,
         }
     };
-    match result {
-        Some(Ok(reply)) => relay::send(&call, caller, reply).await,
-        Some(Err(failure)) => {
+    sent
+}
+
+/// Starts requests that have arrived behind those in progress, as far as that is allowed.
+fn start_early(instance: &Rc<Instance>, caller: &mut Caller, pipeline: &mut Pipeline) {
+    while caller.connection.has_unread() && pipeline.has_room(instance) {
+        let may_start = |head: &RequestHead| pipeline::may_start_early(instance, head);
+        let Some(head) = caller.connection.take_request_if(may_start) else { return };
+        let (arrived, caller_timeout) = (instance.now(), intake::caller_timeout(instance, &head));
+        let mut started = Started::new(instance, &head);
+        let admitted = intake::find_target(instance, &head)
+            .and_then(|target| intake::admit(instance, target, arrived, caller_timeout));
+        match admitted {
+            Ok(admitted) => begin_call(instance, &mut started, admitted, head, Body::none()),
+            Err(answer) => started.reject(instance, head.uri.path(), answer),
+        }
+        pipeline.push(started);
+    }
+}
+
+async fn send(
+    instance: &Instance,
+    caller: &mut Caller,
+    started: &Started,
+    outcome: Outcome,
+) -> Result<(), HttpError> {
+    match outcome {
+        Outcome::Reply(call, reply) => relay::send(&call, caller, reply).await,
+        Outcome::Failed(call, failure) => {
             let (now, req) = (instance.now(), &call.req);
             instance.failed_requests.borrow_mut().record(now, req.fingerprint.0, req.first_at);
             let end = RequestEnd {
@@ -257,55 +237,34 @@
                 retry_after: failure.retry_after,
             };
             record_end(&call, &end);
-            let answer = LocalAnswer::from(failure);
-            answer.send(instance, caller, call.req.id.as_ref()).await
-        }
-        None => {
-            let status = StatusCode::from_u16(499).unwrap_or(StatusCode::BAD_GATEWAY);
-            let (verdict, outcome) = (call.verdict(), "caller_left");
-            record_end(&call, &RequestEnd { status, outcome, verdict, retry_after: None });
-            Err(HttpError::Closed)
+            LocalAnswer::from(failure).send(instance, caller, call.req.id.as_ref()).await
         }
+        Outcome::Rejected(answer) => answer.send(instance, caller, started.id.as_ref()).await,
     }
 }
 
-/// Reads the whole body. The inner error is the answer to a body that is too large or too late.
-async fn read_body(
-    instance: &Instance,
-    caller: &mut Caller,
-    head: &RequestHead,
-    framing: Framing,
-    limits: &CallerLimits,
-    deadline: Micros,
-) -> Result<Result<Bytes, LocalAnswer>, HttpError> {
-    let too_large = LocalAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    if matches!(framing, Framing::Length(n) if n > limits.body_bytes) {
-        return Ok(Err(too_large));
-    }
-    if framing == Framing::None {
-        return Ok(Ok(Bytes::new()));
-    }
-    if expects_continue(head) {
-        caller.connection.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-        caller.connection.flush().await?;
-    }
-    let mut state = BodyState::new(framing);
-    let mut body = BytesMut::new();
-    loop {
-        let left = deadline - instance.now();
-        let piece = caller.connection.read_body(&mut state);
-        match monoio::time::timeout(left.into(), piece).await {
-            Ok(piece) => match piece? {
-                Some(piece) => body.extend_from_slice(&piece),
-                None => return Ok(Ok(body.freeze())),
-            },
-            Err(_) => {
-                return Ok(Err(LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "body_timeout")));
-            }
+/// Answers a request that could not be read, unless the caller has closed the connection or sent
+/// nothing. The connection must close afterwards, because the start of the next request is unknown.
+async fn reject_head(instance: &Instance, caller: &mut Caller, e: &HttpError) {
+    let answer = match e {
+        HttpError::Io(e) if e.kind() == ErrorKind::TimedOut => {
+            LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "body_timeout")
+        }
+        HttpError::Closed | HttpError::Truncated | HttpError::Io(_) => return,
+        HttpError::HeadTooLarge { .. } => {
+            LocalAnswer::new(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
         }
-        if body.len() as u64 > limits.body_bytes {
-            return Ok(Err(too_large));
+        // No request was begun on the idle connection, so no answer is expected.
+        HttpError::HeadTimeout if !caller.connection.has_unread() => return,
+        HttpError::HeadTimeout => LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "head_timeout"),
+        HttpError::BadHead(_) | HttpError::BadFraming(_) => {
+            LocalAnswer::new(StatusCode::BAD_REQUEST, "bad_request")
         }
+    };
+    caller.keep_alive = false;
+    record_rejected(instance, None, "-", &answer);
+    if let Err(e) = answer.send(instance, caller, None).await {
+        log::debug!(error:% = e; "caller disconnected before its answer was sent");
     }
 }
 
--- a/crates/galenapath-gateway/src/dialect.rs
+++ b/crates/galenapath-gateway/src/dialect.rs
@@ -32,6 +32,8 @@
     pub rate_limit: HeaderName,
     /// Present with a value other than `0` while the backend server is leaving.
     pub leaving: HeaderName,
+    /// Name of the workspace that a request belongs to, set for the backend server.
+    pub workspace: HeaderName,
 }
 
 /// A caller's request for instance addresses to connect to.
@@ -73,7 +75,8 @@
     /// Prefix of the keys under which backend servers are listed by identity.
     fn servers_prefix(&self) -> &'static str;
 
-    /// Parses the operator's configuration.
+    /// Parses the operator's configuration. An entry that cannot be read costs only itself and is
+    /// among the problems of the table.
     ///
     /// # Errors
     ///
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -103,7 +103,7 @@
         let server = in_flight.server.clone();
         call.tried.borrow_mut().push(server.clone());
         let result = match call.req.route.kind {
-            RouteKind::NonIdempotent => attempt_once(call, in_flight).await,
+            RouteKind::NonIdempotent | RouteKind::Upload => attempt_once(call, in_flight).await,
             RouteKind::Idempotent | RouteKind::Download => attempt_hedged(call, in_flight).await,
         };
         let error = match result {
@@ -133,13 +133,14 @@
         call.tried.borrow().iter().chain(&*call.unfit.borrow()).cloned().collect();
     let entry = QueueEntry {
         ticket: req.ticket,
-        rank: req.route.rank,
+        rank: req.rank,
+        workspace: req.workspace.as_ref().map(|workspace| workspace.id),
         arrived: req.arrived,
         target: req.target_at,
         deadline: req.deadline,
         has_exclusions: !excluded.is_empty(),
     };
-    let is_large = req.route.kind == RouteKind::Download;
+    let is_large = req.route.kind.is_large();
     call.service.placement.borrow_mut().assume_work(req.route.target.into());
     let placement_request = PlacementRequest { entry, tried: excluded, is_large };
     let mut result = call.service.place(&call.instance, placement_request).await;
@@ -267,7 +268,7 @@
     if !has_time || call.sends() >= call.req.route.max_attempts {
         return None;
     }
-    let is_large = call.req.route.kind == RouteKind::Download;
+    let is_large = call.req.route.kind.is_large();
     let tried = call.tried.borrow().clone();
     let hedge = call.service.place_hedge(&call.instance, &tried, is_large)?;
     if !take_retry(call) {
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -15,7 +15,6 @@
 use futures::channel::oneshot;
 use galenapath_http::{Connection, HttpError};
 use galenapath_protocol::{BackendId, Micros};
-use galenapath_routes::RouteKind;
 use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,7 +72,7 @@
     }
     let now = call.instance.now();
     let kept = service.take_connection(now, server).await;
-    let is_non_idempotent = call.req.route.kind == RouteKind::NonIdempotent;
+    let is_non_idempotent = !call.req.route.kind.is_idempotent();
     let is_idle_too_long =
         is_non_idempotent && kept.as_ref().is_some_and(|kept| kept.idle > MAX_TRUSTED_IDLE);
     let may_check_connection = || {
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -3,14 +3,17 @@
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
     HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
-    RemovalWire, WarmthWire,
+    RemovalWire, UsageWire, UsagesWire, WarmthWire,
 };
 use super::message::{
     CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, WarmthNote,
 };
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
-use galenapath_protocol::{BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros};
+use galenapath_policy::quota::UsageNote;
+use galenapath_protocol::{
+    BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros, WorkspaceId,
+};
 use galenapath_routes::{Evacuation, ListedServer, Removal, ServerRecord, ServerState, StartedAt};
 use std::time::Duration;
 
@@ -215,6 +218,31 @@
     }
 }
 
+/// Wire units of one request of a quota.
+const TENTHS: f64 = 10.0;
+
+impl From<&UsageNote> for UsageWire {
+    fn from(note: &UsageNote) -> Self {
+        Self {
+            workspace: note.workspace.0,
+            used: note.used,
+            level: (note.level * TENTHS) as i64,
+            demand: (note.demand * TENTHS) as u32,
+        }
+    }
+}
+
+impl From<UsageWire> for UsageNote {
+    fn from(wire: UsageWire) -> Self {
+        Self {
+            workspace: WorkspaceId(wire.workspace),
+            used: wire.used,
+            level: wire.level as f64 / TENTHS,
+            demand: f64::from(wire.demand) / TENTHS,
+        }
+    }
+}
+
 impl From<&Datagram> for DatagramWire {
     fn from(datagram: &Datagram) -> Self {
         match datagram {
@@ -230,6 +258,9 @@
                 warmth: loads.warmth.iter().map(Into::into).collect(),
             }),
             Datagram::Notices(notices) => Self::N(notices.into()),
+            Datagram::Usage { from, notes } => {
+                Self::Q(UsagesWire { from: from.0, notes: notes.iter().map(Into::into).collect() })
+            }
             Datagram::End(incarnation) => Self::E(EndWire { from: incarnation.0 }),
         }
     }
@@ -253,6 +284,10 @@
                 warmth: loads.warmth.into_iter().map(Into::into).collect(),
             }),
             DatagramWire::N(notices) => Self::Notices(notices.into()),
+            DatagramWire::Q(usages) => Self::Usage {
+                from: Incarnation(usages.from),
+                notes: usages.notes.into_iter().map(Into::into).collect(),
+            },
             DatagramWire::E(end) => Self::End(Incarnation(end.from)),
         })
     }
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -45,6 +45,8 @@
     L(LoadsWire),
     #[serde(rename = "n")]
     N(NoticesWire),
+    #[serde(rename = "q")]
+    Q(UsagesWire),
     #[serde(rename = "e")]
     E(EndWire),
 }
@@ -73,6 +75,11 @@
         Self::N(value)
     }
 }
+impl ::std::convert::From<UsagesWire> for DatagramWire {
+    fn from(value: UsagesWire) -> Self {
+        Self::Q(value)
+    }
+}
 impl ::std::convert::From<EndWire> for DatagramWire {
     fn from(value: EndWire) -> Self {
         Self::E(value)
@@ -234,6 +241,27 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub withdrawn: ::std::vec::Vec<EvacuationWire>,
 }
+///One workspace at the sender.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsageWire {
+    ///Tenths of a request a second that the workspace sends to the sender.
+    pub demand: u32,
+    ///Tenths of a request that may be granted now by what the sender knows.
+    pub level: i64,
+    ///Requests granted since the sender started, less those that did not run.
+    pub used: i64,
+    ///Hash of the workspace's name.
+    pub workspace: u64,
+}
+///What the sender has charged to the quotas of workspaces.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UsagesWire {
+    ///Incarnation of the sender.
+    pub from: u64,
+    pub notes: ::std::vec::Vec<UsageWire>,
+}
 ///Remaining time that a backend server stays cold.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -3,6 +3,7 @@
 use super::generated::DatagramWire;
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Heartbeat, Member};
+use galenapath_policy::quota::UsageNote;
 use galenapath_protocol::{Incarnation, LoadReport, Micros};
 
 /// Version of the message format; datagrams of another version are ignored.
@@ -21,6 +22,13 @@
     Loads(Loads),
     /// Statements of backend servers about themselves.
     Notices(Notices),
+    /// What the sender has charged to the quotas of workspaces.
+    Usage {
+        /// The sender.
+        from: Incarnation,
+        /// One note for each workspace.
+        notes: Vec<UsageNote>,
+    },
     /// The sender is about to exit.
     End(Incarnation),
 }
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -212,8 +212,10 @@
         Datagram::Members(members) => apply_members(instance, members, from),
         Datagram::Loads(loads) => instance.apply_loads(&loads),
         Datagram::Notices(notices) => instance.apply_notices(&notices),
+        Datagram::Usage { from: sender, notes } => instance.apply_usage(sender, from, &notes),
         Datagram::End(incarnation) => {
             log::info!(incarnation:% = incarnation; "instance has ended");
+            instance.quotas.borrow_mut().forget(incarnation);
             instance.membership.borrow_mut().remove(incarnation);
         }
     }
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::metrics::Metrics;
+use crate::quota::Reporters;
 use crate::rate::Rate;
 use crate::services::Services;
 use crate::sharing::Outbox;
@@ -10,11 +11,12 @@
 use crate::usage::{Flow, Usage};
 use galenapath_filings::{SuspectConfig, Suspects};
 use galenapath_membership::{
-    HeartbeatConfig, HeartbeatMembership, InstanceStatus, Member, MemberStatus, StoreHealth,
+    HeartbeatConfig, HeartbeatMembership, InstanceStatus, Member, MemberStatus, Peer, StoreHealth,
 };
 use galenapath_policy::dispatch::PeakLoad;
 use galenapath_policy::measure::{CrossDomainSends, QueryTimes};
 use galenapath_policy::place::{Placement, time_spent};
+use galenapath_policy::quota::QuotaLedger;
 use galenapath_policy::{FailedRequests, LogLineBudget, LogLineKind};
 use galenapath_protocol::{DomainId, FastMap, Incarnation, Micros};
 use galenapath_routes::{Route, WeightedRoundRobin};
@@ -39,6 +41,22 @@
     Closing,
 }
 
+/// Counts a request in progress until dropped.
+pub(crate) struct InProgressGuard(Rc<Instance>);
+
+impl InProgressGuard {
+    pub(crate) fn begin(instance: &Rc<Instance>) -> Self {
+        instance.in_progress.set(instance.in_progress.get() + 1);
+        Self(Rc::clone(instance))
+    }
+}
+
+impl Drop for InProgressGuard {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get().saturating_sub(1));
+    }
+}
+
 /// An instance. A borrow of one of its cells must never be held across an await.
 pub(crate) struct Instance {
     settings: RefCell<Rc<GatewaySettings>>,
@@ -60,6 +78,10 @@
     pub(crate) suspects: RefCell<Suspects>,
     /// Requests that failed on this instance and that their callers may retry.
     pub(crate) failed_requests: RefCell<FailedRequests>,
+    /// Quotas of the workspaces.
+    pub(crate) quotas: RefCell<QuotaLedger>,
+    /// Other instances that report what they charge to quotas.
+    pub(crate) reporters: RefCell<Reporters>,
     /// Updates to send to other instances with the next datagram.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) stage: Cell<Stage>,
@@ -69,6 +91,8 @@
     store_answered_at: Cell<Micros>,
     /// Requests in progress.
     pub(crate) in_progress: Cell<u32>,
+    /// Bytes of request bodies in memory.
+    pub(crate) body_bytes: Cell<usize>,
     line_budget: Cell<LogLineBudget>,
     /// Durations of load queries to servers.
     query_times: Cell<QueryTimes>,
@@ -115,12 +139,15 @@
             longest_timeouts: RefCell::default(),
             suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
             failed_requests: RefCell::default(),
+            quotas: RefCell::default(),
+            reporters: RefCell::default(),
             outbox: RefCell::default(),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
             is_watching: Cell::new(false),
             store_answered_at: Cell::new(clock.now()),
             in_progress: Cell::new(0),
+            body_bytes: Cell::new(0),
             line_budget: Cell::new(LogLineBudget::new(settings.log_lines)),
             query_times: Cell::default(),
             last_serving_at: Cell::new(Micros::ZERO),
@@ -238,12 +265,24 @@
         self.store_answered_at.set(self.now());
     }
 
+    /// Whether the operator may have changed the configuration without this instance knowing: the
+    /// store has answered neither it nor an instance that it hears for `silence`, or another
+    /// instance has a newer version.
+    pub(crate) fn may_lag_behind(&self, silence: Micros) -> bool {
+        let own = self.state.borrow().table().version();
+        let is_ahead = |peer: &Peer| peer.is_up() && peer.status.config_version > own;
+        self.now() - self.store_answered_at.get() > silence
+            || self.membership.borrow().peers().any(is_ahead)
+    }
+
     /// Updates the gauges and counters that are computed only when metrics are read.
     pub(crate) fn refresh_gauges(&self) {
         let now = self.now();
         self.usage.publish(&self.metrics);
         let seconds = |span: Micros| span.as_millis_f64() / 1_000.0;
         self.metrics.store_age.set(seconds(now - self.store_answered_at.get()));
+        let contended = self.quotas.borrow().contended_count();
+        self.metrics.contended_quotas.set(i64::try_from(contended).unwrap_or(i64::MAX));
         self.metrics.peer_silence.set(seconds(self.membership.borrow().longest_silence(now)));
         let services = self.services.borrow();
         let count = |of: fn(&Placement, Micros) -> usize| {
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -5,9 +5,11 @@
 //! Decisions are made by crates without I/O (`galenapath-policy`, `galenapath-routes`,
 //! `galenapath-membership`); the modules here supply their inputs and carry out the results.
 
+mod access;
 mod addresses;
 mod answer;
 mod attempt;
+mod body;
 mod call;
 mod caller;
 mod clock;
@@ -22,14 +24,17 @@
 mod fleet;
 mod in_flight;
 mod instance;
+mod intake;
 mod leaving;
 mod load_query;
 mod logging;
 mod loss_watchers;
 mod metrics;
 mod notices;
+mod pipeline;
 mod pool;
 mod probe;
+mod quota;
 mod rate;
 mod relay;
 mod reload;
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -42,6 +42,15 @@
     pub store_calls: IntCounterVec,
     /// Entries under the servers' key prefix that cannot be parsed as a server.
     pub unreadable_entries: IntCounter,
+    /// Requests of workspaces with a quota, by whether they were granted, refused, or granted and
+    /// returned because they did not run.
+    pub quota: IntCounterVec,
+    /// Workspaces of whose quota little is left.
+    pub contended_quotas: IntGauge,
+    /// Configurations that could not be read at all.
+    pub rejected_configs: IntCounter,
+    /// Entries of the configuration in force that cannot be used as written.
+    pub config_problems: IntGauge,
     /// Log lines dropped because the line budget was used up.
     pub dropped_log_lines: IntCounter,
     /// Open connections from callers.
@@ -95,6 +104,18 @@
                 "unreadable_entries_total",
                 "Entries that name no server",
             )?,
+            quota: counters(&r, "quota_total", "Requests charged to quotas", &["result"])?,
+            contended_quotas: gauge(&r, "contended_quotas", "Workspaces with little quota left")?,
+            rejected_configs: counter(
+                &r,
+                "rejected_configs_total",
+                "Configurations that cannot be read",
+            )?,
+            config_problems: gauge(
+                &r,
+                "config_problems",
+                "Entries of the configuration that cannot be used as written",
+            )?,
             dropped_log_lines: counter(&r, "log_left_out_total", "Log lines left out")?,
             callers: gauge(&r, "caller_connections", "Open connections from callers")?,
             waiting: gauge(&r, "waiting", "Requests that wait for a server")?,
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -1,18 +1,20 @@
 //! A caller's request.
 
+use crate::body::Body;
 use crate::dialect::HeaderNames;
-use bytes::Bytes;
+use crate::quota::QuotaCharge;
 use galenapath_filings::Fingerprint;
 use galenapath_http::{Framing, RequestHead, strip_hop_by_hop};
 use galenapath_policy::CallerAttempt;
 use galenapath_protocol::Micros;
-use galenapath_routes::Route;
+use galenapath_routes::{Route, Workspace};
 use http::Method;
-use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{
+    AUTHORIZATION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use std::sync::Arc;
 
 /// A request that has been read completely.
-#[derive(Debug)]
 pub(crate) struct Request {
     /// Number of the request within this incarnation of the instance.
     pub(crate) ticket: u64,
@@ -23,8 +25,14 @@
     pub(crate) path: String,
     /// Headers for the backend server, except those that are set for each send.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
     pub(crate) route: Arc<Route>,
+    /// Workspace that the request belongs to; `None` if it needs none.
+    pub(crate) workspace: Option<Arc<Workspace>>,
+    /// Charge to the quota of the workspace, if that has one.
+    pub(crate) charge: Option<QuotaCharge>,
+    /// Priority among the requests that wait for a server; 0 is the most urgent.
+    pub(crate) rank: u32,
     /// Identifies requests for the same work.
     pub(crate) fingerprint: Fingerprint,
     /// Whether the caller has sent the same request before.
@@ -75,6 +83,22 @@
     headers
 }
 
+/// Like [`server_headers`], where the configuration has workspaces: the key is not forwarded, and
+/// the workspace is the one that holds it, whatever the caller sent.
+pub(crate) fn keyed_headers(
+    names: &HeaderNames,
+    headers: HeaderMap,
+    workspace: Option<&Workspace>,
+) -> HeaderMap {
+    let mut headers = server_headers(names, headers);
+    headers.remove(AUTHORIZATION);
+    headers.remove(&names.workspace);
+    if let Some(workspace) = workspace {
+        set_header(&mut headers, &names.workspace, &workspace.name);
+    }
+    headers
+}
+
 /// Sets a header; logs a value that is not valid in a header.
 pub(crate) fn set_header(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
     match HeaderValue::from_str(text) {
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -111,6 +111,9 @@
     }
 }
 
+/// Maximum number of entries of one configuration whose problems are logged one by one.
+const MAX_PROBLEM_LINES: usize = 10;
+
 impl Instance {
     /// Applies a configuration read from the store if it is newer than the one in force.
     pub(crate) fn apply_config(&self, text: &[u8]) {
@@ -142,6 +145,7 @@
         let table = match self.dialect.parse_route_table(text) {
             Ok(table) => table,
             Err(e) => {
+                self.metrics.rejected_configs.inc();
                 log::error!(error = e, source, in_force = before; "configuration refused");
                 return;
             }
@@ -151,6 +155,8 @@
         if version <= before && !is_first {
             return;
         }
+        self.report_config_problems(&table, source);
+        self.apply_quotas(&table);
         let mut state = self.state.borrow_mut();
         state.table = Rc::new(table);
         state.config = Some(compressed());
@@ -161,6 +167,22 @@
         self.refresh_services();
     }
 
+    /// Counts and logs the entries of a configuration that cannot be used as written.
+    fn report_config_problems(&self, table: &RouteTable, source: &str) {
+        let (version, problems) = (table.version(), table.problems());
+        self.metrics.config_problems.set(i64::try_from(problems.len()).unwrap_or(i64::MAX));
+        for problem in problems.iter().take(MAX_PROBLEM_LINES) {
+            let (resource_type, name) = (problem.resource_type.as_str(), problem.name.as_str());
+            let reason = problem.fault.to_string();
+            log::warn!(version, resource_type, name, reason, source;
+                "entry of the configuration cannot be used as written; the others are in force");
+        }
+        let remaining = problems.len().saturating_sub(MAX_PROBLEM_LINES);
+        if remaining > 0 {
+            log::warn!(version, remaining; "further entries of the configuration cannot be used");
+        }
+    }
+
     /// Applies the changes of a watch on the store, up to `position`.
     pub(crate) fn apply_events(&self, events: &[KeyEvent], position: u64) {
         for event in events {
--- a/crates/galenapath-gateway/src/usage.rs
+++ b/crates/galenapath-gateway/src/usage.rs
@@ -32,6 +32,8 @@
     Members,
     /// Load observations and failures of backend servers.
     Loads,
+    /// Requests charged to the quotas of workspaces.
+    Quotas,
     /// The configuration and the list of backend servers, between instances.
     State,
     /// Load queries to backend servers.
@@ -41,14 +43,22 @@
 }
 
 impl Flow {
-    const ALL: [Self; 6] =
-        [Self::Heartbeat, Self::Members, Self::Loads, Self::State, Self::Query, Self::Request];
+    const ALL: [Self; 7] = [
+        Self::Heartbeat,
+        Self::Members,
+        Self::Loads,
+        Self::Quotas,
+        Self::State,
+        Self::Query,
+        Self::Request,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Heartbeat => "heartbeat",
             Self::Members => "members",
             Self::Loads => "loads",
+            Self::Quotas => "quotas",
             Self::State => "state",
             Self::Query => "question",
             Self::Request => "request",
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::body::TakeResult;
 use crate::{BodyState, Framing, HttpError, RequestHead, ResponseHead, check_head};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use monoio::buf::{IoBufMut, SliceMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
@@ -274,13 +274,43 @@
     /// are kept for the next message. After `MAX_READ_AHEAD` bytes it stops reading and never
     /// resolves.
     pub async fn closed(&mut self) {
-        while self.input.len() < MAX_READ_AHEAD {
-            match self.fill_up_to(WATCH_READ_SIZE).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
-            }
+        while self.read_ahead().await.is_ok() {}
+    }
+
+    /// Reads once, while the current message needs no input, and keeps the bytes for the next
+    /// message. Never resolves while `MAX_READ_AHEAD` bytes are kept.
+    ///
+    /// # Errors
+    ///
+    /// If the peer has closed the connection or it failed.
+    pub async fn read_ahead(&mut self) -> Result<(), HttpError> {
+        if self.input.len() >= MAX_READ_AHEAD {
+            std::future::pending::<()>().await;
+        }
+        match self.fill_up_to(WATCH_READ_SIZE).await? {
+            0 => Err(HttpError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes the next request's head if it has arrived completely, is valid, and `accepts` it. All
+    /// other input is left for [`Self::read_request`].
+    pub fn take_request_if(
+        &mut self,
+        accepts: impl FnOnce(&RequestHead) -> bool,
+    ) -> Option<RequestHead> {
+        let end = find_head_end(&self.input, 0).filter(|end| *end <= self.head_limit)?;
+        check_head(&self.input[..end]).ok()?;
+        let Ok(Decoded::Some(head)) =
+            RequestHeadDecoder.decode(&mut BytesMut::from(&self.input[..end]))
+        else {
+            return None;
+        };
+        if !accepts(&head) {
+            return None;
         }
-        std::future::pending().await
+        self.input.advance(end);
+        Some(head)
     }
 
     /// Whether an idle connection has been closed by the peer or has received unsolicited bytes.
--- a/crates/galenapath-lab/src/simulation/request.rs
+++ b/crates/galenapath-lab/src/simulation/request.rs
@@ -45,6 +45,7 @@
         let state = self.instances[instance].requests.entry(request).or_default();
         PlacementRequest {
             entry: QueueEntry {
+                workspace: None,
                 ticket: request as u64,
                 rank: 0,
                 arrived: self.now,
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -213,6 +213,9 @@
             if is_up != peer.is_up {
                 peer.is_up = is_up;
                 peer.awaits_contact = !is_up;
+                if !is_up {
+                    peer.down_at = now;
+                }
                 changes.push(ReachabilityChange {
                     member: peer.member.clone(),
                     is_up,
--- a/crates/galenapath-membership/src/peer.rs
+++ b/crates/galenapath-membership/src/peer.rs
@@ -39,6 +39,8 @@
     pub(crate) last_contact_at: Micros,
     pub(crate) last_sent_at: Micros,
     pub(crate) is_up: bool,
+    /// When it was last found down; zero before that.
+    pub(crate) down_at: Micros,
     /// Whether it is considered down and no message from it has arrived since.
     pub(crate) awaits_contact: bool,
     /// Since when each of its heartbeats has had another digest than this instance.
@@ -55,6 +57,7 @@
             last_contact_at: now,
             last_sent_at: Micros::ZERO,
             is_up: member.status != MemberStatus::Gone,
+            down_at: Micros::ZERO,
             awaits_contact: false,
             differs_since: None,
             accusers: FastMap::default(),
@@ -67,6 +70,11 @@
         self.is_up
     }
 
+    /// Whether it was found down less than `span` ago and has not been heard since.
+    pub fn is_down_since_less_than(&self, now: Micros, span: Micros) -> bool {
+        !self.is_up && now - self.down_at < span
+    }
+
     /// Records a message from the instance itself.
     pub(crate) fn record_contact(&mut self, now: Micros) {
         self.last_contact_at = now;
--- a/crates/galenapath-policy/src/place/queue.rs
+++ b/crates/galenapath-policy/src/place/queue.rs
@@ -4,10 +4,13 @@
 //! order, requests that can no longer meet their target hold the slots that others could still use
 //! in time; without early rejections, callers wait in vain and retry too late.
 //!
+//! A workspace that sends many times its usual would fill the queue, and the few requests of the
+//! others would wait behind all of its. Within a rank the workspaces therefore take turns.
+//!
 //! A request waits for as long as it can still meet its target. One that cannot, because it was
 //! retried late after a rejection, waits behind all others for a slot that is not needed otherwise.
 
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Micros, WorkspaceId};
 use std::collections::BTreeMap;
 
 /// Thresholds of the queue.
@@ -47,8 +50,10 @@
 pub struct QueueEntry {
     /// The instance's number of the request.
     pub ticket: u64,
-    /// Rank of its route; 0 is the most urgent.
+    /// Rank of its route or workspace; 0 is the most urgent.
     pub rank: u32,
+    /// Workspace that it belongs to; `None` if there are none.
+    pub workspace: Option<WorkspaceId>,
     /// When it arrived.
     pub arrived: Micros,
     /// Latency target.
@@ -69,11 +74,13 @@
     pub predicted_wait: Micros,
 }
 
-/// Position in the queue: requests that can meet their target first, then by rank, then by age.
+/// Position in the queue: requests that can meet their target first, then by rank, then the first
+/// waiting request of each workspace, the second ones and so on, then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
     is_late: bool,
     rank: u32,
+    turn: u32,
     arrived: Micros,
     ticket: u64,
 }
@@ -101,7 +108,7 @@
 
     /// Whether a waiting request goes before one that arrives now.
     pub fn has_earlier(&self, now: Micros, entry: &QueueEntry) -> bool {
-        let own = position(entry, entry.target <= now);
+        let own = self.position(entry, entry.target <= now);
         self.waiting.range(..own).next().is_some()
     }
 
@@ -118,7 +125,7 @@
         start_interval: Micros,
         work: Micros,
     ) -> Result<(), QueueRejection> {
-        let on_time = position(&entry, false);
+        let on_time = self.position(&entry, false);
         let predicted_wait = self.predict_wait(&on_time, start_interval);
         let allowed = scaled(entry.target - now - work, self.cfg.margin);
         if self.waiting.len() < self.cfg.max_waiting
@@ -128,7 +135,7 @@
             self.waiting.insert(on_time, entry);
             return Ok(());
         }
-        let late = position(&entry, true);
+        let late = self.position(&entry, true);
         let predicted_wait = self.predict_wait(&late, start_interval);
         let allowed = scaled(entry.deadline - now, self.cfg.late_share);
         let misses_deadline = now + predicted_wait + work > entry.deadline;
@@ -140,6 +147,21 @@
         Ok(())
     }
 
+    /// The position of a request that is not in the queue.
+    fn position(&self, entry: &QueueEntry, is_late: bool) -> Position {
+        let QueueEntry { rank, arrived, ticket, .. } = *entry;
+        let turn = entry.workspace.map_or(0, |workspace| self.next_turn(workspace, is_late));
+        Position { is_late, rank, turn, arrived, ticket }
+    }
+
+    /// The turn of the workspace's next request: behind its last one that waits.
+    fn next_turn(&self, workspace: WorkspaceId, is_late: bool) -> u32 {
+        let waiting = self.waiting.iter().filter(|(position, entry)| {
+            position.is_late == is_late && entry.workspace == Some(workspace)
+        });
+        waiting.map(|(position, _)| position.turn + 1).max().unwrap_or(0)
+    }
+
     /// Predicted time until all requests before `position` and one more have started.
     fn predict_wait(&self, position: &Position, start_interval: Micros) -> Micros {
         let ahead = self.waiting.range(..position).count();
@@ -199,10 +221,6 @@
     }
 }
 
-fn position(entry: &QueueEntry, is_late: bool) -> Position {
-    Position { is_late, rank: entry.rank, arrived: entry.arrived, ticket: entry.ticket }
-}
-
 fn scaled(span: Micros, part: f32) -> Micros {
     Micros((span.0 as f64 * f64::from(part)) as u64)
 }
--- a/crates/galenapath-policy/tests/place/queue.rs
+++ b/crates/galenapath-policy/tests/place/queue.rs
@@ -1,7 +1,7 @@
 //! The queue: order, acceptance and rejection.
 
 use galenapath_policy::place::{QueueConfig, QueueEntry, WaitQueue};
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Micros, WorkspaceId};
 
 const START: Micros = Micros::from_secs(10);
 const WORK: Micros = Micros::from_millis(100);
@@ -13,6 +13,7 @@
 
 fn entry(ticket: u64, rank: u32, target: u64, deadline: u64) -> QueueEntry {
     QueueEntry {
+        workspace: None,
         ticket,
         rank,
         arrived: START,
@@ -129,3 +130,24 @@
     assert_eq!(queue.remove(1).map(|entry| entry.ticket), Some(1));
     assert!(queue.is_empty());
 }
+
+#[test]
+fn offer_workspaces_take_turns_within_rank() {
+    let mut queue = WaitQueue::new(QueueConfig::default());
+    let of = |workspace, ticket, rank| QueueEntry {
+        workspace: Some(WorkspaceId(workspace)),
+        ..entry(ticket, rank, 4_000, 8_000)
+    };
+    let mut offer = |entry| queue.offer(START, entry, ms(1), ms(10)).unwrap();
+    // One workspace sends many requests before another sends its first.
+    (0..10).for_each(|ticket| offer(of(1, ticket, 1)));
+    offer(of(2, 20, 1));
+    offer(of(2, 21, 1));
+    offer(of(3, 30, 0));
+    let mut order = Vec::new();
+    while let Some(next) = queue.candidates().next().map(|entry| entry.ticket) {
+        queue.remove(next);
+        order.push(next);
+    }
+    assert_eq!(order, [30, 0, 20, 1, 21, 2, 3, 4, 5, 6, 7, 8, 9]);
+}
--- a/crates/galenapath-routes/src/route.rs
+++ b/crates/galenapath-routes/src/route.rs
@@ -11,6 +11,8 @@
     NonIdempotent,
     /// May run more than once and has a large answer.
     Download,
+    /// Runs at most once, like `NonIdempotent`, and has a large body.
+    Upload,
 }
 
 impl RouteKind {
@@ -18,7 +20,16 @@
     pub const fn is_idempotent(self) -> bool {
         match self {
             Self::Idempotent | Self::Download => true,
-            Self::NonIdempotent => false,
+            Self::NonIdempotent | Self::Upload => false,
+        }
+    }
+
+    /// Whether requests or answers are so large that their transfer matters for the choice of a
+    /// server.
+    pub const fn is_large(self) -> bool {
+        match self {
+            Self::Download | Self::Upload => true,
+            Self::Idempotent | Self::NonIdempotent => false,
         }
     }
 
@@ -28,6 +39,7 @@
             Self::Idempotent => "idempotent",
             Self::NonIdempotent => "once_only",
             Self::Download => "download",
+            Self::Upload => "upload",
         }
     }
 }
@@ -62,4 +74,6 @@
     pub max_attempts: u32,
     /// Priority among routes that share a service; 0 is the most urgent.
     pub rank: u32,
+    /// Whether requests need no key where the configuration has workspaces.
+    pub is_public: bool,
 }
--- a/crates/galenapath-routes/src/table.rs
+++ b/crates/galenapath-routes/src/table.rs
@@ -1,65 +1,114 @@
-//! All routes, services and limits of one version of the configuration.
+//! All routes, services, workspaces and limits of one version of the configuration.
+//!
+//! A new release of the operator's tools may write kinds, fields and entries that this release does
+//! not know. Rejecting the whole document would stop every later change, and an instance that
+//! starts would have no configuration at all, so an entry that cannot be used costs no more than
+//! itself: a route of an unknown kind runs its requests at most once, and a route that cannot be
+//! served is kept as [`RouteMatch::Unusable`], because its requests would otherwise match a route
+//! with a shorter prefix.
 
-use crate::{CallerLimits, Route, ServiceSpec};
+use crate::resource::{Resource, ResourceFault, ResourceProblem, ResourceType, UnreadableResource};
+use crate::workspace::Workspaces;
+use crate::{CallerLimits, KeyDigest, Route, RouteKind, ServiceSpec, Workspace};
 use galenapath_protocol::FastMap;
 use std::sync::Arc;
-use thiserror::Error;
-
-/// Why a configuration is invalid.
-#[derive(Debug, Error, PartialEq, Eq)]
-pub enum TableError {
-    /// A route sends requests to a service that is not in the configuration.
-    #[error("route `{route}` names the service `{service}`, which does not exist")]
-    UnknownService {
-        /// Name of the route.
-        route: String,
-        /// Name of the service.
-        service: String,
-    },
-    /// A route has no service that could get requests.
-    #[error("route `{0}` has no service with a weight above zero")]
-    NoWeightedService(String),
-    /// A prefix that does not begin and end with a slash.
-    #[error("route `{route}` has the prefix `{prefix}`, which must begin and end with a slash")]
-    BadPrefix {
-        /// Name of the route.
-        route: String,
-        /// The prefix.
-        prefix: String,
-    },
+
+/// The route that a request matches.
+#[derive(Clone, Copy, Debug)]
+pub enum RouteMatch<'a> {
+    /// The route.
+    Route(&'a Arc<Route>),
+    /// The configuration has a route, but it cannot be used.
+    Unusable,
+    /// There is no route.
+    None,
+}
+
+impl<'a> RouteMatch<'a> {
+    /// The route, if there is one that can be used.
+    pub fn route(self) -> Option<&'a Arc<Route>> {
+        match self {
+            Self::Route(route) => Some(route),
+            Self::Unusable | Self::None => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Entry {
+    Usable(Arc<Route>),
+    Unusable,
 }
 
 /// One version of the operator's configuration.
 ///
-/// Invariant: `by_host` holds each route under its host and prefix, and each service that a route
-/// names is in `services`.
+/// Invariant: `by_host` holds each route under its host and prefix, and each service that a usable
+/// route names is in `services`.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     version: u64,
-    by_host: FastMap<String, FastMap<String, Arc<Route>>>,
+    by_host: FastMap<String, FastMap<String, Entry>>,
     services: FastMap<String, ServiceSpec>,
+    /// `None` if the configuration has no workspaces, so that requests need no key.
+    workspaces: Option<Workspaces>,
     limits: CallerLimits,
+    problems: Vec<ResourceProblem>,
 }
 
 impl RouteTable {
-    /// Builds the table of `version`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error for the first route that is invalid.
-    pub fn new(
-        version: u64,
-        routes: Vec<Route>,
-        services: FastMap<String, ServiceSpec>,
-        limits: CallerLimits,
-    ) -> Result<Self, TableError> {
-        let mut by_host: FastMap<String, FastMap<String, Arc<Route>>> = FastMap::default();
-        for route in routes {
-            check(&route, &services)?;
-            let prefixes = by_host.entry(route.host.clone()).or_default();
-            prefixes.insert(route.prefix.clone(), Arc::new(route));
+    /// Builds the table of `version`. Entries that cannot be used are in [`Self::problems`].
+    pub fn new(version: u64, resources: Vec<Resource>) -> Self {
+        let mut table = Self { version, ..Self::default() };
+        let mut routes = Vec::new();
+        for resource in resources {
+            match resource {
+                Resource::Route { route, unknown_kind } => routes.push((route, unknown_kind)),
+                Resource::Service { name, spec } => {
+                    table.services.insert(name, spec);
+                }
+                Resource::Workspace { workspace, keys } => {
+                    table.workspaces.get_or_insert_default().insert(workspace, keys);
+                }
+                Resource::Limits(limits) => table.limits = limits,
+                Resource::Unreadable(unreadable) => table.add_unreadable(unreadable),
+            }
+        }
+        for (route, unknown_kind) in routes {
+            table.add_route(route, unknown_kind);
         }
-        Ok(Self { version, by_host, services, limits })
+        table
+    }
+
+    fn add_route(&mut self, mut route: Route, unknown_kind: Option<String>) {
+        let fault = check(&route, &self.services);
+        if let Some(kind) = unknown_kind {
+            route.kind = RouteKind::NonIdempotent;
+            self.add_problem(ResourceType::Route, &route.name, ResourceFault::UnknownKind(kind));
+        }
+        let (host, prefix) = (route.host.clone(), route.prefix.clone());
+        let entry = match fault {
+            None => Entry::Usable(Arc::new(route)),
+            Some(fault) => {
+                self.add_problem(ResourceType::Route, &route.name, fault);
+                Entry::Unusable
+            }
+        };
+        self.by_host.entry(host).or_default().insert(prefix, entry);
+    }
+
+    fn add_unreadable(&mut self, unreadable: UnreadableResource) {
+        let UnreadableResource { resource_type, name, reason, location } = unreadable;
+        if let Some((host, prefix)) = location {
+            self.by_host.entry(host).or_default().insert(prefix, Entry::Unusable);
+        }
+        if resource_type == ResourceType::Workspace {
+            self.workspaces.get_or_insert_default();
+        }
+        self.add_problem(resource_type, &name, ResourceFault::Unreadable(reason));
+    }
+
+    fn add_problem(&mut self, resource_type: ResourceType, name: &str, fault: ResourceFault) {
+        self.problems.push(ResourceProblem { resource_type, name: name.to_owned(), fault });
     }
 
     /// Version of the configuration; higher is newer.
@@ -67,15 +116,38 @@
         self.version
     }
 
+    /// The entries that are not in force as the operator wrote them.
+    pub fn problems(&self) -> &[ResourceProblem] {
+        &self.problems
+    }
+
     /// The route with the longest prefix that `path` begins with, among the routes of `host`. The
     /// cost grows with the depth of the path, not with the number of routes.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let prefixes = match self.by_host.get(host) {
-            Some(prefixes) => prefixes,
-            None => self.by_host.get(&host.to_ascii_lowercase())?,
-        };
+    pub fn find(&self, host: &str, path: &str) -> RouteMatch<'_> {
+        let prefixes =
+            self.by_host.get(host).or_else(|| self.by_host.get(&host.to_ascii_lowercase()));
+        let Some(prefixes) = prefixes else { return RouteMatch::None };
         let slashes = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/');
-        slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| prefixes.get(prefix))
+        match slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| prefixes.get(prefix)) {
+            Some(Entry::Usable(route)) => RouteMatch::Route(route),
+            Some(Entry::Unusable) => RouteMatch::Unusable,
+            None => RouteMatch::None,
+        }
+    }
+
+    /// Whether requests on routes that are not public need the key of a workspace.
+    pub fn requires_key(&self) -> bool {
+        self.workspaces.is_some()
+    }
+
+    /// The workspace that holds the key with this digest.
+    pub fn workspace(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.workspaces.as_ref()?.by_key(key)
+    }
+
+    /// All workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.iter().flat_map(Workspaces::all)
     }
 
     /// A service of this version.
@@ -93,7 +165,7 @@
         &self.limits
     }
 
-    /// Number of routes.
+    /// Number of routes, including those that cannot be used.
     pub fn len(&self) -> usize {
         self.by_host.values().map(FastMap::len).sum()
     }
@@ -104,20 +176,14 @@
     }
 }
 
-fn check(route: &Route, services: &FastMap<String, ServiceSpec>) -> Result<(), TableError> {
-    let has_slashes = route.prefix.starts_with('/') && route.prefix.ends_with('/');
-    if !has_slashes {
-        let (route, prefix) = (route.name.clone(), route.prefix.clone());
-        return Err(TableError::BadPrefix { route, prefix });
+/// Why a route cannot be used; `None` if it can.
+fn check(route: &Route, services: &FastMap<String, ServiceSpec>) -> Option<ResourceFault> {
+    if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+        return Some(ResourceFault::BadPrefix(route.prefix.clone()));
     }
     if route.services.iter().all(|weighted| weighted.weight == 0) {
-        return Err(TableError::NoWeightedService(route.name.clone()));
-    }
-    match route.services.iter().find(|weighted| !services.contains_key(&weighted.service)) {
-        Some(weighted) => Err(TableError::UnknownService {
-            route: route.name.clone(),
-            service: weighted.service.clone(),
-        }),
-        None => Ok(()),
+        return Some(ResourceFault::NoWeightedService);
     }
+    let unknown = route.services.iter().find(|weighted| !services.contains_key(&weighted.service));
+    unknown.map(|weighted| ResourceFault::UnknownService(weighted.service.clone()))
 }
--- a/crates/galenapath-settings/src/gateway.rs
+++ b/crates/galenapath-settings/src/gateway.rs
@@ -1,7 +1,9 @@
 //! Settings of a gateway instance: reading, validation and default values.
 
 use crate::SettingsError;
-use crate::generated_gateway::{GatewayListenWire, GatewayRetriesWire, GatewaySettingsWire};
+use crate::generated_gateway::{
+    GatewayListenWire, GatewayRetriesWire, GatewaySettingsWire, GatewayWorkspacesWire,
+};
 use crate::validate::{SettingsText, malformed};
 use galenapath_protocol::{DomainId, InstanceId};
 use std::net::SocketAddr;
@@ -14,6 +16,7 @@
 const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_millis(600);
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 const DEFAULT_CORES: f64 = 1.0;
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const DEFAULT_RETRY_SLACK: f64 = 60.0;
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
@@ -22,6 +25,7 @@
 /// long as it keeps the address.
 const DEFAULT_KEEP_ADDRESSES: Duration = Duration::from_secs(1);
 const DEFAULT_CALLER_CONNECTIONS: u32 = 3_000;
+const DEFAULT_QUOTA_TOLERANCE: f64 = 0.0;
 const DEFAULT_GRACE: Duration = Duration::from_secs(6);
 const DEFAULT_LOG_LINES: u32 = 20;
 
@@ -36,6 +40,8 @@
     pub cores: f64,
     /// Bandwidth of the instance's network link in Mbit/s.
     pub link_mbps: f64,
+    /// Memory that the instance may use, in MB.
+    pub memory_mb: f64,
     /// Addresses that the instance listens on.
     pub listen: GatewayListen,
     /// Address of the platform's key-value service.
@@ -46,6 +52,8 @@
     pub retries: RetrySettings,
     /// Maximum rate of probes to one backend server, by all instances together.
     pub probes_per_second: f64,
+    /// Keys and quotas of workspaces.
+    pub workspaces: WorkspaceSettings,
     /// How long callers may cache the addresses that they are given.
     pub keep_addresses: Duration,
     /// Maximum number of connections from callers.
@@ -88,6 +96,17 @@
     pub window: Duration,
 }
 
+/// Keys and quotas of workspaces.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkspaceSettings {
+    /// Requests that all instances together may run beyond a quota, because they do not know at
+    /// once of each other.
+    pub quota_tolerance: f64,
+    /// Time after which an instance that may have missed the removal of a key serves no request
+    /// that needs one; `None` if it goes on.
+    pub revoke_within: Option<Duration>,
+}
+
 /// Reads and validates the gateway settings in `file`.
 ///
 /// # Errors
@@ -121,6 +140,11 @@
             wire.instance.link_mbps,
             DEFAULT_LINK_MBPS,
         )?,
+        memory_mb: source.non_negative(
+            "instance.memory_mb",
+            wire.instance.memory_mb,
+            DEFAULT_MEMORY_MB,
+        )?,
         listen: listen(&source, &wire.listen)?,
         platform: source.address("platform.address", &wire.platform.address)?,
         platform_timeout: source.duration("platform.timeout", timeout, DEFAULT_PLATFORM_TIMEOUT)?,
@@ -130,6 +154,7 @@
             wire.probes.and_then(|probes| probes.per_second),
             DEFAULT_PROBES_PER_SECOND,
         )?,
+        workspaces: workspaces(&source, &wire.workspaces.unwrap_or_default())?,
         keep_addresses: source.duration("callers.keep_addresses", keep, DEFAULT_KEEP_ADDRESSES)?,
         caller_connections: callers
             .connections
@@ -162,6 +187,24 @@
     Ok(GatewayListen { callers, readiness, addresses, peers, metrics: metrics.transpose()?, seeds })
 }
 
+fn workspaces(
+    source: &SettingsText<'_>,
+    wire: &GatewayWorkspacesWire,
+) -> Result<WorkspaceSettings, SettingsError> {
+    let revoke_within = wire
+        .revoke_within
+        .as_deref()
+        .map(|text| source.duration("workspaces.revoke_within", Some(text), Duration::ZERO));
+    Ok(WorkspaceSettings {
+        quota_tolerance: source.non_negative(
+            "workspaces.quota_tolerance",
+            wire.quota_tolerance,
+            DEFAULT_QUOTA_TOLERANCE,
+        )?,
+        revoke_within: revoke_within.transpose()?,
+    })
+}
+
 fn retries(
     source: &SettingsText<'_>,
     wire: &GatewayRetriesWire,
--- a/crates/galenapath-settings/src/generated_gateway.rs
+++ b/crates/galenapath-settings/src/generated_gateway.rs
@@ -23,6 +23,9 @@
     ///Bandwidth of the instance's network link in Mbit/s; default 1000.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub link_mbps: ::std::option::Option<f64>,
+    ///Memory that the instance may use, in MB; default 256.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub memory_mb: ::std::option::Option<f64>,
     ///Name of the instance, unique in the deployment.
     pub name: ::std::string::String,
 }
@@ -168,6 +171,8 @@
     pub retries: ::std::option::Option<GatewayRetriesWire>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub stop: ::std::option::Option<GatewayStopWire>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub workspaces: ::std::option::Option<GatewayWorkspacesWire>,
 }
 ///Planned shutdown.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
@@ -177,6 +182,17 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub grace: ::std::option::Option<::std::string::String>,
 }
+///Keys and quotas of workspaces.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayWorkspacesWire {
+    ///Requests that all instances together may run beyond a quota in a few seconds, because they do not know at once of each other; default 0.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub quota_tolerance: ::std::option::Option<f64>,
+    ///If set, an instance that may have missed the removal of a key for this long serves no request that needs a key.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub revoke_within: ::std::option::Option<::std::string::String>,
+}
 /// Error types.
 pub mod error {
     /// Error from a `TryFrom` or `FromStr` implementation.
--- a/crates/galenapath-settings/src/lib.rs
+++ b/crates/galenapath-settings/src/lib.rs
@@ -15,7 +15,8 @@
 pub use entry::{Instance, Limits, Listen, Platform, Settings};
 pub use error::SettingsError;
 pub use gateway::{
-    GatewayListen, GatewayLogLevel, GatewaySettings, RetrySettings, load_gateway, parse_gateway,
+    GatewayListen, GatewayLogLevel, GatewaySettings, RetrySettings, WorkspaceSettings,
+    load_gateway, parse_gateway,
 };
 pub use generated::{
     ExperimentWireChoice as BalancingPolicy, LogWireLevel as LogLevel, SettingsWire,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod limits;
 #[path = "gateway/pauses.rs"]
 mod pauses;
+#[path = "gateway/pipelining.rs"]
+mod pipelining;
 #[path = "gateway/requests.rs"]
 mod requests;
 #[path = "gateway/servers.rs"]
@@ -24,3 +26,5 @@
 mod traces;
 #[path = "gateway/warming.rs"]
 mod warming;
+#[path = "gateway/workspaces.rs"]
+mod workspaces;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -185,6 +185,16 @@
         std::fs::write(&self.settings, text).unwrap();
     }
 
+    /// The settings at the first start.
+    pub fn settings_text(&self) -> &str {
+        &self.base_settings
+    }
+
+    /// Replaces the settings file.
+    pub fn rewrite_settings(&self, text: &str) {
+        std::fs::write(&self.settings, text).unwrap();
+    }
+
     /// The addresses in the answer to a caller that resolves the name of its service.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let body = self.address_answer();
