Watching the store: an instance that starts learns whom the store turns away

Two instances that had just started stood first among those that had not failed, so the one that the store answered left watching to them; they had the others' members without their status, took them for untried, and left it to the first two in the order, whom the store had turned away at 23.66 s.

Ruled out: lost datagrams, slow fetches, frozen instances.

Change: lists of members name those that the store does not answer; an instance's own report goes first. Test: watch_role_new_instance_knows_whom_the_store_turns_away failed before (instance 100: Standby).

--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -248,9 +248,10 @@
         match datagram {
             Datagram::Heartbeat(heartbeat) => Self::B(heartbeat.into()),
             Datagram::Hello(member) => Self::H(HelloWire { from: member.into() }),
-            Datagram::Members(members) => {
-                Self::M(MembersWire { members: members.iter().map(Into::into).collect() })
-            }
+            Datagram::Members { members, store_failing } => Self::M(MembersWire {
+                members: members.iter().map(Into::into).collect(),
+                turned_away: store_failing.iter().map(|id| id.0).collect(),
+            }),
             Datagram::Loads(loads) => Self::L(LoadsWire {
                 loads: loads.loads.iter().map(Into::into).collect(),
                 failures: loads.failures.iter().map(Into::into).collect(),
@@ -273,9 +274,10 @@
         Ok(match wire {
             DatagramWire::B(heartbeat) => Self::Heartbeat(heartbeat.into()),
             DatagramWire::H(hello) => Self::Hello(hello.from.try_into()?),
-            DatagramWire::M(members) => {
-                let members = members.members.into_iter().map(Member::try_from);
-                Self::Members(members.collect::<Result<_, _>>()?)
+            DatagramWire::M(wire) => {
+                let members = wire.members.into_iter().map(Member::try_from);
+                let store_failing = wire.turned_away.into_iter().map(Incarnation).collect();
+                Self::Members { members: members.collect::<Result<_, _>>()?, store_failing }
             }
             DatagramWire::L(loads) => Self::Loads(Loads {
                 loads: loads.loads.into_iter().map(Into::into).collect(),
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -197,6 +197,9 @@
 #[serde(deny_unknown_fields)]
 pub struct MembersWire {
     pub members: ::std::vec::Vec<FleetMemberWire>,
+    ///Incarnations of those members that the store does not answer. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub turned_away: ::std::vec::Vec<u64>,
 }
 ///What backend servers have reported about themselves in their answers besides load.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/galenapath-gateway/src/fleet/joining.rs
+++ b/crates/galenapath-gateway/src/fleet/joining.rs
@@ -4,9 +4,9 @@
 use super::tasks::send_heartbeat;
 use crate::instance::{Instance, sleep};
 use crate::usage::Flow;
-use galenapath_membership::{LearnOutcome, Member};
+use galenapath_membership::{LearnOutcome, Member, StoreHealth};
 use galenapath_policy::LogLineKind;
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Incarnation, Micros};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -91,10 +91,18 @@
 
 /// Introduces this instance to one that is known only from others.
 fn introduce(instance: &Instance, to: SocketAddr) {
-    let datagram = encode(&Datagram::Members(vec![instance.member()]));
+    let datagram = encode(&members_datagram(instance, vec![instance.member()]));
     instance.send(to, &datagram, Flow::Members);
 }
 
+fn members_datagram(instance: &Instance, members: Vec<Member>) -> Datagram {
+    let is_listed = |id: &Incarnation| members.iter().any(|member| member.incarnation == *id);
+    let membership = instance.membership.borrow();
+    let failing = membership.peers().filter(|peer| peer.status.store == StoreHealth::Failing);
+    let store_failing = failing.map(|peer| peer.member.incarnation).filter(is_listed).collect();
+    Datagram::Members { members, store_failing }
+}
+
 /// Adds or updates a member.
 pub(super) fn learn(instance: &Instance, member: Member) -> LearnOutcome {
     let now = instance.now();
@@ -117,6 +125,6 @@
     };
     members.push(own);
     for part in members.chunks(MEMBERS_PER_DATAGRAM) {
-        instance.send(to, &encode(&Datagram::Members(part.to_vec())), Flow::Members);
+        instance.send(to, &encode(&members_datagram(instance, part.to_vec())), Flow::Members);
     }
 }
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -17,7 +17,12 @@
     /// An instance introduces itself and requests the known members.
     Hello(Member),
     /// Members known to the sender.
-    Members(Vec<Member>),
+    Members {
+        /// The members.
+        members: Vec<Member>,
+        /// Those of them that the store does not answer.
+        store_failing: Vec<Incarnation>,
+    },
     /// Load observations and failures of backend servers.
     Loads(Loads),
     /// Statements of backend servers about themselves.
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -209,7 +209,11 @@
             // one.
             send_heartbeat(instance, &[from]);
         }
-        Datagram::Members(members) => apply_members(instance, members, from),
+        Datagram::Members { members, store_failing } => {
+            apply_members(instance, members, from);
+            let mut membership = instance.membership.borrow_mut();
+            store_failing.into_iter().for_each(|id| membership.set_store_failing(id));
+        }
         Datagram::Loads(loads) => instance.apply_loads(&loads),
         Datagram::Notices(notices) => instance.apply_notices(&notices),
         Datagram::Usage { from: sender, notes } => instance.apply_usage(sender, from, &notes),
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     Heartbeat, HeartbeatConfig, HeartbeatOutcome, LearnOutcome, Member, Peer, ReachabilityChange,
-    ring,
+    StoreHealth, ring,
 };
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use std::net::SocketAddr;
@@ -120,6 +120,18 @@
         }
     }
 
+    /// Records what another instance knows: that the store does not answer this one. Its own report
+    /// goes first.
+    ///
+    /// An instance that has just started knows the others from a list, without their status. If it
+    /// took the store to answer all of them, it would leave watching the store to one that the
+    /// others know to be turned away, while they leave it to the new instance.
+    pub fn set_store_failing(&mut self, incarnation: Incarnation) {
+        if let Some(peer) = self.peers.get_mut(&incarnation).filter(|peer| !peer.has_reported) {
+            peer.status.store = StoreHealth::Failing;
+        }
+    }
+
     /// Whether an instance is known to be ready.
     pub fn is_ready(&self, incarnation: Incarnation) -> bool {
         self.peers.get(&incarnation).is_some_and(|peer| peer.status.is_ready)
@@ -137,6 +149,7 @@
         };
         peer.record_contact(now);
         peer.status = heartbeat.status;
+        peer.has_reported = true;
         if heartbeat.accused.contains(&self.own) {
             return HeartbeatOutcome::AccusesUs;
         }
--- a/crates/galenapath-membership/src/peer.rs
+++ b/crates/galenapath-membership/src/peer.rs
@@ -36,6 +36,8 @@
     pub member: Member,
     /// Status that it last reported.
     pub status: InstanceStatus,
+    /// Whether it has reported its status itself.
+    pub(crate) has_reported: bool,
     pub(crate) last_contact_at: Micros,
     pub(crate) last_sent_at: Micros,
     pub(crate) is_up: bool,
@@ -54,6 +56,7 @@
     pub(crate) fn new(now: Micros, member: Member) -> Self {
         Self {
             status: InstanceStatus::default(),
+            has_reported: false,
             last_contact_at: now,
             last_sent_at: Micros::ZERO,
             is_up: member.status != MemberStatus::Gone,
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -381,6 +381,31 @@
     assert!(second.iter().all(|n| !first.contains(n)));
 }
 
+/// The store turns all away but one that has just started. The others leave watching to it, so it
+/// must not leave it to one of them, whose status it does not know yet.
+#[test]
+fn watch_role_new_instance_knows_whom_the_store_turns_away() {
+    let failing: Vec<u64> = (0..40).collect();
+    for new in 100..140 {
+        let mut membership = membership(new, failing.iter().copied());
+        failing.iter().for_each(|n| membership.set_store_failing(Incarnation(*n)));
+        let status = InstanceStatus::default();
+        let role = watch_role(Incarnation(new), &domain(new), &status, membership.peers());
+        assert_eq!(role, WatchRole::Watch, "instance {new}");
+    }
+}
+
+#[test]
+fn set_store_failing_own_report_goes_first() {
+    let mut membership = membership(0, 0..3);
+    membership.apply_heartbeat(START, &heartbeat(1, &[]));
+    for n in [1, 2] {
+        membership.set_store_failing(Incarnation(n));
+    }
+    let store = |n| peer(&membership, n).status.store;
+    assert_eq!((store(1), store(2)), (StoreHealth::Untried, StoreHealth::Failing));
+}
+
 #[test]
 fn watch_role_two_retry_while_store_fails() {
     let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Failing)).collect();
