Membership and pulls: a large fleet that starts asks and accuses less

Cause, from the start of the whole fleet (983 instances, logs of 123): in the 11 s that 400 s of wall reached there were 206 accusations of instances that were up 1.5 s after the start, and again and again after; every instance found its digest different and asked another for all members every 2 s (607 times at 123 instances); 549 fetches timed out, since an instance answers any number of them with 10,000 servers at once.

Accusations are NOT gone: small instances are silent for over 0.8 s while they apply the list.

--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -18,6 +18,13 @@
 //! cut off and accuses none. An instance that learns that it is accused sends heartbeats to all
 //! others.
 //!
+//! While hundreds of instances start at the same moment, each learns of the others in another order,
+//! and they do not agree on who sends heartbeats to whom. An instance that expected heartbeats at
+//! once would accuse instances that are up; each accusation goes to all, each accused instance
+//! answers to all, and small instances have no time left for their own heartbeats. In a large fleet
+//! the silence of an instance that has not sent heartbeats regularly before counts only after a time
+//! that grows with the number of instances ([`HeartbeatConfig::grace_per_member`]).
+//!
 //! The order is the same on all instances only while they know the same members. An instance that
 //! does not know a new one expects heartbeats that now go to the new one, and accuses instances
 //! that are up. Each heartbeat therefore carries a digest of the instances that its sender
@@ -31,6 +38,9 @@
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use std::net::SocketAddr;
 
+/// Heartbeats after which an instance counts as sending them regularly.
+const REGULAR_HEARTBEATS: u32 = 3;
+
 /// The other instances as this one knows them from heartbeats.
 #[derive(Debug)]
 pub struct HeartbeatMembership {
@@ -38,10 +48,10 @@
     own: Incarnation,
     domain: DomainId,
     peers: FastMap<Incarnation, Peer>,
-    /// Instances that send their heartbeats to this one.
+    /// Instances that send their heartbeats to this one, and since when.
     ///
     /// Invariant: this and `targets` follow from `peers` unless `are_targets_current` is false.
-    monitored: FastSet<Incarnation>,
+    monitored: FastMap<Incarnation, Micros>,
     /// Instances that this one sends its heartbeats to.
     targets: FastSet<Incarnation>,
     /// Whether `monitored` and `targets` match the present `peers`. They are computed once for all
@@ -67,7 +77,7 @@
             own,
             domain,
             peers: FastMap::default(),
-            monitored: FastSet::default(),
+            monitored: FastMap::default(),
             targets: FastSet::default(),
             are_targets_current: true,
             local_addresses: FastSet::default(),
@@ -150,6 +160,7 @@
         peer.record_contact(now);
         peer.status = heartbeat.status;
         peer.has_reported = true;
+        peer.heartbeats += 1;
         if heartbeat.accused.contains(&self.own) {
             return HeartbeatOutcome::AccusesUs;
         }
@@ -168,10 +179,11 @@
         }
         let since = *peer.differs_since.get_or_insert(now);
         let since_sync = now - self.synced_at;
-        let differs_from_all =
-            now - self.agreed_at > self.cfg.settle_time && since_sync >= self.cfg.min_sync_interval;
+        let answer_time = Micros(self.cfg.sync_time_per_member.0 * self.peers.len() as u64);
+        let differs_from_all = now - self.agreed_at > self.cfg.settle_time
+            && since_sync >= self.cfg.min_sync_interval.max(answer_time);
         let differs_for_long = now - since > self.cfg.max_peer_difference
-            && since_sync >= self.cfg.min_peer_sync_interval;
+            && since_sync >= self.cfg.min_peer_sync_interval.max(answer_time);
         if !differs_from_all && !differs_for_long {
             return HeartbeatOutcome::Known;
         }
@@ -201,21 +213,24 @@
                 peer.last_contact_at = now;
             }
         }
-        let cfg = &self.cfg;
-        let known = self.peers.len();
-        self.peers.retain(|_, peer| now - peer.last_contact_at < cfg.forget_after);
+        let (known, forget_after) = (self.peers.len(), self.cfg.forget_after);
+        self.peers.retain(|_, peer| now - peer.last_contact_at < forget_after);
         self.are_targets_current &= self.peers.len() == known;
-        self.update_targets();
+        self.update_targets(now);
+        let cfg = &self.cfg;
+        let grace = Micros(cfg.grace_per_member.0 * self.peers.len() as u64);
         let monitored = &self.monitored;
         let silent = |peer: &Peer| now - peer.last_contact_at > self.cfg.silent_after;
         let silent_count =
-            self.peers.iter().filter(|(id, p)| monitored.contains(*id) && silent(p)).count();
+            self.peers.iter().filter(|(id, p)| monitored.contains_key(*id) && silent(p)).count();
         self.is_isolated = monitored.len() > 2 && silent_count * 2 > monitored.len();
         let mut changes = Vec::new();
         for (id, peer) in &mut self.peers {
             let silence = now - peer.last_contact_at;
             peer.accusers.retain(|_, at| now - *at < self.cfg.accusation_ttl);
-            let is_own = monitored.contains(id);
+            let is_own = monitored.get(id).is_some_and(|since| {
+                peer.heartbeats >= REGULAR_HEARTBEATS || now - *since >= grace
+            });
             let is_up = if is_own {
                 silence <= self.cfg.silent_after
             } else {
@@ -247,7 +262,8 @@
 
     /// Longest silence among the monitored instances that are considered up.
     pub fn longest_silence(&self, now: Micros) -> Micros {
-        let monitored = self.peers.iter().filter(|(id, p)| p.is_up && self.monitored.contains(*id));
+        let monitored =
+            self.peers.iter().filter(|(id, p)| p.is_up && self.monitored.contains_key(*id));
         monitored.map(|(_, peer)| now - peer.last_contact_at).max().unwrap_or(Micros::ZERO)
     }
 
@@ -258,14 +274,14 @@
             return Vec::new();
         }
         let monitored = &self.monitored;
-        let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains(*id));
+        let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains_key(*id));
         silent.map(|(id, _)| *id).collect()
     }
 
     /// Addresses that a heartbeat is due to now; each is recorded as sent. An instance that serves
     /// callers also sends to its whole failure domain.
     pub fn heartbeats_due(&mut self, now: Micros, serves_callers: bool) -> Vec<SocketAddr> {
-        self.update_targets();
+        self.update_targets(now);
         let cfg = &self.cfg;
         let mut due = Vec::new();
         for (id, peer) in &mut self.peers {
@@ -274,7 +290,7 @@
             let pause = match peer.is_up {
                 true if is_target => cfg.period,
                 true if serves_callers && is_local() => cfg.local_period,
-                false if is_target || self.monitored.contains(id) => cfg.silent_period,
+                false if is_target || self.monitored.contains_key(id) => cfg.silent_period,
                 _ => continue,
             };
             // Tolerates timers that fire half a millisecond early or late.
@@ -318,7 +334,7 @@
     }
 
     /// Recomputes the monitored instances and targets if the instances have changed.
-    fn update_targets(&mut self) {
+    fn update_targets(&mut self, now: Micros) {
         if std::mem::replace(&mut self.are_targets_current, true) {
             return;
         }
@@ -330,8 +346,15 @@
         let own = ring.iter().position(|(id, _)| *id == self.own).unwrap_or(0);
         let targets: FastSet<Incarnation> = targets_of(own).into_iter().collect();
         let targets_us = |at: &usize| *at != own && targets_of(*at).contains(&self.own);
-        let monitored = (0..ring.len()).filter(targets_us).map(|at| ring[at].0).collect();
+        let monitored = (0..ring.len()).filter(targets_us).map(|at| ring[at].0);
+        let since = |id| (id, self.monitored.get(&id).copied().unwrap_or(now));
+        let monitored = monitored.map(since).collect();
         self.targets = targets;
+        for (id, peer) in &mut self.peers {
+            if !self.monitored.contains_key(id) {
+                peer.heartbeats = 0;
+            }
+        }
         self.monitored = monitored;
     }
 }
