Faults seen while reading: inflated output, metrics' address, addresses of ended instances, hedges

- listen.metrics was not compared with the other addresses: the instance served without metrics. parse_gateway_metrics_address_in_use_refused failed before.
- Addresses of instances that have ended counted as local for ever. is_local_false_after_instance_is_gone failed before.
- A hedge that the budget refuses no longer counts a send at its server: the budget comes first.
- What was last sent about servers is dropped after a minute; it was kept for ever.
No test of these two: both are private to the gateway's process and change no answer.

--- a/crates/galenapath-gateway/src/compression.rs
+++ b/crates/galenapath-gateway/src/compression.rs
@@ -30,11 +30,12 @@
         Self(STANDARD.encode(deflated))
     }
 
-    /// Returns the text of the configuration; a text longer than `MAX_CONFIG_LEN` is cut off.
+    /// Returns the text of the configuration.
     ///
     /// # Errors
     ///
-    /// If the contents are not valid output of [`Self::compress`].
+    /// If the contents are not valid output of [`Self::compress`], or the text is longer than
+    /// `MAX_CONFIG_LEN`.
     pub(crate) fn decompress(&self) -> Result<Vec<u8>> {
         let deflated = STANDARD.decode(&self.0).map_err(Error::other)?;
         inflate(&deflated, MAX_CONFIG_LEN)
@@ -52,13 +53,17 @@
     Ok(deflated)
 }
 
-/// Inflates `deflated`; output beyond `max_len` bytes is cut off.
+/// Inflates `deflated`.
 ///
 /// # Errors
 ///
-/// If the input is not valid output of [`deflate`].
+/// If the input is not valid output of [`deflate`], or the output is longer than `max_len` bytes.
+/// The part that fits would be read as a whole document.
 pub(crate) fn inflate(deflated: &[u8], max_len: usize) -> Result<Vec<u8>> {
     let mut bytes = Vec::new();
-    DeflateDecoder::new(deflated).take(max_len as u64).read_to_end(&mut bytes)?;
+    DeflateDecoder::new(deflated).take(max_len as u64 + 1).read_to_end(&mut bytes)?;
+    if bytes.len() > max_len {
+        return Err(Error::other(format!("inflates to more than {max_len} bytes")));
+    }
     Ok(bytes)
 }
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -270,10 +270,11 @@
     }
     let is_large = call.req.route.kind.is_large();
     let tried = call.tried.borrow().clone();
-    let hedge = call.service.place_hedge(&call.instance, &tried, is_large)?;
-    if !take_retry(call) {
+    // The budget comes first: placing a hedge counts a send at its server.
+    if !call.service.has_server_for_hedge(&call.instance, &tried, is_large) || !take_retry(call) {
         return None;
     }
+    let hedge = call.service.place_hedge(&call.instance, &tried, is_large)?;
     call.tried.borrow_mut().push(hedge.server.clone());
     Some(hedge)
 }
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -149,5 +149,6 @@
     loop {
         sleep_to_next(&instance, REPEAT_PERIOD).await;
         instance.repeat_notices();
+        instance.prune_outbox();
     }
 }
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -26,6 +26,9 @@
 /// Maximum number of updates in one datagram, so that it fits one packet.
 const MAX_UPDATES: usize = 60;
 
+/// Time for which the last update on a server is kept for comparison.
+const LAST_SENT_RETENTION: Micros = Micros::from_secs(60);
+
 /// Updates on the servers of one failure domain.
 #[derive(Default)]
 struct DomainUpdates {
@@ -48,6 +51,11 @@
 }
 
 impl Outbox {
+    /// Forgets what was sent about servers that have not been observed for long.
+    fn prune(&mut self, now: Micros) {
+        self.last_sent.retain(|_, sent| now - sent.at < LAST_SENT_RETENTION);
+    }
+
     fn is_empty(&self) -> bool {
         self.by_domain.is_empty() && self.crashes.is_empty() && self.turned_cold.is_empty()
     }
@@ -143,6 +151,11 @@
         self.outbox.borrow_mut().add_crash(note);
     }
 
+    /// Frees memory held for servers that are gone.
+    pub(crate) fn prune_outbox(&self) {
+        self.outbox.borrow_mut().prune(self.now());
+    }
+
     /// Applies the updates received from another instance.
     pub(crate) fn apply_loads(&self, loads: &Loads) {
         let now = self.now();
--- a/crates/galenapath-gateway/src/waiting.rs
+++ b/crates/galenapath-gateway/src/waiting.rs
@@ -53,6 +53,18 @@
         }
     }
 
+    /// Whether [`Self::place_hedge`] finds a server.
+    pub(crate) fn has_server_for_hedge(
+        &self,
+        instance: &Instance,
+        tried: &[BackendId],
+        is_large: bool,
+    ) -> bool {
+        self.prepare(instance);
+        let criteria = RequestCriteria { tried, is_large, time_left: Micros::ZERO };
+        self.placement.borrow().has_good_server(instance.now(), &criteria)
+    }
+
     /// Assigns a hedge to a server without waiting, if there is a good one.
     pub(crate) fn place_hedge(
         self: &Rc<Self>,
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -200,7 +200,9 @@
 
     /// Removes an instance that has reported its end.
     pub fn remove(&mut self, incarnation: Incarnation) {
-        self.peers.remove(&incarnation);
+        if let Some(peer) = self.peers.remove(&incarnation) {
+            self.local_addresses.remove(&peer.member.peer_address);
+        }
         self.are_targets_current = false;
     }
 
@@ -214,7 +216,14 @@
             }
         }
         let (known, forget_after) = (self.peers.len(), self.cfg.forget_after);
-        self.peers.retain(|_, peer| now - peer.last_contact_at < forget_after);
+        let local_addresses = &mut self.local_addresses;
+        self.peers.retain(|_, peer| {
+            let is_kept = now - peer.last_contact_at < forget_after;
+            if !is_kept {
+                local_addresses.remove(&peer.member.peer_address);
+            }
+            is_kept
+        });
         self.are_targets_current &= self.peers.len() == known;
         self.update_targets(now);
         let cfg = &self.cfg;
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -329,6 +329,18 @@
     assert!(!reads_store_at_start(100, many.peers()));
 }
 
+#[test]
+fn is_local_false_after_instance_is_gone() {
+    let address = |n| member(n).peer_address;
+    let mut membership = membership(0, 0..16);
+    assert!(membership.is_local(&address(3)) && membership.is_local(&address(6)));
+    membership.remove(Incarnation(3));
+    assert!(!membership.is_local(&address(3)) && membership.is_local(&address(6)));
+    let silent: Vec<u64> = (1..16).filter(|n| *n != 6).collect();
+    advance_time(&mut membership, START, 61_000, &silent);
+    assert!(!membership.is_local(&address(6)));
+}
+
 #[test]
 fn learn_new_incarnation_replaces_old() {
     let mut membership = membership(0, 0..3);
--- a/crates/galenapath-settings/src/gateway.rs
+++ b/crates/galenapath-settings/src/gateway.rs
@@ -178,13 +178,18 @@
     source.check_distinct("listen.addresses", addresses, &[callers, readiness])?;
     source.check_distinct("listen.peers", peers, &[callers, readiness, addresses])?;
     let metrics = wire.metrics.as_deref().map(|text| source.address("listen.metrics", text));
+    let metrics = metrics.transpose()?;
+    if let Some(address) = metrics {
+        let others = [callers, readiness, addresses, peers];
+        source.check_distinct("listen.metrics", address, &others)?;
+    }
     let seeds = wire
         .seeds
         .iter()
         .map(|text| source.address("listen.seeds", text))
         .map(|seed| seed.map(|seed| SocketAddr::new(seed.ip(), peers.port())))
         .collect::<Result<Vec<_>, _>>()?;
-    Ok(GatewayListen { callers, readiness, addresses, peers, metrics: metrics.transpose()?, seeds })
+    Ok(GatewayListen { callers, readiness, addresses, peers, metrics, seeds })
 }
 
 fn workspaces(
--- a/crates/galenapath-settings/tests/gateway.rs
+++ b/crates/galenapath-settings/tests/gateway.rs
@@ -71,3 +71,24 @@
     let unknown = parse(&format!("{REQUIRED_ONLY}\n[other]\n")).unwrap_err().to_string();
     assert!(unknown.contains("other"), "{unknown}");
 }
+
+#[test]
+fn parse_gateway_metrics_address_in_use_refused() {
+    for port in [8101, 8102, 8103, 8104] {
+        let text =
+            REQUIRED_ONLY.replace("seeds =", &format!("metrics = \"127.0.0.1:{port}\"\nseeds ="));
+        let error = parse(&text).unwrap_err().to_string();
+        assert!(error.contains("listen.metrics"), "{error}");
+    }
+}
+
+#[test]
+fn parse_gateway_workspaces_read() {
+    let text =
+        format!("{REQUIRED_ONLY}[workspaces]\nquota_tolerance = 20\nrevoke_within = \"5s\"\n");
+    let workspaces = parse(&text).unwrap().workspaces;
+    assert_eq!(workspaces.revoke_within, Some(Duration::from_secs(5)));
+    assert!((workspaces.quota_tolerance - 20.0).abs() < f64::EPSILON);
+    let text = format!("{REQUIRED_ONLY}[workspaces]\nquota_tolerance = -1\n");
+    assert!(parse(&text).unwrap_err().to_string().contains("workspaces.quota_tolerance"));
+}
