Announcements of silent instances only while others need them; a whole list is applied once

Cause: each of the instances that monitor a lost one told all of it three times, and all again when it was back, which it tells all itself: in a fleet of N that loses a part, a multiple of N squared. A whole list of servers fetched from a peer was copied and put twice.

--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -287,6 +287,19 @@
         silent.map(|(id, _)| *id).collect()
     }
 
+    /// Whether others still have to hear of an instance that this one found silent. Once enough of
+    /// them have reported it, all know: their reports went to all, as this one's would.
+    ///
+    /// Load pattern: a failure domain of hundreds is lost. Each of its instances has several that
+    /// monitor it, and if each of those reported it to all, three times each, the reports alone would
+    /// be a multiple of the square of the fleet.
+    pub fn has_unreported_accusation(&self) -> bool {
+        let is_unreported = |id: &Incarnation| {
+            self.peers.get(id).is_some_and(|p| p.accusers.len() < self.cfg.required_accusers)
+        };
+        self.accused().iter().any(is_unreported)
+    }
+
     /// Addresses that a heartbeat is due to now; each is recorded as sent. An instance that serves
     /// callers also sends to its whole failure domain.
     pub fn heartbeats_due(&mut self, now: Micros, serves_callers: bool) -> Vec<SocketAddr> {
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -189,13 +189,18 @@
     /// Merges changes from a peer. Entries older than the known ones are ignored.
     pub fn merge(&mut self, changes: ServerChanges, now: Micros) {
         let ServerChanges { is_whole, present, puts, removals, position } = changes;
-        if is_whole && position >= self.position {
-            self.apply_list(position, puts.clone(), None);
-        }
+        let (puts, expiring) = if is_whole && position >= self.position {
+            // The whole list is applied once; only entries that are about to lapse are put again.
+            let expiring = puts.iter().filter(|put| put.expires_in.is_some()).cloned().collect();
+            self.apply_list(position, puts, None);
+            (Vec::new(), expiring)
+        } else {
+            (puts, Vec::new())
+        };
         if !present.is_empty() && position >= self.position {
             self.remove_missing(position, &present.into_iter().collect());
         }
-        for put in puts {
+        for put in puts.into_iter().chain(expiring) {
             self.put(put.revision, put.record, put.expires_in.map(|left| now + left));
         }
         for removal in removals {
