--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -191,15 +191,12 @@
     // Requests that have started behind this one get their answers before the connection closes.
     let may_stay = instance.stage.get() == Stage::Serving || !pipeline.is_empty();
     caller.keep_alive = first.is_keep_alive && may_stay;
-    let sent = {
-        let sending = pin!(send(instance, caller, &first, outcome));
-        let serving = pin!(pipeline.serve());
-        match select(sending, serving).await {
-            Either::Left((sent, _)) => sent,
-            Either::Right(((), sending)) => sending.await,
-        }
-    };
-    sent
+    let sending = pin!(send(instance, caller, &first, outcome));
+    let serving = pin!(pipeline.serve());
+    match select(sending, serving).await {
+        Either::Left((sent, _)) => sent,
+        Either::Right(((), sending)) => sending.await,
+    }
 }
 
 /// Starts requests that have arrived behind those in progress, as far as that is allowed.
@@ -226,7 +223,7 @@
     outcome: Outcome,
 ) -> Result<(), HttpError> {
     match outcome {
-        Outcome::Reply(call, reply) => relay::send(&call, caller, reply).await,
+        Outcome::Reply(call, reply) => relay::send(&call, caller, *reply).await,
         Outcome::Failed(call, failure) => {
             let (now, req) = (instance.now(), &call.req);
             instance.failed_requests.borrow_mut().record(now, req.fingerprint.0, req.first_at);
--- a/crates/galenapath-gateway/src/pipeline.rs
+++ b/crates/galenapath-gateway/src/pipeline.rs
@@ -32,7 +32,7 @@
 /// The answer to a request.
 pub(crate) enum Outcome {
     /// A backend server's answer.
-    Reply(Rc<Call>, Reply),
+    Reply(Rc<Call>, Box<Reply>),
     /// The request was given up.
     Failed(Rc<Call>, RequestFailure),
     /// The request was rejected before it had a service.
@@ -92,7 +92,7 @@
         {
             let call = Rc::clone(call);
             self.work = Work::Done(match result {
-                Ok(reply) => Outcome::Reply(call, reply),
+                Ok(reply) => Outcome::Reply(call, Box::new(reply)),
                 Err(failure) => Outcome::Failed(call, failure),
             });
         }
--- a/crates/galenapath-gateway/src/quota.rs
+++ b/crates/galenapath-gateway/src/quota.rs
@@ -26,7 +26,7 @@
 /// Time for which the load of an instance that was found silent counts as not heard: it may be cut
 /// off and grant its part. Most are dead, and their callers are here by then. An instance that is
 /// cut off itself counts the others for as long as it knows them.
-const SILENT_LOAD_EXPIRY: Micros = Micros::from_secs(2);
+const SILENT_LOAD_EXPIRY: Micros = Micros::from_secs(4);
 
 /// Limits a datagram to the size of one packet.
 const MAX_NOTES_PER_DATAGRAM: usize = 48;
--- a/crates/galenapath-policy/src/quota/account.rs
+++ b/crates/galenapath-policy/src/quota/account.rs
@@ -25,7 +25,7 @@
 
 /// Time between two reports of an instance whose requests are all refused, so that others leave its
 /// share to it.
-const DEMAND_REPORT_PERIOD: Micros = Micros::from_millis(500);
+const DEMAND_REPORT_PERIOD: Micros = Micros::from_millis(200);
 
 /// Time without a request after which an instance no longer takes part, and what it knows of the
 /// account may be old.
@@ -34,6 +34,12 @@
 /// Time after its first report within which an instance hears what others have granted.
 const JOIN_TIME: Micros = Micros::from_millis(150);
 
+/// Time after a peer's report for which this instance is not cut off: some report periods.
+const RECENTLY_HEARD: Micros = Micros::from_millis(300);
+
+/// Requests per second from which on a peer has something to report in [`RECENTLY_HEARD`].
+const STEADY_DEMAND: f64 = 20.0;
+
 /// Time after which an instance that is cut off knows that.
 const CUT_OFF_DETECTION: Micros = Micros::from_secs(1);
 
@@ -42,6 +48,9 @@
 /// refill of each such delay.
 const LEVEL_DELAY_SECS: f64 = 0.05;
 
+/// Resolution of a level that a peer states, in requests.
+const LEVEL_RESOLUTION: f64 = 0.1;
+
 /// Time for which the sum that a peer reported is kept. A later report of it counts as its first.
 const PEER_RETENTION: Micros = Micros::from_secs(60);
 
@@ -205,7 +214,7 @@
         if let Some(before) = self.peers.insert(from, usage) {
             self.level -= (note.used - before.used) as f64;
         }
-        let stated = note.level + self.rate * LEVEL_DELAY_SECS + 1.0;
+        let stated = note.level + self.rate * LEVEL_DELAY_SECS + LEVEL_RESOLUTION;
         self.level = self.level.min(stated).max(-self.capacity - self.rate * MAX_DEBT_SECS);
         self.must_announce |= self.is_contended() && !was_contended;
     }
@@ -266,20 +275,44 @@
         let lost = (self.heard_part - around.heard_part).max(0.0);
         self.heard_part = around.heard_part;
         self.level -= self.capacity * lost;
-        let limit = if self.may_be_cut_off(now) { around.equal_share() } else { 1.0 };
-        let part = around.heard_part.min(limit);
+        let part = around.heard_part.min(self.unheard_limit(now, around));
         self.level = (self.level + seconds * self.rate * part).min(self.capacity);
         self.contended_since = self.is_contended().then(|| self.contended_since.unwrap_or(now));
     }
 
-    /// Whether the quota has become contended a moment ago and no peer has reported since. Either
-    /// no other instance has requests of the workspace, or this one is cut off and does not know it
-    /// yet.
-    fn may_be_cut_off(&self, now: Micros) -> bool {
-        self.contended_since.is_some_and(|since| {
-            now - since < CUT_OFF_DETECTION
-                && !self.peers.values().any(|peer| peer.heard_at >= since)
-        })
+    /// Part of the rate that is sure not to be granted by instances that this one does not hear, while
+    /// the quota is contended and this instance grants part of it.
+    fn unheard_limit(&self, now: Micros, around: Surroundings) -> f64 {
+        let Some(since) = self.contended_since else { return 1.0 };
+        if now - self.requested_at > CUT_OFF_DETECTION {
+            return 1.0;
+        }
+        let span = now - since;
+        if span < CUT_OFF_DETECTION && !self.has_heard_lately(now) {
+            return around.equal_share();
+        }
+        if span < RECENTLY_HEARD { 1.0 } else { self.reporting_part(now) }
+    }
+
+    fn has_heard_lately(&self, now: Micros) -> bool {
+        self.peers.values().any(|peer| now - peer.heard_at < RECENTLY_HEARD)
+    }
+
+    /// Part of the demand at this instance and at peers that still report. While the quota is
+    /// contended, a peer with many requests reports all the time; one that has stopped may be cut
+    /// off and grant its part, for longer than others need to find it silent.
+    fn reporting_part(&self, now: Micros) -> f64 {
+        let own = self.demand.per_second(now);
+        let (mut reporting, mut all) = (own, own);
+        for peer in self.peers.values() {
+            let silence = now - peer.heard_at;
+            if silence < DEMAND_EXPIRY {
+                all += peer.demand;
+                let reports = silence < RECENTLY_HEARD || peer.demand < STEADY_DEMAND;
+                reporting += if reports { peer.demand } else { 0.0 };
+            }
+        }
+        if all > 0.0 { reporting / all } else { 1.0 }
     }
 
     /// Part of what is left that this instance may grant until its next report.
--- a/crates/galenapath-policy/tests/place/pause.rs
+++ b/crates/galenapath-policy/tests/place/pause.rs
@@ -14,6 +14,7 @@
 
 fn entry(ticket: u64) -> QueueEntry {
     QueueEntry {
+        workspace: None,
         ticket,
         rank: 0,
         arrived: START,
--- a/crates/galenapath-policy/tests/quota/model.rs
+++ b/crates/galenapath-policy/tests/quota/model.rs
@@ -4,6 +4,7 @@
 use super::fleet::{Fault, Fleet};
 use galenapath_protocol::{Micros, Quota};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Window over which requests are counted.
 const WINDOW: Micros = Micros::from_secs(5);
@@ -17,6 +18,9 @@
     (quota.per_second * WINDOW_SECS + quota.burst) * (1.0 + OVERAGE) + SLACK
 }
 
+/// Number of schedules.
+const CASES: u32 = 48;
+
 fn secs(s: f64) -> Micros {
     Micros((s * 1e6) as u64)
 }
@@ -61,7 +65,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    // The same schedules in each run; PROPTEST_CASES draws more of them.
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn fleet_hot_workspace_stays_within_quota(
