Membership: sources of heartbeats without looking at the whole ring

Cause: each change of members worked out the targets of all instances to find those that send here; while hundreds start, twenty times a second. Found while looking for what keeps small instances silent at the start of the whole fleet; it is a part of it, not the cause.

Change: only the positions of the ring that can have this one among their targets are looked at. Same result: tick_accuses_exactly_instances_that_send_heartbeats_here, at 10, 17, 40 and 70 instances.

Not played on the fleet.

--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -364,11 +364,9 @@
         let mut ring: Vec<(Incarnation, &DomainId)> = others.collect();
         ring.push((self.own, &self.domain));
         ring.sort_unstable();
-        let targets_of = |at: usize| ring::heartbeat_targets(&self.cfg, &ring, at);
         let own = ring.iter().position(|(id, _)| *id == self.own).unwrap_or(0);
-        let targets: FastSet<Incarnation> = targets_of(own).into_iter().collect();
-        let targets_us = |at: &usize| *at != own && targets_of(*at).contains(&self.own);
-        let monitored = (0..ring.len()).filter(targets_us).map(|at| ring[at].0);
+        let targets = ring::heartbeat_targets(&self.cfg, &ring, own).into_iter().collect();
+        let monitored = ring::heartbeat_sources(&self.cfg, &ring, own).into_iter();
         let since = |id| (id, self.monitored.get(&id).copied().unwrap_or(now));
         let monitored = monitored.map(since).collect();
         self.targets = targets;
--- a/crates/galenapath-membership/src/ring.rs
+++ b/crates/galenapath-membership/src/ring.rs
@@ -31,3 +31,29 @@
     local.extend(remote);
     local
 }
+
+/// Instances that have the one at index `at` of `ring` among their targets.
+///
+/// The cost does not grow with the number of instances: while hundreds start, small instances work
+/// this out anew many times a second. Behind `fan_out` instances of the own failure domain nobody
+/// has this one among its targets, because these come first for everyone, whatever its own domain.
+pub(crate) fn heartbeat_sources(
+    cfg: &HeartbeatConfig,
+    ring: &[(Incarnation, &DomainId)],
+    at: usize,
+) -> Vec<Incarnation> {
+    let (own, own_domain) = ring[at];
+    let mut passed = 0;
+    let mut sources = Vec::new();
+    for step in 1..ring.len() {
+        let before = (at + ring.len() - step) % ring.len();
+        if heartbeat_targets(cfg, ring, before).contains(&own) {
+            sources.push(ring[before].0);
+        }
+        passed += usize::from(ring[before].1 == own_domain);
+        if passed >= cfg.fan_out && ring.len() > cfg.full_mesh_limit {
+            break;
+        }
+    }
+    sources
+}
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -346,6 +346,26 @@
     assert!(membership.has_unreported_accusation());
 }
 
+/// Each instance is expected to send heartbeats here exactly if it does.
+#[test]
+fn tick_accuses_exactly_instances_that_send_heartbeats_here() {
+    for fleet in [10, 17, 40, 70] {
+        let sends_to = |from: u64, to: u64| {
+            let due = membership(from, 0..fleet).heartbeats_due(START, false);
+            due.contains(&member(to).peer_address)
+        };
+        for own in [0, 7] {
+            for silent in (0..fleet).filter(|n| *n != own) {
+                let mut membership = membership(own, 0..fleet);
+                let others: Vec<u64> = (0..fleet).filter(|n| ![own, silent].contains(n)).collect();
+                advance_time(&mut membership, START, 1_000, &others);
+                let is_accused = membership.accused() == [Incarnation(silent)];
+                assert_eq!(is_accused, sends_to(silent, own), "{silent} to {own} of {fleet}");
+            }
+        }
+    }
+}
+
 #[test]
 fn is_local_false_after_instance_is_gone() {
     let address = |n| member(n).peer_address;
