Taken back: mends of the whole fleet's start

Taken back: grace before accusations, rarer requests for members, shared link for large answers, fewer announcements, with their tests.

--- a/crates/galenapath-gateway/src/fleet/pull.rs
+++ b/crates/galenapath-gateway/src/fleet/pull.rs
@@ -6,10 +6,6 @@
 //! answers few requests at a time and rejects the others, and each instance that has applied the
 //! state notifies further ones: the number of instances that can answer grows with each round.
 //!
-//! While a large fleet starts, every instance fetches the whole list of servers from the few that
-//! have it. Answered all at once, each answer would take longer than its receiver waits, and all
-//! would begin anew. So large answers share the link for less than that time.
-//!
 //! An instance fetches from its own failure domain where it can, since traffic between domains is
 //! billed. Before it contacts an instance of another domain, it waits for a short time in which
 //! others of its own domain, larger ones first, can get ahead of it.
@@ -45,15 +41,6 @@
 /// Maximum number of configuration requests that are answered at a time.
 const MAX_ANSWERS: u32 = 6;
 
-/// Part of `TIMEOUT` within which the large answers in progress have to fit the instance's link.
-const LARGE_ANSWERS_PART: f64 = 0.4;
-
-/// Answers with more servers than this count as large.
-const MIN_LARGE_SERVERS: usize = 500;
-
-/// Bytes of one server in a deflated answer, about.
-const BYTES_PER_SERVER: usize = 30;
-
 /// Maximum delay before the next request after one that brought nothing new.
 const MAX_RETRY_DELAY: Micros = Micros::from_millis(80);
 
@@ -81,8 +68,6 @@
     static IS_PULLING: Cell<bool> = const { Cell::new(false) };
     /// Number of configuration requests that are being answered.
     static ANSWERS: Cell<u32> = const { Cell::new(0) };
-    /// Bytes of large answers that are being sent.
-    static LARGE_ANSWER_BYTES: Cell<usize> = const { Cell::new(0) };
 }
 
 /// Result of a request to one instance.
@@ -216,28 +201,6 @@
     }
 }
 
-/// Holds the bytes of a large answer; dropping it frees them.
-struct LargeAnswer(usize);
-
-impl LargeAnswer {
-    /// Begins an answer of `len` bytes; `None` if it does not fit the link beside those in progress.
-    fn begin(len: usize, link_mbps: f64) -> Option<Self> {
-        let in_progress = LARGE_ANSWER_BYTES.get();
-        let room = link_mbps * 1e6 / 8.0 * TIMEOUT.as_secs_f64() * LARGE_ANSWERS_PART;
-        if in_progress > 0 && (in_progress + len) as f64 > room {
-            return None;
-        }
-        LARGE_ANSWER_BYTES.set(in_progress + len);
-        Some(Self(len))
-    }
-}
-
-impl Drop for LargeAnswer {
-    fn drop(&mut self) {
-        LARGE_ANSWER_BYTES.set(LARGE_ANSWER_BYTES.get() - self.0);
-    }
-}
-
 /// Answers other instances on `listener` for as long as this instance runs.
 pub(crate) async fn serve_pulls(instance: Rc<Instance>, listener: TcpListener) {
     loop {
@@ -265,12 +228,6 @@
     if request.wants_config && slot.is_none() {
         return write(&mut io, &busy()).await.map(drop);
     }
-    let servers = instance.state.borrow().directory().change_count_after(request.position);
-    let large = (servers > MIN_LARGE_SERVERS)
-        .then(|| LargeAnswer::begin(servers * BYTES_PER_SERVER, instance.settings().link_mbps));
-    if let Some(None) = large {
-        return write(&mut io, &busy()).await.map(drop);
-    }
     let wire = {
         let state = instance.state.borrow();
         let is_newer = state.table().version() > request.config_version;
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -21,10 +21,6 @@
 /// lost datagram leaves no instance with a dead one among the addresses that it hands out.
 const ANNOUNCE_PERIOD: Micros = Micros::from_millis(700);
 
-/// Maximum delay of the first announcement. Several instances find one silent at the same moment, and
-/// those that hear of enough reports in this time make none.
-const MAX_ANNOUNCE_DELAY: Micros = Micros::from_millis(150);
-
 /// Number of announcements after an instance was found silent.
 const ANNOUNCEMENTS: u32 = 3;
 
@@ -50,13 +46,12 @@
         let up = instance.membership.borrow().peers().filter(|peer| peer.is_up()).count();
         instance.metrics.peers.set(i64::try_from(up).unwrap_or(i64::MAX));
         instance.expire_servers();
-        if changes.iter().any(|change| change.is_detected_here && !change.is_up) {
+        if changes.iter().any(|change| change.is_detected_here) {
             announcements.begin(now);
         }
         let status = instance.status();
-        let must_announce =
-            announcements.is_due(now) && instance.membership.borrow().has_unreported_accusation();
-        let audience = if must_announce { Audience::All } else { audience(&last_sent, &status) };
+        let audience =
+            if announcements.is_due(now) { Audience::All } else { audience(&last_sent, &status) };
         match audience {
             Audience::All => broadcast_heartbeat(&instance),
             Audience::Serving => {
@@ -86,8 +81,7 @@
     log::info!(peer, is_up, is_own, silence_ms; "instance reachable or silent");
 }
 
-/// Repeated announcements of instances that this one found silent. One that is reachable again tells
-/// all itself.
+/// Repeated announcements of instances that this one found silent or reachable again.
 #[derive(Default)]
 struct SilenceAnnouncements {
     remaining: u32,
@@ -97,7 +91,7 @@
 impl SilenceAnnouncements {
     fn begin(&mut self, now: Micros) {
         self.remaining = ANNOUNCEMENTS;
-        self.next_at = now + Micros(rand::random_range(0..MAX_ANNOUNCE_DELAY.0));
+        self.next_at = now;
     }
 
     /// Whether an announcement to all is due now; counts it.
--- a/crates/galenapath-membership/src/heartbeat_config.rs
+++ b/crates/galenapath-membership/src/heartbeat_config.rs
@@ -10,9 +10,6 @@
     /// Silence after which an instance is no longer given to callers. It spans three consecutive
     /// heartbeats, which even a lossy link hardly ever loses together.
     pub silent_after: Micros,
-    /// Time for each known instance after which the silence of an instance counts that is due to send
-    /// heartbeats here and has not sent any regularly yet: about what it takes to learn of each.
-    pub grace_per_member: Micros,
     /// Number of instances up to which every instance sends heartbeats to all others.
     pub full_mesh_limit: usize,
     /// Number of instances that each one sends heartbeats to in a larger fleet. An instance is
@@ -37,9 +34,6 @@
     pub settle_time: Micros,
     /// Minimum time between two such requests. An answer has 60 bytes for each instance.
     pub min_sync_interval: Micros,
-    /// Time between two such requests for each known instance, so that the answers take a fixed part
-    /// of the receiver's time whatever the size of the fleet.
-    pub sync_time_per_member: Micros,
     /// Time for which all heartbeats of one instance may differ before it is asked for its members
     /// even though others agree. Otherwise two groups that each agree internally would stay apart.
     /// Has to exceed the time for which a series of restarts makes two digests differ without
@@ -59,7 +53,6 @@
         Self {
             period: Micros::from_millis(250),
             silent_after: Micros::from_millis(800),
-            grace_per_member: Micros::from_millis(3),
             full_mesh_limit: 16,
             fan_out: 6,
             fan_out_remote: 2,
@@ -69,7 +62,6 @@
             required_accusers: 2,
             settle_time: Micros::from_millis(600),
             min_sync_interval: Micros::from_secs(2),
-            sync_time_per_member: Micros::from_millis(10),
             max_peer_difference: Micros::from_secs(2),
             min_peer_sync_interval: Micros::from_secs(8),
             accusation_ttl: Micros::from_secs(3),
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -18,13 +18,6 @@
 //! cut off and accuses none. An instance that learns that it is accused sends heartbeats to all
 //! others.
 //!
-//! While hundreds of instances start at the same moment, each learns of the others in another order,
-//! and they do not agree on who sends heartbeats to whom. An instance that expected heartbeats at
-//! once would accuse instances that are up; each accusation goes to all, each accused instance
-//! answers to all, and small instances have no time left for their own heartbeats. In a large fleet
-//! the silence of an instance that has not sent heartbeats regularly before counts only after a time
-//! that grows with the number of instances ([`HeartbeatConfig::grace_per_member`]).
-//!
 //! The order is the same on all instances only while they know the same members. An instance that
 //! does not know a new one expects heartbeats that now go to the new one, and accuses instances
 //! that are up. Each heartbeat therefore carries a digest of the instances that its sender
@@ -38,9 +31,6 @@
 use galenapath_protocol::{DomainId, FastMap, FastSet, Incarnation, Micros};
 use std::net::SocketAddr;
 
-/// Heartbeats after which an instance counts as sending them regularly.
-const REGULAR_HEARTBEATS: u32 = 3;
-
 /// The other instances as this one knows them from heartbeats.
 #[derive(Debug)]
 pub struct HeartbeatMembership {
@@ -48,10 +38,10 @@
     own: Incarnation,
     domain: DomainId,
     peers: FastMap<Incarnation, Peer>,
-    /// Instances that send their heartbeats to this one, and since when.
+    /// Instances that send their heartbeats to this one.
     ///
     /// Invariant: this and `targets` follow from `peers` unless `are_targets_current` is false.
-    monitored: FastMap<Incarnation, Micros>,
+    monitored: FastSet<Incarnation>,
     /// Instances that this one sends its heartbeats to.
     targets: FastSet<Incarnation>,
     /// Whether `monitored` and `targets` match the present `peers`. They are computed once for all
@@ -77,7 +67,7 @@
             own,
             domain,
             peers: FastMap::default(),
-            monitored: FastMap::default(),
+            monitored: FastSet::default(),
             targets: FastSet::default(),
             are_targets_current: true,
             local_addresses: FastSet::default(),
@@ -160,7 +150,6 @@
         peer.record_contact(now);
         peer.status = heartbeat.status;
         peer.has_reported = true;
-        peer.heartbeats += 1;
         if heartbeat.accused.contains(&self.own) {
             return HeartbeatOutcome::AccusesUs;
         }
@@ -179,11 +168,10 @@
         }
         let since = *peer.differs_since.get_or_insert(now);
         let since_sync = now - self.synced_at;
-        let answer_time = Micros(self.cfg.sync_time_per_member.0 * self.peers.len() as u64);
-        let differs_from_all = now - self.agreed_at > self.cfg.settle_time
-            && since_sync >= self.cfg.min_sync_interval.max(answer_time);
+        let differs_from_all =
+            now - self.agreed_at > self.cfg.settle_time && since_sync >= self.cfg.min_sync_interval;
         let differs_for_long = now - since > self.cfg.max_peer_difference
-            && since_sync >= self.cfg.min_peer_sync_interval.max(answer_time);
+            && since_sync >= self.cfg.min_peer_sync_interval;
         if !differs_from_all && !differs_for_long {
             return HeartbeatOutcome::Known;
         }
@@ -215,31 +203,28 @@
                 peer.last_contact_at = now;
             }
         }
-        let (known, forget_after) = (self.peers.len(), self.cfg.forget_after);
+        let cfg = &self.cfg;
+        let known = self.peers.len();
         let local_addresses = &mut self.local_addresses;
         self.peers.retain(|_, peer| {
-            let is_kept = now - peer.last_contact_at < forget_after;
+            let is_kept = now - peer.last_contact_at < cfg.forget_after;
             if !is_kept {
                 local_addresses.remove(&peer.member.peer_address);
             }
             is_kept
         });
         self.are_targets_current &= self.peers.len() == known;
-        self.update_targets(now);
-        let cfg = &self.cfg;
-        let grace = Micros(cfg.grace_per_member.0 * self.peers.len() as u64);
+        self.update_targets();
         let monitored = &self.monitored;
         let silent = |peer: &Peer| now - peer.last_contact_at > self.cfg.silent_after;
         let silent_count =
-            self.peers.iter().filter(|(id, p)| monitored.contains_key(*id) && silent(p)).count();
+            self.peers.iter().filter(|(id, p)| monitored.contains(*id) && silent(p)).count();
         self.is_isolated = monitored.len() > 2 && silent_count * 2 > monitored.len();
         let mut changes = Vec::new();
         for (id, peer) in &mut self.peers {
             let silence = now - peer.last_contact_at;
             peer.accusers.retain(|_, at| now - *at < self.cfg.accusation_ttl);
-            let is_own = monitored.get(id).is_some_and(|since| {
-                peer.heartbeats >= REGULAR_HEARTBEATS || now - *since >= grace
-            });
+            let is_own = monitored.contains(id);
             let is_up = if is_own {
                 silence <= self.cfg.silent_after
             } else {
@@ -271,8 +256,7 @@
 
     /// Longest silence among the monitored instances that are considered up.
     pub fn longest_silence(&self, now: Micros) -> Micros {
-        let monitored =
-            self.peers.iter().filter(|(id, p)| p.is_up && self.monitored.contains_key(*id));
+        let monitored = self.peers.iter().filter(|(id, p)| p.is_up && self.monitored.contains(*id));
         monitored.map(|(_, peer)| now - peer.last_contact_at).max().unwrap_or(Micros::ZERO)
     }
 
@@ -283,27 +267,14 @@
             return Vec::new();
         }
         let monitored = &self.monitored;
-        let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains_key(*id));
+        let silent = self.peers.iter().filter(|(id, p)| !p.is_up && monitored.contains(*id));
         silent.map(|(id, _)| *id).collect()
     }
 
-    /// Whether others still have to hear of an instance that this one found silent. Once enough of
-    /// them have reported it, all know: their reports went to all, as this one's would.
-    ///
-    /// Load pattern: a failure domain of hundreds is lost. Each of its instances has several that
-    /// monitor it, and if each of those reported it to all, three times each, the reports alone would
-    /// be a multiple of the square of the fleet.
-    pub fn has_unreported_accusation(&self) -> bool {
-        let is_unreported = |id: &Incarnation| {
-            self.peers.get(id).is_some_and(|p| p.accusers.len() < self.cfg.required_accusers)
-        };
-        self.accused().iter().any(is_unreported)
-    }
-
     /// Addresses that a heartbeat is due to now; each is recorded as sent. An instance that serves
     /// callers also sends to its whole failure domain.
     pub fn heartbeats_due(&mut self, now: Micros, serves_callers: bool) -> Vec<SocketAddr> {
-        self.update_targets(now);
+        self.update_targets();
         let cfg = &self.cfg;
         let mut due = Vec::new();
         for (id, peer) in &mut self.peers {
@@ -312,7 +283,7 @@
             let pause = match peer.is_up {
                 true if is_target => cfg.period,
                 true if serves_callers && is_local() => cfg.local_period,
-                false if is_target || self.monitored.contains_key(id) => cfg.silent_period,
+                false if is_target || self.monitored.contains(id) => cfg.silent_period,
                 _ => continue,
             };
             // Tolerates timers that fire half a millisecond early or late.
@@ -356,7 +327,7 @@
     }
 
     /// Recomputes the monitored instances and targets if the instances have changed.
-    fn update_targets(&mut self, now: Micros) {
+    fn update_targets(&mut self) {
         if std::mem::replace(&mut self.are_targets_current, true) {
             return;
         }
@@ -366,15 +337,8 @@
         ring.sort_unstable();
         let own = ring.iter().position(|(id, _)| *id == self.own).unwrap_or(0);
         let targets = ring::heartbeat_targets(&self.cfg, &ring, own).into_iter().collect();
-        let monitored = ring::heartbeat_sources(&self.cfg, &ring, own).into_iter();
-        let since = |id| (id, self.monitored.get(&id).copied().unwrap_or(now));
-        let monitored = monitored.map(since).collect();
+        let monitored = ring::heartbeat_sources(&self.cfg, &ring, own).into_iter().collect();
         self.targets = targets;
-        for (id, peer) in &mut self.peers {
-            if !self.monitored.contains_key(id) {
-                peer.heartbeats = 0;
-            }
-        }
         self.monitored = monitored;
     }
 }
--- a/crates/galenapath-membership/src/peer.rs
+++ b/crates/galenapath-membership/src/peer.rs
@@ -38,8 +38,6 @@
     pub status: InstanceStatus,
     /// Whether it has reported its status itself.
     pub(crate) has_reported: bool,
-    /// Heartbeats received since it is due to send them here.
-    pub(crate) heartbeats: u32,
     pub(crate) last_contact_at: Micros,
     pub(crate) last_sent_at: Micros,
     pub(crate) is_up: bool,
@@ -59,7 +57,6 @@
         Self {
             status: InstanceStatus::default(),
             has_reported: false,
-            heartbeats: 0,
             last_contact_at: now,
             last_sent_at: Micros::ZERO,
             is_up: member.status != MemberStatus::Gone,
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -329,23 +329,6 @@
     assert!(!reads_store_at_start(100, many.peers()));
 }
 
-#[test]
-fn has_unreported_accusation_until_enough_others_report() {
-    let mut membership = membership(0, 0..16);
-    let others: Vec<u64> = (1..16).filter(|n| *n != 7).collect();
-    assert!(!membership.has_unreported_accusation());
-    let now = advance_time(&mut membership, START, 1_500, &others);
-    assert!(membership.has_unreported_accusation());
-    membership.apply_heartbeat(now, &heartbeat(1, &[7]));
-    assert!(membership.has_unreported_accusation());
-    membership.apply_heartbeat(now, &heartbeat(2, &[7]));
-    assert!(!membership.has_unreported_accusation());
-    // A second one that only this instance has found is reported.
-    let others: Vec<u64> = others.into_iter().filter(|n| *n != 9).collect();
-    advance_time(&mut membership, now, 1_000, &others);
-    assert!(membership.has_unreported_accusation());
-}
-
 /// Each instance is expected to send heartbeats here exactly if it does.
 #[test]
 fn tick_accuses_exactly_instances_that_send_heartbeats_here() {
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -178,14 +178,6 @@
         }
     }
 
-    /// Number of servers in [`Self::changes_after`] for a peer at `position`.
-    pub fn change_count_after(&self, position: u64) -> usize {
-        if position == 0 || position < self.forgotten {
-            return self.servers.len();
-        }
-        self.servers.values().filter(|entry| entry.revision > position).count()
-    }
-
     /// Merges changes from a peer. Entries older than the known ones are ignored.
     pub fn merge(&mut self, changes: ServerChanges, now: Micros) {
         let ServerChanges { is_whole, present, puts, removals, position } = changes;
