--- a/crates/galenapath-gateway/src/access.rs
+++ b/crates/galenapath-gateway/src/access.rs
@@ -6,6 +6,7 @@
 
 use crate::answer::LocalAnswer;
 use crate::instance::Instance;
+use galenapath_membership::Peer;
 use galenapath_protocol::Micros;
 use galenapath_routes::{KeyDigest, Route, RouteTable, Workspace};
 use http::StatusCode;
@@ -16,7 +17,7 @@
 const SCHEME: &[u8] = b"bearer";
 
 /// Time without a sign of the store, from it or from other instances, after which an instance may
-/// lag behind. A running watcher hears from the store every 0.4 s.
+/// lag behind. The store answers a running watcher every 0.4 s.
 const STORE_SILENCE: Micros = Micros::from_secs(2);
 
 /// `Retry-After` of an instance that may lag behind: about the time for which a change spreads.
@@ -73,3 +74,15 @@
     let strict = instance.settings().workspaces.revoke_within;
     strict.is_some_and(|limit| instance.may_lag_behind(limit.into()))
 }
+
+impl Instance {
+    /// Whether the operator may have changed the configuration without this instance knowing: the
+    /// store has answered neither it nor an instance that reaches it for `silence`, or another
+    /// instance has a newer version.
+    pub(crate) fn may_lag_behind(&self, silence: Micros) -> bool {
+        let own = self.state.borrow().table().version();
+        let is_ahead = |peer: &Peer| peer.is_up() && peer.status.config_version > own;
+        self.now() - self.store_answered_at.get() > silence
+            || self.membership.borrow().peers().any(is_ahead)
+    }
+}
--- /dev/null
+++ b/crates/galenapath-gateway/src/gauges.rs
@@ -0,0 +1,31 @@
+//! Metrics that are computed only when they are read.
+
+use crate::instance::Instance;
+use galenapath_policy::place::Placement;
+use galenapath_protocol::Micros;
+
+impl Instance {
+    /// Updates the gauges and counters that are computed only when metrics are read.
+    pub(crate) fn refresh_gauges(&self) {
+        let now = self.now();
+        self.usage.publish(&self.metrics);
+        let seconds = |span: Micros| span.as_millis_f64() / 1_000.0;
+        self.metrics.store_age.set(seconds(now - self.store_answered_at.get()));
+        let contended = self.quotas.borrow().contended_count();
+        self.metrics.contended_quotas.set(i64::try_from(contended).unwrap_or(i64::MAX));
+        self.metrics.peer_silence.set(seconds(self.membership.borrow().longest_silence(now)));
+        let services = self.services.borrow();
+        let count = |of: fn(&Placement, Micros) -> usize| {
+            let counts = services.values().map(|service| of(&service.placement.borrow(), now));
+            i64::try_from(counts.sum::<usize>()).unwrap_or(i64::MAX)
+        };
+        self.metrics.cold_servers.set(count(Placement::cold_count));
+        self.metrics.limited_servers.set(count(|placement, _| placement.limited_count()));
+        self.metrics.leaving_servers.set(count(|placement, _| placement.leaving_count()));
+        self.metrics.paused_servers.set(count(Placement::paused_count));
+        for service in services.values() {
+            let age = seconds(service.placement.borrow().mean_observation_age(now));
+            self.metrics.load_age.with_label_values(&[&service.name]).set(age);
+        }
+    }
+}
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -11,11 +11,11 @@
 use crate::usage::{Flow, Usage};
 use galenapath_filings::{SuspectConfig, Suspects};
 use galenapath_membership::{
-    HeartbeatConfig, HeartbeatMembership, InstanceStatus, Member, MemberStatus, Peer, StoreHealth,
+    HeartbeatConfig, HeartbeatMembership, InstanceStatus, Member, MemberStatus, StoreHealth,
 };
 use galenapath_policy::dispatch::PeakLoad;
 use galenapath_policy::measure::{CrossDomainSends, QueryTimes};
-use galenapath_policy::place::{Placement, time_spent};
+use galenapath_policy::place::time_spent;
 use galenapath_policy::quota::QuotaLedger;
 use galenapath_policy::{FailedRequests, LogLineBudget, LogLineKind};
 use galenapath_protocol::{DomainId, FastMap, Incarnation, Micros};
@@ -41,22 +41,6 @@
     Closing,
 }
 
-/// Counts a request in progress until dropped.
-pub(crate) struct InProgressGuard(Rc<Instance>);
-
-impl InProgressGuard {
-    pub(crate) fn begin(instance: &Rc<Instance>) -> Self {
-        instance.in_progress.set(instance.in_progress.get() + 1);
-        Self(Rc::clone(instance))
-    }
-}
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get().saturating_sub(1));
-    }
-}
-
 /// An instance. A borrow of one of its cells must never be held across an await.
 pub(crate) struct Instance {
     settings: RefCell<Rc<GatewaySettings>>,
@@ -88,7 +72,7 @@
     pub(crate) store: Cell<StoreHealth>,
     pub(crate) is_watching: Cell<bool>,
     /// When the store last answered this instance, or one that sends it heartbeats.
-    store_answered_at: Cell<Micros>,
+    pub(crate) store_answered_at: Cell<Micros>,
     /// Requests in progress.
     pub(crate) in_progress: Cell<u32>,
     /// Bytes of request bodies in memory.
@@ -265,40 +249,6 @@
         self.store_answered_at.set(self.now());
     }
 
-    /// Whether the operator may have changed the configuration without this instance knowing: the
-    /// store has answered neither it nor an instance that it hears for `silence`, or another
-    /// instance has a newer version.
-    pub(crate) fn may_lag_behind(&self, silence: Micros) -> bool {
-        let own = self.state.borrow().table().version();
-        let is_ahead = |peer: &Peer| peer.is_up() && peer.status.config_version > own;
-        self.now() - self.store_answered_at.get() > silence
-            || self.membership.borrow().peers().any(is_ahead)
-    }
-
-    /// Updates the gauges and counters that are computed only when metrics are read.
-    pub(crate) fn refresh_gauges(&self) {
-        let now = self.now();
-        self.usage.publish(&self.metrics);
-        let seconds = |span: Micros| span.as_millis_f64() / 1_000.0;
-        self.metrics.store_age.set(seconds(now - self.store_answered_at.get()));
-        let contended = self.quotas.borrow().contended_count();
-        self.metrics.contended_quotas.set(i64::try_from(contended).unwrap_or(i64::MAX));
-        self.metrics.peer_silence.set(seconds(self.membership.borrow().longest_silence(now)));
-        let services = self.services.borrow();
-        let count = |of: fn(&Placement, Micros) -> usize| {
-            let counts = services.values().map(|service| of(&service.placement.borrow(), now));
-            i64::try_from(counts.sum::<usize>()).unwrap_or(i64::MAX)
-        };
-        self.metrics.cold_servers.set(count(Placement::cold_count));
-        self.metrics.limited_servers.set(count(|placement, _| placement.limited_count()));
-        self.metrics.leaving_servers.set(count(|placement, _| placement.leaving_count()));
-        self.metrics.paused_servers.set(count(Placement::paused_count));
-        for service in services.values() {
-            let age = seconds(service.placement.borrow().mean_observation_age(now));
-            self.metrics.load_age.with_label_values(&[&service.name]).set(age);
-        }
-    }
-
     /// Time since the first request for addresses. The first call sets the start.
     pub(crate) fn since_first_address_request(&self) -> Micros {
         let now = self.now();
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 mod fitness;
 mod fleet;
+mod gauges;
 mod in_flight;
 mod instance;
 mod intake;
--- a/crates/galenapath-gateway/src/pipeline.rs
+++ b/crates/galenapath-gateway/src/pipeline.rs
@@ -10,7 +10,7 @@
 use crate::answer::{LocalAnswer, RequestEnd, record_end, record_rejected};
 use crate::call::Call;
 use crate::exchange::{self, RequestFailure};
-use crate::instance::{InProgressGuard, Instance, Stage};
+use crate::instance::{Instance, Stage};
 use crate::intake;
 use crate::reply::Reply;
 use galenapath_http::{Framing, RequestHead, is_keep_alive, request_framing};
@@ -29,6 +29,22 @@
 /// Status in the log of a request whose caller left before the answer.
 const CALLER_LEFT_STATUS: u16 = 499;
 
+/// Counts a request in progress until dropped.
+struct InProgressGuard(Rc<Instance>);
+
+impl InProgressGuard {
+    fn begin(instance: &Rc<Instance>) -> Self {
+        instance.in_progress.set(instance.in_progress.get() + 1);
+        Self(Rc::clone(instance))
+    }
+}
+
+impl Drop for InProgressGuard {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get().saturating_sub(1));
+    }
+}
+
 /// The answer to a request.
 pub(crate) enum Outcome {
     /// A backend server's answer.
--- a/crates/galenapath-gateway/src/quota.rs
+++ b/crates/galenapath-gateway/src/quota.rs
@@ -23,7 +23,7 @@
 /// reports.
 const REPORTER_EXPIRY: Micros = Micros::from_secs(10);
 
-/// Time for which the load of an instance that was found silent counts as not heard: it may be cut
+/// Time for which the load of an instance that was found silent counts as unreachable: it may be cut
 /// off and grant its part. Most are dead, and their callers are here by then. An instance that is
 /// cut off itself counts the others for as long as it knows them.
 const SILENT_LOAD_EXPIRY: Micros = Micros::from_secs(4);
@@ -38,7 +38,7 @@
 /// Other instances that report usage, and the task that waits for something to report.
 #[derive(Default)]
 pub(crate) struct Reporters {
-    heard: FastMap<Incarnation, (SocketAddr, Micros)>,
+    last_reports: FastMap<Incarnation, (SocketAddr, Micros)>,
     waker: Option<Waker>,
 }
 
@@ -105,10 +105,10 @@
     }
 
     /// Applies the reports of another instance. If that one does not serve callers by its rate, it
-    /// hears of contended quotas for a while.
+    /// receives reports of contended quotas for a while.
     pub(crate) fn apply_usage(&self, from: Incarnation, address: SocketAddr, notes: &[UsageNote]) {
         let now = self.now();
-        self.reporters.borrow_mut().heard.insert(from, (address, now));
+        self.reporters.borrow_mut().last_reports.insert(from, (address, now));
         {
             let mut quotas = self.quotas.borrow_mut();
             notes.iter().for_each(|note| quotas.apply(now, from, note));
@@ -173,20 +173,20 @@
     fn report_recipients(&self, serving: &FastMap<Incarnation, SocketAddr>) -> Vec<SocketAddr> {
         let now = self.now();
         let mut reporters = self.reporters.borrow_mut();
-        reporters.heard.retain(|_, (_, at)| now - *at < REPORTER_EXPIRY);
-        let others = reporters.heard.iter().filter(|(id, _)| !serving.contains_key(id));
+        reporters.last_reports.retain(|_, (_, at)| now - *at < REPORTER_EXPIRY);
+        let others = reporters.last_reports.iter().filter(|(id, _)| !serving.contains_key(id));
         serving.values().copied().chain(others.map(|(_, (address, _))| *address)).collect()
     }
 
     /// Updates what the shares of quotas follow from.
     fn update_surroundings(&self) {
         let own = u64::from(self.rate.get().per_second(self.now()).max(1));
-        let (mut heard, mut known, mut serving) = (own, own, 1);
+        let (mut reachable, mut known, mut serving) = (own, own, 1);
         let (membership, now) = (self.membership.borrow(), self.now());
         let is_isolated = membership.is_isolated();
         for peer in membership.peers().filter(|peer| peer.status.serves_callers) {
             if peer.is_up() {
-                heard += load(peer);
+                reachable += load(peer);
                 serving += 1;
             }
             if peer.is_up() || is_isolated || peer.is_down_since_less_than(now, SILENT_LOAD_EXPIRY)
@@ -194,8 +194,8 @@
                 known += load(peer);
             }
         }
-        let heard_part = heard as f64 / known as f64;
-        self.quotas.borrow_mut().set_surroundings(serving, heard_part);
+        let reachable_part = reachable as f64 / known as f64;
+        self.quotas.borrow_mut().set_surroundings(serving, reachable_part);
     }
 }
 
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 connection, for both servers and clients.
 
 use crate::body::TakeResult;
+use crate::head::{find_head_end, reject_bare_line_feed};
 use crate::{BodyState, Framing, HttpError, RequestHead, ResponseHead, check_head};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use monoio::buf::{IoBufMut, SliceMut};
@@ -343,16 +344,3 @@
         }
     }
 }
-
-fn find_head_end(input: &[u8], from: usize) -> Option<usize> {
-    memchr::memmem::find(&input[from..], b"\r\n\r\n").map(|at| from + at + 4)
-}
-
-/// Fails early on a line feed without a carriage return, which no valid head contains.
-fn reject_bare_line_feed(input: &[u8]) -> Result<(), HttpError> {
-    let has_bare = memchr::memchr_iter(b'\n', input).any(|at| at > 0 && input[at - 1] != b'\r');
-    if has_bare {
-        return Err(HttpError::BadHead("a line ends without a carriage return"));
-    }
-    Ok(())
-}
--- a/crates/galenapath-http/src/head.rs
+++ b/crates/galenapath-http/src/head.rs
@@ -135,3 +135,17 @@
         Framing::UntilClose => out.put_slice(b"connection: close\r\n"),
     }
 }
+
+/// Index behind the empty line that ends a head, searched from index `from`.
+pub(crate) fn find_head_end(input: &[u8], from: usize) -> Option<usize> {
+    memchr::memmem::find(&input[from..], b"\r\n\r\n").map(|at| from + at + 4)
+}
+
+/// Fails early on a line feed without a carriage return, which no valid head contains.
+pub(crate) fn reject_bare_line_feed(input: &[u8]) -> Result<(), HttpError> {
+    let has_bare = memchr::memchr_iter(b'\n', input).any(|at| at > 0 && input[at - 1] != b'\r');
+    if has_bare {
+        return Err(HttpError::BadHead("a line ends without a carriage return"));
+    }
+    Ok(())
+}
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -1,51 +1,16 @@
-//! Heartbeats: which instances are considered up, and which watch the store.
+//! Heartbeats: which instances are considered up.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod support;
+
 use galenapath_membership::{
     Heartbeat, HeartbeatConfig, HeartbeatMembership, HeartbeatOutcome, InstanceStatus,
-    LearnOutcome, Member, MemberStatus, Peer, StoreHealth, WatchRole, reads_store_at_start,
-    watch_role,
+    LearnOutcome, Member, StoreHealth, reads_store_at_start,
 };
-use galenapath_protocol::{DomainId, Incarnation, InstanceId, Micros};
+use galenapath_protocol::{Incarnation, Micros};
 use std::net::SocketAddr;
-
-const START: Micros = Micros::from_secs(100);
-
-fn domain(n: u64) -> DomainId {
-    DomainId(format!("d{}", n % 3).into())
-}
-
-fn member(n: u64) -> Member {
-    Member {
-        id: InstanceId(format!("i{n}")),
-        incarnation: Incarnation(n),
-        domain: domain(n),
-        caller_address: SocketAddr::from(([127, 0, 0, 1], 1_000 + n as u16)),
-        peer_address: SocketAddr::from(([127, 0, 0, 1], 2_000 + n as u16)),
-        status_version: 0,
-        status: MemberStatus::Live,
-    }
-}
-
-fn membership(own: u64, others: impl Iterator<Item = u64>) -> HeartbeatMembership {
-    let mut membership =
-        HeartbeatMembership::new(HeartbeatConfig::default(), Incarnation(own), domain(own), START);
-    for n in others.filter(|n| *n != own) {
-        membership.learn(START, member(n));
-    }
-    membership
-}
-
-fn heartbeat(from: u64, accused: &[u64]) -> Heartbeat {
-    let status = InstanceStatus { is_ready: true, ..InstanceStatus::default() };
-    let accused = accused.iter().map(|n| Incarnation(*n)).collect();
-    Heartbeat { from: Incarnation(from), status, accused, digest: 0 }
-}
-
-fn peer(membership: &HeartbeatMembership, n: u64) -> Peer {
-    membership.peers().find(|peer| peer.member.incarnation == Incarnation(n)).cloned().unwrap()
-}
+use support::{START, domain, heartbeat, member, membership, peer};
 
 /// Advances the time in steps of 50 ms, with heartbeats from `senders` at each step.
 fn advance_time(
@@ -370,63 +335,6 @@
     assert!(membership.peers().any(|peer| peer.member.incarnation == Incarnation(77)));
 }
 
-fn roles(fleet: &[(u64, StoreHealth)]) -> Vec<(u64, WatchRole)> {
-    let role = |own: u64, health: StoreHealth| {
-        let mut membership = membership(own, fleet.iter().map(|(n, _)| *n));
-        for (n, store) in fleet.iter().filter(|(n, _)| *n != own) {
-            let status = InstanceStatus { store: *store, ..InstanceStatus::default() };
-            membership.apply_heartbeat(
-                START,
-                &Heartbeat { from: Incarnation(*n), status, accused: Vec::new(), digest: 0 },
-            );
-        }
-        let status = InstanceStatus { store: health, ..InstanceStatus::default() };
-        watch_role(Incarnation(own), &domain(own), &status, membership.peers())
-    };
-    fleet.iter().map(|(n, health)| (*n, role(*n, *health))).collect()
-}
-
-fn with_role(roles: &[(u64, WatchRole)], wanted: WatchRole) -> Vec<u64> {
-    roles.iter().filter(|(_, role)| *role == wanted).map(|(n, _)| *n).collect()
-}
-
-#[test]
-fn watch_role_two_of_different_domains() {
-    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Untried)).collect();
-    let watch = with_role(&roles(&fleet), WatchRole::Watch);
-    assert_eq!(watch.len(), 2);
-    assert_ne!(domain(watch[0]), domain(watch[1]));
-}
-
-#[test]
-fn watch_role_moves_from_failing_instances() {
-    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Untried)).collect();
-    let first = with_role(&roles(&fleet), WatchRole::Watch);
-    let fleet: Vec<_> = fleet
-        .iter()
-        .map(|(n, _)| {
-            (*n, if first.contains(n) { StoreHealth::Failing } else { StoreHealth::Untried })
-        })
-        .collect();
-    let second = with_role(&roles(&fleet), WatchRole::Watch);
-    assert_eq!(second.len(), 2);
-    assert!(second.iter().all(|n| !first.contains(n)));
-}
-
-/// The store turns all away but one that has just started. The others leave watching to it, so it
-/// must not leave it to one of them, whose status it does not know yet.
-#[test]
-fn watch_role_new_instance_knows_whom_the_store_turns_away() {
-    let failing: Vec<u64> = (0..40).collect();
-    for new in 100..140 {
-        let mut membership = membership(new, failing.iter().copied());
-        failing.iter().for_each(|n| membership.set_store_failing(Incarnation(*n)));
-        let status = InstanceStatus::default();
-        let role = watch_role(Incarnation(new), &domain(new), &status, membership.peers());
-        assert_eq!(role, WatchRole::Watch, "instance {new}");
-    }
-}
-
 #[test]
 fn set_store_failing_own_report_goes_first() {
     let mut membership = membership(0, 0..3);
@@ -437,16 +345,3 @@
     let store = |n| peer(&membership, n).status.store;
     assert_eq!((store(1), store(2)), (StoreHealth::Untried, StoreHealth::Failing));
 }
-
-#[test]
-fn watch_role_two_retry_while_store_fails() {
-    let fleet: Vec<_> = (0..16).map(|n| (n, StoreHealth::Failing)).collect();
-    let roles = roles(&fleet);
-    assert!(with_role(&roles, WatchRole::Watch).is_empty());
-    assert_eq!(with_role(&roles, WatchRole::Retry).len(), 2);
-}
-
-#[test]
-fn watch_role_alone_watches() {
-    assert_eq!(roles(&[(4, StoreHealth::Untried)]), [(4, WatchRole::Watch)]);
-}
--- a/crates/galenapath-policy/src/quota/account.rs
+++ b/crates/galenapath-policy/src/quota/account.rs
@@ -15,7 +15,7 @@
 /// what others have granted.
 const INITIAL_SECS: f64 = 0.25;
 
-/// Time after the start of an instance within which it hears what others have granted, and its
+/// Time after the start of an instance within which it receives what others have granted, and its
 /// account refills if there are none.
 const SETTLING_TIME: Micros = Micros::from_secs(1);
 
@@ -31,13 +31,13 @@
 /// account may be old.
 const PARTICIPATION_EXPIRY: Micros = Micros::from_secs(10);
 
-/// Time after its first report within which an instance hears what others have granted.
+/// Time after its first report within which an instance receives what others have granted.
 const JOIN_TIME: Micros = Micros::from_millis(150);
 
 /// Time after a peer's report for which this instance is not cut off: some report periods.
-const RECENTLY_HEARD: Micros = Micros::from_millis(300);
+const RECENT_REPORT: Micros = Micros::from_millis(300);
 
-/// Requests per second from which on a peer has something to report in [`RECENTLY_HEARD`].
+/// Requests per second from which on a peer has something to report in [`RECENT_REPORT`].
 const STEADY_DEMAND: f64 = 20.0;
 
 /// Time after which an instance that is cut off knows that.
@@ -54,7 +54,7 @@
 /// Time for which the sum that a peer reported is kept. A later report of it counts as its first.
 const PEER_RETENTION: Micros = Micros::from_secs(60);
 
-/// Seconds of the rate, beside the burst, that instances which did not hear each other are charged
+/// Seconds of the rate, beside the burst, that instances which did not reach each other are charged
 /// with at most: about the time after which each knows that it is cut off.
 const MAX_DEBT_SECS: f64 = 3.0;
 
@@ -67,7 +67,7 @@
 struct PeerUsage {
     used: i64,
     demand: f64,
-    heard_at: Micros,
+    received_at: Micros,
 }
 
 /// What an account needs to know about the other instances.
@@ -75,9 +75,9 @@
 pub(super) struct Surroundings {
     /// Instances that serve callers, this one included.
     pub(super) serving: f64,
-    /// Part of the fleet's load on instances that this one hears, itself included; 1 if it hears
-    /// all.
-    pub(super) heard_part: f64,
+    /// Part of the fleet's load on instances that reach this one, itself included; 1 if all
+    /// do.
+    pub(super) reachable_part: f64,
 }
 
 impl Surroundings {
@@ -119,11 +119,11 @@
     joined_at: Option<Micros>,
     demand: Demand,
     requested_at: Micros,
-    /// Part of the load on instances that this one heard at `filled_at`.
-    heard_part: f64,
+    /// Part of the load on instances that reached this one at `filled_at`.
+    reachable_part: f64,
     /// Since when the quota is contended; `None` while it is not.
     contended_since: Option<Micros>,
-    /// Whether all have to hear that the quota has become contended.
+    /// Whether all have to be told that the quota has become contended.
     must_announce: bool,
     peers: FastMap<Incarnation, PeerUsage>,
 }
@@ -146,7 +146,7 @@
             joined_at: None,
             demand: Demand::default(),
             requested_at: Micros::ZERO,
-            heard_part: 1.0,
+            reachable_part: 1.0,
             contended_since: None,
             must_announce: false,
             peers: FastMap::default(),
@@ -161,7 +161,7 @@
         margin: f64,
         around: Surroundings,
     ) {
-        self.peers.retain(|_, peer| now - peer.heard_at < PEER_RETENTION);
+        self.peers.retain(|_, peer| now - peer.received_at < PEER_RETENTION);
         self.refill(now, around);
         self.rate = quota.per_second;
         self.capacity = capacity(quota, margin);
@@ -208,7 +208,7 @@
     ) {
         self.refill(now, around);
         let was_contended = self.is_contended();
-        let usage = PeerUsage { used: note.used, demand: note.demand.max(0.0), heard_at: now };
+        let usage = PeerUsage { used: note.used, demand: note.demand.max(0.0), received_at: now };
         // A report that was overtaken by a later one is charged back, and the next one corrects it.
         // Of a peer's first report only the level counts: the sum may be hours old.
         if let Some(before) = self.peers.insert(from, usage) {
@@ -263,7 +263,7 @@
         self.level
     }
 
-    /// Whether so little is left that all instances have to hear of each request.
+    /// Whether so little is left that each request is reported to all instances.
     pub(super) fn is_contended(&self) -> bool {
         self.level < self.capacity * CONTENDED_BELOW
     }
@@ -271,31 +271,31 @@
     fn refill(&mut self, now: Micros, around: Surroundings) {
         let seconds = (now - self.filled_at).0 as f64 / 1e6;
         self.filled_at = now.max(self.filled_at);
-        // Instances that are no longer heard may have used their part of the burst meanwhile.
-        let lost = (self.heard_part - around.heard_part).max(0.0);
-        self.heard_part = around.heard_part;
+        // Instances that no longer reach this one may have used their part of the burst meanwhile.
+        let lost = (self.reachable_part - around.reachable_part).max(0.0);
+        self.reachable_part = around.reachable_part;
         self.level -= self.capacity * lost;
-        let part = around.heard_part.min(self.unheard_limit(now, around));
+        let part = around.reachable_part.min(self.unreachable_limit(now, around));
         self.level = (self.level + seconds * self.rate * part).min(self.capacity);
         self.contended_since = self.is_contended().then(|| self.contended_since.unwrap_or(now));
     }
 
-    /// Part of the rate that is sure not to be granted by instances that this one does not hear, while
+    /// Part of the rate that is sure not to be granted by instances that do not reach this one, while
     /// the quota is contended and this instance grants part of it.
-    fn unheard_limit(&self, now: Micros, around: Surroundings) -> f64 {
+    fn unreachable_limit(&self, now: Micros, around: Surroundings) -> f64 {
         let Some(since) = self.contended_since else { return 1.0 };
         if now - self.requested_at > CUT_OFF_DETECTION {
             return 1.0;
         }
         let span = now - since;
-        if span < CUT_OFF_DETECTION && !self.has_heard_lately(now) {
+        if span < CUT_OFF_DETECTION && !self.has_recent_report(now) {
             return around.equal_share();
         }
-        if span < RECENTLY_HEARD { 1.0 } else { self.reporting_part(now) }
+        if span < RECENT_REPORT { 1.0 } else { self.reporting_part(now) }
     }
 
-    fn has_heard_lately(&self, now: Micros) -> bool {
-        self.peers.values().any(|peer| now - peer.heard_at < RECENTLY_HEARD)
+    fn has_recent_report(&self, now: Micros) -> bool {
+        self.peers.values().any(|peer| now - peer.received_at < RECENT_REPORT)
     }
 
     /// Part of the demand at this instance and at peers that still report. While the quota is
@@ -305,10 +305,10 @@
         let own = self.demand.per_second(now);
         let (mut reporting, mut all) = (own, own);
         for peer in self.peers.values() {
-            let silence = now - peer.heard_at;
+            let silence = now - peer.received_at;
             if silence < DEMAND_EXPIRY {
                 all += peer.demand;
-                let reports = silence < RECENTLY_HEARD || peer.demand < STEADY_DEMAND;
+                let reports = silence < RECENT_REPORT || peer.demand < STEADY_DEMAND;
                 reporting += if reports { peer.demand } else { 0.0 };
             }
         }
@@ -321,7 +321,7 @@
         if self.joined_at.is_none_or(|since| now - since < JOIN_TIME) {
             return equal;
         }
-        let is_recent = |peer: &&PeerUsage| now - peer.heard_at < DEMAND_EXPIRY;
+        let is_recent = |peer: &&PeerUsage| now - peer.received_at < DEMAND_EXPIRY;
         let others: f64 = self.peers.values().filter(is_recent).map(|peer| peer.demand).sum();
         let own = self.demand.per_second(now);
         (own / (own + others)).max(equal)
--- a/crates/galenapath-policy/src/quota/ledger.rs
+++ b/crates/galenapath-policy/src/quota/ledger.rs
@@ -63,7 +63,7 @@
         Self {
             accounts: FastMap::default(),
             active: FastSet::default(),
-            around: Surroundings { serving: 1.0, heard_part: 1.0 },
+            around: Surroundings { serving: 1.0, reachable_part: 1.0 },
             is_started: false,
         }
     }
@@ -95,10 +95,12 @@
     }
 
     /// Sets how many instances serve callers, this one included, and which part of the load is on
-    /// instances that this one hears.
-    pub fn set_surroundings(&mut self, serving: u32, heard_part: f64) {
-        self.around =
-            Surroundings { serving: f64::from(serving), heard_part: heard_part.clamp(0.0, 1.0) };
+    /// instances that reach this one.
+    pub fn set_surroundings(&mut self, serving: u32, reachable_part: f64) {
+        self.around = Surroundings {
+            serving: f64::from(serving),
+            reachable_part: reachable_part.clamp(0.0, 1.0),
+        };
     }
 
     /// Decides on a request of the workspace and charges it if it is granted.
--- a/crates/galenapath-policy/src/quota/mod.rs
+++ b/crates/galenapath-policy/src/quota/mod.rs
@@ -14,10 +14,10 @@
 //! by demand.
 //!
 //! What this adds to the quota, for `n` instances that serve the workspace: while little is left,
-//! one request of each that the others have not heard of, since a request is granted wherever one
+//! one request of each that the others do not know of, since a request is granted wherever one
 //! is left; a burst that begins between two reports, its excess during one report period and the
 //! delay of a datagram. Both are charged afterwards, so they count once in a window and not once in
-//! each period. An instance that does not hear others shrinks the rate to its part of the load that
+//! each period. An instance that others do not reach shrinks the rate to its part of the load that
 //! it last knew. An instance that starts has a quarter of a second of the rate at first.
 
 mod account;
--- a/crates/galenapath-policy/tests/quota/fleet.rs
+++ b/crates/galenapath-policy/tests/quota/fleet.rs
@@ -214,13 +214,13 @@
         let now = self.now;
         let others: Vec<usize> = (0..self.instances.len()).filter(|other| *other != at).collect();
         let own_load = self.instances[at].demand.max(1.0);
-        let (mut heard, mut known, mut serving) = (own_load, own_load, 1);
+        let (mut reachable, mut known, mut serving) = (own_load, own_load, 1);
         for other in &others {
             let peer = &self.instances[*other];
             let load = peer.demand.max(1.0);
             let is_up = self.is_up_for(at, *other);
             if is_up {
-                heard += load;
+                reachable += load;
                 serving += 1;
             }
             let silent_since = peer.cut_since.max(peer.down_since) + DETECTION;
@@ -229,7 +229,7 @@
             }
         }
         let ledger = &mut self.instances[at].ledger;
-        ledger.set_surroundings(serving, heard / known);
+        ledger.set_surroundings(serving, reachable / known);
         let due = ledger.take_reports(now);
         let up: Vec<usize> =
             others.into_iter().filter(|other| self.is_up_for(at, *other)).collect();
--- a/crates/galenapath-policy/tests/quota/ledger.rs
+++ b/crates/galenapath-policy/tests/quota/ledger.rs
@@ -150,7 +150,7 @@
 }
 
 #[test]
-fn set_surroundings_unheard_load_shrinks_rate() {
+fn set_surroundings_unreachable_load_shrinks_rate() {
     let mut ledger = ledger(100.0, 1.0);
     take_all(&mut ledger, START);
     ledger.set_surroundings(1, 0.1);
