--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -91,6 +91,14 @@
         SuspectVerdict::RunIsolated
     }
 
+    /// Whether the request is known to crash backend servers.
+    pub fn is_confirmed(&self, now: Micros, fp: Fingerprint) -> bool {
+        let assessment = self.assessments.get(&fp);
+        assessment.is_some_and(|known| {
+            known.suspicion == Suspicion::Confirmed && self.is_within_lifetime(now, known.last)
+        })
+    }
+
     /// Begins an isolated run of a suspect. Until it ends, the same request is rejected. Peers are
     /// not notified; the specification bounds the crashes that this can cause.
     pub fn begin_isolated_run(&mut self, fp: Fingerprint) {
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -58,16 +58,23 @@
     let (server, request) = (server.clone(), call.req.fingerprint);
     monoio::spawn(async move {
         if is_alive(&instance, &service, &server).await {
+            instance.metrics.lost_requests.with_label_values(&["alive"]).inc();
             return;
         }
+        instance.metrics.lost_requests.with_label_values(&["crashed"]).inc();
         let note = CrashNote { server: server.hash(), request };
-        log::warn!(server:% = server, request_hash:% = format!("{:032x}", request.0);
+        log::warn!(server:% = server, request_hash:% = hash_text(request);
             "server crashed while running a request");
-        instance.record_crash(&note);
+        instance.record_crash(&note, "own");
         instance.share_crash(note);
     });
 }
 
+/// A fingerprint as it stands in the log.
+fn hash_text(request: Fingerprint) -> String {
+    format!("{:032x}", request.0)
+}
+
 async fn is_alive(instance: &Instance, service: &Service, server: &BackendId) -> bool {
     let Some(address) = service.address(server) else { return false };
     // A paused server has just rejected a request, so it is alive; it must not be queried.
@@ -84,8 +91,15 @@
 }
 
 impl Instance {
-    /// Records a crash that this or another instance detected.
-    pub(crate) fn record_crash(&self, note: &CrashNote) {
-        self.suspects.borrow_mut().record_crash(self.now(), note.server, &[note.request]);
+    /// Records a crash that this or another instance detected. `source` is logged.
+    pub(crate) fn record_crash(&self, note: &CrashNote, source: &'static str) {
+        let now = self.now();
+        let mut suspects = self.suspects.borrow_mut();
+        let was_confirmed = suspects.is_confirmed(now, note.request);
+        suspects.record_crash(now, note.server, &[note.request]);
+        if !was_confirmed && suspects.is_confirmed(now, note.request) {
+            log::warn!(request_hash:% = hash_text(note.request), told_by = source;
+                "request crashes servers; it is rejected from now on");
+        }
     }
 }
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub sends: IntCounterVec,
     /// Hedged requests sent.
     pub hedges: IntCounter,
+    /// Requests whose connection broke, by whether the server was alive afterwards.
+    pub lost_requests: IntCounterVec,
     /// Connections opened to backend servers, by purpose.
     pub connects: IntCounterVec,
     /// Bytes sent and received, by flow and by whether the other end is in this instance's failure
@@ -95,6 +97,12 @@
             load_age: ages(&r, "load_age_seconds", "Mean age of the servers' loads")?,
             sends: counters(&r, "sends_total", "Sends to backend servers", &["outcome"])?,
             hedges: counter(&r, "copies_total", "Second copies sent")?,
+            lost_requests: counters(
+                &r,
+                "lost_requests_total",
+                "Requests whose connection broke, by the server's state afterwards",
+                &["server"],
+            )?,
             connects: counters(&r, "connects_total", "Connections to backend servers", &["for"])?,
             bytes: counters(&r, "bytes_total", "Bytes by flow", &["flow", "domain"])?,
             probes: counters(&r, "probes_total", "Load probes", &["result"])?,
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -159,7 +159,7 @@
     /// Applies the updates received from another instance.
     pub(crate) fn apply_loads(&self, loads: &Loads) {
         let now = self.now();
-        loads.crashes.iter().for_each(|note| self.record_crash(note));
+        loads.crashes.iter().for_each(|note| self.record_crash(note, "peer"));
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
             if !loads.warmth.is_empty() {
