Test that fails: a crash on a kept connection is not noticed

The stand-in of a server that a request crashes went on taking connections; a real one refuses them.

--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -1,7 +1,7 @@
 //! Serves requests and load queries of a server of the users' platform.
 
 use super::server::{DOWNTIME, ExecutedRequest, Inner, ServerFault, lock};
-use super::thread::wait_forever;
+use super::thread::{DOWN_POLL, wait_forever};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use http::{HeaderMap, StatusCode};
 use monoio::net::TcpStream;
@@ -47,7 +47,7 @@
     let mut framing = Framing::of_request(&head.headers);
     let body = conn.read_body(&mut framing, BODY_LIMIT).await?;
     let fault = lock(inner).fault;
-    if lock(inner).down_until.is_some_and(|until| Instant::now() < until) {
+    if lock(inner).is_down() {
         return Err(WireError::Closed);
     }
     if fault == ServerFault::ForgetsIdle && last_used.elapsed() > IDLE_LIMIT {
@@ -79,7 +79,7 @@
     let work = {
         let mut inner = lock(inner);
         inner.record_request();
-        if inner.down_until.is_some_and(|until| Instant::now() < until) {
+        if inner.is_down() {
             return Err(WireError::Closed);
         }
         let id = id.clone();
@@ -88,11 +88,15 @@
         inner.work * inner.slowdown / 100
     };
     let running = Running(inner);
+    run(inner, conn, work).await?;
     if fault == ServerFault::CrashesOnPoison && head.uri.path().contains("poison") {
         lock(inner).down_until = Some(Instant::now() + DOWNTIME);
+    }
+    if lock(inner).is_down() {
+        // In a crash, no connection breaks before the address refuses new ones.
+        monoio::time::sleep(2 * DOWN_POLL).await;
         return Err(WireError::Closed);
     }
-    run(inner, conn, work).await?;
     drop(running);
     answer(inner, conn, fault, &id).await
 }
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -5,7 +5,7 @@
 use super::limit::Limit;
 use super::pause::Pause;
 use super::serve::serve;
-use super::thread::listen;
+use super::thread::listen_while_up;
 use monoio::net::TcpStream;
 use serde_json::{Value, json};
 use std::io;
@@ -42,8 +42,8 @@
     Busy,
     /// Answers as another instance (status 421): its address now belongs to a different server.
     Other,
-    /// Crashes when it starts to run a request whose path contains `poison`; restarts after one
-    /// second.
+    /// Crashes at the end of the work on a request whose path contains `poison`, with all requests
+    /// in flight; refuses connections until it restarts after one second.
     CrashesOnPoison,
     /// Closes a connection that was idle for more than 300 ms when the next request arrives on it.
     ForgetsIdle,
@@ -94,6 +94,11 @@
 }
 
 impl Inner {
+    /// Whether the server is down after a crash.
+    pub(super) fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Records a request; the server crashes if it is cold and receives too many.
     pub(super) fn record_request(&mut self) {
         let now = Instant::now();
@@ -139,12 +144,13 @@
             is_leaving: false,
             reports_state_in_probes: false,
         }));
-        let shared = Arc::clone(&inner);
-        let address = listen(move || {
+        let (shared, state) = (Arc::clone(&inner), Arc::clone(&inner));
+        let handler = move || {
             move |io: TcpStream| {
                 monoio::spawn(serve(Arc::clone(&shared), io));
             }
-        })?;
+        };
+        let address = listen_while_up(handler, move || lock(&state).is_down())?;
         Ok(Self { inner, address })
     }
 
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -6,6 +6,9 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 
+/// Log line of an instance that has found out that a server crashed.
+const CRASHED: &str = "server crashed while running a request";
+
 #[test]
 fn filing_run_never_sent_again() {
     for fault in
@@ -298,3 +301,36 @@
     assert_eq!(answer.status, 200);
     assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
 }
+
+/// Number of servers that ran a request with `poison` in its path.
+fn poisoned_runs(world: &World) -> usize {
+    let servers = world.servers_of("look").into_iter();
+    let runs = servers.flat_map(|server| server.executed_requests());
+    runs.filter(|ran| ran.line.contains("poison")).count()
+}
+
+#[test]
+fn crash_on_a_kept_connection_counted() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    // Both servers have a connection that is used again by the request that crashes them.
+    for n in 0..12 {
+        assert_eq!(gateway.send_lookup(&format!("ck{n}")).status, 200);
+    }
+    for server in world.servers_of("look") {
+        server.set_fault(ServerFault::CrashesOnPoison);
+    }
+    let answer = gateway.request("GET", "/look/poison", "cp0", 1_000, b"");
+    assert_eq!(answer.status, 502);
+    assert_eq!(poisoned_runs(&world), 2);
+    wait_until("both crashes", || {
+        gateway.log().iter().filter(|line| line["event"] == CRASHED).count() == 2
+    });
+    // Both servers run again.
+    wait_until("a request to be answered", || gateway.send_lookup("ck99").status == 200);
+    std::thread::sleep(Duration::from_millis(1_200));
+    let again = gateway.request("GET", "/look/poison", "cp1", 1_000, b"");
+    assert_eq!(again.status, 503);
+    assert_eq!(gateway.log_of("cp1")["outcome"], "crashes_servers");
+    assert_eq!(poisoned_runs(&world), 2);
+}
