A request that broke on a kept connection stays sent, whatever the second connection does

Cause: when a kept connection ended under an idempotent request, it was sent once more to the same server on a new connection, and the outcome of the attempt was that of the second connect. After a crash the connect is refused, so the outcome was 'unreachable', which says that nothing was sent. Then nobody looked into the crash, and the next send was free: neither an attempt nor a retry. Evidence: the record's request has 'sent', then 'unreachable:74ms' of the same server, and no line on its crash; crashes were noticed only where the retry budget had run out. The class: what one step learns is replaced by the outcome of the next.

Now a connect that fails after a send is a broken request, and the second send counts as one that may run, so that a refusal of it is no promise for the first.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -117,23 +117,14 @@
     in_flight.mark_sent();
     call.record_send(&in_flight.server);
     let mut sent_at = call.instance.now();
-    let head = send_and_read_head(call, &mut connection).await;
-    let head = match head {
-        // The server closed a reused connection while the request was in transit.
-        Err(HttpError::Closed | HttpError::Io(_))
-            // The request may have arrived nevertheless, so sending it again counts as a retry.
-            if is_reused
-                && call.req.route.kind.is_idempotent()
-                && service.try_count_resend(&call.instance, server)
-                && take_retry(call) =>
-        {
-            connection = connect(call, address).await?;
-            write_request(call, &listed_id, &mut connection);
-            sent_at = call.instance.now();
-            send_and_read_head(call, &mut connection).await
-        }
-        head => head,
-    };
+    let mut head = send_and_read_head(call, &mut connection).await;
+    if is_connection_lost(&head) && is_reused && may_resend(call, server) {
+        connection = reconnect(call, address).await?;
+        write_request(call, &listed_id, &mut connection);
+        call.record_resend();
+        sent_at = call.instance.now();
+        head = send_and_read_head(call, &mut connection).await;
+    }
     let (head, verdict) = head.map_err(|e| attempt_error(&e))?;
     if let Some(kind) = answer_kind(verdict, head.status) {
         in_flight.answer_load.set(load_query::apply_answer_load(
@@ -163,6 +154,26 @@
     }
 }
 
+/// Whether the connection ended before the head of an answer. The server may have closed a reused
+/// connection while the request was in transit.
+fn is_connection_lost<T>(head: &Result<T, HttpError>) -> bool {
+    matches!(head, Err(HttpError::Closed | HttpError::Io(_)))
+}
+
+/// Whether a request whose reused connection ended may be sent to the same server again. It may have
+/// arrived nevertheless, so that counts as a retry.
+fn may_resend(call: &Call, server: &BackendId) -> bool {
+    call.req.route.kind.is_idempotent()
+        && call.service.try_count_resend(&call.instance, server)
+        && take_retry(call)
+}
+
+/// Opens a connection for a request that was sent before. If the server cannot be reached any more,
+/// the first send counts: the request may have run, and the server may have crashed under it.
+async fn reconnect(call: &Call, address: SocketAddr) -> Result<Connection, AttemptError> {
+    connect(call, address).await.map_err(|_| AttemptError::Broken)
+}
+
 /// Classifies the answer to a request; `None` if a server other than the addressed one sent it.
 fn answer_kind(verdict: HeadVerdict, status: StatusCode) -> Option<AnswerKind> {
     match verdict {
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Records that the request is being sent to the same server again on a new connection. Either
+    /// send may run.
+    pub(crate) fn record_resend(&self) {
+        self.add_step("again ");
+        self.unresolved.set(self.unresolved.get() + 1);
+        self.update_charge();
+    }
+
     /// Records that the last server addressed did not run the request.
     pub(crate) fn record_not_run(&self) {
         self.unresolved.set(self.unresolved.get().saturating_sub(1));
