Known to crash servers: asked before every send, not only when a request is admitted

A request that was admitted before it became known was still sent: as a hedge, as a retry, after its wait for a server and on the second connection. Found by looking for the same cause in all that sends. Now each send asks; a request that has not run is refused with the time that is left of its rejection.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -40,6 +40,8 @@
     /// The load observation is stale and the query budget for the server is spent. Such a server
     /// looks better than the others to every instance, and all have just sent requests to it.
     QueryBudgetSpent,
+    /// The request has become known to crash servers, so it was not sent.
+    CrashesServers,
     /// The connection broke after the request was sent.
     Broken,
     /// The answer is invalid and must not be forwarded.
@@ -54,7 +56,8 @@
             | Self::Rejected
             | Self::OtherServer
             | Self::Unfit
-            | Self::QueryBudgetSpent => Verdict::NotRun,
+            | Self::QueryBudgetSpent
+            | Self::CrashesServers => Verdict::NotRun,
             Self::Broken | Self::InvalidAnswer(_) => Verdict::MayHaveRun,
         }
     }
@@ -67,6 +70,7 @@
             Self::OtherServer => "other_server",
             Self::Unfit => "unfit",
             Self::QueryBudgetSpent => "not_asked",
+            Self::CrashesServers => "crashes_servers",
             Self::Broken => "broken",
             Self::InvalidAnswer(why) => why,
         }
@@ -76,7 +80,7 @@
     pub(crate) const fn weight(self) -> f32 {
         match self {
             Self::Rejected => 0.3,
-            Self::Unfit | Self::QueryBudgetSpent => 0.0,
+            Self::Unfit | Self::QueryBudgetSpent | Self::CrashesServers => 0.0,
             Self::Unreachable | Self::OtherServer | Self::Broken | Self::InvalidAnswer(_) => 1.0,
         }
     }
@@ -103,15 +107,11 @@
     let (service, server) = (&call.service, &in_flight.server);
     let address = service.address(server).ok_or(AttemptError::Unreachable)?;
     // Checked here as well, so that a server that accepts no requests gets no load query.
-    if !service.may_send(&call.instance, server, in_flight.snapshot) {
-        return Err(AttemptError::Unfit);
-    }
+    check_send(call, in_flight)?;
     let (mut connection, is_reused) = fitness::connect_if_fit(call, in_flight, address).await?;
     // Meanwhile the server may have paused, started to drain, turned cold or stated a rate limit,
-    // or its failure domain may have been evacuated.
-    if !service.may_send(&call.instance, server, in_flight.snapshot) {
-        return Err(AttemptError::Unfit);
-    }
+    // or its failure domain may have been evacuated, or the request may have crashed other servers.
+    check_send(call, in_flight)?;
     let listed_id = service.listed_id(server).ok_or(AttemptError::Unreachable)?;
     write_request(call, &listed_id, &mut connection);
     in_flight.mark_sent();
@@ -154,6 +154,17 @@
     }
 }
 
+/// Checks whether the request and its server are still as they were when the server was selected.
+fn check_send(call: &Call, in_flight: &InFlight) -> Result<(), AttemptError> {
+    if crash::is_known_to_crash_servers(call) {
+        return Err(AttemptError::CrashesServers);
+    }
+    match call.service.may_send(&call.instance, &in_flight.server, in_flight.snapshot) {
+        true => Ok(()),
+        false => Err(AttemptError::Unfit),
+    }
+}
+
 /// Whether the connection ended before the head of an answer. The server may have closed a reused
 /// connection while the request was in transit.
 fn is_connection_lost<T>(head: &Result<T, HttpError>) -> bool {
@@ -164,6 +175,7 @@
 /// arrived nevertheless, so that counts as a retry.
 fn may_resend(call: &Call, server: &BackendId) -> bool {
     call.req.route.kind.is_idempotent()
+        && !crash::is_known_to_crash_servers(call)
         && call.service.try_count_resend(&call.instance, server)
         && take_retry(call)
 }
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -138,7 +138,7 @@
         self.instance.metrics.sends.with_label_values(&[outcome]).inc();
         let kind = self.req.route.kind.as_str();
         let mut placement = self.service.placement.borrow_mut();
-        if !matches!(result, Err(AttemptError::QueryBudgetSpent)) {
+        if !matches!(result, Err(AttemptError::QueryBudgetSpent | AttemptError::CrashesServers)) {
             placement
                 .record_fitness(in_flight.snapshot, !matches!(result, Err(AttemptError::Unfit)));
         }
@@ -156,7 +156,9 @@
                 placement.record_failure(now, server, 1.0);
                 placement.mark_unreachable(now, server);
             }
-            Err(AttemptError::Unfit | AttemptError::QueryBudgetSpent) => {}
+            Err(
+                AttemptError::Unfit | AttemptError::QueryBudgetSpent | AttemptError::CrashesServers,
+            ) => {}
             Err(error) => placement.record_failure(now, server, error.weight()),
         }
         drop(placement);
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -52,6 +52,20 @@
     }
 }
 
+/// Whether the request is known to crash servers. Checked before each send: a request that waits, is
+/// retried or gets a hedge may have become known since it was admitted.
+pub(crate) fn is_known_to_crash_servers(call: &Call) -> bool {
+    call.instance.suspects.borrow().is_confirmed(call.instance.now(), call.req.fingerprint)
+}
+
+/// Time after which the caller may send a request that is known to crash servers again.
+pub(crate) fn rejected_for(call: &Call) -> Option<Micros> {
+    match call.instance.suspects.borrow().check(call.instance.now(), call.req.fingerprint) {
+        SuspectVerdict::Reject { retry_after } => Some(retry_after),
+        SuspectVerdict::Clear | SuspectVerdict::RunIsolated => None,
+    }
+}
+
 /// After a connection broke during a request, checks in the background whether the server crashed.
 pub(crate) fn check_for_crash(call: &Call, server: &BackendId) {
     let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -70,9 +70,11 @@
 fn failure_after(call: &Call, error: Option<AttemptError>) -> RequestFailure {
     let reason = error.map_or("server_error", AttemptError::as_str);
     let mut failure = failure(call, reason, StatusCode::BAD_GATEWAY);
-    if error == Some(AttemptError::Rejected) {
-        failure.retry_after = failure.retry_after.map(|_| REJECTED_RETRY_AFTER);
-    }
+    failure.retry_after = failure.retry_after.map(|usual| match error {
+        Some(AttemptError::Rejected) => REJECTED_RETRY_AFTER,
+        Some(AttemptError::CrashesServers) => crash::rejected_for(call).unwrap_or(usual),
+        _ => usual,
+    });
     failure
 }
 
@@ -181,7 +183,10 @@
         }
         _ => call.req.route.kind.is_idempotent(),
     };
-    if !is_allowed || call.time_left() < MIN_TIME_TO_SEND {
+    if !is_allowed
+        || error == Some(AttemptError::CrashesServers)
+        || call.time_left() < MIN_TIME_TO_SEND
+    {
         return false;
     }
     // Nothing was sent, so this counts neither as an attempt nor as a retry.
@@ -265,7 +270,10 @@
 /// Selects a server for a hedge, if time, attempts and the retry budget allow it.
 fn place_hedge(call: &Call) -> Option<InFlight> {
     let has_time = call.time_left() > MIN_TIME_TO_SEND;
-    if !has_time || call.sends() >= call.req.route.max_attempts {
+    if !has_time
+        || call.sends() >= call.req.route.max_attempts
+        || crash::is_known_to_crash_servers(call)
+    {
         return None;
     }
     let is_large = call.req.route.kind.is_large();
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Gateway, World, config, wait_until};
 use galenapath_dev::link::LinkFault;
-use galenapath_dev::users_platform::ServerFault;
+use galenapath_dev::users_platform::{ServerFault, ServerStandIn};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -334,3 +334,40 @@
     assert_eq!(gateway.log_of("cp1")["outcome"], "crashes_servers");
     assert_eq!(poisoned_runs(&world), 2);
 }
+
+#[test]
+fn hedge_not_sent_once_the_request_is_known_to_crash_servers() {
+    let world = World::start();
+    let long_timeouts =
+        [("look", "target_latency_ms", json!(5_000)), ("look", "timeout_ms", json!(9_000))];
+    world.store.put("op/config", &config(2, &long_timeouts));
+    let crashing: Vec<ServerStandIn> = world.servers_of("look").into_iter().cloned().collect();
+    let hanging = ServerStandIn::start("i-hangs", Duration::from_millis(20)).unwrap();
+    hanging.set_fault(ServerFault::Hang);
+    let list = |server: &ServerStandIn, state: &str| {
+        let (key, entry) = server.entry("look", state);
+        world.store.put(&key, &entry);
+    };
+    for server in &crashing {
+        server.set_fault(ServerFault::CrashesOnPoison);
+        world.store.delete(&server.entry("look", "ready").0);
+    }
+    list(&hanging, "ready");
+    let first = Gateway::start_ready(&world, &[]);
+    let second = Gateway::start_ready(&world, &[&first]);
+    first.wait_for_peers(1);
+    second.wait_for_peers(1);
+    std::thread::scope(|scope| {
+        let request = scope.spawn(|| first.request("GET", "/look/poison", "hk0", 9_000, b""));
+        wait_until("the request to run", || hanging.executed_requests().len() == 1);
+        list(&hanging, "draining");
+        crashing.iter().for_each(|server| list(server, "ready"));
+        wait_until("the other servers to crash", || {
+            second.request("GET", "/look/poison", "hk1", 1_000, b"");
+            poisoned_runs(&world) == 2
+        });
+        // Both run again long before a hedge of the first request is due.
+        assert_eq!(request.join().unwrap().status, 504);
+    });
+    assert_eq!(poisoned_runs(&world), 2, "{}", first.log_of("hk0"));
+}
