Known to crash servers: kept when many other crashes follow

A request that crashes servers ran again once 32 later crashes had pushed its own out of the list, which the loss of a rack in a large fleet does within a second. What a dropped crash showed is kept for as long as the crash would have counted.

record_crash_many_others_cause_still_rejected failed before (the request was clear again).

--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -14,7 +14,8 @@
     pub max_crashes: usize,
     /// Maximum number of requests kept for one crash.
     pub max_members: usize,
-    /// Maximum number of answered requests kept.
+    /// Maximum number of answered requests kept, and of requests known by other evidence than their
+    /// crashes.
     pub max_answered: usize,
     /// How long a crash or an answer is taken into account.
     pub lifetime: Micros,
@@ -57,6 +58,10 @@
     crashes: VecDeque<Crash>,
     /// Invariant: the assessment of each member of `crashes`.
     assessments: BTreeMap<Fingerprint, Assessment>,
+    /// Requests known to crash backend servers whose crashes have been dropped, with the time of their
+    /// last known crash. Newer crashes of other requests, such as the loss of a rack, do not make them
+    /// run again.
+    verdicts: BTreeMap<Fingerprint, Micros>,
     /// Time of the last complete answer of each request that was a suspect. The answer clears the
     /// request of all crashes up to that time.
     answered: BTreeMap<Fingerprint, Micros>,
@@ -72,18 +77,13 @@
 
     /// Decides whether and how the request `fp` may run.
     pub fn check(&self, now: Micros, fp: Fingerprint) -> SuspectVerdict {
-        let Some(assessment) =
-            self.assessments.get(&fp).filter(|s| self.is_within_lifetime(now, s.last))
-        else {
+        if let Some(last) = self.confirmed_at(now, fp) {
+            let retry_after = last + self.cfg.lifetime - now;
+            return SuspectVerdict::Reject { retry_after };
+        }
+        let known = self.assessments.get(&fp).filter(|s| self.is_within_lifetime(now, s.last));
+        if known.is_none_or(|known| known.suspicion == Suspicion::Explained) {
             return SuspectVerdict::Clear;
-        };
-        match assessment.suspicion {
-            Suspicion::Explained => return SuspectVerdict::Clear,
-            Suspicion::Confirmed => {
-                let retry_after = assessment.last + self.cfg.lifetime - now;
-                return SuspectVerdict::Reject { retry_after };
-            }
-            Suspicion::Suspected => {}
         }
         if self.isolated_runs.contains(&fp) {
             return SuspectVerdict::Reject { retry_after: self.cfg.isolated_run_retry_after };
@@ -93,10 +93,21 @@
 
     /// Whether the request is known to crash backend servers.
     pub fn is_confirmed(&self, now: Micros, fp: Fingerprint) -> bool {
-        let assessment = self.assessments.get(&fp);
-        assessment.is_some_and(|known| {
-            known.suspicion == Suspicion::Confirmed && self.is_within_lifetime(now, known.last)
-        })
+        self.confirmed_at(now, fp).is_some()
+    }
+
+    /// Time of the last known crash of a request that is known to crash backend servers.
+    fn confirmed_at(&self, now: Micros, fp: Fingerprint) -> Option<Micros> {
+        let assessed = self.assessments.get(&fp);
+        let assessed = assessed.filter(|known| known.suspicion == Suspicion::Confirmed);
+        let last = assessed.map(|known| known.last).max(self.verdicts.get(&fp).copied())?;
+        self.is_within_lifetime(now, last).then_some(last)
+    }
+
+    fn keep_verdict(&mut self, fp: Fingerprint, last: Micros) {
+        let known = self.verdicts.entry(fp).or_insert(last);
+        *known = last.max(*known);
+        drop_oldest(&mut self.verdicts, self.cfg.max_answered);
     }
 
     /// Begins an isolated run of a suspect. Until it ends, the same request is rejected. Peers are
@@ -117,7 +128,7 @@
 
     /// Records that a request was answered completely, so it did not crash the server that ran it.
     pub fn record_answer(&mut self, now: Micros, fp: Fingerprint) {
-        if self.assessments.contains_key(&fp) {
+        if self.assessments.contains_key(&fp) || self.verdicts.contains_key(&fp) {
             self.clear(now, fp, now);
         }
     }
@@ -162,8 +173,19 @@
                 self.crashes[index].add(*fp, max);
             }
         }
-        while self.crashes.len() > self.cfg.max_crashes.max(1) {
-            self.crashes.pop_front();
+        self.assessments = assess(self.crashes.iter());
+        if self.crashes.len() > self.cfg.max_crashes.max(1) {
+            self.drop_oldest_crash(now);
+        }
+    }
+
+    /// Drops the oldest crash, but not what it showed.
+    fn drop_oldest_crash(&mut self, now: Micros) {
+        let Some(oldest) = self.crashes.pop_front() else { return };
+        for fp in oldest.members {
+            if let Some(last) = self.confirmed_at(now, fp) {
+                self.keep_verdict(fp, last);
+            }
         }
         self.assessments = assess(self.crashes.iter());
     }
@@ -183,18 +205,19 @@
             crash.clear(fp);
         }
         self.assessments = assess(self.crashes.iter());
+        if self.verdicts.get(&fp).is_some_and(|last| *last <= at) {
+            self.verdicts.remove(&fp);
+        }
         let last = self.answered.entry(fp).or_insert(at);
         *last = at.max(*last);
-        if self.answered.len() > self.cfg.max_answered {
-            let oldest = self.answered.iter().min_by_key(|(_, at)| **at).map(|(fp, _)| *fp);
-            oldest.map(|fp| self.answered.remove(&fp));
-        }
+        drop_oldest(&mut self.answered, self.cfg.max_answered);
     }
 
     fn expire(&mut self, now: Micros) {
         let lifetime = self.cfg.lifetime;
         self.crashes.retain(|crash| crash.at + lifetime > now);
         self.answered.retain(|_, at| *at + lifetime > now);
+        self.verdicts.retain(|_, last| *last + lifetime > now);
     }
 
     fn live_crashes(&self, now: Micros) -> impl Iterator<Item = &Crash> {
@@ -206,6 +229,14 @@
     }
 }
 
+/// Removes the entry with the earliest time if there are more than `max`.
+fn drop_oldest(times: &mut BTreeMap<Fingerprint, Micros>, max: usize) {
+    if times.len() > max {
+        let oldest = times.iter().min_by_key(|(_, at)| **at).map(|(fp, _)| *fp);
+        oldest.map(|fp| times.remove(&fp));
+    }
+}
+
 fn time_at_age(now: Micros, age_ms: u64) -> Micros {
     now - Micros(age_ms.saturating_mul(1_000))
 }
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -122,6 +122,20 @@
     assert!(all.iter().all(|s| is_rejected(s.check(now, CRASHING))));
 }
 
+#[test]
+fn record_crash_many_others_cause_still_rejected() {
+    let mut s = suspects();
+    s.record_crash(T0, 1, &[CRASHING]);
+    s.record_crash(T0 + APART, 2, &[CRASHING]);
+    let now = T0 + APART + APART;
+    for lost in 0..SuspectConfig::default().max_crashes as u64 {
+        s.record_crash(now, 100 + lost, &[fp(u128::from(lost))]);
+    }
+    assert!(is_rejected(s.check(now, CRASHING)));
+    s.record_answer(now, CRASHING);
+    assert_eq!(s.check(now, CRASHING), SuspectVerdict::Clear);
+}
+
 /// Sends the crashing request through the given instances in turn and returns the number of servers
 /// that crash. All instances learn of each crash before the next send. `sends` also contains the
 /// other requests in flight on the server, unless the crashing request runs isolated.
