Known to crash servers: told again every second, also to instances that start

An instance that started after a request had become known sent it to two servers; so did one that had lost the datagram or was cut off. Each crash was told once, in one datagram, to those that were there. Instances now repeat every second what they know to the instances that get their heartbeats, which repeat it in turn: each hears it from several, and no instance has to be the one that tells.

instance_that_starts_learns_which_requests_crash_servers failed before (502 after two more servers had crashed).

--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -58,9 +58,9 @@
     crashes: VecDeque<Crash>,
     /// Invariant: the assessment of each member of `crashes`.
     assessments: BTreeMap<Fingerprint, Assessment>,
-    /// Requests known to crash backend servers whose crashes have been dropped, with the time of their
-    /// last known crash. Newer crashes of other requests, such as the loss of a rack, do not make them
-    /// run again.
+    /// Requests known to crash backend servers by other evidence than `crashes`, with the time of
+    /// their last known crash: peers reported them, or their crashes have been dropped. Newer crashes
+    /// of other requests, such as the loss of a rack, do not make them run again.
     verdicts: BTreeMap<Fingerprint, Micros>,
     /// Time of the last complete answer of each request that was a suspect. The answer clears the
     /// request of all crashes up to that time.
@@ -96,6 +96,25 @@
         self.confirmed_at(now, fp).is_some()
     }
 
+    /// The requests known to crash backend servers, each with the time of its last known crash.
+    pub fn confirmed(&self, now: Micros) -> impl Iterator<Item = (Fingerprint, Micros)> {
+        let known: BTreeSet<Fingerprint> =
+            self.assessments.keys().chain(self.verdicts.keys()).copied().collect();
+        known.into_iter().filter_map(move |fp| Some((fp, self.confirmed_at(now, fp)?)))
+    }
+
+    /// Records that a peer knows the request to crash backend servers, the last one at `last`.
+    /// Returns whether this was not known before.
+    pub fn record_verdict(&mut self, now: Micros, fp: Fingerprint, last: Micros) -> bool {
+        let is_answered = self.answered.get(&fp).is_some_and(|answered| *answered >= last);
+        if is_answered || !self.is_within_lifetime(now, last) {
+            return false;
+        }
+        let is_new = !self.is_confirmed(now, fp);
+        self.keep_verdict(fp, last);
+        is_new
+    }
+
     /// Time of the last known crash of a request that is known to crash backend servers.
     fn confirmed_at(&self, now: Micros, fp: Fingerprint) -> Option<Micros> {
         let assessed = self.assessments.get(&fp);
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -136,6 +136,21 @@
     assert_eq!(s.check(now, CRASHING), SuspectVerdict::Clear);
 }
 
+#[test]
+fn record_verdict_rejected_until_answered_or_expired() {
+    let mut s = suspects();
+    let now = T0 + APART;
+    assert!(s.record_verdict(now, CRASHING, T0));
+    assert!(!s.record_verdict(now, CRASHING, T0));
+    assert!(is_rejected(s.check(now, CRASHING)));
+    assert_eq!(s.confirmed(now).collect::<Vec<_>>(), vec![(CRASHING, T0)]);
+    let later = T0 + SuspectConfig::default().lifetime;
+    assert_eq!(s.check(later, CRASHING), SuspectVerdict::Clear);
+    s.record_answer(now, CRASHING);
+    assert_eq!(s.check(now, CRASHING), SuspectVerdict::Clear);
+    assert!(!s.record_verdict(now, CRASHING, T0));
+}
+
 /// Sends the crashing request through the given instances in turn and returns the number of servers
 /// that crash. All instances learn of each crash before the next send. `sends` also contains the
 /// other requests in flight on the server, unless the crashing request runs isolated.
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -6,8 +6,8 @@
 //! [`galenapath_filings::Suspects`] decides which requests are crash suspects.
 
 use crate::call::Call;
-use crate::fleet::CrashNote;
-use crate::instance::Instance;
+use crate::fleet::{CrashNote, Notices, RejectedNote};
+use crate::instance::{Instance, sleep_to_next};
 use crate::load_query;
 use crate::service::Service;
 use galenapath_filings::{Fingerprint, SuspectVerdict};
@@ -20,6 +20,13 @@
 /// Time within which a server that may have crashed has to connect and answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Period at which an instance repeats which requests crash servers. An instance that has started, or
+/// that was cut off, learns of them within that time of its first heartbeat.
+const REPEAT_PERIOD: Micros = Micros::from_secs(1);
+
+/// Maximum number of requests in one repetition; more are repeated in turn.
+const MAX_REPEATED: usize = 16;
+
 /// A running crash suspect. Dropping it lets the next request with the same fingerprint run.
 pub(crate) struct SuspectRun<'a> {
     instance: &'a Instance,
@@ -112,8 +119,44 @@
         let was_confirmed = suspects.is_confirmed(now, note.request);
         suspects.record_crash(now, note.server, &[note.request]);
         if !was_confirmed && suspects.is_confirmed(now, note.request) {
-            log::warn!(request_hash:% = hash_text(note.request), told_by = source;
-                "request crashes servers; it is rejected from now on");
+            log_rejected(note.request, source);
+        }
+    }
+
+    /// Applies which requests another instance knows to crash servers.
+    pub(crate) fn apply_rejected(&self, notes: &[RejectedNote]) {
+        let now = self.now();
+        for RejectedNote { request, age } in notes {
+            if self.suspects.borrow_mut().record_verdict(now, *request, now - *age) {
+                log_rejected(*request, "peer");
+            }
         }
     }
+
+    /// Repeats which requests crash servers to the instances that get this one's heartbeats. What an
+    /// instance is told it repeats as well, so that each one hears it from several.
+    fn repeat_rejected(&self, round: usize) {
+        let now = self.now();
+        let note = |(request, last)| RejectedNote { request, age: now - last };
+        let all: Vec<RejectedNote> = self.suspects.borrow().confirmed(now).map(note).collect();
+        let Some(parts) = all.len().checked_sub(1).map(|last| last / MAX_REPEATED + 1) else {
+            return;
+        };
+        let rejected = all.chunks(MAX_REPEATED).nth(round % parts).unwrap_or_default().to_vec();
+        let to = self.membership.borrow().target_addresses();
+        self.send_notices(&Notices { rejected, ..Notices::default() }, &to);
+    }
+}
+
+fn log_rejected(request: Fingerprint, source: &str) {
+    log::warn!(request_hash:% = hash_text(request), told_by = source;
+        "request crashes servers; it is rejected from now on");
+}
+
+/// Repeats which requests crash servers for as long as the instance runs.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    for round in 0.. {
+        sleep_to_next(&instance, REPEAT_PERIOD).await;
+        instance.repeat_rejected(round);
+    }
 }
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -3,10 +3,10 @@
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
     HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
-    RemovalWire, UsageWire, UsagesWire, WarmthWire,
+    RejectedWire, RemovalWire, UsageWire, UsagesWire, WarmthWire,
 };
 use super::message::{
-    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, WarmthNote,
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RejectedNote, WarmthNote,
 };
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
@@ -173,17 +173,39 @@
 /// Bits in one half of a fingerprint.
 const HALF_BITS: u32 = 64;
 
+/// The upper and the lower half of a fingerprint.
+fn halves(Fingerprint(request): Fingerprint) -> (u64, u64) {
+    ((request >> HALF_BITS) as u64, request as u64)
+}
+
+fn fingerprint(high: u64, low: u64) -> Fingerprint {
+    Fingerprint(u128::from(high) << HALF_BITS | u128::from(low))
+}
+
 impl From<&CrashNote> for CrashWire {
     fn from(note: &CrashNote) -> Self {
-        let CrashNote { server, request: Fingerprint(request) } = *note;
-        Self { server, request_high: (request >> HALF_BITS) as u64, request_low: request as u64 }
+        let (request_high, request_low) = halves(note.request);
+        Self { server: note.server, request_high, request_low }
     }
 }
 
 impl From<CrashWire> for CrashNote {
     fn from(wire: CrashWire) -> Self {
-        let request = u128::from(wire.request_high) << HALF_BITS | u128::from(wire.request_low);
-        Self { server: wire.server, request: Fingerprint(request) }
+        Self { server: wire.server, request: fingerprint(wire.request_high, wire.request_low) }
+    }
+}
+
+impl From<&RejectedNote> for RejectedWire {
+    fn from(note: &RejectedNote) -> Self {
+        let (request_high, request_low) = halves(note.request);
+        Self { age_ms: millis(note.age), request_high, request_low }
+    }
+}
+
+impl From<RejectedWire> for RejectedNote {
+    fn from(wire: RejectedWire) -> Self {
+        let request = fingerprint(wire.request_high, wire.request_low);
+        Self { request, age: Micros::from_millis(u64::from(wire.age_ms)) }
     }
 }
 
@@ -207,14 +229,16 @@
 impl From<&Notices> for NoticesWire {
     fn from(notices: &Notices) -> Self {
         let limits = notices.limits.iter().map(Into::into).collect();
-        Self { leaving: notices.leaving.clone(), limits }
+        let rejected = notices.rejected.iter().map(Into::into).collect();
+        Self { leaving: notices.leaving.clone(), limits, rejected }
     }
 }
 
 impl From<NoticesWire> for Notices {
     fn from(wire: NoticesWire) -> Self {
         let limits = wire.limits.into_iter().map(Into::into).collect();
-        Self { limits, leaving: wire.leaving }
+        let rejected = wire.rejected.into_iter().map(Into::into).collect();
+        Self { limits, leaving: wire.leaving, rejected }
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -208,6 +208,9 @@
     ///Hashes of the identities of the servers that are leaving.
     pub leaving: ::std::vec::Vec<u64>,
     pub limits: ::std::vec::Vec<LimitWire>,
+    ///Requests known to crash backend servers. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rejected: ::std::vec::Vec<RejectedWire>,
 }
 ///State that the requesting instance already has.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -218,6 +221,17 @@
     ///Whether to send a newer configuration; the list of backend servers is sent in any case.
     pub wants_config: bool,
 }
+///A request that is known to crash backend servers.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RejectedWire {
+    ///Time since its last known crash when this message was sent.
+    pub age_ms: u32,
+    ///Upper half of the request's fingerprint.
+    pub request_high: u64,
+    ///Lower half of the request's fingerprint.
+    pub request_low: u64,
+}
 ///An entry that was removed from the list.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -57,21 +57,32 @@
     }
 }
 
-/// Statements of backend servers in their answers, apart from their loads.
+/// Statements of backend servers in their answers, apart from their loads, and requests that crash
+/// servers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Notices {
     pub(crate) limits: Vec<LimitNote>,
     /// Hashes of the IDs of servers that are leaving.
     pub(crate) leaving: Vec<u64>,
+    /// Requests known to crash servers.
+    pub(crate) rejected: Vec<RejectedNote>,
 }
 
 impl Notices {
     /// Whether there is nothing to send.
     pub(crate) fn is_empty(&self) -> bool {
-        self.limits.is_empty() && self.leaving.is_empty()
+        self.limits.is_empty() && self.leaving.is_empty() && self.rejected.is_empty()
     }
 }
 
+/// A request that is known to crash servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RejectedNote {
+    pub(crate) request: Fingerprint,
+    /// Time since its last known crash when this was sent.
+    pub(crate) age: Micros,
+}
+
 /// One backend server's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LimitNote {
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -68,6 +68,7 @@
 
     /// Applies notices from another instance.
     pub(crate) fn apply_notices(&self, notices: &Notices) {
+        self.apply_rejected(&notices.rejected);
         let now = self.now();
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
@@ -113,7 +114,7 @@
         self.send_notices(&self.notices(limits), &[address]);
     }
 
-    fn send_notices(&self, notices: &Notices, to: &[SocketAddr]) {
+    pub(crate) fn send_notices(&self, notices: &Notices, to: &[SocketAddr]) {
         for part in split(notices) {
             let datagram = fleet::encode(&Datagram::Notices(part));
             to.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
@@ -141,7 +142,9 @@
     let limits = limits.map(|part| Notices { limits: part.to_vec(), ..Notices::default() });
     let leaving = notices.leaving.chunks(MAX_NOTES_PER_DATAGRAM);
     let leaving = leaving.map(|part| Notices { leaving: part.to_vec(), ..Notices::default() });
-    limits.chain(leaving).collect()
+    let rejected = notices.rejected.chunks(MAX_NOTES_PER_DATAGRAM);
+    let rejected = rejected.map(|part| Notices { rejected: part.to_vec(), ..Notices::default() });
+    limits.chain(leaving).chain(rejected).collect()
 }
 
 /// Repeats the notices in force for as long as the instance runs.
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -6,7 +6,7 @@
 use crate::reload::{self, ReadSettings};
 use crate::stop::Signals;
 use crate::{
-    GatewayError, caller, control, fleet, notices, probe, quota, sharing, stop, usage, watch,
+    GatewayError, caller, control, crash, fleet, notices, probe, quota, sharing, stop, usage, watch,
 };
 use error_stack::{Report, ResultExt};
 use futures::future::{Either, select};
@@ -105,6 +105,7 @@
     monoio::spawn(sharing::run(Rc::clone(instance)));
     monoio::spawn(probe::run(Rc::clone(instance)));
     monoio::spawn(notices::run(Rc::clone(instance)));
+    monoio::spawn(crash::run(Rc::clone(instance)));
     monoio::spawn(quota::run(Rc::clone(instance)));
     monoio::spawn(usage::run(Rc::clone(instance)));
     monoio::spawn(watch::run(Rc::clone(instance), store));
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -371,3 +371,30 @@
     });
     assert_eq!(poisoned_runs(&world), 2, "{}", first.log_of("hk0"));
 }
+
+#[test]
+fn instance_that_starts_learns_which_requests_crash_servers() {
+    let world = World::start();
+    let first = Gateway::start_ready(&world, &[]);
+    for server in world.servers_of("look") {
+        server.set_fault(ServerFault::CrashesOnPoison);
+    }
+    wait_until("the request to be known", || {
+        let answer = first.request("GET", "/look/poison", "ls0", 1_000, b"");
+        std::thread::sleep(Duration::from_millis(300));
+        answer.status == 503 && poisoned_runs(&world) >= 2
+    });
+    let mut second = Gateway::start_ready(&world, &[&first]);
+    for round in 0..2 {
+        second.wait_for_peers(1);
+        // Half of the time within which an instance has to be up to date.
+        std::thread::sleep(Duration::from_millis(1_500));
+        let runs = poisoned_runs(&world);
+        let id = format!("ls1{round}");
+        assert_eq!(second.request("GET", "/look/poison", &id, 1_000, b"").status, 503);
+        assert_eq!(second.log_of(&id)["outcome"], "crashes_servers", "round {round}");
+        assert_eq!(poisoned_runs(&world), runs);
+        second.kill_and_start();
+        wait_until("readiness", || second.is_ready());
+    }
+}
