Crashes: an error answer is no proof that a request crashes no server

A server that fails part of its requests answered a request that crashes others with status 500, and that cleared the request: it crashed a third server. The start of a large answer cleared it as well. Only a whole answer without a server's error does now.

error_answer_not_taken_as_proof_that_a_request_crashes_no_server failed before (a third server crashed).

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -93,10 +93,8 @@
     let took = call.instance.now() - started;
     call.record_attempt(&in_flight, took, &result);
     match &result {
-        Ok(_) => {
-            let (now, request) = (call.instance.now(), call.req.fingerprint);
-            call.instance.suspects.borrow_mut().record_answer(now, request);
-        }
+        Ok(Reply { status, rest: None, .. }) => crash::record_answer(call, *status),
+        Ok(_) => {}
         Err(AttemptError::Broken) => crash::check_for_crash(call, &in_flight.server),
         Err(_) => {}
     }
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -13,6 +13,7 @@
 use galenapath_filings::{Fingerprint, SuspectVerdict};
 use galenapath_http::Connection;
 use galenapath_protocol::{BackendId, Micros};
+use http::StatusCode;
 use monoio::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,6 +74,15 @@
     }
 }
 
+/// Records that a server has answered the request completely, so that the request did not crash it. An
+/// error proves nothing: a server may fail requests without running them.
+pub(crate) fn record_answer(call: &Call, status: StatusCode) {
+    if !status.is_server_error() {
+        let (now, request) = (call.instance.now(), call.req.fingerprint);
+        call.instance.suspects.borrow_mut().record_answer(now, request);
+    }
+}
+
 /// After a connection broke during a request, checks in the background whether the server crashed.
 pub(crate) fn check_for_crash(call: &Call, server: &BackendId) {
     let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use crate::answer::{LocalAnswer, RequestEnd, record_end, send_whole};
 use crate::call::Call;
 use crate::caller::{Caller, answered_end};
+use crate::crash;
 use crate::reply::{RemainingBody, Reply};
 use crate::usage::Flow;
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_protocol::Verdict;
 use http::{Method, StatusCode};
+use std::io::ErrorKind;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -40,7 +42,13 @@
     let mut rest = rest;
     let sent = stream(caller, framing, &start, &mut rest).await;
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
-    let outcome = if sent.is_ok() { "answered" } else { "broke_off" };
+    let outcome = match sent {
+        Ok(()) => {
+            crash::record_answer(call, status);
+            "answered"
+        }
+        Err(_) => "broke_off",
+    };
     record_end(call, &answered_end(status, outcome));
     sent
 }
@@ -85,5 +93,5 @@
 ) -> Result<T, HttpError> {
     monoio::time::timeout(STALL_TIMEOUT, work)
         .await
-        .unwrap_or_else(|_| Err(HttpError::Io(std::io::ErrorKind::TimedOut.into())))
+        .unwrap_or_else(|_| Err(HttpError::Io(ErrorKind::TimedOut.into())))
 }
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -398,3 +398,40 @@
         wait_until("readiness", || second.is_ready());
     }
 }
+
+#[test]
+fn error_answer_not_taken_as_proof_that_a_request_crashes_no_server() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    let crashing: Vec<ServerStandIn> = world.servers_of("look").into_iter().cloned().collect();
+    let failing = ServerStandIn::start("i-fails", Duration::from_millis(20)).unwrap();
+    failing.set_fault(ServerFault::Errors);
+    crashing.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
+    let all: Vec<&ServerStandIn> = crashing.iter().chain([&failing]).collect();
+    // Sends the request while only one server is listed as ready.
+    let send_to = |target: &ServerStandIn, id: &str| {
+        for server in &all {
+            let (key, entry) = server.entry("look", "ready");
+            world.store.delete(&key);
+            if server.address() == target.address() {
+                world.store.put(&key, &entry);
+            }
+        }
+        let position = format!("galenapath_list_position {}\n", world.store.revision());
+        // An entry that vanishes soon after the first read of the store is kept for a while.
+        let count = format!("galenapath_servers {}\n", world.servers.len() - 1);
+        wait_until("the list", || {
+            let metrics = gateway.metrics();
+            metrics.contains(&position) && metrics.contains(&count)
+        });
+        gateway.request("GET", "/look/poison", id, 1_000, b"").status
+    };
+    send_to(&crashing[0], "ea0");
+    assert_eq!(poisoned_runs(&world), 1, "{}", gateway.log_of("ea0"));
+    assert_eq!(send_to(&failing, "ea1"), 500);
+    send_to(&crashing[1], "ea2");
+    assert_eq!(poisoned_runs(&world), 2);
+    std::thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(send_to(&crashing[0], "ea3"), 503);
+    assert_eq!(poisoned_runs(&world), 2, "{}", gateway.log_of("ea3"));
+}
