Crashes: a server that breaks off a large answer is looked into

A request that crashes its server while the rest of a large answer is streamed was never counted. The same check now follows a connection that ends there.

crash_in_the_middle_of_a_large_answer_counted failed before (no crash noticed within 20 s).

--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -138,6 +138,12 @@
             conn.write(success[..success.len() - 1].to_owned()).await?;
             Err(WireError::Closed)
         }
+        ServerFault::CrashesInAnswer => {
+            conn.write(success[..success.len() / 2].to_owned()).await?;
+            lock(inner).down_until = Some(Instant::now() + DOWNTIME);
+            monoio::time::sleep(2 * DOWN_POLL).await;
+            Err(WireError::Closed)
+        }
         ServerFault::Extra => conn.write(success.clone() + &success).await,
         ServerFault::Foreign => {
             conn.write(signed_answer(inner, StatusCode::OK, "another", "not yours") + &success)
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -260,7 +260,8 @@
         }
         None
     } else {
-        Some(RemainingBody { connection, body, is_local })
+        let server = in_flight.server.clone();
+        Some(RemainingBody { connection, body, is_local, server, is_lost: false })
     };
     Ok(Reply {
         status: head.status,
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -42,6 +42,9 @@
     let mut rest = rest;
     let sent = stream(caller, framing, &start, &mut rest).await;
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
+    if rest.is_lost {
+        crash::check_for_crash(call, &rest.server);
+    }
     let outcome = match sent {
         Ok(()) => {
             crash::record_answer(call, status);
@@ -82,9 +85,20 @@
 ) -> Result<Option<Bytes>, HttpError> {
     let piece = pin!(with_stall_timeout(rest.connection.read_body(&mut rest.body)));
     let closed = pin!(caller.connection.closed());
-    match select(piece, closed).await {
+    let piece = match select(piece, closed).await {
         Either::Left((piece, _)) => piece,
-        Either::Right(_) => Err(HttpError::Closed),
+        Either::Right(_) => return Err(HttpError::Closed),
+    };
+    rest.is_lost = piece.as_ref().is_err_and(is_connection_lost);
+    piece
+}
+
+/// Whether a server's connection broke; one without progress is not known to be broken.
+fn is_connection_lost(e: &HttpError) -> bool {
+    match e {
+        HttpError::Closed | HttpError::Truncated => true,
+        HttpError::Io(e) => e.kind() != ErrorKind::TimedOut,
+        _ => false,
     }
 }
 
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -6,7 +6,7 @@
     BodyState, Connection, Framing, HeadTimeouts, HttpError, ResponseHead, has_connection_option,
     response_framing, strip_hop_by_hop,
 };
-use galenapath_protocol::Micros;
+use galenapath_protocol::{BackendId, Micros};
 use http::header::{CONTENT_ENCODING, HeaderMap};
 use http::{Method, StatusCode};
 use std::time::Duration;
@@ -31,6 +31,10 @@
     pub(crate) body: BodyState,
     /// Whether the server is in this instance's failure domain.
     pub(crate) is_local: bool,
+    /// The server that sends it.
+    pub(crate) server: BackendId,
+    /// Whether the connection to the server broke before the end of the body.
+    pub(crate) is_lost: bool,
 }
 
 /// A backend server's answer.
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -435,3 +435,16 @@
     assert_eq!(send_to(&crashing[0], "ea3"), 503);
     assert_eq!(poisoned_runs(&world), 2, "{}", gateway.log_of("ea3"));
 }
+
+#[test]
+fn crash_in_the_middle_of_a_large_answer_counted() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    for server in world.servers_of("load") {
+        server.set_body(1_000_000);
+        server.set_fault(ServerFault::CrashesInAnswer);
+    }
+    gateway.request("GET", "/load/1", "cm0", 1_500, b"");
+    assert_eq!(gateway.log_of("cm0")["outcome"], "broke_off");
+    wait_until("the crash", || gateway.log().iter().any(|line| line["event"] == CRASHED));
+}
