Class-based program: a retry or hedge asks whether its request is known to crash servers

Found by looking for the same cause elsewhere: the class-based program asked at admission only, so that one lookup crashed a third server by its own second retry.

scenario_poison_lookup_retried failed before (3 crashes of 2 allowed).

--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -70,6 +70,7 @@
         let kind = error_answers::kind_of(self.call.meta.class.kind);
         let time_left = self.call.meta.deadline - now;
         let is_allowed = may_retry(kind, verdict, self.attempts.get().made(), time_left)
+            && !self.is_known_to_crash_servers(now)
             && self.call.service.state.borrow_mut().retries.try_retry(now);
         if is_allowed {
             self.count_attempt();
@@ -78,6 +79,11 @@
         is_allowed
     }
 
+    /// Whether the request has become known to crash servers since it was admitted.
+    fn is_known_to_crash_servers(&self, now: Micros) -> bool {
+        self.call.plane.suspects.borrow().is_confirmed(now, self.req.fingerprint)
+    }
+
     /// Counts one more attempt.
     fn count_attempt(&self) {
         let mut attempts = self.attempts.get();
@@ -103,6 +109,7 @@
         let State { hedges, retries, admission, .. } = &mut *state;
         // Without free capacity, a hedge would take the place of a queued request.
         let is_allowed = self.attempts.get().made() < MAX_ATTEMPTS
+            && !self.is_known_to_crash_servers(now)
             && admission.has_room()
             && hedges.try_hedge(now, started, self.call.meta.deadline, kind, retries);
         drop(state);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -118,6 +118,7 @@
     scenario_overload_recovers: "overload-recovers",
     scenario_poison_and_store_down: "poison-and-store-down",
     scenario_poison_bystanders: "poison-bystanders",
+    scenario_poison_lookup_retried: "poison-lookup-retried",
     scenario_poison_resent: "poison-resent",
     scenario_reports_lie: "reports-lie",
     scenario_rolling_all: "rolling-all",
