Crashes: a server that pauses can have crashed too

A server that had asked for a pause counted as alive without a look, so that a request that crashed it was not counted. It is connected to, and not queried.

crash_of_a_server_that_pauses_counted failed before (no crash noticed within 20 s).

--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -108,12 +108,12 @@
 
 async fn is_alive(instance: &Instance, service: &Service, server: &BackendId) -> bool {
     let Some(address) = service.address(server) else { return false };
-    // A paused server has just rejected a request, so it is alive; it must not be queried.
-    if service.placement.borrow().is_paused(instance.now(), server) {
-        return true;
-    }
     let probe = async {
         let io = TcpStream::connect_addr(address).await.ok()?;
+        // A paused server must not be queried; that it takes the connection has to suffice.
+        if service.placement.borrow().is_paused(instance.now(), server) {
+            return Some(true);
+        }
         let connection = Connection::new(io, load_query::HEAD_LIMIT);
         let health = load_query::query(instance, service, server, connection).await.ok()?;
         Some(!health.is_other)
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -448,3 +448,25 @@
     assert_eq!(gateway.log_of("cm0")["outcome"], "broke_off");
     wait_until("the crash", || gateway.log().iter().any(|line| line["event"] == CRASHED));
 }
+
+#[test]
+fn crash_of_a_server_that_pauses_counted() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    for server in world.servers_of("look") {
+        server.set_fault(ServerFault::CrashesOnPoison);
+        server.set_work(Duration::from_millis(300));
+    }
+    std::thread::scope(|scope| {
+        let request = scope.spawn(|| gateway.request("GET", "/look/poison", "cq0", 1_500, b""));
+        wait_until("the request to run", || poisoned_runs(&world) == 1);
+        for server in world.servers_of("look") {
+            server.set_pause(Some(Duration::from_secs(5)));
+            server.set_fault(ServerFault::Shed);
+        }
+        // Both servers reject this one and ask for a pause.
+        gateway.send_lookup("cq1");
+        assert_eq!(request.join().unwrap().status, 502);
+    });
+    wait_until("the crash", || gateway.log().iter().any(|line| line["event"] == CRASHED));
+}
