Crashes: a request is refused to the workspace whose request crashes servers, not to all

Equal requests of two workspaces may concern different data: the answer to one cleared the other, and one workspace's request that crashes servers was refused to all of them for ten minutes. The workspace is part of what identifies a request now.

request_that_crashes_servers_refused_to_its_workspace_alone failed before (the other workspace got 503 for 20 s).

--- a/crates/galenapath-gateway/src/intake.rs
+++ b/crates/galenapath-gateway/src/intake.rs
@@ -110,6 +110,11 @@
     let path = request::path(&head);
     let route = &target.route;
     let fingerprint = Fingerprint::of(&route.host, head.method.as_str(), &path, &body);
+    // Equal requests of two workspaces may concern different data.
+    let fingerprint = match &target.workspace {
+        Some(workspace) => fingerprint.of_caller(&workspace.name),
+        None => fingerprint,
+    };
     let failed_first = instance.failed_requests.borrow_mut().take(arrived, fingerprint.0);
     let first_at = failed_first.unwrap_or(arrived);
     let caller_attempt =
--- a/tests/gateway/workspaces.rs
+++ b/tests/gateway/workspaces.rs
@@ -1,7 +1,7 @@
 //! API keys and quotas of workspaces.
 
 use crate::support::{Answer, Gateway, World, config, fleet, send_request, wait_until};
-use galenapath_dev::users_platform::{ExecutedRequest, KvFault};
+use galenapath_dev::users_platform::{ExecutedRequest, KvFault, ServerFault};
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
@@ -232,3 +232,27 @@
     let unusable = gateway.request("GET", "/load/1", "u", 1_500, b"");
     assert_eq!((unusable.status, unusable.header("retry-after")), (503, Some("1.000")));
 }
+
+#[test]
+fn request_that_crashes_servers_refused_to_its_workspace_alone() {
+    let world = World::start();
+    let keys: [(&str, &[&str], f64); 2] = [("acme", &["k-acme"], 0.0), ("zenith", &["k-z"], 0.0)];
+    world.store.put("op/config", &config_with(1, &keys));
+    let gateway = Gateway::start_ready(&world, &[]);
+    let crash = |fault: ServerFault| {
+        world.servers_of("look").iter().for_each(|server| server.set_fault(fault));
+    };
+    crash(ServerFault::CrashesOnPoison);
+    let send = |id: &str, key: &str| {
+        send(&gateway, "/look/poison", id, &[&format!("Authorization: Bearer {key}")])
+    };
+    wait_until("the request to be known", || {
+        std::thread::sleep(Duration::from_millis(300));
+        let answer = send("rw0", "k-acme");
+        answer.status == 503 && gateway.log().iter().any(|l| l["outcome"] == "crashes_servers")
+    });
+    // With the data of another workspace, the same path crashes no server.
+    crash(ServerFault::None);
+    wait_until("an answer", || send("rw1", "k-z").status == 200);
+    assert_eq!(send("rw2", "k-acme").status, 503);
+}
