Crashes: a request that many callers send is not blamed for crashes beside it

A request that is in flight all the time is in flight in every crash. It was taken for a suspect with the real cause, and often for the cause: callers of a common lookup were refused for up to ten minutes.

An instance keeps for a second which requests were answered; those are not reported with a crash. The real cause has no answers. A common request that begins to crash servers counts a second after its last answer.

--- a/crates/galenapath-filings/src/suspects/mod.rs
+++ b/crates/galenapath-filings/src/suspects/mod.rs
@@ -8,7 +8,9 @@
 mod assessment;
 mod crash;
 mod list;
+mod recent_answers;
 mod report;
 
 pub use list::{SuspectConfig, SuspectVerdict, Suspects};
+pub use recent_answers::RecentAnswers;
 pub use report::SuspectReport;
--- /dev/null
+++ b/crates/galenapath-filings/src/suspects/recent_answers.rs
@@ -0,0 +1,35 @@
+//! Requests that have just been answered.
+//!
+//! Load pattern: many callers send the same request, so that one of them is in flight whenever a
+//! server crashes, or when a rack is lost. Without this, the request that all of them send is taken
+//! for the cause and rejected.
+
+use crate::Fingerprint;
+use galenapath_protocol::{FastMap, Micros};
+
+/// Time for which an answer shows that the request crashes no server. A request that starts to crash
+/// servers is no longer answered, so its crashes count after this time.
+const RETENTION: Micros = Micros::from_secs(1);
+
+/// Requests that were answered within [`RETENTION`].
+#[derive(Clone, Debug, Default)]
+pub struct RecentAnswers {
+    answered: FastMap<Fingerprint, Micros>,
+    pruned_at: Micros,
+}
+
+impl RecentAnswers {
+    /// Records a complete answer.
+    pub fn record(&mut self, now: Micros, fp: Fingerprint) {
+        if now - self.pruned_at >= RETENTION {
+            self.answered.retain(|_, at| now - *at < RETENTION);
+            self.pruned_at = now;
+        }
+        self.answered.insert(fp, now);
+    }
+
+    /// Whether the request was answered within [`RETENTION`] before `now`.
+    pub fn contains(&self, now: Micros, fp: Fingerprint) -> bool {
+        self.answered.get(&fp).is_some_and(|at| now - *at < RETENTION)
+    }
+}
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -1,6 +1,6 @@
 //! Tests of the crash suspects.
 
-use galenapath_filings::{Fingerprint, SuspectConfig, SuspectVerdict, Suspects};
+use galenapath_filings::{Fingerprint, RecentAnswers, SuspectConfig, SuspectVerdict, Suspects};
 use galenapath_protocol::Micros;
 use proptest::prelude::*;
 
@@ -151,6 +151,17 @@
     assert!(!s.record_verdict(now, CRASHING, T0));
 }
 
+#[test]
+fn recent_answers_contains_until_a_second_later() {
+    let mut recent = RecentAnswers::default();
+    recent.record(T0, fp(1));
+    assert!(recent.contains(T0 + Micros::from_millis(999), fp(1)));
+    assert!(!recent.contains(T0 + Micros::from_millis(1_000), fp(1)));
+    assert!(!recent.contains(T0, fp(2)));
+    recent.record(T0 + Micros::from_secs(2), fp(2));
+    assert!(!recent.contains(T0, fp(1)));
+}
+
 /// Sends the crashing request through the given instances in turn and returns the number of servers
 /// that crash. All instances learn of each crash before the next send. `sends` also contains the
 /// other requests in flight on the server, unless the crashing request runs isolated.
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -80,6 +80,7 @@
     if !status.is_server_error() {
         let (now, request) = (call.instance.now(), call.req.fingerprint);
         call.instance.suspects.borrow_mut().record_answer(now, request);
+        call.instance.recent_answers.borrow_mut().record(now, request);
     }
 }
 
@@ -87,6 +88,10 @@
 pub(crate) fn check_for_crash(call: &Call, server: &BackendId) {
     let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
     let (server, request) = (server.clone(), call.req.fingerprint);
+    // Many callers send this request, and it was in flight by chance.
+    if instance.recent_answers.borrow().contains(instance.now(), request) {
+        return;
+    }
     monoio::spawn(async move {
         if is_alive(&instance, &service, &server).await {
             instance.metrics.lost_requests.with_label_values(&["alive"]).inc();
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -9,7 +9,7 @@
 use crate::sharing::Outbox;
 use crate::state::State;
 use crate::usage::{Flow, Usage};
-use galenapath_filings::{SuspectConfig, Suspects};
+use galenapath_filings::{RecentAnswers, SuspectConfig, Suspects};
 use galenapath_membership::{
     HeartbeatConfig, HeartbeatMembership, InstanceStatus, Member, MemberStatus, StoreHealth,
 };
@@ -60,6 +60,8 @@
     longest_timeouts: RefCell<FastMap<String, Micros>>,
     /// Requests suspected of crashing backend servers.
     pub(crate) suspects: RefCell<Suspects>,
+    /// Requests that servers have just answered.
+    pub(crate) recent_answers: RefCell<RecentAnswers>,
     /// Requests that failed on this instance and that their callers may retry.
     pub(crate) failed_requests: RefCell<FailedRequests>,
     /// Quotas of the workspaces.
@@ -121,6 +123,7 @@
             services: RefCell::default(),
             splits: RefCell::default(),
             longest_timeouts: RefCell::default(),
+            recent_answers: RefCell::default(),
             suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
             failed_requests: RefCell::default(),
             quotas: RefCell::default(),
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -3,7 +3,8 @@
 use crate::support::{Gateway, World, config, wait_until};
 use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::{ServerFault, ServerStandIn};
-use serde_json::json;
+use serde_json::{Value, json};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Log line of an instance that has found out that a server crashed.
@@ -470,3 +471,38 @@
     });
     wait_until("the crash", || gateway.log().iter().any(|line| line["event"] == CRASHED));
 }
+
+#[test]
+fn request_of_many_callers_not_blamed_for_crashes_beside_it() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    for server in world.servers_of("look") {
+        server.set_fault(ServerFault::CrashesOnPoison);
+    }
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for caller in 0..6 {
+            let (gateway, is_over) = (&gateway, &is_over);
+            scope.spawn(move || {
+                let mut n = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    gateway.send_lookup(&format!("hot{caller}-{n}"));
+                    n += 1;
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            });
+        }
+        wait_until("answers", || world.run_count("look") > 20);
+        for n in 0..12 {
+            gateway.request("GET", "/look/poison", &format!("mb{n}"), 1_000, b"");
+            std::thread::sleep(Duration::from_millis(400));
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let log = gateway.log();
+    let blamed = |line: &&Value| line["outcome"] == "crashes_servers";
+    let ids: Vec<_> = log.iter().filter(blamed).map(|line| line["request"].to_string()).collect();
+    assert!(!ids.iter().any(|id| id.contains("hot")), "{ids:?}");
+    assert!(ids.iter().any(|id| id.contains("mb")), "{ids:?}");
+    assert!(poisoned_runs(&world) <= 4, "{} servers crashed", poisoned_runs(&world));
+}
