Crashes: an instance that blames a request which others answer is corrected

The soak now ends each run with a request that crashes servers, sent to all instances, one of which restarts.

Who is told that a request crashes servers, and has its answer since the last crash, says so to the sender, which clears it. With the repetition of each second an instance is wrong for about as long.

--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -11,4 +11,4 @@
 mod thread;
 
 pub use kv::{KvFault, KvStandIn};
-pub use server::{ExecutedRequest, ServerFault, ServerStandIn};
+pub use server::{DOWNTIME, ExecutedRequest, ServerFault, ServerStandIn};
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 /// Time that a crashed server stays down.
-pub(super) const DOWNTIME: Duration = Duration::from_secs(1);
+pub const DOWNTIME: Duration = Duration::from_secs(1);
 
 /// Fault of a server in handling requests; its health answers stay correct.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Time of the last complete answer of a request that was a suspect.
+    pub fn answered_at(&self, fp: Fingerprint) -> Option<Micros> {
+        self.answered.get(&fp).copied()
+    }
+
     /// Merges the reports of a peer. Merging is idempotent and does not depend on order.
     pub fn merge(&mut self, now: Micros, reports: &[SuspectReport]) {
         for report in reports {
--- a/crates/galenapath-filings/src/suspects/recent_answers.rs
+++ b/crates/galenapath-filings/src/suspects/recent_answers.rs
@@ -28,6 +28,11 @@
         self.answered.insert(fp, now);
     }
 
+    /// Time of the last recorded answer of the request; forgotten some time after [`RETENTION`].
+    pub fn get(&self, fp: Fingerprint) -> Option<Micros> {
+        self.answered.get(&fp).copied()
+    }
+
     /// Whether the request was answered within [`RETENTION`] before `now`.
     pub fn contains(&self, now: Micros, fp: Fingerprint) -> bool {
         self.answered.get(&fp).is_some_and(|at| now - *at < RETENTION)
--- a/crates/galenapath-gateway/src/crash.rs
+++ b/crates/galenapath-gateway/src/crash.rs
@@ -6,7 +6,7 @@
 //! [`galenapath_filings::Suspects`] decides which requests are crash suspects.
 
 use crate::call::Call;
-use crate::fleet::{CrashNote, Notices, RejectedNote};
+use crate::fleet::{CrashNote, Notices, RequestNote};
 use crate::instance::{Instance, sleep_to_next};
 use crate::load_query;
 use crate::service::Service;
@@ -15,6 +15,7 @@
 use galenapath_protocol::{BackendId, Micros};
 use http::StatusCode;
 use monoio::net::TcpStream;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -138,22 +139,47 @@
         }
     }
 
-    /// Applies which requests another instance knows to crash servers.
-    pub(crate) fn apply_rejected(&self, notes: &[RejectedNote]) {
+    /// Applies which requests another instance knows to crash servers, and tells it of those that have
+    /// been answered here since: it may have started just before several servers were lost.
+    pub(crate) fn apply_rejected(&self, notes: &[RequestNote], from: SocketAddr) {
         let now = self.now();
-        for RejectedNote { request, age } in notes {
-            if self.suspects.borrow_mut().record_verdict(now, *request, now - *age) {
+        let mut served = Vec::new();
+        for RequestNote { request, age } in notes {
+            if let Some(answered) = self.answered_since(*request, now - *age) {
+                served.push(RequestNote { request: *request, age: now - answered });
+            } else if self.suspects.borrow_mut().record_verdict(now, *request, now - *age) {
                 log_rejected(*request, "peer");
             }
         }
+        self.send_notices(&Notices { served, ..Notices::default() }, &[from]);
+    }
+
+    /// When a server answered the request here, if that was at `crashed` or later.
+    fn answered_since(&self, request: Fingerprint, crashed: Micros) -> Option<Micros> {
+        let recent = self.recent_answers.borrow().get(request);
+        let known = self.suspects.borrow().answered_at(request);
+        recent.max(known).filter(|at| *at >= crashed)
+    }
+
+    /// Applies which requests servers have answered at another instance.
+    pub(crate) fn apply_served(&self, notes: &[RequestNote]) {
+        let now = self.now();
+        for RequestNote { request, age } in notes {
+            let was_confirmed = self.suspects.borrow().is_confirmed(now, *request);
+            self.suspects.borrow_mut().record_answer(now - *age, *request);
+            if was_confirmed && !self.suspects.borrow().is_confirmed(now, *request) {
+                log::info!(request_hash:% = hash_text(*request);
+                    "request crashes no servers: another instance has its answer");
+            }
+        }
     }
 
     /// Repeats which requests crash servers to the instances that get this one's heartbeats. What an
     /// instance is told it repeats as well, so that each one hears it from several.
     fn repeat_rejected(&self, round: usize) {
         let now = self.now();
-        let note = |(request, last)| RejectedNote { request, age: now - last };
-        let all: Vec<RejectedNote> = self.suspects.borrow().confirmed(now).map(note).collect();
+        let note = |(request, last)| RequestNote { request, age: now - last };
+        let all: Vec<RequestNote> = self.suspects.borrow().confirmed(now).map(note).collect();
         let Some(parts) = all.len().checked_sub(1).map(|last| last / MAX_REPEATED + 1) else {
             return;
         };
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -3,10 +3,10 @@
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
     HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
-    RejectedWire, RemovalWire, UsageWire, UsagesWire, WarmthWire,
+    RemovalWire, RequestWire, UsageWire, UsagesWire, WarmthWire,
 };
 use super::message::{
-    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RejectedNote, WarmthNote,
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RequestNote, WarmthNote,
 };
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
@@ -195,15 +195,15 @@
     }
 }
 
-impl From<&RejectedNote> for RejectedWire {
-    fn from(note: &RejectedNote) -> Self {
+impl From<&RequestNote> for RequestWire {
+    fn from(note: &RequestNote) -> Self {
         let (request_high, request_low) = halves(note.request);
         Self { age_ms: millis(note.age), request_high, request_low }
     }
 }
 
-impl From<RejectedWire> for RejectedNote {
-    fn from(wire: RejectedWire) -> Self {
+impl From<RequestWire> for RequestNote {
+    fn from(wire: RequestWire) -> Self {
         let request = fingerprint(wire.request_high, wire.request_low);
         Self { request, age: Micros::from_millis(u64::from(wire.age_ms)) }
     }
@@ -230,7 +230,8 @@
     fn from(notices: &Notices) -> Self {
         let limits = notices.limits.iter().map(Into::into).collect();
         let rejected = notices.rejected.iter().map(Into::into).collect();
-        Self { leaving: notices.leaving.clone(), limits, rejected }
+        let served = notices.served.iter().map(Into::into).collect();
+        Self { leaving: notices.leaving.clone(), limits, rejected, served }
     }
 }
 
@@ -238,7 +239,8 @@
     fn from(wire: NoticesWire) -> Self {
         let limits = wire.limits.into_iter().map(Into::into).collect();
         let rejected = wire.rejected.into_iter().map(Into::into).collect();
-        Self { limits, leaving: wire.leaving, rejected }
+        let served = wire.served.into_iter().map(Into::into).collect();
+        Self { limits, leaving: wire.leaving, rejected, served }
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -208,9 +208,12 @@
     ///Hashes of the identities of the servers that are leaving.
     pub leaving: ::std::vec::Vec<u64>,
     pub limits: ::std::vec::Vec<LimitWire>,
-    ///Requests known to crash backend servers. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
+    ///Requests known to crash backend servers, with the time since the last crash. Fields are encoded by position in the order of their names; this field and the next are unknown to the previous release and therefore have to sort last.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub rejected: ::std::vec::Vec<RejectedWire>,
+    pub rejected: ::std::vec::Vec<RequestWire>,
+    ///Requests that the receiver takes for the cause of crashes, with the time since a server answered them.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub served: ::std::vec::Vec<RequestWire>,
 }
 ///State that the requesting instance already has.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -221,24 +224,24 @@
     ///Whether to send a newer configuration; the list of backend servers is sent in any case.
     pub wants_config: bool,
 }
-///A request that is known to crash backend servers.
+///An entry that was removed from the list.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RemovalWire {
+    pub id: ::std::string::String,
+    pub revision: u64,
+}
+///A request, and the time since something happened to it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
-pub struct RejectedWire {
-    ///Time since its last known crash when this message was sent.
+pub struct RequestWire {
+    ///Time when this message was sent, since what it tells.
     pub age_ms: u32,
     ///Upper half of the request's fingerprint.
     pub request_high: u64,
     ///Lower half of the request's fingerprint.
     pub request_low: u64,
 }
-///An entry that was removed from the list.
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct RemovalWire {
-    pub id: ::std::string::String,
-    pub revision: u64,
-}
 ///State that the requesting instance lacks.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -64,22 +64,28 @@
     pub(crate) limits: Vec<LimitNote>,
     /// Hashes of the IDs of servers that are leaving.
     pub(crate) leaving: Vec<u64>,
-    /// Requests known to crash servers.
-    pub(crate) rejected: Vec<RejectedNote>,
+    /// Requests known to crash servers, by the time since the last crash.
+    pub(crate) rejected: Vec<RequestNote>,
+    /// Requests that the receiver takes for the cause of crashes, by the time since a server answered
+    /// them.
+    pub(crate) served: Vec<RequestNote>,
 }
 
 impl Notices {
     /// Whether there is nothing to send.
     pub(crate) fn is_empty(&self) -> bool {
-        self.limits.is_empty() && self.leaving.is_empty() && self.rejected.is_empty()
+        self.limits.is_empty()
+            && self.leaving.is_empty()
+            && self.rejected.is_empty()
+            && self.served.is_empty()
     }
 }
 
-/// A request that is known to crash servers.
+/// A request, and the time since something happened to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct RejectedNote {
+pub(crate) struct RequestNote {
     pub(crate) request: Fingerprint,
-    /// Time since its last known crash when this was sent.
+    /// Time, when this was sent, since what it tells.
     pub(crate) age: Micros,
 }
 
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -215,7 +215,7 @@
             store_failing.into_iter().for_each(|id| membership.set_store_failing(id));
         }
         Datagram::Loads(loads) => instance.apply_loads(&loads),
-        Datagram::Notices(notices) => instance.apply_notices(&notices),
+        Datagram::Notices(notices) => instance.apply_notices(&notices, from),
         Datagram::Usage { from: sender, notes } => instance.apply_usage(sender, from, &notes),
         Datagram::End(incarnation) => {
             log::info!(incarnation:% = incarnation; "instance has ended");
--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -67,8 +67,9 @@
     }
 
     /// Applies notices from another instance.
-    pub(crate) fn apply_notices(&self, notices: &Notices) {
-        self.apply_rejected(&notices.rejected);
+    pub(crate) fn apply_notices(&self, notices: &Notices, from: SocketAddr) {
+        self.apply_rejected(&notices.rejected, from);
+        self.apply_served(&notices.served);
         let now = self.now();
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
@@ -144,7 +145,9 @@
     let leaving = leaving.map(|part| Notices { leaving: part.to_vec(), ..Notices::default() });
     let rejected = notices.rejected.chunks(MAX_NOTES_PER_DATAGRAM);
     let rejected = rejected.map(|part| Notices { rejected: part.to_vec(), ..Notices::default() });
-    limits.chain(leaving).chain(rejected).collect()
+    let served = notices.served.chunks(MAX_NOTES_PER_DATAGRAM);
+    let served = served.map(|part| Notices { served: part.to_vec(), ..Notices::default() });
+    limits.chain(leaving).chain(rejected).chain(served).collect()
 }
 
 /// Repeats the notices in force for as long as the instance runs.
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -14,6 +14,9 @@
 //! - A failure domain is evacuated.
 //! - The configuration changes.
 //!
+//! After the faults, a request that crashes servers is sent to all instances, an evacuation begins, a
+//! server states a rate limit and then leaves.
+//!
 //! Half of the callers use one connection for as long as it stays open.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test fails by panicking")]
@@ -25,6 +28,7 @@
 
 use faults::inject_fault;
 use galenapath_dev::link::Relay;
+use galenapath_dev::users_platform::{DOWNTIME, ServerFault};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -37,6 +41,9 @@
 use support::{Answer, Gateway, World, config, send_request, wait_until};
 
 /// Seeds of every run. A seed that ever failed stays here with its cause.
+///
+/// - 2: An instance that had just started took a common request for the cause of the crashes that it
+///   met, and rejected it although the others were answering it.
 const SEEDS: &[u64] = &[1, 2];
 
 /// Seeds of runs with many instances, and few callers for each. They guard against two faults:
@@ -268,6 +275,7 @@
             call(gateway.callers(), &format!("{seed}-end"), false).answer.status == 200
         });
     }
+    assert_crashing_request_ends(&deployment, &trace);
     assert_evacuation_holds(&deployment, &trace);
     assert_limit_and_leaving_hold(&deployment, &trace);
     let calls = callers.end();
@@ -277,6 +285,52 @@
     assert!(served * 4 > calls.len(), "seed {seed}: {served} of {} served", calls.len());
 }
 
+/// Checks that, whatever faults preceded it, a request that crashes servers is no longer sent once
+/// all instances have had time to learn of it, also by one that has restarted.
+fn assert_crashing_request_ends(deployment: &Deployment, trace: &[String]) {
+    /// Time after the crashes from which requests count.
+    const SETTLE: Duration = Duration::from_secs(3);
+    /// Sends allowed after that time.
+    const MAX_SENDS: usize = 3;
+    let servers = deployment.world.servers_of("look");
+    let runs = || {
+        let ran = servers.iter().flat_map(|server| server.executed_requests());
+        ran.filter(|ran| ran.line.contains("poison")).count()
+    };
+    let send_everywhere = || {
+        for n in 0..deployment.gateways.len() {
+            let address = deployment.gateway(n).callers();
+            let head = "GET /look/poison HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: poison\r\n\
+                        X-Request-Deadline-Ms: 500\r\n";
+            send_request(address, head, b"");
+        }
+    };
+    servers.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
+    wait_until(&format!("two crashes after {trace:?}"), || {
+        send_everywhere();
+        std::thread::sleep(Duration::from_millis(300));
+        runs() >= 2
+    });
+    deployment.gateway(0).kill_and_start();
+    let end = Instant::now() + SETTLE;
+    while Instant::now() < end {
+        send_everywhere();
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let before = runs();
+    send_everywhere();
+    std::thread::sleep(DOWNTIME);
+    send_everywhere();
+    let sends = runs() - before;
+    assert!(sends <= MAX_SENDS, "{sends} sends of a crashing request, {before} before: {trace:?}");
+    servers.iter().for_each(|server| server.set_fault(ServerFault::None));
+    for n in 0..deployment.gateways.len() {
+        wait_until(&format!("an answer after crashes and {trace:?}"), || {
+            call(deployment.gateway(n).callers(), "after-crashes", false).answer.status == 200
+        });
+    }
+}
+
 /// Checks that, whatever faults preceded it, an evacuation that all instances know of keeps
 /// requests from the servers of its failure domain.
 fn assert_evacuation_holds(deployment: &Deployment, trace: &[String]) {
