Soak: servers at their own addresses while a request crashes them

A relay in front of a server takes connections while its server is down, so that a lookup that came later looked as if the server had ended under it. The address of a crashed server refuses connections, and a refused one is not counted.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -199,6 +199,15 @@
         self.world.store.put(&key, &entry);
     }
 
+    /// Lists a server at its own address, as restarted under the same identity.
+    fn list_without_link(&self, at: usize) {
+        let started = self.next_start_ms.fetch_add(1, Ordering::Relaxed);
+        let (service, server) = &self.world.servers[at];
+        let (key, mut entry) = server.entry_of_run(service, "ready", started);
+        entry["zone"] = json!(World::domain_of(at));
+        self.world.store.put(&key, &entry);
+    }
+
     fn gateway(&self, n: usize) -> MutexGuard<'_, Gateway> {
         self.gateways[n].lock().unwrap()
     }
@@ -305,6 +314,16 @@
             send_request(address, head, b"");
         }
     };
+    // A relay takes connections while its server is down, unlike the address of a crashed server.
+    for at in 0..deployment.world.servers.len() {
+        deployment.list_without_link(at);
+    }
+    let position = format!("galenapath_list_position {}\n", deployment.world.store.revision());
+    for n in 0..deployment.gateways.len() {
+        wait_until(&format!("the servers' own addresses after {trace:?}"), || {
+            deployment.gateway(n).metrics().contains(&position)
+        });
+    }
     servers.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
     wait_until(&format!("two crashes after {trace:?}"), || {
         send_everywhere();
