Watching the store: a line when it is at an earlier position than what is known

With the store's position beside the known one a store that has gone back can be told from one that has only dropped its history. No decision changes.

--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -199,6 +199,10 @@
         self.instance.apply_operator_items(position, &items);
         let servers = self.instance.dialect.servers_prefix();
         let Some((position, items)) = self.read_all(servers, freshness).await else { return };
+        let known = self.instance.state.borrow().position();
+        if freshness == Freshness::Current && position < known {
+            log::warn!(position, known; "the store is at an earlier position than what is known");
+        }
         self.instance.apply_list(position, &items);
         let is_stale = freshness == Freshness::MayBeStale;
         self.stale_position = is_stale.then(|| self.instance.state.borrow().position());
