--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -45,6 +45,8 @@
     faults: Vec<(u16, KvFault)>,
     calls: Vec<String>,
     page: usize,
+    /// Copy that the service comes back from.
+    backup: KvState,
     /// A change to apply just before the next read of a prefix.
     pending_change: Option<PendingChange>,
 }
@@ -108,6 +110,20 @@
         self.lock().state.discard_history();
     }
 
+    /// Makes a copy of the current state.
+    pub fn back_up(&self) {
+        let mut inner = self.lock();
+        inner.backup = inner.state.clone();
+    }
+
+    /// Comes back from the last copy: what was written since is lost, and its revisions are given out
+    /// again.
+    pub fn restore_backup(&self) {
+        let mut inner = self.lock();
+        let backup = inner.backup.clone();
+        inner.state.restore(backup);
+    }
+
     /// Sets the number of items in a page.
     pub fn set_page(&self, page: usize) {
         self.lock().page = page;
@@ -168,7 +184,12 @@
     };
     let body = answer.to_string();
     let length = body.len().to_string();
-    let headers = [("content-type", "application/json"), ("content-length", length.as_str())];
+    let era = lock(inner).state.era.to_string();
+    let headers = [
+        ("content-type", "application/json"),
+        ("content-length", length.as_str()),
+        ("store-era", era.as_str()),
+    ];
     conn.write(answer_head(status, &headers) + &body).await
 }
 
--- a/crates/galenapath-dev/src/users_platform/kv_state.rs
+++ b/crates/galenapath-dev/src/users_platform/kv_state.rs
@@ -16,9 +16,11 @@
 /// The state of the service.
 ///
 /// Invariant: `revision` is that of the newest change.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct KvState {
     pub(super) revision: u64,
+    /// Increases each time the service comes back from a backup; every answer states it.
+    pub(super) era: u64,
     items: BTreeMap<String, (u64, Vec<u8>)>,
     history: Vec<Change>,
     /// Revision up to which the history is discarded.
@@ -27,7 +29,13 @@
 
 impl Default for KvState {
     fn default() -> Self {
-        Self { revision: 100, items: BTreeMap::new(), history: Vec::new(), discarded_up_to: 0 }
+        Self {
+            revision: 100,
+            era: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            discarded_up_to: 0,
+        }
     }
 }
 
@@ -44,6 +52,12 @@
         self.history.push(Change { revision: self.revision, key: key.to_owned(), value });
     }
 
+    /// Comes back from `backup`, a copy of an earlier state. Later changes are lost, and their
+    /// revisions are given out again.
+    pub(super) fn restore(&mut self, backup: Self) {
+        *self = Self { era: self.era + 1, ..backup };
+    }
+
     /// Discards the history and increments the revision, so that no watch can continue from an
     /// earlier one.
     pub(super) fn discard_history(&mut self) {
@@ -74,9 +88,10 @@
         })
     }
 
-    /// Returns the changes after a revision; `None` if they are discarded.
+    /// Returns the changes after a revision; `None` if they are discarded, or if that revision has not
+    /// been given out.
     pub(super) fn events(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
-        if after < self.discarded_up_to {
+        if after < self.discarded_up_to || after > self.revision {
             return None;
         }
         let new = self.history.iter().filter(|c| c.revision > after && c.key.starts_with(prefix));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,8 @@
 mod pipelining;
 #[path = "gateway/requests.rs"]
 mod requests;
+#[path = "gateway/restored_store.rs"]
+mod restored_store;
 #[path = "gateway/servers.rs"]
 mod servers;
 #[path = "gateway/store.rs"]
