Messages between instances: an empty list in the middle is no longer left out

An instance that was told that it blames a request wrongly took that as one more accusation. Fields are encoded by position, and the generator leaves out empty lists, so that a list behind an empty one was read as that one. In the messages that are encoded by position empty lists are written now, and fields that only this release knows stand last and are left out as a whole. An empty list costs a byte.

--- a/crates/galenapath-codegen/examples/codegen.rs
+++ b/crates/galenapath-codegen/examples/codegen.rs
@@ -14,38 +14,56 @@
     derives: &'static [&'static str],
     /// Schema types that are generated in another file, with their Rust paths.
     replacements: &'static [(&'static str, &'static str)],
+    /// Whether fields are encoded by position, so that an empty list in the middle must not be left
+    /// out.
+    is_positional: bool,
 }
 
+/// Attribute by which the generator leaves out empty lists.
+const SKIP_EMPTY_LISTS: &str = ", skip_serializing_if = \"::std::vec::Vec::is_empty\"";
+
+/// Attribute of an optional field.
+const OPTIONAL: &str = "#[serde(skip_serializing_if = \"::std::option::Option::is_none\")]";
+
+/// Attribute of an optional field that may be missing at the end of a message.
+const OPTIONAL_AT_END: &str =
+    "#[serde(default, skip_serializing_if = \"::std::option::Option::is_none\")]";
+
 const TARGETS: &[Target] = &[
     Target {
         schema: "schema/settings.schema.json",
         output: "crates/galenapath-settings/src/generated.rs",
         derives: &["PartialEq"],
         replacements: &[],
+        is_positional: false,
     },
     Target {
         schema: "schema/gateway.schema.json",
         output: "crates/galenapath-settings/src/generated_gateway.rs",
         derives: &["PartialEq"],
         replacements: &[],
+        is_positional: false,
     },
     Target {
         schema: "schema/fleet.schema.json",
         output: "crates/galenapath-gateway/src/fleet/generated.rs",
         derives: &["PartialEq"],
         replacements: &[],
+        is_positional: true,
     },
     Target {
         schema: "schema/peers.schema.json",
         output: "crates/galenapath-peers/src/generated.rs",
         derives: &["PartialEq"],
         replacements: &[],
+        is_positional: false,
     },
     Target {
         schema: "schema/config.schema.json",
         output: "crates/galenapath-config/src/generated.rs",
         derives: &["PartialEq"],
         replacements: &[],
+        is_positional: false,
     },
     Target {
         schema: "schema/operators.schema.json",
@@ -56,6 +74,7 @@
             ("ChangeRecordWire", "crate::wire::ChangeRecordWire"),
             ("MarkWire", "crate::wire::MarkWire"),
         ],
+        is_positional: false,
     },
 ];
 
@@ -99,9 +118,12 @@
     let mut space = typify::TypeSpace::new(&settings);
     space.add_root_schema(schema)?;
     let file = syn::parse2::<syn::File>(space.to_stream())?;
+    let mut code = prettyplease::unparse(&file);
+    if target.is_positional {
+        code = code.replace(SKIP_EMPTY_LISTS, "").replace(OPTIONAL, OPTIONAL_AT_END);
+    }
     Ok(format!(
-        "//! Generated from `{}` by the codegen example. Do not edit.\n\n{}",
+        "//! Generated from `{}` by the codegen example. Do not edit.\n\n{code}",
         target.schema,
-        prettyplease::unparse(&file)
     ))
 }
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -3,7 +3,7 @@
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
     HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
-    RemovalWire, RequestWire, UsageWire, UsagesWire, WarmthWire,
+    RemovalWire, RequestWire, RequestsWire, UsageWire, UsagesWire, WarmthWire,
 };
 use super::message::{
     CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RequestNote, WarmthNote,
@@ -229,18 +229,20 @@
 impl From<&Notices> for NoticesWire {
     fn from(notices: &Notices) -> Self {
         let limits = notices.limits.iter().map(Into::into).collect();
-        let rejected = notices.rejected.iter().map(Into::into).collect();
-        let served = notices.served.iter().map(Into::into).collect();
-        Self { leaving: notices.leaving.clone(), limits, rejected, served }
+        let requests = |notes: &[RequestNote]| notes.iter().map(Into::into).collect();
+        let (rejected, served) = (requests(&notices.rejected), requests(&notices.served));
+        let is_any = !notices.rejected.is_empty() || !notices.served.is_empty();
+        let requests = is_any.then_some(RequestsWire { rejected, served });
+        Self { leaving: notices.leaving.clone(), limits, requests }
     }
 }
 
 impl From<NoticesWire> for Notices {
     fn from(wire: NoticesWire) -> Self {
         let limits = wire.limits.into_iter().map(Into::into).collect();
-        let rejected = wire.rejected.into_iter().map(Into::into).collect();
-        let served = wire.served.into_iter().map(Into::into).collect();
-        Self { limits, leaving: wire.leaving, rejected, served }
+        let (rejected, served) = wire.requests.map(|r| (r.rejected, r.served)).unwrap_or_default();
+        let notes = |wire: Vec<RequestWire>| wire.into_iter().map(Into::into).collect();
+        Self { limits, leaving: wire.leaving, rejected: notes(rejected), served: notes(served) }
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -123,11 +123,11 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FleetWire {
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub datagram: ::std::option::Option<DatagramWire>,
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub pull: ::std::option::Option<PullWire>,
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<StateWire>,
 }
 ///Introduces the sender and requests the list of known instances.
@@ -189,7 +189,7 @@
     pub failures: ::std::vec::Vec<FailureWire>,
     pub loads: ::std::vec::Vec<LoadWire>,
     ///Servers that have become cold or are no longer cold.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    #[serde(default)]
     pub warmth: ::std::vec::Vec<WarmthWire>,
 }
 ///The instances that the sender knows, as many as fit into one datagram.
@@ -198,7 +198,7 @@
 pub struct MembersWire {
     pub members: ::std::vec::Vec<FleetMemberWire>,
     ///Incarnations of those members that the store does not answer. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    #[serde(default)]
     pub turned_away: ::std::vec::Vec<u64>,
 }
 ///What backend servers have reported about themselves in their answers besides load.
@@ -208,12 +208,9 @@
     ///Hashes of the identities of the servers that are leaving.
     pub leaving: ::std::vec::Vec<u64>,
     pub limits: ::std::vec::Vec<LimitWire>,
-    ///Requests known to crash backend servers, with the time since the last crash. Fields are encoded by position in the order of their names; this field and the next are unknown to the previous release and therefore have to sort last.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub rejected: ::std::vec::Vec<RequestWire>,
-    ///Requests that the receiver takes for the cause of crashes, with the time since a server answered them.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub served: ::std::vec::Vec<RequestWire>,
+    ///Requests that crash servers or do not. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub requests: ::std::option::Option<RequestsWire>,
 }
 ///State that the requesting instance already has.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -242,6 +239,15 @@
     ///Lower half of the request's fingerprint.
     pub request_low: u64,
 }
+///What instances know of requests that may crash backend servers.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RequestsWire {
+    ///Requests known to crash backend servers, with the time since the last crash.
+    pub rejected: ::std::vec::Vec<RequestWire>,
+    ///Requests that the receiver takes for the cause of crashes, with the time since a server answered them.
+    pub served: ::std::vec::Vec<RequestWire>,
+}
 ///State that the requesting instance lacks.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -257,8 +263,8 @@
     pub present: ::std::vec::Vec<u32>,
     pub puts: ::std::vec::Vec<ListedServerWire>,
     pub removals: ::std::vec::Vec<RemovalWire>,
-    ///Known evacuations of failure domains. Fields are encoded by position in the order of their names; this field is unknown to the previous release and therefore has to sort last.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    ///Known evacuations of failure domains. Fields are encoded by position in the order of their names; it sorts before the fields that later releases have added.
+    #[serde(default)]
     pub withdrawn: ::std::vec::Vec<EvacuationWire>,
 }
 ///One workspace at the sender.
--- a/tests/gateway/servers.rs
+++ b/tests/gateway/servers.rs
@@ -3,7 +3,9 @@
 use crate::support::{Gateway, World, config, wait_until};
 use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::{ServerFault, ServerStandIn};
+use galenapath_filings::Fingerprint;
 use serde_json::{Value, json};
+use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -506,3 +508,32 @@
     assert!(ids.iter().any(|id| id.contains("mb")), "{ids:?}");
     assert!(poisoned_runs(&world) <= 4, "{} servers crashed", poisoned_runs(&world));
 }
+
+/// A datagram by which an instance tells another one that lookups crash servers.
+fn blame_lookups() -> Vec<u8> {
+    const FORMAT_VERSION: u8 = 2;
+    let Fingerprint(hash) = Fingerprint::of("h.example", "GET", "/look/1", b"");
+    let request = json!([0, (hash >> 64) as u64, hash as u64]);
+    let notices = json!({ "n": [[], [], [[request], []]] });
+    let mut datagram = vec![FORMAT_VERSION];
+    datagram.extend(rmp_serde::to_vec(&notices).unwrap());
+    datagram
+}
+
+#[test]
+fn request_blamed_by_mistake_served_again() {
+    let world = World::start();
+    let first = Gateway::start_ready(&world, &[]);
+    let second = Gateway::start_ready(&world, &[&first]);
+    first.wait_for_peers(1);
+    second.wait_for_peers(1);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(&blame_lookups(), second.peers()).unwrap();
+    wait_until("the lookups to be rejected", || second.send_lookup("bm0").status == 503);
+    // The other instance answers them, and hears within a second what this one believes.
+    wait_until("an answer", || {
+        assert_eq!(first.send_lookup("bm1").status, 200);
+        second.send_lookup("bm2").status == 200
+    });
+    assert_eq!(first.send_lookup("bm3").status, 200);
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -160,6 +160,11 @@
         SocketAddr::from((self.ip, CALLERS))
     }
 
+    /// Where other instances send datagrams.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, PEERS))
+    }
+
     /// The answer to a caller that resolves the name of its service to addresses.
     pub fn address_answer(&self) -> Value {
         let at = SocketAddr::from((self.ip, ADDRESSES));
