Revisions are ordered within an epoch of the store

Callers' filings reached a server 2.2 s after the store had acknowledged that it leaves.

Cause: the store had come back from a backup and gave revisions out again. Servers, removals, evacuations and positions were ordered by revision alone, so that all that it was told afterwards looked older than what was known and was ignored; and the position never went back, so that the watching instances got 410 and read all keys again fifty times a second. The class: a number that orders only within one life of its giver, taken for an order of all time.

A position is an epoch and a revision now. The adapter decodes the header that states it; the list, the evacuations, the watch, the heartbeats and what instances fetch from each other carry it. In a new epoch what was known stays and is older than everything: a server that leaves goes on leaving, a removed run stays removed until it is written anew, entries and evacuations that the store has lost are kept for the 2.1 s within which they are written again. A change of epoch is noticed by watches, pings and reads; pages of two epochs are no list; an answer of an earlier epoch is ignored; the instance's own key is written again. A position without an epoch is taken to be of the reader's. A read that brings nothing new is followed by a pause.

Instances of the previous release do not read heartbeats that state an epoch, where the store states one.

--- a/crates/galenapath-gateway/src/evacuation.rs
+++ b/crates/galenapath-gateway/src/evacuation.rs
@@ -1,9 +1,9 @@
 //! Applies evacuations of failure domains, as read from the store or received from other instances.
 
 use crate::instance::Instance;
-use crate::state::Source;
+use crate::state::{REAPPEAR_TIMEOUT, Source};
 use galenapath_platform::{Item, KeyEvent};
-use galenapath_protocol::DomainId;
+use galenapath_protocol::{DomainId, StorePosition};
 use galenapath_routes::Evacuation;
 
 impl Instance {
@@ -24,7 +24,7 @@
 
     /// Applies all operator keys as read from the store at `position`: the configuration and the
     /// evacuations.
-    pub(crate) fn apply_operator_items(&self, position: u64, items: &[Item]) {
+    pub(crate) fn apply_operator_items(&self, position: StorePosition, items: &[Item]) {
         let mut evacuations = Vec::new();
         for Item { key, value, revision } in items {
             if key == self.dialect.config_key() {
@@ -33,17 +33,27 @@
                 evacuations.push(Evacuation { domain, revision: revision.0, is_in_force: true });
             }
         }
-        let changed = self.state.borrow_mut().evacuations.apply_snapshot(position, evacuations);
+        let kept_until = self.now() + REAPPEAR_TIMEOUT;
+        let mut state = self.state.borrow_mut();
+        let changed = state.evacuations.apply_snapshot(position, evacuations, kept_until);
+        drop(state);
         changed.iter().for_each(|evacuation| self.log_evacuation_change(evacuation, Source::Store));
     }
 
     /// Applies the evacuations received from another instance, which has processed the store up to
     /// `position`.
-    pub(crate) fn apply_evacuations(&self, evacuations: Vec<Evacuation>, position: u64) {
-        self.state.borrow_mut().evacuations.advance_position(position);
-        for evacuation in evacuations {
-            self.apply_evacuation(evacuation, Source::Peer);
-        }
+    pub(crate) fn apply_evacuations(&self, evacuations: Vec<Evacuation>, position: StorePosition) {
+        let kept_until = self.now() + REAPPEAR_TIMEOUT;
+        let mut state = self.state.borrow_mut();
+        let changed = state.evacuations.merge(position, evacuations, kept_until);
+        drop(state);
+        changed.iter().for_each(|evacuation| self.log_evacuation_change(evacuation, Source::Peer));
+    }
+
+    /// Ends the evacuations that the store has lost and that nobody has written again.
+    pub(crate) fn expire_evacuations(&self) {
+        let ended = self.state.borrow_mut().evacuations.expire(self.now());
+        ended.iter().for_each(|evacuation| self.log_evacuation_change(evacuation, Source::Store));
     }
 
     fn apply_evacuation(&self, evacuation: Evacuation, source: Source) {
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -12,7 +12,7 @@
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
 use galenapath_policy::quota::UsageNote;
 use galenapath_protocol::{
-    BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros, WorkspaceId,
+    BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros, StorePosition, WorkspaceId,
 };
 use galenapath_routes::{Evacuation, ListedServer, Removal, ServerRecord, ServerState, StartedAt};
 use std::time::Duration;
@@ -48,7 +48,8 @@
             rate: heartbeat.status.rate,
             capacity: heartbeat.status.capacity,
             config_version: heartbeat.status.config_version,
-            position: heartbeat.status.position,
+            position: heartbeat.status.position.revision,
+            store_epoch: heartbeat.status.position.stated_epoch(),
             accused: heartbeat.accused.iter().map(|id| id.0).collect(),
             digest: heartbeat.digest,
         }
@@ -73,7 +74,7 @@
             rate: wire.rate,
             capacity: wire.capacity,
             config_version: wire.config_version,
-            position: wire.position,
+            position: StorePosition::new(wire.store_epoch.unwrap_or(0), wire.position),
         };
         let accused = wire.accused.into_iter().map(Incarnation).collect();
         Self { from: Incarnation(wire.from), status, accused, digest: wire.digest }
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -20,6 +20,9 @@
     pub position: u64,
     ///Requests a second that the sender receives from callers.
     pub rate: u32,
+    ///Epoch of the store that `position` is of. Not stated if the store does not state one. This field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub store_epoch: ::std::option::Option<u64>,
 }
 ///A backend server crashed while a request of the sender ran there.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -220,6 +223,9 @@
     pub position: u64,
     ///Whether to send a newer configuration; the list of backend servers is sent in any case.
     pub wants_config: bool,
+    ///Epoch of the store that `position` and all revisions are of. Not stated if the store does not state one. This field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub within_epoch: ::std::option::Option<u64>,
 }
 ///An entry that was removed from the list.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -266,6 +272,9 @@
     ///Known evacuations of failure domains. Fields are encoded by position in the order of their names; it sorts before the fields that later releases have added.
     #[serde(default)]
     pub withdrawn: ::std::vec::Vec<EvacuationWire>,
+    ///Epoch of the store that `position` and all revisions are of. Not stated if the store does not state one. This field is unknown to the previous release and therefore has to sort last.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub within_epoch: ::std::option::Option<u64>,
 }
 ///One workspace at the sender.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/galenapath-gateway/src/fleet/pull.rs
+++ b/crates/galenapath-gateway/src/fleet/pull.rs
@@ -22,7 +22,7 @@
 use crate::instance::{Instance, sleep};
 use crate::usage::Flow;
 use galenapath_membership::{InstanceStatus, Peer};
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Micros, StorePosition};
 use galenapath_routes::{ListedServer, ServerChanges};
 use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
@@ -133,7 +133,8 @@
 
 /// Whether an instance has a newer configuration or server list than this one.
 pub(super) fn is_ahead(theirs: &InstanceStatus, own: &InstanceStatus) -> bool {
-    theirs.config_version > own.config_version || theirs.position > own.position
+    let position = theirs.position.or_epoch(own.position.epoch);
+    theirs.config_version > own.config_version || position > own.position
 }
 
 async fn pull(instance: &Instance, from: SocketAddr) -> Result<Pulled> {
@@ -149,7 +150,9 @@
     let request = {
         let state = instance.state.borrow();
         let config_version = state.config().map_or(0, |_| state.table().version());
-        PullWire { wants_config, config_version, position: state.directory().position() }
+        let StorePosition { epoch, revision: position } = state.directory().position();
+        let within_epoch = states_epoch(instance, from).then_some(epoch);
+        PullWire { wants_config, config_version, position, within_epoch }
     };
     let mut io = TcpStream::connect_addr(from).await?;
     let sent = write(&mut io, &request).await?;
@@ -163,9 +166,21 @@
     Ok(Pulled::Applied)
 }
 
+/// Whether an instance states the epoch of its position; one of the previous release does not, and
+/// does not read one.
+fn states_epoch(instance: &Instance, address: SocketAddr) -> bool {
+    let membership = instance.membership.borrow();
+    let mut peers = membership.peers();
+    let peer = peers.find(|peer| peer.member.peer_address == address);
+    peer.is_some_and(|peer| peer.status.position.stated_epoch().is_some())
+}
+
 fn apply(instance: &Instance, wire: StateWire) -> Result<()> {
+    let own_epoch = instance.state.borrow().position().epoch;
+    let position = StorePosition::new(wire.within_epoch.unwrap_or(0), wire.position);
+    let position = position.or_epoch(own_epoch);
     let withdrawn = wire.withdrawn.into_iter().map(Into::into).collect();
-    instance.apply_evacuations(withdrawn, wire.position);
+    instance.apply_evacuations(withdrawn, position);
     if !wire.config.is_empty() {
         instance.apply_compressed_config(CompressedConfig(wire.config))?;
     }
@@ -176,7 +191,7 @@
         present: wire.present,
         puts,
         removals: wire.removals.into_iter().map(Into::into).collect(),
-        position: wire.position,
+        position,
     });
     Ok(())
 }
@@ -232,7 +247,11 @@
         let state = instance.state.borrow();
         let is_newer = state.table().version() > request.config_version;
         let config = state.config().filter(|_| request.wants_config && is_newer);
-        let changes = state.changes_after(request.position, instance.now());
+        let own = state.position();
+        let known = StorePosition::new(request.within_epoch.unwrap_or(0), request.position);
+        let is_of_epoch = request.within_epoch.is_none() || known.epoch == own.epoch;
+        let known = if is_of_epoch { known.or_epoch(own.epoch) } else { StorePosition::default() };
+        let changes = state.changes_after(known, instance.now());
         StateWire {
             is_busy: false,
             config: config.map(|compressed| compressed.0.clone()).unwrap_or_default(),
@@ -240,8 +259,9 @@
             present: changes.present,
             puts: changes.puts.into_iter().map(Into::into).collect(),
             removals: changes.removals.into_iter().map(Into::into).collect(),
-            position: state.position(),
+            position: own.revision,
             withdrawn: state.evacuations.known().map(Into::into).collect(),
+            within_epoch: request.within_epoch.map(|_| own.epoch),
         }
     };
     write(&mut io, &wire).await.map(drop)
@@ -257,6 +277,7 @@
         removals: Vec::new(),
         position: 0,
         withdrawn: Vec::new(),
+        within_epoch: None,
     }
 }
 
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -61,8 +61,10 @@
     pub waiting: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
-    /// Store position of the list of backend servers.
+    /// Store revision of the list of backend servers.
     pub position: IntGauge,
+    /// Epoch of the store that the list is of.
+    pub store_epoch: IntGauge,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Evacuated failure domains, whose backend servers get no requests.
@@ -129,6 +131,7 @@
             waiting: gauge(&r, "waiting", "Requests that wait for a server")?,
             config_version: gauge(&r, "config_version", "Configuration in force")?,
             position: gauge(&r, "list_position", "Position of the list of backend servers")?,
+            store_epoch: gauge(&r, "store_epoch", "Returns of the store from a backup")?,
             servers: gauge(&r, "servers", "Backend servers listed")?,
             evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains evacuated")?,
             cold_servers: gauge(&r, "cold_servers", "Backend servers taken to be cold")?,
--- a/crates/galenapath-gateway/src/services.rs
+++ b/crates/galenapath-gateway/src/services.rs
@@ -3,7 +3,7 @@
 use crate::instance::Instance;
 use crate::probe;
 use crate::service::Service;
-use galenapath_protocol::{FastMap, Micros};
+use galenapath_protocol::{FastMap, Micros, StorePosition};
 use galenapath_routes::RouteTable;
 use std::rc::Rc;
 
@@ -68,8 +68,10 @@
         in_use().for_each(|service| service.poll(self));
         let state = self.state.borrow();
         let servers = i64::try_from(state.directory().servers().count()).unwrap_or(i64::MAX);
-        let position = i64::try_from(state.position()).unwrap_or(i64::MAX);
+        let StorePosition { epoch, revision } = state.position();
+        let position = i64::try_from(revision).unwrap_or(i64::MAX);
         self.metrics.servers.set(servers);
         self.metrics.position.set(position);
+        self.metrics.store_epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 }
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -5,16 +5,17 @@
 use crate::leaving::LeavingServers;
 use galenapath_platform::{Item, KeyEvent};
 use galenapath_policy::LogLineKind;
-use galenapath_protocol::{BackendId, Micros};
+use galenapath_protocol::{BackendId, Micros, StorePosition};
 use galenapath_routes::{
     Change, Directory, Evacuations, ListedServer, Removal, RouteTable, ServerChanges, ServerState,
     VisibleChange,
 };
 use std::rc::Rc;
 
-/// Time after an outage of the store during which entries that expired meanwhile may reappear. The
-/// platform promises that they do within two seconds.
-const REAPPEAR_TIMEOUT: Micros = Micros::from_millis(2_100);
+/// Time after an outage of the store during which entries that expired meanwhile, or that a store which
+/// came back from a backup has lost, may reappear. The platform promises that they do within two
+/// seconds.
+pub(crate) const REAPPEAR_TIMEOUT: Micros = Micros::from_millis(2_100);
 
 /// Platform state known to an instance.
 ///
@@ -40,7 +41,7 @@
 impl State {
     /// Whether both the configuration and the server list are known.
     pub(crate) fn is_known(&self) -> bool {
-        self.config.is_some() && self.directory.position() > 0
+        self.config.is_some() && self.directory.position() > StorePosition::default()
     }
 
     /// The parsed configuration in force.
@@ -60,7 +61,7 @@
 
     /// Changes of the list that a peer at `position` lacks. Servers known to be leaving are marked
     /// as such.
-    pub(crate) fn changes_after(&self, position: u64, now: Micros) -> ServerChanges {
+    pub(crate) fn changes_after(&self, position: StorePosition, now: Micros) -> ServerChanges {
         let mut changes = self.directory.changes_after(position, now);
         for put in &mut changes.puts {
             if self.leaving.contains(&put.record.run_id()) {
@@ -73,7 +74,7 @@
     /// Position in the store up to which all changes are applied. The operator's keys and the
     /// servers' entries are read one after the other, so changes by the operator between the two
     /// reads may still be missing.
-    pub(crate) fn position(&self) -> u64 {
+    pub(crate) fn position(&self) -> StorePosition {
         self.directory.position().min(self.evacuations.position())
     }
 
@@ -87,6 +88,18 @@
         self.hold_removals_until = now + REAPPEAR_TIMEOUT;
     }
 
+    /// Records the position of a list or of changes that are about to be applied. In a new epoch, the
+    /// store may lack entries that were written since its backup.
+    fn prepare_for(&mut self, position: StorePosition, now: Micros) {
+        let known = self.directory.position();
+        if known > StorePosition::default() && position.epoch > known.epoch {
+            log::warn!(epoch = position.epoch, revision = position.revision, known:? = known;
+                "the store has come back from a backup");
+            self.record_store_recovery(now);
+        }
+        self.directory.begin_epoch(position);
+    }
+
     /// When an entry that disappears now is removed; `None` for at once.
     fn removal_time(&self, now: Micros) -> Option<Micros> {
         (self.hold_removals_until > now).then_some(self.hold_removals_until)
@@ -183,8 +196,9 @@
         }
     }
 
-    /// Applies the changes of a watch on the store, up to `position`.
-    pub(crate) fn apply_events(&self, events: &[KeyEvent], position: u64) {
+    /// Applies the changes of a watch on the store, up to `position`. They have to be of the epoch that
+    /// is known.
+    pub(crate) fn apply_events(&self, events: &[KeyEvent], position: StorePosition) {
         for event in events {
             self.apply_event(event);
         }
@@ -240,7 +254,7 @@
     }
 
     /// Applies the whole list as read from the store: the entries under the servers' key prefix.
-    pub(crate) fn apply_list(&self, position: u64, items: &[Item]) {
+    pub(crate) fn apply_list(&self, position: StorePosition, items: &[Item]) {
         let mut list = Vec::with_capacity(items.len());
         let mut unreadable = Vec::new();
         for Item { key, value, revision } in items {
@@ -255,6 +269,7 @@
         }
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        state.prepare_for(position, now);
         let gone_at = state.removal_time(now);
         for Removal { revision, id } in unreadable {
             state.directory.apply(revision, Change::Removed(id), None);
@@ -268,13 +283,20 @@
     /// Applies the list changes received from another instance.
     pub(crate) fn apply_changes(&self, changes: ServerChanges) {
         let now = self.now();
-        self.state.borrow_mut().directory.merge(changes, now);
+        {
+            let mut state = self.state.borrow_mut();
+            let is_new_epoch = changes.position.epoch > state.directory.position().epoch;
+            state.prepare_for(changes.position, now);
+            let gone_at = if is_new_epoch { state.removal_time(now) } else { None };
+            state.directory.merge(changes, now, gone_at);
+        }
         self.log_list_changes(Source::Peer);
         self.refresh_services();
     }
 
     /// Removes servers whose entries did not reappear in time.
     pub(crate) fn expire_servers(&self) {
+        self.expire_evacuations();
         let now = self.now();
         let gone = self.state.borrow_mut().directory.expire(now);
         if gone.is_empty() {
@@ -301,7 +323,7 @@
             changes.iter().filter_map(leaving_run).for_each(|run| {
                 state.leaving.add(now, &run);
             });
-            (changes, state.position())
+            (changes, state.position().revision)
         };
         let source = source.as_str();
         if changes.len() > MAX_CHANGE_LINES {
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_membership::{StoreHealth, WatchRole, reads_store_at_start, watch_role};
-use galenapath_platform::{Freshness, Item, KeyStore, PlatformError, StoreIndex, WatchOutcome};
-use galenapath_protocol::Micros;
+use galenapath_platform::{Freshness, Item, KeyStore, PlatformError, WatchOutcome};
+use galenapath_protocol::{Micros, StorePosition};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -93,7 +93,7 @@
     ///
     /// Invariant: no later than the newest change in that list, so that peers with later changes
     /// are ahead.
-    stale_position: Option<u64>,
+    stale_position: Option<StorePosition>,
 }
 
 impl<S: KeyStore> Watcher<S> {
@@ -149,18 +149,24 @@
             return;
         }
         let watched = {
-            let watching = pin!(self.store.watch_prefix("", StoreIndex(position), WATCH_WAIT));
-            let pinging = pin!(self.ping_until_failure());
+            let watching = pin!(self.store.watch_prefix("", position, WATCH_WAIT));
+            let pinging = pin!(self.ping_until_change(position.epoch));
             match select(watching, pinging).await {
                 Either::Left((watched, _)) => watched,
-                Either::Right((e, _)) => Err(e),
+                Either::Right((ended, _)) => ended.map(|()| WatchOutcome::HistoryGone),
             }
         };
         self.record_result("watch", &watched);
         match watched {
-            Ok(WatchOutcome::Events { events, position }) => {
+            Ok(WatchOutcome::Events { position: answered, .. })
+                if answered.or_epoch(position.epoch).epoch != position.epoch =>
+            {
+                self.reload().await;
+            }
+            Ok(WatchOutcome::Events { events, position: answered }) => {
+                let position = answered.or_epoch(position.epoch);
                 let before = self.instance.status();
-                self.instance.apply_events(&events, position.0);
+                self.instance.apply_events(&events, position);
                 let after = self.instance.status();
                 if before != after && !events.is_empty() {
                     fleet::broadcast_heartbeat(&self.instance);
@@ -169,21 +175,36 @@
                 sleep(BATCH_DELAY).await;
             }
             Ok(WatchOutcome::HistoryGone) => {
-                log::warn!(position; "the store discarded its history; reading all keys again");
-                self.load(Freshness::Current).await;
+                let StorePosition { epoch, revision } = position;
+                log::warn!(epoch, revision; "the store discarded its history; reading all keys again");
+                self.reload().await;
             }
             Err(_) => {}
         }
     }
 
-    /// Pings until one fails; returns its error.
-    async fn ping_until_failure(&self) -> PlatformError {
+    /// Reads all keys again, after a pause if that brings nothing new.
+    async fn reload(&mut self) {
+        let before = self.instance.state.borrow().position();
+        self.load(Freshness::Current).await;
+        if self.instance.state.borrow().position() <= before {
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Pings until the store has left the epoch, or a ping fails.
+    ///
+    /// # Errors
+    ///
+    /// The error of the ping that failed.
+    async fn ping_until_change(&self, epoch: u64) -> Result<(), PlatformError> {
         loop {
             sleep(PING_PERIOD).await;
             let result = self.store.get(PING_KEY, Freshness::MayBeStale).await;
             self.instance.count_call("ping", result.is_ok());
-            if let Err(e) = result {
-                return e;
+            let answered = StorePosition::new(result?.epoch, 0).or_epoch(epoch);
+            if answered.epoch > epoch {
+                return Ok(());
             }
         }
     }
@@ -195,14 +216,25 @@
     /// later and notify the others.
     async fn load(&mut self, freshness: Freshness) {
         let operator = self.instance.dialect.operator_prefix();
-        let Some((position, items)) = self.read_all(operator, freshness).await else { return };
-        self.instance.apply_operator_items(position, &items);
+        let Some((operator_position, items)) = self.read_all(operator, freshness).await else {
+            return;
+        };
+        let known = self.instance.state.borrow().position();
+        if operator_position.epoch < known.epoch {
+            log::warn!(position:? = operator_position, known:?; "the store is in an earlier epoch");
+            return;
+        }
+        self.instance.apply_operator_items(operator_position, &items);
         let servers = self.instance.dialect.servers_prefix();
         let Some((position, items)) = self.read_all(servers, freshness).await else { return };
-        let known = self.instance.state.borrow().position();
+        if position.epoch != operator_position.epoch {
+            return;
+        }
         if freshness == Freshness::Current && position < known {
-            log::warn!(position, known; "the store is at an earlier position than what is known");
+            log::warn!(position:?, known:?; "the store is at an earlier position than what is known");
         }
+        // What this instance wrote is lost with the epoch before.
+        self.is_registered &= position.epoch == known.epoch;
         self.instance.apply_list(position, &items);
         let is_stale = freshness == Freshness::MayBeStale;
         self.stale_position = is_stale.then(|| self.instance.state.borrow().position());
@@ -210,20 +242,30 @@
     }
 
     /// Reads all pages of the items under `prefix` and returns them with the position that they are
-    /// valid at.
+    /// valid at; `None` if a page cannot be read or is of another epoch than the first.
     ///
     /// For a current read, that is the position of the first page: changes made while the others
     /// are read arrive with the watch. For a stale read, it is the newest change among the items,
     /// which may be older than the store's position.
-    async fn read_all(&mut self, prefix: &str, freshness: Freshness) -> Option<(u64, Vec<Item>)> {
+    async fn read_all(
+        &mut self,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> Option<(StorePosition, Vec<Item>)> {
+        let known_epoch = self.instance.state.borrow().position().epoch;
         let mut items = Vec::new();
-        let mut position = None;
+        let mut first = None;
         let mut after: Option<String> = None;
         loop {
             let page = self.store.range(prefix, after.as_deref(), freshness).await;
             self.record_result("range", &page);
             let page = page.ok()?;
-            position.get_or_insert(page.position.0);
+            let position = page.position.or_epoch(known_epoch);
+            let first = *first.get_or_insert(position);
+            if position.epoch != first.epoch {
+                log::info!(prefix; "the store has changed its epoch between two pages");
+                return None;
+            }
             after = page.items.last().map(|item| item.key.clone());
             items.extend(page.items);
             if page.has_more && after.is_some() {
@@ -231,8 +273,8 @@
             }
             let newest = items.iter().map(|item| item.revision.0).max().unwrap_or(0);
             return match freshness {
-                Freshness::Current => Some((position?, items)),
-                Freshness::MayBeStale => Some((newest, items)),
+                Freshness::Current => Some((first, items)),
+                Freshness::MayBeStale => Some((StorePosition::new(first.epoch, newest), items)),
             };
         }
     }
--- a/crates/galenapath-membership/src/instance_status.rs
+++ b/crates/galenapath-membership/src/instance_status.rs
@@ -1,6 +1,6 @@
 //! Heartbeats and the status that an instance reports in them.
 
-use galenapath_protocol::Incarnation;
+use galenapath_protocol::{Incarnation, StorePosition};
 
 /// Whether the platform's store answers an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -36,7 +36,7 @@
     /// Version of its configuration.
     pub config_version: u64,
     /// Store position of its list of backend servers.
-    pub position: u64,
+    pub position: StorePosition,
 }
 
 /// A heartbeat.
--- a/crates/galenapath-platform/src/key_store.rs
+++ b/crates/galenapath-platform/src/key_store.rs
@@ -2,6 +2,7 @@
 
 use crate::{PlatformError, StoreIndex};
 use bytes::Bytes;
+use galenapath_protocol::StorePosition;
 use std::time::Duration;
 
 /// A key with its value.
@@ -24,6 +25,15 @@
     MayBeStale,
 }
 
+/// Result of reading one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lookup {
+    /// The item, if the key exists.
+    pub item: Option<Item>,
+    /// How often the store has come back from a backup; zero if it does not say.
+    pub epoch: u64,
+}
+
 /// A page of the items under a prefix. Pages are read at different times, so the caller has to
 /// watch from the first page's position to learn of changes between two pages.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +43,7 @@
     /// Whether there are more items after the last key of this page.
     pub has_more: bool,
     /// The store's position when the page was read.
-    pub position: StoreIndex,
+    pub position: StorePosition,
 }
 
 /// One change under a prefix.
@@ -67,8 +77,9 @@
     Events {
         /// The changes, oldest first.
         events: Vec<KeyEvent>,
-        /// The position from which the next watch starts.
-        position: StoreIndex,
+        /// The position from which the next watch starts. In another epoch than the position before,
+        /// the changes do not follow on that.
+        position: StorePosition,
     },
     /// The store no longer has all changes after the given position; the keys have to be read
     /// again.
@@ -82,7 +93,7 @@
 #[expect(async_fn_in_trait, reason = "futures of this workspace stay on their thread")]
 pub trait KeyStore {
     /// Reads the item of `key`.
-    async fn get(&self, key: &str, freshness: Freshness) -> Result<Option<Item>, PlatformError>;
+    async fn get(&self, key: &str, freshness: Freshness) -> Result<Lookup, PlatformError>;
 
     /// Reads a page of the items under `prefix`, starting with the first key after `after`.
     async fn range(
@@ -92,11 +103,12 @@
         freshness: Freshness,
     ) -> Result<Page, PlatformError>;
 
-    /// Waits for changes under `prefix` after position `after`, for at most `wait`.
+    /// Waits for changes under `prefix` after position `after`, for at most `wait`. The store knows
+    /// revisions only; whether the epoch is still that of `after` shows in the answer.
     async fn watch_prefix(
         &self,
         prefix: &str,
-        after: StoreIndex,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<WatchOutcome, PlatformError>;
 
--- a/crates/galenapath-platform/src/lib.rs
+++ b/crates/galenapath-platform/src/lib.rs
@@ -19,7 +19,7 @@
 pub use entry::{Entry, Read, StoreIndex};
 pub use error::{Cause, PlatformError};
 pub use http_client::{Answer, Call, HttpClient};
-pub use key_store::{Freshness, Item, KeyEvent, KeyStore, Page, WatchOutcome};
+pub use key_store::{Freshness, Item, KeyEvent, KeyStore, Lookup, Page, WatchOutcome};
 pub use lease::Lease;
 pub use listing::{
     Announcement, DOMAIN_META, ListedInstance, Listing, SERVICE_META, STARTED_META, STATE_LEAVING,
--- a/crates/galenapath-protocol/src/lib.rs
+++ b/crates/galenapath-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 mod header;
 mod ident;
 mod report;
+mod store_position;
 mod time;
 mod verdict;
 mod workspace;
@@ -17,6 +18,7 @@
 };
 pub use ident::{BackendId, DomainId, Incarnation, InstanceId, ParseIdentError, hash64};
 pub use report::{LoadReport, ParseReportError};
+pub use store_position::StorePosition;
 pub use time::Micros;
 pub use verdict::Verdict;
 pub use workspace::{Quota, WorkspaceId};
--- a/crates/galenapath-routes/src/changes.rs
+++ b/crates/galenapath-routes/src/changes.rs
@@ -1,7 +1,7 @@
 //! Changes of the list of backend servers, as read from the store and sent between instances.
 
 use crate::ServerRecord;
-use galenapath_protocol::{BackendId, Micros};
+use galenapath_protocol::{BackendId, Micros, StorePosition};
 use std::sync::Arc;
 
 /// One change of the list.
@@ -46,8 +46,8 @@
     pub puts: Vec<ListedServer>,
     /// Entries that were removed.
     pub removals: Vec<Removal>,
-    /// Position after the changes.
-    pub position: u64,
+    /// Position after the changes. All revisions are of its epoch.
+    pub position: StorePosition,
 }
 
 /// A change that readers of the list can observe, regardless of how it was learned.
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -6,9 +6,13 @@
 //! after an outage a store that lost its entries would empty the fleet. A server may start again
 //! under its identity while a write of its former run is still in transit. Without the start time
 //! that write would restore the former run or keep requests from the new one.
+//!
+//! A store that comes back from a backup shows servers that have left since, lacks those that started
+//! since, and gives revisions out again. Without the epoch, what is written then would look older than
+//! what is known, and be ignored.
 
 use crate::{Change, ListedServer, Removal, ServerChanges, ServerRecord, StartedAt, VisibleChange};
-use galenapath_protocol::{BackendId, FastMap, FastSet, Micros};
+use galenapath_protocol::{BackendId, FastMap, FastSet, Micros, StorePosition};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -17,6 +21,7 @@
 
 #[derive(Clone, Debug)]
 struct Listed {
+    /// Revision in the current epoch; zero if only an earlier epoch had the entry.
     revision: u64,
     /// Shared with the readers of the list, which would otherwise each hold a copy.
     record: Arc<ServerRecord>,
@@ -38,19 +43,34 @@
 /// The latest removal of an entry.
 #[derive(Clone, Copy, Debug)]
 struct Removed {
+    /// The entry is restored only with a later revision.
     revision: u64,
+    /// Revision of the entry that was removed; `None` if it was removed in an earlier epoch, which
+    /// tells nothing of later runs.
+    entry: Option<u64>,
     /// Start of the latest known run. Entries of earlier runs are ignored.
     started: StartedAt,
 }
 
+impl Removed {
+    /// Whether an entry that was written at `revision` is removed.
+    fn holds(&self, revision: u64, record: &ServerRecord) -> bool {
+        let is_later_run = self.entry.is_none() && record.started > self.started;
+        self.revision >= revision && !is_later_run
+    }
+}
+
 /// The list of backend servers.
 ///
-/// Invariants: of each identity only the latest known run counts, whatever the revisions of earlier
-/// runs are; within a run the revision of an entry never decreases; an entry that was removed at
-/// revision `r` is restored only with a revision above `r`.
+/// All revisions are of the epoch of `position`.
+///
+/// Invariants: the position never goes back; of each identity only the latest known run counts, whatever the revisions of earlier
+/// runs are; within a run and an epoch the revision of an entry never decreases; an entry that was
+/// removed at revision `r` is restored only with a revision above `r`; an entry that was removed in an
+/// earlier epoch is restored only once it has been written in this one.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    position: u64,
+    position: StorePosition,
     servers: FastMap<BackendId, Listed>,
     /// Removals, oldest first.
     removals: VecDeque<Removal>,
@@ -68,7 +88,7 @@
 
 impl Directory {
     /// Position in the store up to which the list is complete; zero before the first list.
-    pub fn position(&self) -> u64 {
+    pub fn position(&self) -> StorePosition {
         self.position
     }
 
@@ -103,22 +123,51 @@
     }
 
     /// Records that all changes up to `position` have been applied.
-    pub fn advance_position(&mut self, position: u64) {
-        self.position = self.position.max(position);
+    pub fn advance_position(&mut self, position: impl Into<StorePosition>) {
+        self.position = self.position.max(position.into());
+    }
+
+    /// Begins the epoch of `position`, unless it has begun, for a list read at that position. What is
+    /// known of servers stays; it is older than everything in the new epoch.
+    ///
+    /// A removal holds against the backup, which may still have the entry. Only an entry that was
+    /// written since the return of the store is later than the one that was removed, or than the read.
+    pub fn begin_epoch(&mut self, position: StorePosition) {
+        if position.epoch <= self.position.epoch {
+            return;
+        }
+        self.servers.values_mut().for_each(|entry| entry.revision = 0);
+        for removed in self.removed.values_mut() {
+            let entry = removed.entry.take().unwrap_or(u64::MAX);
+            removed.revision = entry.min(position.revision);
+        }
+        self.removals.clear();
+        self.forgotten = position.revision;
+        self.position = StorePosition::new(position.epoch, 0);
     }
 
     /// Applies a list that was read at `position`. Known entries that are missing from it are
-    /// removed at `gone_at`, or at once if that is `None`.
-    pub fn apply_list(&mut self, position: u64, list: Vec<ListedServer>, gone_at: Option<Micros>) {
+    /// removed at `gone_at`, or at once if that is `None`. A list of an earlier epoch is ignored.
+    pub fn apply_list(
+        &mut self,
+        position: impl Into<StorePosition>,
+        list: Vec<ListedServer>,
+        gone_at: Option<Micros>,
+    ) {
+        let position = position.into();
+        if position.epoch < self.position.epoch {
+            return;
+        }
+        self.begin_epoch(position);
         let listed: FastSet<BackendId> = list.iter().map(|entry| entry.record.id.clone()).collect();
         for entry in list {
             self.put(entry.revision, entry.record, None);
         }
-        self.remove_where(position, gone_at, |id| !listed.contains(id));
+        self.remove_where(position.revision, gone_at, |id| !listed.contains(id));
         // Servers that were added and removed before the list was read are not known here. A peer
         // that is behind that position needs to learn which servers are present, or it would keep
         // one that was removed long ago.
-        self.forgotten = self.forgotten.max(position);
+        self.forgotten = self.forgotten.max(position.revision);
         self.advance_position(position);
     }
 
@@ -163,7 +212,11 @@
     /// of the present servers instead, in five bytes per server. While hundreds of instances start
     /// and servers are added, each list begins at another position, and instances would exchange
     /// whole lists.
-    pub fn changes_after(&self, position: u64, now: Micros) -> ServerChanges {
+    ///
+    /// A peer in another epoch gets the whole list.
+    pub fn changes_after(&self, position: impl Into<StorePosition>, now: Micros) -> ServerChanges {
+        let peer: StorePosition = position.into();
+        let position = if peer.epoch == self.position.epoch { peer.revision } else { 0 };
         let is_whole = position == 0;
         let is_forgotten = !is_whole && position < self.forgotten;
         let present = self.servers.keys().filter(|_| is_forgotten).map(BackendId::short_hash);
@@ -178,19 +231,29 @@
         }
     }
 
-    /// Merges changes from a peer. Entries older than the known ones are ignored.
-    pub fn merge(&mut self, changes: ServerChanges, now: Micros) {
+    /// Merges changes from a peer. Entries older than the known ones are ignored, and so is all that is
+    /// of an earlier epoch. Known entries that are missing from a whole list are removed at `gone_at`,
+    /// or at once if that is `None`.
+    pub fn merge(&mut self, changes: ServerChanges, now: Micros, gone_at: Option<Micros>) {
         let ServerChanges { is_whole, present, puts, removals, position } = changes;
+        if position.epoch < self.position.epoch {
+            return;
+        }
+        self.begin_epoch(position);
+        // The peer waits for the return of entries that are known to be gone here.
+        let is_awaited = |put: &ListedServer| put.expires_in.is_some();
+        let puts = puts.into_iter().filter(|put| !is_awaited(put) || !self.is_removed(&put.record));
+        let puts: Vec<ListedServer> = puts.collect();
         let (puts, expiring) = if is_whole && position >= self.position {
             // The whole list is applied once; only entries that are about to lapse are put again.
             let expiring = puts.iter().filter(|put| put.expires_in.is_some()).cloned().collect();
-            self.apply_list(position, puts, None);
+            self.apply_list(position, puts, gone_at);
             (Vec::new(), expiring)
         } else {
             (puts, Vec::new())
         };
         if !present.is_empty() && position >= self.position {
-            self.remove_missing(position, &present.into_iter().collect());
+            self.remove_missing(position.revision, &present.into_iter().collect());
         }
         for put in puts.into_iter().chain(expiring) {
             self.put(put.revision, put.record, put.expires_in.map(|left| now + left));
@@ -205,7 +268,7 @@
         if self.is_of_former_run(&record) {
             return false;
         }
-        if self.removed.get(&record.id).is_some_and(|removed| removed.revision >= revision) {
+        if self.removed.get(&record.id).is_some_and(|removed| removed.holds(revision, &record)) {
             self.record_ended_run(&record);
             return false;
         }
@@ -253,6 +316,12 @@
         name
     }
 
+    /// Whether the run is known to be removed.
+    fn is_removed(&self, record: &ServerRecord) -> bool {
+        let is_ended = |removed: &Removed| removed.started >= record.started;
+        self.removed.get(&record.id).is_some_and(is_ended) && !self.servers.contains_key(&record.id)
+    }
+
     /// Whether a later run of the server is known.
     fn is_of_former_run(&self, record: &ServerRecord) -> bool {
         let listed = self.servers.get(&record.id).map(|entry| entry.record.started);
@@ -303,14 +372,17 @@
 
     fn record_removal(&mut self, revision: u64, id: &BackendId) {
         let before = self.removed.get(id).copied();
-        let listed = self.servers.get(id).map(|entry| entry.record.started);
+        let listed = self.servers.get(id);
+        let entry = listed.map(|entry| entry.revision).or(before.and_then(|removed| removed.entry));
+        let entry = Some(entry.unwrap_or(revision));
+        let listed = listed.map(|entry| entry.record.started);
         let started = listed.max(before.map(|removed| removed.started)).unwrap_or_default();
         if let Some(before) = before.filter(|before| before.revision >= revision) {
-            self.removed.insert(id.clone(), Removed { started, ..before });
+            self.removed.insert(id.clone(), Removed { started, entry, ..before });
             return;
         }
         self.removals.push_back(Removal { revision, id: id.clone() });
-        self.removed.insert(id.clone(), Removed { revision, started });
+        self.removed.insert(id.clone(), Removed { revision, entry, started });
         while self.removals.len() > MAX_REMOVALS {
             if let Some(oldest) = self.removals.pop_front() {
                 let is_newer = |removed: &Removed| removed.revision > oldest.revision;
--- a/crates/galenapath-routes/tests/directory.rs
+++ b/crates/galenapath-routes/tests/directory.rs
@@ -1,6 +1,6 @@
 //! The list of backend servers, with changes from all sources.
 
-use galenapath_protocol::{BackendId, DomainId, Micros};
+use galenapath_protocol::{BackendId, DomainId, Micros, StorePosition};
 use galenapath_routes::{
     Change, Directory, ListedServer, ServerRecord, ServerState, StartedAt, VisibleChange,
 };
@@ -57,9 +57,9 @@
     let changes = first.changes_after(10, NOW);
     assert!(!changes.is_whole);
     assert_eq!((changes.puts.len(), changes.present.len()), (1, 2));
-    second.merge(changes, NOW);
+    second.merge(changes, NOW, None);
     assert_eq!(names(&second), ["s1", "s4"]);
-    assert_eq!(second.position(), 20);
+    assert_eq!(second.position().revision, 20);
 }
 
 #[test]
@@ -69,7 +69,7 @@
     let mut second = Directory::default();
     second.apply_list(10, [listed(1, 1), listed(2, 2)].into(), None);
     second.apply(25, Change::Put(record(3, ServerState::Ready)), None);
-    second.merge(first.changes_after(10, NOW), NOW);
+    second.merge(first.changes_after(10, NOW), NOW, None);
     assert_eq!(names(&second), ["s1", "s3"]);
 }
 
@@ -130,7 +130,7 @@
     // A list that was read before the third server was added.
     directory.apply_list(11, vec![listed(5, 1)], None);
     assert_eq!(names(&directory), ["s1", "s3"]);
-    assert_eq!(directory.position(), 11);
+    assert_eq!(directory.position().revision, 11);
 }
 
 #[test]
@@ -152,10 +152,10 @@
     let mut first = Directory::default();
     first.apply_list(10, vec![listed(5, 1), listed(6, 2)], None);
     let mut second = Directory::default();
-    second.merge(first.changes_after(0, NOW), NOW);
+    second.merge(first.changes_after(0, NOW), NOW, None);
     first.apply(11, Change::Removed(BackendId("s1".into())), Some(NOW + Micros::from_secs(2)));
     first.advance_position(11);
-    second.merge(first.changes_after(second.position(), NOW), NOW);
+    second.merge(first.changes_after(second.position(), NOW), NOW, None);
     assert_eq!(names(&second), ["s1", "s2"]);
     assert_eq!(second.expire(NOW + Micros::from_millis(2_100)).len(), 1);
 }
@@ -211,7 +211,7 @@
     // Server 1 was removed at 7, before this list was read.
     let mut later = Directory::default();
     later.apply_list(9, vec![listed(4, 2), listed(8, 3)], None);
-    behind.merge(later.changes_after(behind.position(), NOW), NOW);
+    behind.merge(later.changes_after(behind.position(), NOW), NOW, None);
     assert_eq!(names(&behind), ["s2", "s3"]);
 }
 
@@ -227,6 +227,27 @@
     assert!(directory.changes_after(0, NOW).is_whole);
 }
 
+#[test]
+fn apply_list_new_epoch_removed_entry_stays_removed() {
+    let mut directory = Directory::default();
+    let epoch = |epoch, revision| StorePosition::new(epoch, revision);
+    directory.apply_list(epoch(1, 60), [listed(50, 1), listed(51, 2)].into(), None);
+    directory.apply(61, Change::Removed(BackendId("s1".into())), None);
+    directory.advance_position(epoch(1, 61));
+    // The backup has the first, and a third one; it lacks the second.
+    directory.apply_list(epoch(2, 55), [listed(50, 1), listed(49, 3)].into(), Some(NOW));
+    assert_eq!(names(&directory), ["s2", "s3"]);
+    assert_eq!(directory.position(), epoch(2, 55));
+    // A late answer of the store before its return is ignored.
+    directory.apply_list(epoch(1, 62), [listed(50, 1)].into(), None);
+    assert_eq!(names(&directory), ["s2", "s3"]);
+    directory.apply(56, Change::Put(record(2, ServerState::Leaving)), None);
+    directory.apply(57, Change::Put(record(1, ServerState::Ready)), None);
+    directory.expire(NOW);
+    assert_eq!(names(&directory), ["s1", "s2", "s3"]);
+    assert_eq!(directory.get(&BackendId("s2".into())).map(|s| s.state), Some(ServerState::Leaving));
+}
+
 /// A change of the store: which server, and whether it was put or removed.
 fn changes() -> impl Strategy<Value = Vec<(u64, bool)>> {
     prop::collection::vec((0_u64..6, any::<bool>()), 1..60)
@@ -268,10 +289,10 @@
             first.apply(revision, change, None);
             first.advance_position(revision);
             if step == cut {
-                peer.merge(first.changes_after(peer.position(), NOW), NOW);
+                peer.merge(first.changes_after(peer.position(), NOW), NOW, None);
             }
         }
-        peer.merge(first.changes_after(peer.position(), NOW), NOW);
+        peer.merge(first.changes_after(peer.position(), NOW), NOW, None);
         shuffled.into_iter().for_each(|(revision, change)| {
             second.apply(revision, change, None);
         });
@@ -304,10 +325,10 @@
             follower.apply(revision, change, None);
             follower.advance_position(revision);
             if step == cut {
-                puller.merge(follower.changes_after(puller.position(), NOW), NOW);
+                puller.merge(follower.changes_after(puller.position(), NOW), NOW, None);
             }
         }
-        puller.merge(follower.changes_after(puller.position(), NOW), NOW);
+        puller.merge(follower.changes_after(puller.position(), NOW), NOW, None);
         let mut order: Vec<usize> = (0..events.len()).collect();
         order.sort_by_key(|n| (*n as u64).wrapping_mul(seed | 1) >> 7);
         for n in order {
--- a/crates/galenapath-routes/tests/evacuations.rs
+++ b/crates/galenapath-routes/tests/evacuations.rs
@@ -2,10 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use galenapath_protocol::DomainId;
+use galenapath_protocol::{DomainId, Micros, StorePosition};
 use galenapath_routes::{Evacuation, Evacuations};
 use proptest::prelude::*;
 
+const NOW: Micros = Micros::from_secs(100);
+
 fn evacuation(domain: &str, revision: u64, is_in_force: bool) -> Evacuation {
     Evacuation { domain: DomainId(domain.into()), revision, is_in_force }
 }
@@ -34,7 +36,7 @@
     assert!(!evacuations.apply(evacuation("a", 10, true)));
     assert!(!has(&evacuations, "a"));
     // A statement older than a read of all that did not contain it is ignored too.
-    evacuations.apply_snapshot(30, Vec::new());
+    evacuations.apply_snapshot(30, Vec::new(), NOW);
     assert!(!evacuations.apply(evacuation("b", 25, true)));
     assert!(!has(&evacuations, "b"));
     assert!(evacuations.apply(evacuation("b", 31, true)));
@@ -45,11 +47,11 @@
     let mut evacuations = Evacuations::default();
     evacuations.apply(evacuation("a", 10, true));
     evacuations.apply(evacuation("b", 40, true));
-    let changed = evacuations.apply_snapshot(30, vec![evacuation("c", 28, true)]);
+    let changed = evacuations.apply_snapshot(30, vec![evacuation("c", 28, true)], NOW);
     assert_eq!(changed, [evacuation("a", 30, false), evacuation("c", 28, true)]);
     // Evacuated after the read.
     assert!(has(&evacuations, "b"));
-    assert!(evacuations.apply_snapshot(30, vec![evacuation("c", 28, true)]).is_empty());
+    assert!(evacuations.apply_snapshot(30, vec![evacuation("c", 28, true)], NOW).is_empty());
 }
 
 proptest! {
@@ -80,3 +82,19 @@
         }
     }
 }
+
+#[test]
+fn apply_snapshot_new_epoch_kept_for_a_while() {
+    let mut evacuations = Evacuations::default();
+    evacuations.apply_snapshot(StorePosition::new(1, 90), vec![evacuation("a", 80, true)], NOW);
+    let later = NOW + Micros::from_secs(2);
+    let position = StorePosition::new(2, 50);
+    assert!(evacuations.apply_snapshot(position, Vec::new(), later).is_empty());
+    assert!(has(&evacuations, "a"));
+    assert!(evacuations.expire(NOW).is_empty());
+    // An answer of the store before its return changes nothing.
+    evacuations.apply_snapshot(StorePosition::new(1, 95), Vec::new(), NOW);
+    assert!(has(&evacuations, "a"));
+    assert_eq!(evacuations.expire(later), [evacuation("a", 50, false)]);
+    assert!(!has(&evacuations, "a"));
+}
