Evacuations: what a peer knows completely ends those that it does not have

An instance that missed the end of an evacuation, and fetched the state from one that had started since, kept the domain's servers out for good: the other one had read the store without the evacuation and had nothing to say of it, and the position went on. Found by the model of a store that comes back from backups. What a peer has up to its position is complete, as a read of the store is.

merge_missing_restored failed before.

--- a/crates/galenapath-routes/src/evacuations.rs
+++ b/crates/galenapath-routes/src/evacuations.rs
@@ -79,8 +79,9 @@
         ended
     }
 
-    /// Applies the statements of a peer at `position`. Those of an earlier epoch are ignored. What only
-    /// an earlier epoch had stays in force until `kept_until`. Returns the changes.
+    /// Applies all statements of a peer that knows them completely up to `position`: a domain that is
+    /// missing from them has been restored. Those of an earlier epoch are ignored. What only an earlier
+    /// epoch had stays in force until `kept_until`. Returns the changes.
     pub fn merge(
         &mut self,
         position: StorePosition,
@@ -91,18 +92,20 @@
             return Vec::new();
         }
         self.begin_epoch(position, kept_until);
-        self.advance_position(position);
-        let mut changed = Vec::new();
-        for statement in statements {
-            let is_of_earlier_epoch = statement.revision == 0;
-            if !self.apply(statement.clone()) {
-                continue;
-            }
-            if is_of_earlier_epoch && statement.is_in_force {
+        let (in_force, ended): (Vec<Evacuation>, Vec<Evacuation>) =
+            statements.into_iter().partition(|statement| statement.is_in_force);
+        // The peer keeps some that the store may have lost.
+        let (kept, in_force): (Vec<Evacuation>, Vec<Evacuation>) =
+            in_force.into_iter().partition(|statement| statement.revision == 0);
+        let ended = ended.into_iter().filter(|statement| self.apply(statement.clone()));
+        let mut changed: Vec<Evacuation> = ended.collect();
+        for statement in kept {
+            if self.apply(statement.clone()) {
                 self.ending.insert(statement.domain.clone(), kept_until);
+                changed.push(statement);
             }
-            changed.push(statement);
         }
+        changed.extend(self.apply_snapshot(position, in_force, kept_until));
         changed
     }
 
--- a/crates/galenapath-routes/tests/evacuations.rs
+++ b/crates/galenapath-routes/tests/evacuations.rs
@@ -83,6 +83,17 @@
     }
 }
 
+#[test]
+fn merge_missing_restored() {
+    let mut behind = Evacuations::default();
+    behind.apply(evacuation("a", 10, true));
+    behind.advance_position(10);
+    // The peer has read all evacuations after the domain was restored, and never knew of it.
+    let changed = behind.merge(30.into(), vec![evacuation("b", 20, true)], NOW);
+    assert_eq!(changed, [evacuation("a", 30, false), evacuation("b", 20, true)]);
+    assert!(!has(&behind, "a") && has(&behind, "b"));
+}
+
 #[test]
 fn apply_snapshot_new_epoch_kept_for_a_while() {
     let mut evacuations = Evacuations::default();
