--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -217,8 +217,10 @@
     pub fn changes_after(&self, position: impl Into<StorePosition>, now: Micros) -> ServerChanges {
         let peer: StorePosition = position.into();
         let position = if peer.epoch == self.position.epoch { peer.revision } else { 0 };
-        let is_whole = position == 0;
-        let is_forgotten = !is_whole && position < self.forgotten;
+        let is_behind = position < self.forgotten;
+        // Without any server there are no identities to send.
+        let is_whole = position == 0 || (is_behind && self.servers.is_empty());
+        let is_forgotten = !is_whole && is_behind;
         let present = self.servers.keys().filter(|_| is_forgotten).map(BackendId::short_hash);
         let puts = self.servers.values().filter(|e| is_whole || e.revision > position);
         let removals = self.removals.iter().filter(|r| !is_whole && r.revision > position);
--- a/crates/galenapath-routes/tests/directory.rs
+++ b/crates/galenapath-routes/tests/directory.rs
@@ -227,6 +227,16 @@
     assert!(directory.changes_after(0, NOW).is_whole);
 }
 
+#[test]
+fn changes_after_far_behind_no_servers_whole() {
+    let mut first = Directory::default();
+    first.apply_list(20, Vec::new(), None);
+    let mut second = Directory::default();
+    second.apply_list(10, [listed(1, 1)].into(), None);
+    second.merge(first.changes_after(second.position(), NOW), NOW, None);
+    assert_eq!(names(&second), Vec::<String>::new());
+}
+
 #[test]
 fn apply_list_new_epoch_removed_entry_stays_removed() {
     let mut directory = Directory::default();
