Soak: the store comes back from a backup

One of the faults that a run draws: the store goes away, comes back without its latest changes, and gets again what its writers stated last, except for what they have stated since.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -124,6 +124,12 @@
         inner.state.restore(backup);
     }
 
+    /// Writes again what the operator and the servers stated last before the store came back, except
+    /// for what they have stated since.
+    pub fn write_again(&self) {
+        self.lock().state.write_again();
+    }
+
     /// Sets the number of items in a page.
     pub fn set_page(&self, page: usize) {
         self.lock().page = page;
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -11,6 +11,7 @@
 //! - Servers fail in every way that the stand-in has, turn cold, state a rate limit, leave, are
 //!   paused, or restart under the same identity.
 //! - Other writers add entries to the store.
+//! - The store comes back from a backup and has lost its latest changes, which are written again.
 //! - A failure domain is evacuated.
 //! - The configuration changes.
 //!
--- a/tests/gateway_soak/faults.rs
+++ b/tests/gateway_soak/faults.rs
@@ -38,7 +38,8 @@
 
 /// Draws one fault, injects it and returns its description. Blocks for as long as the fault lasts.
 pub fn inject_fault(rng: &mut SmallRng, deployment: &Deployment) -> String {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..17) {
+        16 => store_restored(rng, deployment),
         kind @ 0..=3 => instance_fault(rng, deployment, kind),
         kind @ 4..=8 => server_fault(rng, deployment, kind),
         kind @ 9..=12 => platform_fault(rng, deployment, kind),
@@ -154,6 +155,29 @@
     }
 }
 
+/// The store loses its latest changes: it goes away for a moment and comes back from a backup. The
+/// servers and the operator write again what they stated last.
+fn store_restored(rng: &mut SmallRng, deployment: &Deployment) -> String {
+    let span = draw_span(rng);
+    let store = &deployment.world.store;
+    store.back_up();
+    let lost = rng.random_range(1..6);
+    for _ in 0..lost {
+        let at = rng.random_range(0..deployment.world.servers.len());
+        let started = deployment.next_start_ms.fetch_add(1, Ordering::Relaxed);
+        deployment.list_restarted(at, started);
+        deployment.configure(1, &[]);
+        std::thread::sleep(span / 10);
+    }
+    deployment.store_links.iter().for_each(|link| link.set_fault(LinkFault::Cut));
+    store.restore_backup();
+    std::thread::sleep(span);
+    deployment.store_links.iter().for_each(|link| link.set_fault(LinkFault::None));
+    std::thread::sleep(span / 10);
+    store.write_again();
+    format!("store back from a backup after {span:?}, {lost} changes lost")
+}
+
 /// The store is unreachable, the operator evacuates a domain or changes the configuration, or
 /// another program writes an entry and the store drops its history.
 fn platform_fault(rng: &mut SmallRng, deployment: &Deployment, kind: u32) -> String {
