--- a/crates/galenapath-dev/src/scenario/run.rs
+++ b/crates/galenapath-dev/src/scenario/run.rs
@@ -83,7 +83,7 @@
     match line.word(0) {
         "store" | "class" | "backend" | "instance" | "start" => start(cluster, line).await,
         "gateway" | "server" | "routes" | "mark" | "trouble" | "cool" | "says" | "evacuate"
-        | "restore" => run_users_platform_step(cluster, line),
+        | "restore" | "backup" => run_users_platform_step(cluster, line),
         "press" => {
             let names = cluster.process_names(line.word(1));
             let callers = names.iter().map(|name| Ok(cluster.instance(name)?.callers));
@@ -133,6 +133,7 @@
             cluster.users.restore(line.word(1));
             Ok(())
         }
+        "backup" => cluster.users.back_up(line.word(1)),
         _ => cluster.users.set_fault(line.word(1), line.word(2)),
     }
 }
--- a/crates/galenapath-dev/src/scenario/users.rs
+++ b/crates/galenapath-dev/src/scenario/users.rs
@@ -118,12 +118,25 @@
         self.store.delete(&format!("op/evacuate/{domain}"));
     }
 
-    /// `trouble NAME shed|hang|errors|none`: sets the server's fault.
+    /// `backup made|restored|completed`: copies the store, lets it come back from the copy, or lets the
+    /// operator and the servers write again what it has lost.
+    pub fn back_up(&self, step: &str) -> Result<(), ScenarioError> {
+        match step {
+            "made" => self.store.back_up(),
+            "restored" => self.store.restore_backup(),
+            "completed" => self.store.write_again(),
+            other => return Err(ScenarioError::bad(format!("unknown step `{other}`"))),
+        }
+        Ok(())
+    }
+
+    /// `trouble NAME shed|hang|errors|crashes|none`: sets the server's fault.
     pub fn set_fault(&self, name: &str, what: &str) -> Result<(), ScenarioError> {
         let fault = match what {
             "shed" => ServerFault::Shed,
             "hang" => ServerFault::Hang,
             "errors" => ServerFault::Errors,
+            "crashes" => ServerFault::CrashesOnPoison,
             "none" => ServerFault::None,
             other => return Err(ScenarioError::bad(format!("unknown fault `{other}`"))),
         };
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub hedges: IntCounter,
     /// Requests whose connection broke, by whether the server was alive afterwards.
     pub lost_requests: IntCounterVec,
+    /// Requests known to crash backend servers.
+    pub rejected_requests: IntGauge,
     /// Connections opened to backend servers, by purpose.
     pub connects: IntCounterVec,
     /// Bytes sent and received, by flow and by whether the other end is in this instance's failure
@@ -105,6 +107,11 @@
                 "Requests whose connection broke, by the server's state afterwards",
                 &["server"],
             )?,
+            rejected_requests: gauge(
+                &r,
+                "rejected_requests",
+                "Requests known to crash backend servers",
+            )?,
             connects: counters(&r, "connects_total", "Connections to backend servers", &["for"])?,
             bytes: counters(&r, "bytes_total", "Bytes by flow", &["flow", "domain"])?,
             probes: counters(&r, "probes_total", "Load probes", &["result"])?,
