Watching the store: an instance registers anew in each epoch of the store

Watching instances write their addresses into the store, for instances that start while all seeds are gone. A store that came back from a backup had lost them, and they were not written again: once written, an instance did not look again.

instances_register_again_after_the_store_went_back failed before (nobody registered within 20 s).

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -100,6 +100,11 @@
         self.lock().state.revision
     }
 
+    /// Returns the keys under `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.lock().state.keys(prefix)
+    }
+
     /// Removes a key.
     pub fn delete(&self, key: &str) {
         self.lock().state.change(key, None);
--- a/crates/galenapath-dev/src/users_platform/kv_state.rs
+++ b/crates/galenapath-dev/src/users_platform/kv_state.rs
@@ -100,6 +100,10 @@
         self.history.clear();
     }
 
+    pub(super) fn keys(&self, prefix: &str) -> Vec<String> {
+        self.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     pub(super) fn get(&self, key: &str) -> Option<Value> {
         let (revision, value) = self.items.get(key)?;
         let mut item = item(key, *revision, value);
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -61,7 +61,7 @@
         instance,
         store,
         failed_at: Micros::ZERO,
-        is_registered: false,
+        registered_in: None,
         stale_position: None,
     };
     // Reading at once saves half a second when all instances have been lost: none has to wait until
@@ -87,8 +87,9 @@
     instance: Rc<Instance>,
     store: S,
     failed_at: Micros,
-    /// Whether this instance's address is registered in the store.
-    is_registered: bool,
+    /// Epoch of the store in which this instance's address is registered. A store that comes back from a
+    /// backup may have lost it.
+    registered_in: Option<u64>,
     /// Position of a list whose read may have been stale.
     ///
     /// Invariant: no later than the newest change in that list, so that peers with later changes
@@ -233,8 +234,6 @@
         if freshness == Freshness::Current && position < known {
             log::warn!(position:?, known:?; "the store is at an earlier position than what is known");
         }
-        // What this instance wrote is lost with the epoch before.
-        self.is_registered &= position.epoch == known.epoch;
         self.instance.apply_list(position, &items);
         let is_stale = freshness == Freshness::MayBeStale;
         self.stale_position = is_stale.then(|| self.instance.state.borrow().position());
@@ -282,15 +281,15 @@
     /// Registers this instance's address in the store once, and contacts the instances registered
     /// there.
     async fn register(&mut self) {
-        if self.is_registered {
+        let epoch = self.instance.state.borrow().position().epoch;
+        if self.registered_in == Some(epoch) {
             return;
         }
-        self.is_registered = true;
         let own = self.instance.settings().listen.peers;
         let key = format!("{INSTANCES_PREFIX}{own}");
         let put = self.store.put(&key, Bytes::from_static(b"1")).await;
         self.record_result("put", &put);
-        self.is_registered = put.is_ok();
+        self.registered_in = put.is_ok().then_some(epoch);
         let page = self.store.range(INSTANCES_PREFIX, None, Freshness::Current).await;
         self.record_result("range", &page);
         let Ok(page) = page else { return };
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -135,6 +135,22 @@
     gateways.iter().for_each(|gateway| gateway.wait_for_evacuated(0));
 }
 
+#[test]
+fn instances_register_again_after_the_store_went_back() {
+    let world = World::start();
+    let gateways = fleet(&world);
+    let registered = || world.store.keys("galenapath/instances/").len();
+    // Two instances watch the store, and register there for those that start.
+    wait_until("the watching instances to register", || registered() == 2);
+    for prefix in world.store.keys("galenapath/instances/") {
+        world.store.delete(&prefix);
+    }
+    world.store.back_up();
+    change_config(&world, 1);
+    restore(&world, &gateways);
+    wait_until("the watching instances to register again", || registered() >= 2);
+}
+
 #[test]
 fn configuration_written_after_the_store_went_back_in_force() {
     let world = World::start();
