--- a/crates/galenapath-filings/src/suspects/recent_answers.rs
+++ b/crates/galenapath-filings/src/suspects/recent_answers.rs
@@ -11,7 +11,7 @@
 /// servers is no longer answered, so its crashes count after this time.
 const RETENTION: Micros = Micros::from_secs(1);
 
-/// Requests that were answered within [`RETENTION`].
+/// Requests that were answered within the last second.
 #[derive(Clone, Debug, Default)]
 pub struct RecentAnswers {
     answered: FastMap<Fingerprint, Micros>,
@@ -28,12 +28,12 @@
         self.answered.insert(fp, now);
     }
 
-    /// Time of the last recorded answer of the request; forgotten some time after [`RETENTION`].
+    /// Time of the last recorded answer of the request; forgotten some time after a second.
     pub fn get(&self, fp: Fingerprint) -> Option<Micros> {
         self.answered.get(&fp).copied()
     }
 
-    /// Whether the request was answered within [`RETENTION`] before `now`.
+    /// Whether the request was answered within the second before `now`.
     pub fn contains(&self, now: Micros, fp: Fingerprint) -> bool {
         self.answered.get(&fp).is_some_and(|at| now - *at < RETENTION)
     }
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -1,9 +1,9 @@
-//! Conversions between the wire types and the types used in the code.
+//! Conversions between the wire types and the types used in the code, for datagrams.
 
 use super::generated::{
-    BeatWire, CrashWire, DatagramWire, EndWire, EvacuationWire, FailureWire, FleetMemberWire,
-    HelloWire, LimitWire, ListedServerWire, LoadWire, LoadsWire, MembersWire, NoticesWire,
-    RemovalWire, RequestWire, RequestsWire, UsageWire, UsagesWire, WarmthWire,
+    BeatWire, CrashWire, DatagramWire, EndWire, FailureWire, FleetMemberWire, HelloWire, LimitWire,
+    LoadWire, LoadsWire, MembersWire, NoticesWire, RequestWire, RequestsWire, UsageWire,
+    UsagesWire, WarmthWire,
 };
 use super::message::{
     CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RequestNote, WarmthNote,
@@ -12,10 +12,8 @@
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
 use galenapath_policy::quota::UsageNote;
 use galenapath_protocol::{
-    BackendId, DomainId, Incarnation, InstanceId, LoadReport, Micros, StorePosition, WorkspaceId,
+    DomainId, Incarnation, InstanceId, LoadReport, Micros, StorePosition, WorkspaceId,
 };
-use galenapath_routes::{Evacuation, ListedServer, Removal, ServerRecord, ServerState, StartedAt};
-use std::time::Duration;
 
 const READY: u8 = 1;
 const LEAVING: u8 = 2;
@@ -110,7 +108,8 @@
     }
 }
 
-fn millis(span: Micros) -> u32 {
+/// A time span in the unit of the wire types.
+pub(super) fn millis(span: Micros) -> u32 {
     u32::try_from(span.0 / 1_000).unwrap_or(u32::MAX)
 }
 
@@ -157,20 +156,6 @@
     }
 }
 
-impl From<&Evacuation> for EvacuationWire {
-    fn from(evacuation: &Evacuation) -> Self {
-        let Evacuation { domain, revision, is_in_force } = evacuation;
-        Self { domain: domain.0.to_string(), revision: *revision, in_force: *is_in_force }
-    }
-}
-
-impl From<EvacuationWire> for Evacuation {
-    fn from(wire: EvacuationWire) -> Self {
-        let EvacuationWire { domain, revision, in_force } = wire;
-        Self { domain: DomainId(domain.into()), revision, is_in_force: in_force }
-    }
-}
-
 /// Bits in one half of a fingerprint.
 const HALF_BITS: u32 = 64;
 
@@ -323,57 +308,3 @@
         })
     }
 }
-
-impl From<ListedServer> for ListedServerWire {
-    fn from(listed: ListedServer) -> Self {
-        let ListedServer { revision, record, expires_in } = listed;
-        Self {
-            id: record.id.0.to_string(),
-            started: record.started.0,
-            service: record.service.to_string(),
-            address: record.address.to_string(),
-            domain: record.domain.0.to_string(),
-            slots: record.slots,
-            leaving: record.state == ServerState::Leaving,
-            cold_ms: millis(record.cold_for.into()),
-            revision,
-            lapses_ms: expires_in.map_or(0, |left| millis(left).max(1)),
-        }
-    }
-}
-
-impl TryFrom<ListedServerWire> for ListedServer {
-    type Error = String;
-
-    fn try_from(wire: ListedServerWire) -> Result<Self, String> {
-        let address = wire.address.parse().map_err(|e| format!("`{}`: {e}", wire.address))?;
-        let state = if wire.leaving { ServerState::Leaving } else { ServerState::Ready };
-        let expires_in_ms = u64::from(wire.lapses_ms);
-        Ok(Self {
-            revision: wire.revision,
-            record: ServerRecord {
-                id: BackendId(wire.id.into()),
-                started: StartedAt(wire.started),
-                service: wire.service.into(),
-                address,
-                domain: DomainId(wire.domain.into()),
-                slots: wire.slots,
-                state,
-                cold_for: Duration::from_millis(u64::from(wire.cold_ms)),
-            },
-            expires_in: (expires_in_ms > 0).then_some(Micros::from_millis(expires_in_ms)),
-        })
-    }
-}
-
-impl From<Removal> for RemovalWire {
-    fn from(removal: Removal) -> Self {
-        Self { id: removal.id.0.to_string(), revision: removal.revision }
-    }
-}
-
-impl From<RemovalWire> for Removal {
-    fn from(wire: RemovalWire) -> Self {
-        Self { revision: wire.revision, id: BackendId(wire.id.into()) }
-    }
-}
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between instances and the tasks that send and receive them.
 
 mod convert;
+mod convert_state;
 #[allow(missing_docs, dead_code, clippy::pedantic)]
 #[rustfmt::skip]
 mod generated;
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod caller;
 mod clock;
 mod compression;
+mod configuration;
 mod control;
 mod crash;
 mod dialect;
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -11,14 +11,11 @@
 //! since, and gives revisions out again. Without the epoch, what is written then would look older than
 //! what is known, and be ignored.
 
-use crate::{Change, ListedServer, Removal, ServerChanges, ServerRecord, StartedAt, VisibleChange};
+use crate::removals::{Removals, RemovedEntry};
+use crate::{Change, ListedServer, ServerChanges, ServerRecord, VisibleChange};
 use galenapath_protocol::{BackendId, FastMap, FastSet, Micros, StorePosition};
-use std::collections::VecDeque;
 use std::sync::Arc;
 
-/// Number of removals kept for peers that are behind. Enough for a day of 440 replacements.
-const MAX_REMOVALS: usize = 1_024;
-
 #[derive(Clone, Debug)]
 struct Listed {
     /// Revision in the current epoch; zero if only an earlier epoch had the entry.
@@ -40,26 +37,6 @@
     }
 }
 
-/// The latest removal of an entry.
-#[derive(Clone, Copy, Debug)]
-struct Removed {
-    /// The entry is restored only with a later revision.
-    revision: u64,
-    /// Revision of the entry that was removed; `None` if it was removed in an earlier epoch, which
-    /// tells nothing of later runs.
-    entry: Option<u64>,
-    /// Start of the latest known run. Entries of earlier runs are ignored.
-    started: StartedAt,
-}
-
-impl Removed {
-    /// Whether an entry that was written at `revision` is removed.
-    fn holds(&self, revision: u64, record: &ServerRecord) -> bool {
-        let is_later_run = self.entry.is_none() && record.started > self.started;
-        self.revision >= revision && !is_later_run
-    }
-}
-
 /// The list of backend servers.
 ///
 /// All revisions are of the epoch of `position`.
@@ -72,12 +49,7 @@
 pub struct Directory {
     position: StorePosition,
     servers: FastMap<BackendId, Listed>,
-    /// Removals, oldest first.
-    removals: VecDeque<Removal>,
-    removed: FastMap<BackendId, Removed>,
-    /// Position up to which the removals are incomplete: they were discarded, or made before the
-    /// list that this one began with.
-    forgotten: u64,
+    removals: Removals,
     /// Number of changes that readers of the list can observe.
     generation: u64,
     /// Changes since the last call of `take_visible_changes`.
@@ -137,12 +109,7 @@
             return;
         }
         self.servers.values_mut().for_each(|entry| entry.revision = 0);
-        for removed in self.removed.values_mut() {
-            let entry = removed.entry.take().unwrap_or(u64::MAX);
-            removed.revision = entry.min(position.revision);
-        }
-        self.removals.clear();
-        self.forgotten = position.revision;
+        self.removals.begin_epoch(position.revision);
         self.position = StorePosition::new(position.epoch, 0);
     }
 
@@ -167,14 +134,14 @@
         // Servers that were added and removed before the list was read are not known here. A peer
         // that is behind that position needs to learn which servers are present, or it would keep
         // one that was removed long ago.
-        self.forgotten = self.forgotten.max(position.revision);
+        self.removals.forget_up_to(position.revision);
         self.advance_position(position);
     }
 
     /// Removes the servers that are not among those present at `position`.
     fn remove_missing(&mut self, position: u64, present: &FastSet<u32>) {
         self.remove_where(position, None, |id| !present.contains(&id.short_hash()));
-        self.forgotten = self.forgotten.max(position);
+        self.removals.forget_up_to(position);
     }
 
     /// Removes the servers listed up to `position` for which `is_gone` holds.
@@ -217,13 +184,13 @@
     pub fn changes_after(&self, position: impl Into<StorePosition>, now: Micros) -> ServerChanges {
         let peer: StorePosition = position.into();
         let position = if peer.epoch == self.position.epoch { peer.revision } else { 0 };
-        let is_behind = position < self.forgotten;
+        let is_behind = position < self.removals.forgotten();
         // Without any server there are no identities to send.
         let is_whole = position == 0 || (is_behind && self.servers.is_empty());
         let is_forgotten = !is_whole && is_behind;
         let present = self.servers.keys().filter(|_| is_forgotten).map(BackendId::short_hash);
         let puts = self.servers.values().filter(|e| is_whole || e.revision > position);
-        let removals = self.removals.iter().filter(|r| !is_whole && r.revision > position);
+        let removals = self.removals.after(position).filter(|_| !is_whole);
         ServerChanges {
             is_whole,
             present: present.collect(),
@@ -270,7 +237,7 @@
         if self.is_of_former_run(&record) {
             return false;
         }
-        if self.removed.get(&record.id).is_some_and(|removed| removed.holds(revision, &record)) {
+        if self.removals.contains(&record, revision) {
             self.record_ended_run(&record);
             return false;
         }
@@ -320,22 +287,20 @@
 
     /// Whether the run is known to be removed.
     fn is_removed(&self, record: &ServerRecord) -> bool {
-        let is_ended = |removed: &Removed| removed.started >= record.started;
-        self.removed.get(&record.id).is_some_and(is_ended) && !self.servers.contains_key(&record.id)
+        let is_ended = self.removals.latest_run(&record.id) >= Some(record.started);
+        is_ended && !self.servers.contains_key(&record.id)
     }
 
     /// Whether a later run of the server is known.
     fn is_of_former_run(&self, record: &ServerRecord) -> bool {
         let listed = self.servers.get(&record.id).map(|entry| entry.record.started);
-        let removed = self.removed.get(&record.id).map(|removed| removed.started);
+        let removed = self.removals.latest_run(&record.id);
         listed.max(removed).is_some_and(|latest| latest > record.started)
     }
 
     /// Records that the run of `record` ended before its entry arrived. Earlier runs end with it.
     fn record_ended_run(&mut self, record: &ServerRecord) {
-        let Some(removed) = self.removed.get_mut(&record.id) else { return };
-        removed.started = record.started;
-        let revision = removed.revision;
+        let Some(revision) = self.removals.end_run(record) else { return };
         let former = self.servers.get(&record.id).map(|entry| &*entry.record);
         let Some(former) = former.filter(|former| former.started < record.started) else { return };
         let id = former.run_id();
@@ -373,24 +338,9 @@
     }
 
     fn record_removal(&mut self, revision: u64, id: &BackendId) {
-        let before = self.removed.get(id).copied();
         let listed = self.servers.get(id);
-        let entry = listed.map(|entry| entry.revision).or(before.and_then(|removed| removed.entry));
-        let entry = Some(entry.unwrap_or(revision));
-        let listed = listed.map(|entry| entry.record.started);
-        let started = listed.max(before.map(|removed| removed.started)).unwrap_or_default();
-        if let Some(before) = before.filter(|before| before.revision >= revision) {
-            self.removed.insert(id.clone(), Removed { started, entry, ..before });
-            return;
-        }
-        self.removals.push_back(Removal { revision, id: id.clone() });
-        self.removed.insert(id.clone(), Removed { revision, entry, started });
-        while self.removals.len() > MAX_REMOVALS {
-            if let Some(oldest) = self.removals.pop_front() {
-                let is_newer = |removed: &Removed| removed.revision > oldest.revision;
-                self.removed.retain(|id, removed| *id != oldest.id || is_newer(removed));
-                self.forgotten = self.forgotten.max(oldest.revision);
-            }
-        }
+        let entry = listed
+            .map(|entry| RemovedEntry { revision: entry.revision, started: entry.record.started });
+        self.removals.add(revision, id, entry);
     }
 }
--- /dev/null
+++ b/tests/gateway_soak/checks.rs
@@ -0,0 +1,141 @@
+//! What a run checks at its end.
+
+use super::{CallRecord, Deployment, call};
+use crate::support::{World, send_request, wait_until};
+use galenapath_dev::users_platform::{DOWNTIME, ServerFault};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Checks every answer against what the servers ran.
+pub fn assert_answers_match_runs(world: &World, calls: &[CallRecord], trace: &[String]) {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for (_, server) in &world.servers {
+        for seen in server.executed_requests() {
+            *runs.entry(seen.id).or_default() += 1;
+        }
+    }
+    for CallRecord { id, is_non_idempotent, answer } in calls {
+        let ran = runs.get(id).copied().unwrap_or(0);
+        assert!(!is_non_idempotent || ran <= 1, "{id} ran {ran} times: {trace:?}");
+        let says_not_run = [408, 421, 429, 503].contains(&answer.status);
+        assert!(
+            !(says_not_run && *is_non_idempotent && ran > 0),
+            "{id} ran but was reported as not run: {trace:?}"
+        );
+        if answer.status == 200 {
+            assert!(answer.is_whole, "{id} has an incomplete answer: {trace:?}");
+            assert_eq!(answer.header("x-attempt-id"), Some(id.as_str()), "{trace:?}");
+            assert!(answer.header("x-response-signature").is_some(), "{id}: {trace:?}");
+            assert_eq!(answer.body, "x".repeat(20).as_bytes(), "{id}: {trace:?}");
+        }
+        assert!(![400, 404].contains(&answer.status), "{id} was rejected as invalid: {trace:?}");
+    }
+}
+
+/// Checks that, whatever faults preceded it, a request that crashes servers is no longer sent once
+/// all instances have had time to learn of it, also by one that has restarted.
+pub fn assert_crashing_request_ends(deployment: &Deployment, trace: &[String]) {
+    /// Time after the crashes from which requests count.
+    const SETTLE: Duration = Duration::from_secs(3);
+    /// Sends allowed after that time.
+    const MAX_SENDS: usize = 3;
+    let servers = deployment.world.servers_of("look");
+    let runs = || {
+        let ran = servers.iter().flat_map(|server| server.executed_requests());
+        ran.filter(|ran| ran.line.contains("poison")).count()
+    };
+    let send_everywhere = || {
+        for n in 0..deployment.gateways.len() {
+            let address = deployment.gateway(n).callers();
+            let head = "GET /look/poison HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: poison\r\n\
+                        X-Request-Deadline-Ms: 500\r\n";
+            send_request(address, head, b"");
+        }
+    };
+    // A relay takes connections while its server is down, unlike the address of a crashed server.
+    for at in 0..deployment.world.servers.len() {
+        deployment.list_without_link(at);
+    }
+    let position = format!("galenapath_list_position {}\n", deployment.world.store.revision());
+    for n in 0..deployment.gateways.len() {
+        wait_until(&format!("the servers' own addresses after {trace:?}"), || {
+            deployment.gateway(n).metrics().contains(&position)
+        });
+    }
+    servers.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
+    wait_until(&format!("two crashes after {trace:?}"), || {
+        send_everywhere();
+        std::thread::sleep(Duration::from_millis(300));
+        runs() >= 2
+    });
+    deployment.gateway(0).kill_and_start();
+    let end = Instant::now() + SETTLE;
+    while Instant::now() < end {
+        send_everywhere();
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let before = runs();
+    send_everywhere();
+    std::thread::sleep(DOWNTIME);
+    send_everywhere();
+    let sends = runs() - before;
+    assert!(sends <= MAX_SENDS, "{sends} sends of a crashing request, {before} before: {trace:?}");
+    servers.iter().for_each(|server| server.set_fault(ServerFault::None));
+    for n in 0..deployment.gateways.len() {
+        wait_until(&format!("an answer after crashes and {trace:?}"), || {
+            call(deployment.gateway(n).callers(), "after-crashes", false).answer.status == 200
+        });
+    }
+}
+
+/// Checks that, whatever faults preceded it, an evacuation that all instances know of keeps
+/// requests from the servers of its failure domain.
+pub fn assert_evacuation_holds(deployment: &Deployment, trace: &[String]) {
+    /// Longest time that a request in flight takes, and the time to watch for new ones after it.
+    const SETTLE: Duration = Duration::from_millis(300);
+    deployment.world.evacuate("d2");
+    for n in 0..deployment.gateways.len() {
+        deployment.gateway(n).wait_for_evacuated(1);
+    }
+    std::thread::sleep(SETTLE);
+    let withdrawn = || deployment.world.servers.iter().skip(1).step_by(2);
+    let ran = || withdrawn().map(|(_, server)| server.executed_requests().len()).sum::<usize>();
+    let before = ran();
+    std::thread::sleep(SETTLE);
+    assert_eq!(ran(), before, "requests in an evacuated domain after {trace:?}");
+    for (_, server) in &deployment.world.servers {
+        let peak = server.peak_rate_while_cold();
+        assert_eq!(server.crashes(), 0, "{peak} requests a second while cold: {trace:?}");
+    }
+}
+
+/// Checks that, whatever faults preceded it, a server gets no more requests than its rate limit
+/// from all instances together, and none once it is leaving. Only one server of each service is
+/// left while `d2` is evacuated, and callers send much more than its limit.
+pub fn assert_limit_and_leaving_hold(deployment: &Deployment, trace: &[String]) {
+    /// Longer than the four-second window over which the server counts requests.
+    const LIMIT_DURATION: Duration = Duration::from_millis(4_700);
+    const SETTLE: Duration = Duration::from_millis(300);
+    let server = deployment.world.servers_of("look")[0];
+    let before = server.overruns();
+    server.set_limit(Some(2.0));
+    std::thread::sleep(LIMIT_DURATION);
+    let peak = server.peak_requests_while_limited();
+    assert_eq!(server.overruns(), before, "{peak} requests within four seconds: {trace:?}");
+    server.set_limit(None);
+    server.set_leaving(true);
+    for n in 0..deployment.gateways.len() {
+        let gateway = deployment.gateway(n);
+        wait_until(&format!("the instance to learn that a server leaves after {trace:?}"), || {
+            !gateway.metrics().contains("galenapath_leaving_servers 0\n")
+        });
+    }
+    std::thread::sleep(SETTLE);
+    let ran = server.executed_requests().len();
+    std::thread::sleep(SETTLE);
+    assert_eq!(
+        server.executed_requests().len(),
+        ran,
+        "requests at a server that is leaving after {trace:?}"
+    );
+}
