--- a/crates/galenapath-dev/src/users_platform/kv_state.rs
+++ b/crates/galenapath-dev/src/users_platform/kv_state.rs
@@ -3,7 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A change of one key; without a value if it was removed.
 #[derive(Clone, Debug)]
@@ -25,11 +25,8 @@
     history: Vec<Change>,
     /// Revision up to which the history is discarded.
     discarded_up_to: u64,
-    /// Values of the keys of the operator and the servers, just before the service came back from a
-    /// backup.
-    lost: BTreeMap<String, Vec<u8>>,
-    /// Keys that have changed since.
-    changed: BTreeSet<String>,
+    /// What the operator and the servers stated last, whatever the service has lost of it.
+    stated: BTreeMap<String, Option<Vec<u8>>>,
 }
 
 /// Prefixes of the keys whose writers write again what the service has lost.
@@ -43,8 +40,7 @@
             items: BTreeMap::new(),
             history: Vec::new(),
             discarded_up_to: 0,
-            lost: BTreeMap::new(),
-            changed: BTreeSet::new(),
+            stated: BTreeMap::new(),
         }
     }
 }
@@ -52,7 +48,9 @@
 impl KvState {
     pub(super) fn change(&mut self, key: &str, value: Option<Vec<u8>>) {
         self.revision += 1;
-        self.changed.insert(key.to_owned());
+        if WRITTEN_AGAIN.iter().any(|prefix| key.starts_with(prefix)) {
+            self.stated.insert(key.to_owned(), value.clone());
+        }
         match &value {
             Some(value) => {
                 self.items.insert(key.to_owned(), (self.revision, value.clone()));
@@ -66,28 +64,15 @@
     /// Comes back from `backup`, a copy of an earlier state. Later changes are lost, and their
     /// revisions are given out again.
     pub(super) fn restore(&mut self, backup: Self) {
-        let is_written_again =
-            |key: &str| WRITTEN_AGAIN.iter().any(|prefix| key.starts_with(prefix));
-        let items = std::mem::take(&mut self.items).into_iter();
-        let lost = items.filter(|(key, _)| is_written_again(key));
-        let lost = lost.map(|(key, (_, value))| (key, value)).collect();
-        *self = Self { era: self.era + 1, lost, changed: BTreeSet::new(), ..backup };
+        *self = Self { era: self.era + 1, stated: std::mem::take(&mut self.stated), ..backup };
     }
 
-    /// Writes again what was lost and has not been written since, and removes what had been removed.
+    /// Writes again what the operator and the servers stated last, where the service has lost it.
     pub(super) fn write_again(&mut self) {
-        let lost = std::mem::take(&mut self.lost);
-        let is_open = |key: &String, changed: &BTreeSet<String>| {
-            WRITTEN_AGAIN.iter().any(|prefix| key.starts_with(prefix)) && !changed.contains(key)
-        };
-        let removed = self.items.keys().filter(|key| !lost.contains_key(*key));
-        let removed: Vec<String> =
-            removed.filter(|key| is_open(key, &self.changed)).cloned().collect();
-        removed.iter().for_each(|key| self.change(key, None));
-        for (key, value) in lost {
-            let is_same = self.items.get(&key).is_some_and(|(_, present)| *present == value);
-            if !is_same && is_open(&key, &self.changed) {
-                self.change(&key, Some(value));
+        for (key, value) in self.stated.clone() {
+            let present = self.items.get(&key).map(|(_, present)| present);
+            if present != value.as_ref() {
+                self.change(&key, value);
             }
         }
     }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -240,6 +240,13 @@
         String::from_utf8_lossy(&answer.body).into_owned()
     }
 
+    /// Value of a metric without labels; zero if there is none.
+    pub fn metric(&self, name: &str) -> u64 {
+        let metrics = self.metrics();
+        let value = metrics.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        value.unwrap_or(0)
+    }
+
     /// Log lines so far, as JSON objects.
     pub fn log(&self) -> Vec<Value> {
         let lines = self.lines.lock().unwrap();
--- a/tests/gateway_soak/checks.rs
+++ b/tests/gateway_soak/checks.rs
@@ -56,10 +56,10 @@
     for at in 0..deployment.world.servers.len() {
         deployment.list_without_link(at);
     }
-    let position = format!("galenapath_list_position {}\n", deployment.world.store.revision());
+    let revision = deployment.world.store.revision();
     for n in 0..deployment.gateways.len() {
         wait_until(&format!("the servers' own addresses after {trace:?}"), || {
-            deployment.gateway(n).metrics().contains(&position)
+            deployment.gateway(n).metric("galenapath_list_position") >= revision
         });
     }
     servers.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
