--- a/crates/galenapath-dev/src/scenario/users.rs
+++ b/crates/galenapath-dev/src/scenario/users.rs
@@ -118,8 +118,8 @@
         self.store.delete(&format!("op/evacuate/{domain}"));
     }
 
-    /// `backup made|restored|completed`: copies the store, lets it come back from the copy, or lets the
-    /// operator and the servers write again what it has lost.
+    /// `backup made|restored|completed`: copies the store, lets it come back from the copy, or lets
+    /// the operator and the servers write again what it has lost.
     pub fn back_up(&self, step: &str) -> Result<(), ScenarioError> {
         match step {
             "made" => self.store.back_up(),
--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -121,16 +121,16 @@
         inner.backup = inner.state.clone();
     }
 
-    /// Comes back from the last copy: what was written since is lost, and its revisions are given out
-    /// again.
+    /// Comes back from the last copy: what was written since is lost, and its revisions are given
+    /// out again.
     pub fn restore_backup(&self) {
         let mut inner = self.lock();
         let backup = inner.backup.clone();
         inner.state.restore(backup);
     }
 
-    /// Writes again what the operator and the servers stated last before the store came back, except
-    /// for what they have stated since.
+    /// Writes again what the operator and the servers stated last before the store came back,
+    /// except for what they have stated since.
     pub fn write_again(&self) {
         self.lock().state.write_again();
     }
--- a/crates/galenapath-dev/src/users_platform/kv_state.rs
+++ b/crates/galenapath-dev/src/users_platform/kv_state.rs
@@ -111,8 +111,8 @@
         })
     }
 
-    /// Returns the changes after a revision; `None` if they are discarded, or if that revision has not
-    /// been given out.
+    /// Returns the changes after a revision; `None` if they are discarded, or if that revision has
+    /// not been given out.
     pub(super) fn events(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
         if after < self.discarded_up_to || after > self.revision {
             return None;
--- a/crates/galenapath-filings/src/fingerprint.rs
+++ b/crates/galenapath-filings/src/fingerprint.rs
@@ -21,8 +21,8 @@
         Self(hasher.digest128())
     }
 
-    /// The fingerprint of the same request by a named caller, for callers whose equal requests ask for
-    /// different work.
+    /// The fingerprint of the same request by a named caller, for callers whose equal requests ask
+    /// for different work.
     pub fn of_caller(self, name: &str) -> Self {
         let mut hasher = Xxh3::new();
         hasher.update(&self.0.to_le_bytes());
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -59,8 +59,8 @@
     /// Invariant: the assessment of each member of `crashes`.
     assessments: BTreeMap<Fingerprint, Assessment>,
     /// Requests known to crash backend servers by other evidence than `crashes`, with the time of
-    /// their last known crash: peers reported them, or their crashes have been dropped. Newer crashes
-    /// of other requests, such as the loss of a rack, do not make them run again.
+    /// their last known crash: peers reported them, or their crashes have been dropped. Newer
+    /// crashes of other requests, such as the loss of a rack, do not make them run again.
     verdicts: BTreeMap<Fingerprint, Micros>,
     /// Time of the last complete answer of each request that was a suspect. The answer clears the
     /// request of all crashes up to that time.
--- a/crates/galenapath-filings/src/suspects/recent_answers.rs
+++ b/crates/galenapath-filings/src/suspects/recent_answers.rs
@@ -7,8 +7,8 @@
 use crate::Fingerprint;
 use galenapath_protocol::{FastMap, Micros};
 
-/// Time for which an answer shows that the request crashes no server. A request that starts to crash
-/// servers is no longer answered, so its crashes count after this time.
+/// Time for which an answer shows that the request crashes no server. A request that starts to
+/// crash servers is no longer answered, so its crashes count after this time.
 const RETENTION: Micros = Micros::from_secs(1);
 
 /// Requests that were answered within the last second.
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -169,8 +169,8 @@
     matches!(head, Err(HttpError::Closed | HttpError::Io(_)))
 }
 
-/// Whether a request whose reused connection ended may be sent to the same server again. It may have
-/// arrived nevertheless, so that counts as a retry.
+/// Whether a request whose reused connection ended may be sent to the same server again. It may
+/// have arrived nevertheless, so that counts as a retry.
 fn may_resend(call: &Call, server: &BackendId) -> bool {
     call.req.route.kind.is_idempotent()
         && !crash::is_known_to_crash_servers(call)
--- a/crates/galenapath-gateway/src/crash/check.rs
+++ b/crates/galenapath-gateway/src/crash/check.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// Whether the request is known to crash servers. Checked before each send: a request that waits, is
-/// retried or gets a hedge may have become known since it was admitted.
+/// Whether the request is known to crash servers. Checked before each send: a request that waits,
+/// is retried or gets a hedge may have become known since it was admitted.
 pub(crate) fn is_known_to_crash_servers(call: &Call) -> bool {
     call.instance.suspects.borrow().is_confirmed(call.instance.now(), call.req.fingerprint)
 }
@@ -52,8 +52,8 @@
     }
 }
 
-/// Records that a server has answered the request completely, so that the request did not crash it. An
-/// error proves nothing: a server may fail requests without running them.
+/// Records that a server has answered the request completely, so that the request did not crash it.
+/// An error proves nothing: a server may fail requests without running them.
 pub(crate) fn record_answer(call: &Call, status: StatusCode) {
     if !status.is_server_error() {
         let (now, request) = (call.instance.now(), call.req.fingerprint);
--- a/crates/galenapath-gateway/src/crash/exchange.rs
+++ b/crates/galenapath-gateway/src/crash/exchange.rs
@@ -1,8 +1,8 @@
 //! What instances tell each other of crashes and of requests that cause them.
 //!
-//! Load pattern: callers send such a request again at any instance, also at one that has just started,
-//! that was cut off, or that lost a datagram. Each crash is sent to all at once. Which requests crash
-//! servers is repeated for as long as it counts, by everybody who knows it.
+//! Load pattern: callers send such a request again at any instance, also at one that has just
+//! started, that was cut off, or that lost a datagram. Each crash is sent to all at once. Which
+//! requests crash servers is repeated for as long as it counts, by everybody who knows it.
 
 use super::hash_text;
 use crate::fleet::{CrashNote, Notices, RequestNote};
@@ -12,8 +12,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Period at which an instance repeats which requests crash servers. An instance that has started, or
-/// that was cut off, learns of them within that time of its first heartbeat.
+/// Period at which an instance repeats which requests crash servers. An instance that has started,
+/// or that was cut off, learns of them within that time of its first heartbeat.
 const REPEAT_PERIOD: Micros = Micros::from_secs(1);
 
 /// Maximum number of requests in one repetition; more are repeated in turn.
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Applies which requests another instance knows to crash servers, and tells it of those that have
-    /// been answered here since: it may have started just before several servers were lost.
+    /// Applies which requests another instance knows to crash servers, and tells it of those that
+    /// have been answered here since: it may have started just before several servers were lost.
     pub(crate) fn apply_rejected(&self, notes: &[RequestNote], from: SocketAddr) {
         let now = self.now();
         let mut served = Vec::new();
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Repeats which requests crash servers to the instances that get this one's heartbeats. What an
-    /// instance is told it repeats as well, so that each one hears it from several.
+    /// Repeats which requests crash servers to the instances that get this one's heartbeats. What
+    /// an instance is told it repeats as well, so that each one hears it from several.
     fn repeat_rejected(&self, round: usize) {
         let now = self.now();
         let note = |(request, last)| RequestNote { request, age: now - last };
--- a/crates/galenapath-gateway/src/fleet/convert_state.rs
+++ b/crates/galenapath-gateway/src/fleet/convert_state.rs
@@ -1,5 +1,5 @@
-//! Conversions between the wire types and the types used in the code, for the state that instances fetch
-//! from each other.
+//! Conversions between the wire types and the types used in the code, for the state that instances
+//! fetch from each other.
 
 use super::convert::millis;
 use super::generated::{EvacuationWire, ListedServerWire, RemovalWire};
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -66,8 +66,8 @@
     pub(crate) leaving: Vec<u64>,
     /// Requests known to crash servers, by the time since the last crash.
     pub(crate) rejected: Vec<RequestNote>,
-    /// Requests that the receiver takes for the cause of crashes, by the time since a server answered
-    /// them.
+    /// Requests that the receiver takes for the cause of crashes, by the time since a server
+    /// answered them.
     pub(crate) served: Vec<RequestNote>,
 }
 
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -12,9 +12,9 @@
 };
 use std::rc::Rc;
 
-/// Time after an outage of the store during which entries that expired meanwhile, or that a store which
-/// came back from a backup has lost, may reappear. The platform promises that they do within two
-/// seconds.
+/// Time after an outage of the store during which entries that expired meanwhile, or that a store
+/// which came back from a backup has lost, may reappear. The platform promises that they do within
+/// two seconds.
 pub(crate) const REAPPEAR_TIMEOUT: Micros = Micros::from_millis(2_100);
 
 /// Platform state known to an instance.
@@ -94,8 +94,8 @@
         self.hold_removals_until = now + REAPPEAR_TIMEOUT;
     }
 
-    /// Records the position of a list or of changes that are about to be applied. In a new epoch, the
-    /// store may lack entries that were written since its backup.
+    /// Records the position of a list or of changes that are about to be applied. In a new epoch,
+    /// the store may lack entries that were written since its backup.
     fn prepare_for(&mut self, position: StorePosition, now: Micros) {
         let known = self.directory.position();
         if known > StorePosition::default() && position.epoch > known.epoch {
@@ -131,8 +131,8 @@
 }
 
 impl Instance {
-    /// Applies the changes of a watch on the store, up to `position`. They have to be of the epoch that
-    /// is known.
+    /// Applies the changes of a watch on the store, up to `position`. They have to be of the epoch
+    /// that is known.
     pub(crate) fn apply_events(&self, events: &[KeyEvent], position: StorePosition) {
         for event in events {
             self.apply_event(event);
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -87,8 +87,8 @@
     instance: Rc<Instance>,
     store: S,
     failed_at: Micros,
-    /// Epoch of the store in which this instance's address is registered. A store that comes back from a
-    /// backup may have lost it.
+    /// Epoch of the store in which this instance's address is registered. A store that comes back
+    /// from a backup may have lost it.
     registered_in: Option<u64>,
     /// Position of a list whose read may have been stale.
     ///
--- a/crates/galenapath-platform/src/key_store.rs
+++ b/crates/galenapath-platform/src/key_store.rs
@@ -77,8 +77,8 @@
     Events {
         /// The changes, oldest first.
         events: Vec<KeyEvent>,
-        /// The position from which the next watch starts. In another epoch than the position before,
-        /// the changes do not follow on that.
+        /// The position from which the next watch starts. In another epoch than the position
+        /// before, the changes do not follow on that.
         position: StorePosition,
     },
     /// The store no longer has all changes after the given position; the keys have to be read
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -7,9 +7,9 @@
 //! under its identity while a write of its former run is still in transit. Without the start time
 //! that write would restore the former run or keep requests from the new one.
 //!
-//! A store that comes back from a backup shows servers that have left since, lacks those that started
-//! since, and gives revisions out again. Without the epoch, what is written then would look older than
-//! what is known, and be ignored.
+//! A store that comes back from a backup shows servers that have left since, lacks those that
+//! started since, and gives revisions out again. Without the epoch, what is written then would look
+//! older than what is known, and be ignored.
 
 use crate::removals::{Removals, RemovedEntry};
 use crate::{Change, ListedServer, ServerChanges, ServerRecord, VisibleChange};
@@ -41,10 +41,11 @@
 ///
 /// All revisions are of the epoch of `position`.
 ///
-/// Invariants: the position never goes back; of each identity only the latest known run counts, whatever the revisions of earlier
-/// runs are; within a run and an epoch the revision of an entry never decreases; an entry that was
-/// removed at revision `r` is restored only with a revision above `r`; an entry that was removed in an
-/// earlier epoch is restored only once it has been written in this one.
+/// Invariants: the position never goes back; of each identity only the latest known run counts,
+/// whatever the revisions of earlier runs are; within a run and an epoch the revision of an entry
+/// never decreases; an entry that was removed at revision `r` is restored only with a revision
+/// above `r`; an entry that was removed in an earlier epoch is restored only once it has been
+/// written in this one.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     position: StorePosition,
@@ -99,11 +100,12 @@
         self.position = self.position.max(position.into());
     }
 
-    /// Begins the epoch of `position`, unless it has begun, for a list read at that position. What is
-    /// known of servers stays; it is older than everything in the new epoch.
+    /// Begins the epoch of `position`, unless it has begun, for a list read at that position. What
+    /// is known of servers stays; it is older than everything in the new epoch.
     ///
     /// A removal holds against the backup, which may still have the entry. Only an entry that was
-    /// written since the return of the store is later than the one that was removed, or than the read.
+    /// written since the return of the store is later than the one that was removed, or than the
+    /// read.
     pub fn begin_epoch(&mut self, position: StorePosition) {
         if position.epoch <= self.position.epoch {
             return;
@@ -200,9 +202,9 @@
         }
     }
 
-    /// Merges changes from a peer. Entries older than the known ones are ignored, and so is all that is
-    /// of an earlier epoch. Known entries that are missing from a whole list are removed at `gone_at`,
-    /// or at once if that is `None`.
+    /// Merges changes from a peer. Entries older than the known ones are ignored, and so is all
+    /// that is of an earlier epoch. Known entries that are missing from a whole list are removed at
+    /// `gone_at`, or at once if that is `None`.
     pub fn merge(&mut self, changes: ServerChanges, now: Micros, gone_at: Option<Micros>) {
         let ServerChanges { is_whole, present, puts, removals, position } = changes;
         if position.epoch < self.position.epoch {
--- a/crates/galenapath-routes/src/evacuations.rs
+++ b/crates/galenapath-routes/src/evacuations.rs
@@ -7,7 +7,8 @@
 //! replaces what is known of a domain.
 //!
 //! A store that comes back from a backup may lack an evacuation until the operator has written it
-//! again. Such an evacuation stays in force for a while, so that no requests are sent into its domain.
+//! again. Such an evacuation stays in force for a while, so that no requests are sent into its
+//! domain.
 
 use galenapath_protocol::{DomainId, FastMap, Micros, StorePosition};
 
@@ -79,9 +80,9 @@
         ended
     }
 
-    /// Applies all statements of a peer that knows them completely up to `position`: a domain that is
-    /// missing from them has been restored. Those of an earlier epoch are ignored. What only an earlier
-    /// epoch had stays in force until `kept_until`. Returns the changes.
+    /// Applies all statements of a peer that knows them completely up to `position`: a domain that
+    /// is missing from them has been restored. Those of an earlier epoch are ignored. What only an
+    /// earlier epoch had stays in force until `kept_until`. Returns the changes.
     pub fn merge(
         &mut self,
         position: StorePosition,
@@ -151,8 +152,8 @@
     }
 
     /// Applies all evacuations in force, as read at `position` or later. A domain that is missing
-    /// from them has been restored, unless it was evacuated after `position`, or in an earlier epoch:
-    /// then it stays evacuated until `kept_until`. Returns the changes.
+    /// from them has been restored, unless it was evacuated after `position`, or in an earlier
+    /// epoch: then it stays evacuated until `kept_until`. Returns the changes.
     pub fn apply_snapshot(
         &mut self,
         position: impl Into<StorePosition>,
--- a/crates/galenapath-routes/src/removals.rs
+++ b/crates/galenapath-routes/src/removals.rs
@@ -42,8 +42,8 @@
     /// Oldest first.
     in_order: VecDeque<Removal>,
     latest: FastMap<BackendId, Removed>,
-    /// Revision up to which `in_order` is incomplete: removals were discarded, or made before the list
-    /// that this one began with.
+    /// Revision up to which `in_order` is incomplete: removals were discarded, or made before the
+    /// list that this one began with.
     forgotten: u64,
 }
 
@@ -63,8 +63,9 @@
         self.forgotten = self.forgotten.max(revision);
     }
 
-    /// Begins an epoch with a list read at `revision`. The backup may still have the removed entries, so
-    /// only those written since count: later than the one that was removed, or than the read.
+    /// Begins an epoch with a list read at `revision`. The backup may still have the removed
+    /// entries, so only those written since count: later than the one that was removed, or than the
+    /// read.
     pub(crate) fn begin_epoch(&mut self, revision: u64) {
         for removed in self.latest.values_mut() {
             let entry = removed.entry.take().unwrap_or(u64::MAX);
--- a/crates/galenapath-routes/tests/epochs.rs
+++ b/crates/galenapath-routes/tests/epochs.rs
@@ -1,7 +1,8 @@
 //! A store that comes back from backups, and instances that follow it and each other.
 //!
-//! Drawn schedules of writes, backups, returns, reads, watches, and exchanges between instances. The
-//! operator and the servers write again what they stated last, in order and interleaved with the rest.
+//! Drawn schedules of writes, backups, returns, reads, watches, and exchanges between instances.
+//! The operator and the servers write again what they stated last, in order and interleaved with
+//! the rest.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -379,8 +380,8 @@
         }
     }
 
-    /// Once everything lost is written again, all instances agree with the store, whichever way they
-    /// learned of it.
+    /// Once everything lost is written again, all instances agree with the store, whichever way
+    /// they learned of it.
     #[test]
     fn epochs_all_agree_in_the_end(steps in prop::collection::vec(step(), 1..80)) {
         let mut world = World::new();
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -1,5 +1,5 @@
-//! A store that comes back from a backup: it has lost its latest changes, and gives their revisions out
-//! again. The operator and the backend servers write again what they wrote since.
+//! A store that comes back from a backup: it has lost its latest changes, and gives their revisions
+//! out again. The operator and the backend servers write again what they wrote since.
 
 use crate::support::{Gateway, World, config, fleet, wait_until};
 use galenapath_dev::users_platform::{KvFault, ServerStandIn};
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -15,8 +15,8 @@
 //! - A failure domain is evacuated.
 //! - The configuration changes.
 //!
-//! After the faults, a request that crashes servers is sent to all instances, an evacuation begins, a
-//! server states a rate limit and then leaves.
+//! After the faults, a request that crashes servers is sent to all instances, an evacuation begins,
+//! a server states a rate limit and then leaves.
 //!
 //! Half of the callers use one connection for as long as it stays open.
 
