--- a/crates/galenapath-gateway/src/notices.rs
+++ b/crates/galenapath-gateway/src/notices.rs
@@ -70,6 +70,9 @@
     pub(crate) fn apply_notices(&self, notices: &Notices, from: SocketAddr) {
         self.apply_rejected(&notices.rejected, from);
         self.apply_served(&notices.served);
+        if notices.limits.is_empty() && notices.leaving.is_empty() {
+            return;
+        }
         let now = self.now();
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
