--- a/crates/galenapath-dev/src/scenario/users.rs
+++ b/crates/galenapath-dev/src/scenario/users.rs
@@ -144,7 +144,8 @@
         Ok(())
     }
 
-    /// `routes VERSION NAME=KIND…`: stores a configuration with one service and one route per name.
+    /// `routes VERSION NAME=KIND… [key_WORKSPACE=KEY]…`: stores a configuration with one service and
+    /// one route per name, and with workspaces if any has a key.
     pub fn set_routes(&self, line: &Line) -> Result<(), ScenarioError> {
         let version: u64 = line
             .word(1)
@@ -156,6 +157,13 @@
                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
         })];
         for (name, kind) in &line.options {
+            if let Some(workspace) = name.strip_prefix("key_") {
+                resources.push(json!({
+                    "resource_type": "tenants", "metadata": { "name": workspace },
+                    "spec": { "api_keys": [kind], "priority": 1 },
+                }));
+                continue;
+            }
             let kind = match kind.as_str() {
                 "lookup" => "idempotent",
                 "filing" => "non_idempotent",
@@ -178,15 +186,15 @@
         Ok(())
     }
 
-    /// `ask ID GATEWAY METHOD PATH [status=N]`: sends a request to the gateway at `addr` and fails
-    /// if the answer has another status.
+    /// `ask ID GATEWAY METHOD PATH [status=N] [key=K]`: sends a request to the gateway at `addr`, with
+    /// an API key if there is one, and fails if the answer has another status.
     pub async fn send_request(
         &mut self,
         line: &Line,
         addr: SocketAddr,
     ) -> Result<(), ScenarioError> {
         let id = line.word(1).to_owned();
-        let answer = exchange(addr, &id, line.word(3), line.word(4));
+        let answer = exchange(addr, &id, line.word(3), line.word(4), line.option("key"));
         let status = monoio::time::timeout(ANSWER_LIMIT, answer).await;
         let status = status.map_err(|_| {
             ScenarioError::bad(format!("request {id} was not answered within {ANSWER_LIMIT:?}"))
@@ -218,7 +226,7 @@
                 break;
             }
             let id = format!("{}-{sent}", line.word(2));
-            let answer = exchange(*addr, &id, "GET", line.word(2));
+            let answer = exchange(*addr, &id, "GET", line.word(2), None);
             let status = monoio::time::timeout(ANSWER_LIMIT, answer).await;
             let status = status.map_err(|_| {
                 ScenarioError::bad(format!("request {id} was not answered within {ANSWER_LIMIT:?}"))
@@ -286,17 +294,20 @@
     id: &str,
     method: &str,
     path: &str,
+    key: Option<&str>,
 ) -> Result<StatusCode, ScenarioError> {
     let failed = || ScenarioError::call(format!("request {id}"));
     let mut conn = Conn::connect(addr).await.map_err(ScenarioError::io("a gateway"))?;
     let body = if method == "POST" { "a filing" } else { "" };
     let length = body.len().to_string();
-    let headers = [
+    let authorization = key.map(|key| format!("Bearer {key}"));
+    let mut headers = vec![
         ("Host", HOST),
         ("X-Attempt-Id", id),
         ("X-Request-Deadline-Ms", CALLER_TIMEOUT_MS),
         ("Content-Length", length.as_str()),
     ];
+    headers.extend(authorization.as_deref().map(|text| ("Authorization", text)));
     let head = request_head(method, path, &headers);
     conn.write(format!("{head}{body}")).await.map_err(failed())?;
     let head = conn.read_answer().await.map_err(failed())?;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,6 +107,7 @@
     scenario_garbage: "garbage",
     scenario_gateway_each_kind_change_leave_stop: "gateway-each-kind-change-leave-stop",
     scenario_gateway_domain_evacuated_and_cold: "gateway-domain-evacuated-and-cold",
+    scenario_gateway_key_replaced: "gateway-key-replaced",
     scenario_gateway_request_crashes_servers: "gateway-request-crashes-servers",
     scenario_gateway_servers_ask_for_less: "gateway-servers-ask-for-less",
     scenario_gateway_store_back_from_backup: "gateway-store-back-from-backup",
