--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -154,11 +154,13 @@
             let pinging = pin!(self.ping_until_change(position.epoch));
             match select(watching, pinging).await {
                 Either::Left((watched, _)) => watched,
+                // No change can follow on a position of an epoch that is over.
                 Either::Right((ended, _)) => ended.map(|()| WatchOutcome::HistoryGone),
             }
         };
         self.record_result("watch", &watched);
         match watched {
+            // The store has come back from a backup.
             Ok(WatchOutcome::Events { position: answered, .. })
                 if answered.or_epoch(position.epoch).epoch != position.epoch =>
             {
