--- a/crates/galenapath-gateway/src/crash/exchange.rs
+++ b/crates/galenapath-gateway/src/crash/exchange.rs
@@ -1,8 +1,8 @@
-//! What instances tell each other of crashes and of requests that cause them.
+//! Exchange of crashes, and of requests that cause them, between instances.
 //!
 //! Load pattern: callers send such a request again at any instance, also at one that has just
 //! started, that was cut off, or that lost a datagram. Each crash is sent to all at once. Which
-//! requests crash servers is repeated for as long as it counts, by everybody who knows it.
+//! requests crash servers is repeated until it expires, by every instance that knows it.
 
 use super::hash_text;
 use crate::fleet::{CrashNote, Notices, RequestNote};
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Applies which requests another instance knows to crash servers, and tells it of those that
-    /// have been answered here since: it may have started just before several servers were lost.
+    /// Applies which requests another instance knows to crash servers, and sends it those that have
+    /// been answered here since: it may have started just before several servers were lost.
     pub(crate) fn apply_rejected(&self, notes: &[RequestNote], from: SocketAddr) {
         let now = self.now();
         let mut served = Vec::new();
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Repeats which requests crash servers to the instances that get this one's heartbeats. What
-    /// an instance is told it repeats as well, so that each one hears it from several.
+    /// Repeats which requests crash servers to the targets of this instance's heartbeats, including
+    /// those received from others, so that each instance receives them from several.
     fn repeat_rejected(&self, round: usize) {
         let now = self.now();
         let note = |(request, last)| RequestNote { request, age: now - last };
--- a/crates/galenapath-gateway/src/crash/mod.rs
+++ b/crates/galenapath-gateway/src/crash/mod.rs
@@ -1,5 +1,5 @@
 //! Requests that crash backend servers: who may run, which servers have crashed, and what instances
-//! tell each other. [`galenapath_filings::Suspects`] decides which requests are crash suspects.
+//! send each other. [`galenapath_filings::Suspects`] decides which requests are crash suspects.
 
 mod check;
 mod detection;
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -234,11 +234,11 @@
     pub id: ::std::string::String,
     pub revision: u64,
 }
-///A request, and the time since something happened to it.
+///A request and the age of an event: its last crash, or its answer.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct RequestWire {
-    ///Time when this message was sent, since what it tells.
+    ///Age of the event when this message was sent.
     pub age_ms: u32,
     ///Upper half of the request's fingerprint.
     pub request_high: u64,
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -81,11 +81,11 @@
     }
 }
 
-/// A request, and the time since something happened to it.
+/// A request and the age of an event: its last crash, or its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RequestNote {
     pub(crate) request: Fingerprint,
-    /// Time, when this was sent, since what it tells.
+    /// Time from the event to when this was sent.
     pub(crate) age: Micros,
 }
 
--- a/crates/galenapath-routes/tests/directory.rs
+++ b/crates/galenapath-routes/tests/directory.rs
@@ -59,7 +59,7 @@
     assert_eq!((changes.puts.len(), changes.present.len()), (1, 2));
     second.merge(changes, NOW, None);
     assert_eq!(names(&second), ["s1", "s4"]);
-    assert_eq!(second.position().revision, 20);
+    assert_eq!(second.position(), 20.into());
 }
 
 #[test]
@@ -130,7 +130,7 @@
     // A list that was read before the third server was added.
     directory.apply_list(11, vec![listed(5, 1)], None);
     assert_eq!(names(&directory), ["s1", "s3"]);
-    assert_eq!(directory.position().revision, 11);
+    assert_eq!(directory.position(), 11.into());
 }
 
 #[test]
