Reachability: which servers answer this instance, as a metric

No line or metric of one instance told whether servers do not answer it or have failed; galenapath_silent_servers counts those that did not answer its last two exchanges. Nothing is decided by it yet. Load queries of probes, sends and crash checks go through one place now, which records whether the server answered.

--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use galenapath_http::{
     BodyState, Connection, Framing, HttpError, ResponseHead, put_request, response_framing,
 };
+use galenapath_policy::reach::Exchange;
 use galenapath_protocol::{BackendId, Verdict};
 use http::StatusCode;
 use monoio::net::TcpStream;
@@ -106,7 +107,7 @@
     let address = service.address(server).ok_or(AttemptError::Unreachable)?;
     // Checked here as well, so that a server that accepts no requests gets no load query.
     check_send(call, in_flight)?;
-    let (mut connection, is_reused) = fitness::connect_if_fit(call, in_flight, address).await?;
+    let (mut connection, mut is_reused) = fitness::connect_if_fit(call, in_flight, address).await?;
     // Meanwhile the server may have paused, started to drain, turned cold or stated a rate limit,
     // or its failure domain may have been evacuated, or the request may have crashed other servers.
     check_send(call, in_flight)?;
@@ -117,13 +118,18 @@
     let mut sent_at = call.instance.now();
     let mut head = send_and_read_head(call, &mut connection).await;
     if is_connection_lost(&head) && is_reused && may_resend(call, server) {
-        connection = reconnect(call, address).await?;
+        connection = reconnect(call, server, address).await?;
+        is_reused = false;
         write_request(call, &listed_id, &mut connection);
         call.record_resend();
         sent_at = call.instance.now();
         head = send_and_read_head(call, &mut connection).await;
     }
     let (head, verdict) = head.map_err(|e| attempt_error(&e))?;
+    if !matches!(verdict, HeadVerdict::OtherServer) {
+        let exchange = Exchange { started_at: sent_at, is_new_connection: !is_reused };
+        service.record_answer(&call.instance, server, exchange);
+    }
     if let Some(kind) = answer_kind(verdict, head.status) {
         in_flight.answer_load.set(load_query::apply_answer_load(
             &call.instance,
@@ -180,8 +186,12 @@
 
 /// Opens a connection for a request that was sent before. If the server cannot be reached any more,
 /// the first send counts: the request may have run, and the server may have crashed under it.
-async fn reconnect(call: &Call, address: SocketAddr) -> Result<Connection, AttemptError> {
-    connect(call, address).await.map_err(|_| AttemptError::Broken)
+async fn reconnect(
+    call: &Call,
+    server: &BackendId,
+    address: SocketAddr,
+) -> Result<Connection, AttemptError> {
+    connect(call, server, address).await.map_err(|_| AttemptError::Broken)
 }
 
 /// Classifies the answer to a request; `None` if a server other than the addressed one sent it.
@@ -205,13 +215,22 @@
     }
 }
 
-/// Opens a connection for a request within [`CONNECT_TIMEOUT`].
-pub(crate) async fn connect(call: &Call, address: SocketAddr) -> Result<Connection, AttemptError> {
+/// Opens a connection to a server for a request within [`CONNECT_TIMEOUT`].
+pub(crate) async fn connect(
+    call: &Call,
+    server: &BackendId,
+    address: SocketAddr,
+) -> Result<Connection, AttemptError> {
     call.instance.count_connect("request");
+    let started_at = call.instance.now();
     let connecting = TcpStream::connect_addr(address);
     match monoio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(io)) => Ok(Connection::new(io, HEAD_LIMIT)),
-        Ok(Err(_)) | Err(_) => Err(AttemptError::Unreachable),
+        Ok(Err(_)) | Err(_) => {
+            let exchange = Exchange { started_at, is_new_connection: true };
+            call.service.record_no_answer(&call.instance, server, exchange);
+            Err(AttemptError::Unreachable)
+        }
     }
 }
 
--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -8,9 +8,8 @@
 use crate::call::Call;
 use crate::fleet::CrashNote;
 use crate::instance::Instance;
-use crate::load_query;
+use crate::load_query::{LoadQuery, Purpose};
 use crate::service::Service;
-use galenapath_http::Connection;
 use galenapath_protocol::BackendId;
 use monoio::net::TcpStream;
 use std::rc::Rc;
@@ -43,15 +42,18 @@
 
 async fn is_alive(instance: &Instance, service: &Service, server: &BackendId) -> bool {
     let Some(address) = service.address(server) else { return false };
-    let probe = async {
-        let io = TcpStream::connect_addr(address).await.ok()?;
-        // A paused server must not be queried; that it takes the connection has to suffice.
-        if service.placement.borrow().is_paused(instance.now(), server) {
-            return Some(true);
-        }
-        let connection = Connection::new(io, load_query::HEAD_LIMIT);
-        let health = load_query::query(instance, service, server, connection).await.ok()?;
-        Some(!health.is_other)
+    // A paused server must not be queried; that it takes the connection has to suffice.
+    if service.placement.borrow().is_paused(instance.now(), server) {
+        let connecting = TcpStream::connect_addr(address);
+        return monoio::time::timeout(PROBE_TIMEOUT, connecting).await.is_ok_and(|io| io.is_ok());
+    }
+    let query = LoadQuery {
+        instance,
+        service,
+        id: server,
+        address,
+        purpose: Purpose::Crash,
+        timeout: PROBE_TIMEOUT,
     };
-    monoio::time::timeout(PROBE_TIMEOUT, probe).await.is_ok_and(|alive| alive == Some(true))
+    query.send(None).await.is_ok_and(|answer| !answer.is_other)
 }
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -6,16 +6,15 @@
 //! such a server must not hold up the request, which moves to another server; the connection is
 //! opened all the same, for the next request.
 
-use crate::attempt::{AttemptError, HEAD_LIMIT, connect};
+use crate::attempt::{AttemptError, connect};
 use crate::call::Call;
 use crate::in_flight::InFlight;
 use crate::instance::Instance;
-use crate::load_query::{self, LoadQueryAnswer};
+use crate::load_query::{LoadQuery, LoadQueryAnswer, Purpose};
 use crate::service::Service;
 use futures::channel::oneshot;
-use galenapath_http::{Connection, HttpError};
+use galenapath_http::Connection;
 use galenapath_protocol::{BackendId, Micros};
-use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,7 +84,7 @@
     if !must_query {
         return match kept.filter(|_| !is_idle_too_long) {
             Some(kept) => Ok((kept.connection, true)),
-            None => Ok((connect(call, address).await?, false)),
+            None => Ok((connect(call, server, address).await?, false)),
         };
     }
     let kept = kept.map(|kept| kept.connection);
@@ -130,8 +129,20 @@
     kept: Option<Connection>,
     tx: oneshot::Sender<LoadQueryAnswer>,
 ) {
-    let query = send_query(&instance, &service, &server, address, kept);
-    let Ok(Ok(answer)) = monoio::time::timeout(QUERY_TIMEOUT, query).await else { return };
+    let is_reused = kept.is_some();
+    let sent_at = instance.now();
+    let query = LoadQuery {
+        instance: &instance,
+        service: &service,
+        id: &server,
+        address,
+        purpose: Purpose::Send,
+        timeout: QUERY_TIMEOUT,
+    };
+    let Ok(answer) = query.send(kept).await else { return };
+    if is_reused {
+        instance.record_query_time(instance.now() - sent_at);
+    }
     instance.metrics.probes.with_label_values(&["before_send"]).inc();
     if answer.observation.is_none() {
         service.record_missing_load(instance.now());
@@ -142,26 +153,6 @@
     }
 }
 
-/// Sends the query on the kept connection, or on a new one if that is missing or fails.
-async fn send_query(
-    instance: &Instance,
-    service: &Service,
-    server: &BackendId,
-    address: SocketAddr,
-    kept: Option<Connection>,
-) -> Result<LoadQueryAnswer, HttpError> {
-    if let Some(kept) = kept {
-        let sent_at = instance.now();
-        if let Ok(answer) = load_query::query(instance, service, server, kept).await {
-            instance.record_query_time(instance.now() - sent_at);
-            return Ok(answer);
-        }
-    }
-    instance.count_connect("question");
-    let io = TcpStream::connect_addr(address).await?;
-    load_query::query(instance, service, server, Connection::new(io, HEAD_LIMIT)).await
-}
-
 /// Returns the connection of the load query, or a new one, if the server is fit for the request.
 async fn check_fitness(
     call: &Call,
@@ -179,6 +170,6 @@
     }
     match connection {
         Some(connection) => Ok((connection, true)),
-        None => Ok((connect(call, address).await?, false)),
+        None => Ok((connect(call, server, address).await?, false)),
     }
 }
--- a/crates/galenapath-gateway/src/gauges.rs
+++ b/crates/galenapath-gateway/src/gauges.rs
@@ -2,6 +2,7 @@
 
 use crate::instance::Instance;
 use galenapath_policy::place::Placement;
+use galenapath_policy::reach::PathSummary;
 use galenapath_protocol::Micros;
 
 impl Instance {
@@ -25,6 +26,10 @@
         self.metrics.limited_servers.set(count(|placement, _| placement.limited_count()));
         self.metrics.leaving_servers.set(count(|placement, _| placement.leaving_count()));
         self.metrics.paused_servers.set(count(Placement::paused_count));
+        let paths = services.values().map(|service| service.contacts.borrow().summary(now));
+        let paths = paths.fold(PathSummary::default(), PathSummary::plus);
+        let silent = paths.silent + paths.cut_off;
+        self.metrics.silent_servers.set(i64::try_from(silent).unwrap_or(i64::MAX));
         for service in services.values() {
             let age = seconds(service.placement.borrow().mean_observation_age(now));
             self.metrics.load_age.with_label_values(&[&service.name]).set(age);
--- a/crates/galenapath-gateway/src/load_query.rs
+++ b/crates/galenapath-gateway/src/load_query.rs
@@ -11,15 +11,19 @@
 };
 use galenapath_policy::LogLineKind;
 use galenapath_policy::place::LoadObservation;
+use galenapath_policy::reach::Exchange;
 use galenapath_protocol::{BackendId, Micros};
 use http::header::{HOST, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
+use monoio::net::TcpStream;
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Maximum size of the head of an answer, in bytes.
 pub(crate) const HEAD_LIMIT: usize = 8 * 1024;
 
-/// Upper limits on the time for an answer; users of [`query`] set a shorter one.
+/// Upper limits on the time for an answer; [`LoadQuery::timeout`] is shorter.
 const TIMES: HeadTimeouts =
     HeadTimeouts { idle: Duration::from_secs(1), head: Duration::from_secs(1) };
 
@@ -37,10 +41,79 @@
     pub(crate) stated_idle: Option<Micros>,
 }
 
+/// Why a server is queried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A regular probe.
+    Probe,
+    /// A query just before a request is sent.
+    Send,
+    /// To find out whether the server has crashed.
+    Crash,
+}
+
+impl Purpose {
+    /// Its label in the metric of connections opened.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Probe => "probe",
+            Self::Send => "question",
+            Self::Crash => "crash",
+        }
+    }
+}
+
+/// A load query to be sent.
+pub(crate) struct LoadQuery<'a> {
+    pub(crate) instance: &'a Instance,
+    pub(crate) service: &'a Service,
+    pub(crate) id: &'a BackendId,
+    pub(crate) address: SocketAddr,
+    pub(crate) purpose: Purpose,
+    /// Time after which the query counts as unanswered.
+    pub(crate) timeout: Duration,
+}
+
+impl LoadQuery<'_> {
+    /// Sends the query on the connection `kept`, or on a new one if that is missing or fails, and
+    /// records whether the server answered.
+    pub(crate) async fn send(
+        &self,
+        kept: Option<Connection>,
+    ) -> Result<LoadQueryAnswer, HttpError> {
+        let started_at = self.instance.now();
+        let is_new_connection = Cell::new(kept.is_none());
+        let sending = async {
+            if let Some(kept) = kept
+                && let Ok(answer) = self.send_on(kept).await
+            {
+                return Ok(answer);
+            }
+            is_new_connection.set(true);
+            self.instance.count_connect(self.purpose.as_str());
+            let io = TcpStream::connect_addr(self.address).await?;
+            self.send_on(Connection::new(io, HEAD_LIMIT)).await
+        };
+        let result = monoio::time::timeout(self.timeout, sending).await;
+        let result = result.unwrap_or_else(|_| Err(HttpError::HeadTimeout));
+        let exchange = Exchange { started_at, is_new_connection: is_new_connection.get() };
+        match &result {
+            Ok(answer) if answer.is_other => {}
+            Ok(_) => self.service.record_answer(self.instance, self.id, exchange),
+            Err(_) => self.service.record_no_answer(self.instance, self.id, exchange),
+        }
+        result
+    }
+
+    async fn send_on(&self, connection: Connection) -> Result<LoadQueryAnswer, HttpError> {
+        query(self.instance, self.service, self.id, connection).await
+    }
+}
+
 /// Queries the load of the server on `connection` and applies everything that the answer reports.
 /// Its status code is ignored, because healthy servers may report that they are unhealthy, and the
 /// reverse.
-pub(crate) async fn query(
+async fn query(
     instance: &Instance,
     service: &Service,
     id: &BackendId,
@@ -61,7 +134,6 @@
     let mut body = BodyState::new(framing);
     while connection.read_body(&mut body).await?.is_some() {}
     instance.usage.count(Flow::Query, service.is_local(id), connection.take_byte_count());
-    service.placement.borrow_mut().mark_reachable(id);
     let is_other = is_other(instance, service, id, &head);
     if !is_other {
         apply_warm_up(instance, service, id, &head);
@@ -135,7 +207,6 @@
     id: &BackendId,
     head: &ResponseHead,
 ) -> Option<LoadObservation> {
-    service.placement.borrow_mut().mark_reachable(id);
     let observation = read_load(instance, head, instance.now())?;
     service.observe_load(instance, id, observation).then_some(observation)
 }
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -69,6 +69,8 @@
     pub store_epoch: IntGauge,
     /// Backend servers listed.
     pub servers: IntGauge,
+    /// Backend servers that did not answer this instance's last exchanges with them.
+    pub silent_servers: IntGauge,
     /// Evacuated failure domains, whose backend servers get no requests.
     pub evacuated_domains: IntGauge,
     /// Backend servers assumed to be cold.
@@ -140,6 +142,11 @@
             position: gauge(&r, "list_position", "Position of the list of backend servers")?,
             store_epoch: gauge(&r, "store_epoch", "Returns of the store from a backup")?,
             servers: gauge(&r, "servers", "Backend servers listed")?,
+            silent_servers: gauge(
+                &r,
+                "silent_servers",
+                "Backend servers that do not answer this instance",
+            )?,
             evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains evacuated")?,
             cold_servers: gauge(&r, "cold_servers", "Backend servers taken to be cold")?,
             limited_servers: gauge(&r, "limited_servers", "Backend servers with a rate limit")?,
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -5,15 +5,13 @@
 //! placement decides when a server is due for a probe, from what is known of the server.
 
 use crate::instance::{Instance, Stage, sleep_to_next};
-use crate::load_query::{self, LoadQueryAnswer};
+use crate::load_query::{LoadQuery, Purpose};
 use crate::service::Service;
-use galenapath_http::{Connection, HttpError};
 use galenapath_membership::{HeartbeatMembership, Peer};
 use galenapath_policy::measure::{
     LimitShare, Prober, limit_share, probing_instance, warming_instance,
 };
 use galenapath_protocol::{BackendId, FastMap, Micros};
-use monoio::net::TcpStream;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -207,9 +205,15 @@
         return;
     };
     let reused = service.take_connection(instance.now(), &id).await.map(|reused| reused.connection);
-    let result =
-        monoio::time::timeout(TIMEOUT, exchange(&instance, &service, &id, address, reused)).await;
-    let result = result.unwrap_or_else(|_| Err(HttpError::HeadTimeout));
+    let query = LoadQuery {
+        instance: &instance,
+        service: &service,
+        id: &id,
+        address,
+        purpose: Purpose::Probe,
+        timeout: TIMEOUT,
+    };
+    let result = query.send(reused).await;
     let label = if result.is_ok() { "answered" } else { "failed" };
     instance.metrics.probes.with_label_values(&[label]).inc();
     let mut targets = targets.borrow_mut();
@@ -243,21 +247,3 @@
         }
     }
 }
-
-async fn exchange(
-    instance: &Instance,
-    service: &Service,
-    id: &BackendId,
-    address: SocketAddr,
-    reused: Option<Connection>,
-) -> Result<LoadQueryAnswer, HttpError> {
-    if let Some(connection) = reused
-        && let Ok(health) = load_query::query(instance, service, id, connection).await
-    {
-        return Ok(health);
-    }
-    instance.count_connect("probe");
-    let io = TcpStream::connect_addr(address).await?;
-    let connection = Connection::new(io, load_query::HEAD_LIMIT);
-    load_query::query(instance, service, id, connection).await
-}
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -10,6 +10,7 @@
     LoadObservation, PlaceConfig, PlacedServer, Placement, PlacementQueue, QueueConfig,
     ServerSnapshot, WaitQueue, WarmUp,
 };
+use galenapath_policy::reach::{Contacts, Exchange, ReachConfig};
 use galenapath_policy::{RetryBudget, RetryConfig, SharedRetryBudget};
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros, hash64};
 use galenapath_routes::{ServerRecord, ServerState, ServiceSpec};
@@ -64,6 +65,8 @@
     pub(crate) spec: RefCell<ServiceSpec>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) retries: RefCell<RetryBudget>,
+    /// Which servers this instance reaches.
+    pub(crate) contacts: RefCell<Contacts>,
     /// Idle connections to the servers.
     pools: Pools,
     /// Requests to be notified when their server is found unreachable.
@@ -101,6 +104,7 @@
                 &instance.settings().retries,
                 INITIAL_RETRY_SHARE,
             ))),
+            contacts: RefCell::new(Contacts::new(ReachConfig::default())),
             pools: Pools::default(),
             loss_watchers: LossWatchers::default(),
             listed: RefCell::default(),
@@ -179,6 +183,7 @@
         // time the domain is used again.
         self.pools.retain(|id| listed.get(id).is_some_and(|server| !server.is_withdrawn));
         self.loss_watchers.retain(|id| listed.contains_key(id));
+        self.contacts.borrow_mut().retain(|id| listed.contains_key(id));
         *self.by_short_id.borrow_mut() =
             listed.keys().map(|id| (id.short_hash(), id.clone())).collect();
         *self.listed.borrow_mut() = listed;
@@ -191,6 +196,22 @@
         self.loss_watchers.notify(id);
     }
 
+    /// Records that the server answered.
+    pub(crate) fn record_answer(&self, instance: &Instance, id: &BackendId, exchange: Exchange) {
+        self.contacts.borrow_mut().record_answer(instance.now(), id, exchange);
+        self.placement.borrow_mut().mark_reachable(id);
+    }
+
+    /// Records that the server did not answer, or that no connection could be opened.
+    pub(crate) fn record_no_answer(
+        &self,
+        _instance: &Instance,
+        id: &BackendId,
+        exchange: Exchange,
+    ) {
+        self.contacts.borrow_mut().record_failure(id, exchange);
+    }
+
     /// Waits for `span`, or until the server is found unreachable; returns whether it was.
     pub(crate) async fn wait_for_loss(&self, id: &BackendId, span: Micros) -> bool {
         matches!(monoio::time::timeout(span.into(), self.loss_watchers.watch(id)).await, Ok(Ok(())))
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`measure`]: when a backend server may be probed, within a fixed budget.
 //! - [`place`]: placement and queueing for servers whose speed changes within a request.
 //! - [`quota`]: which requests are within the quota of their workspace.
+//! - [`reach`]: which servers an instance reaches, compared with other instances.
 //! - [`retry`]: when a request may be retried, and when it may be hedged.
 
 pub mod admission;
@@ -21,6 +22,7 @@
 pub mod place;
 mod quantile;
 pub mod quota;
+pub mod reach;
 pub mod retry;
 
 pub use admission::{
--- /dev/null
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -0,0 +1,40 @@
+//! Thresholds of reachability.
+
+use galenapath_protocol::Micros;
+
+/// Thresholds of reachability.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReachConfig {
+    /// Failed exchanges in a row after which a server counts as silent. One is not enough: links
+    /// lose packets, and a server resets connections while it has too many.
+    pub silent_after: u32,
+    /// Time for which a contact with a server counts. Longer than the pauses between the requests
+    /// of a service that is hardly used.
+    pub retention: Micros,
+    /// Time for which it counts that another instance reached a server. Spans several questions.
+    pub evidence_ttl: Micros,
+    /// Delays before each further check of a server that did not answer; the last one repeats. The
+    /// first ones are short because callers wait, the last one bounds the time until a path that is
+    /// back is noticed.
+    pub check_delays: [Micros; 4],
+    /// Delays before the other instances are asked again about a server that does not answer; the
+    /// last one repeats.
+    pub question_delays: [Micros; 3],
+}
+
+impl Default for ReachConfig {
+    fn default() -> Self {
+        Self {
+            silent_after: 2,
+            retention: Micros::from_secs(10),
+            evidence_ttl: Micros::from_secs(5),
+            check_delays: [
+                Micros::ZERO,
+                Micros::from_millis(100),
+                Micros::from_millis(250),
+                Micros::from_millis(500),
+            ],
+            question_delays: [Micros::ZERO, Micros::from_millis(300), Micros::from_secs(1)],
+        }
+    }
+}
