Tests that fail: an instance without paths to the servers serves none of its requests

Relays can fail for the connections of single processes, so that one of three instances is cut off from all servers while the others reach them: connections hang, are closed, live on while new ones fail, or lose their answers.

--- a/crates/galenapath-dev/src/lib.rs
+++ b/crates/galenapath-dev/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod load;
 pub mod scenario;
+mod socket_owner;
 pub mod store;
 pub mod users_platform;
 pub mod wire;
--- a/crates/galenapath-dev/src/link.rs
+++ b/crates/galenapath-dev/src/link.rs
@@ -1,11 +1,13 @@
 //! A TCP relay between two processes, whose connections a test can close, delay or block, in one
-//! direction or both.
+//! direction or both, for all processes that connect to it or for some of them.
 
+use crate::socket_owner::owns_socket;
 use futures::future::{Either, select};
 use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::sleep;
 use monoio::{LegacyDriver, RuntimeBuilder};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -25,6 +27,8 @@
     None,
     /// Open connections are closed, and new ones are closed as soon as they are accepted.
     Cut,
+    /// Open connections live on; new ones are closed as soon as they are accepted.
+    CutNew,
     /// Requests pass; the connection is closed at the first byte of a reply.
     CutReplies,
     /// No data passes in either direction; connections stay open.
@@ -38,10 +42,16 @@
 }
 
 /// State of a link, shared by its connections.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    /// Fault for all processes without one of their own.
     fault: LinkFault,
-    /// Number of cuts so far. A connection closes once this differs from the value at its start.
+    /// Faults for single processes, by process identifier.
+    of_processes: Vec<(u32, LinkFault)>,
+    /// Number of changes of `fault` and `of_processes` so far.
+    changes: u64,
+    /// Number of cuts of all connections so far. A connection closes once this differs from the
+    /// value at its start.
     cuts: u64,
     /// Address that connections are forwarded to; unset until [`Relay::set_target`] is called.
     target: Option<SocketAddr>,
@@ -52,15 +62,42 @@
 struct Link(Arc<Mutex<State>>);
 
 impl Link {
-    fn get(&self) -> State {
-        *self.lock()
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// A connection's end of a link.
+struct LinkEnd {
+    link: Link,
+    /// Address of the process that opened the connection.
+    from: SocketAddr,
+    /// Address of the relay.
+    to: SocketAddr,
+    /// The fault of this connection at a number of changes of the link's state.
+    known: Cell<(u64, LinkFault)>,
+}
+
+impl LinkEnd {
+    fn new(link: Link, from: SocketAddr, to: SocketAddr) -> Self {
+        Self { link, from, to, known: Cell::new((u64::MAX, LinkFault::None)) }
+    }
+
+    /// The fault that applies to this connection now.
+    fn fault(&self) -> LinkFault {
+        let state = self.link.lock();
+        let (changes, fault) = self.known.get();
+        if changes == state.changes {
+            return fault;
+        }
+        let is_from = |pid| owns_socket(pid, self.from, self.to);
+        let of_process = state.of_processes.iter().find(|(pid, _)| is_from(*pid));
+        let fault = of_process.map_or(state.fault, |(_, fault)| *fault);
+        self.known.set((state.changes, fault));
+        fault
+    }
+}
+
 /// A TCP relay.
 pub struct Relay {
     /// Address that the relay listens on.
@@ -79,7 +116,7 @@
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
         let link = Link::default();
-        monoio::spawn(accept(listener, link.clone()));
+        monoio::spawn(accept(listener, addr, link.clone()));
         Ok(Self { addr, link })
     }
 
@@ -119,23 +156,39 @@
         self.link.lock().target = Some(target);
     }
 
-    /// Sets the link's fault. It applies to open connections too.
+    /// Sets the link's fault for all processes. It applies to open connections too.
     pub fn set_fault(&self, fault: LinkFault) {
         let mut state = self.link.lock();
         state.fault = fault;
+        state.changes += 1;
         state.cuts += u64::from(fault == LinkFault::Cut);
     }
+
+    /// Sets the link's fault for the connections of one process, open ones too. It goes before that
+    /// for all processes.
+    pub fn set_fault_of(&self, pid: u32, fault: LinkFault) {
+        let mut state = self.link.lock();
+        state.of_processes.retain(|(of, _)| *of != pid);
+        if fault != LinkFault::None {
+            state.of_processes.push((pid, fault));
+        }
+        state.changes += 1;
+    }
 }
 
-async fn accept(listener: TcpListener, link: Link) {
-    while let Ok((stream, _)) = listener.accept().await {
-        monoio::spawn(connection(stream, link.clone()));
+async fn accept(listener: TcpListener, addr: SocketAddr, link: Link) {
+    while let Ok((stream, from)) = listener.accept().await {
+        monoio::spawn(connection(stream, LinkEnd::new(link.clone(), from, addr)));
     }
 }
 
-async fn connection(caller: TcpStream, link: Link) {
-    let State { fault, cuts, target } = link.get();
-    let Some(target) = target.filter(|_| fault != LinkFault::Cut) else { return };
+async fn connection(caller: TcpStream, link: LinkEnd) {
+    let is_cut = matches!(link.fault(), LinkFault::Cut | LinkFault::CutNew);
+    let (target, cuts) = {
+        let state = link.link.lock();
+        (state.target.filter(|_| !is_cut), state.cuts)
+    };
+    let Some(target) = target else { return };
     let Ok(target) = TcpStream::connect_addr(target).await else { return };
     let _ = (caller.set_nodelay(true), target.set_nodelay(true));
     let (mut caller_rx, mut caller_tx) = caller.into_split();
@@ -149,8 +202,8 @@
     }
 }
 
-async fn wait_for_cut(link: &Link, cuts: u64) {
-    while link.get().cuts == cuts {
+async fn wait_for_cut(link: &LinkEnd, cuts: u64) {
+    while link.fault() != LinkFault::Cut && link.link.lock().cuts == cuts {
         sleep(STATE_POLL).await;
     }
 }
@@ -158,7 +211,7 @@
 async fn forward_bytes(
     rx: &mut impl AsyncReadRent,
     tx: &mut impl AsyncWriteRent,
-    link: &Link,
+    link: &LinkEnd,
     is_reply: bool,
 ) {
     let mut buf = Vec::with_capacity(READ_LEN);
@@ -178,10 +231,10 @@
 
 /// Applies the link's fault to data that was read: waits while the link holds or delays it, then
 /// returns whether to forward it.
-async fn may_forward(link: &Link, is_reply: bool) -> bool {
+async fn may_forward(link: &LinkEnd, is_reply: bool) -> bool {
     loop {
-        match link.get().fault {
-            LinkFault::None => return true,
+        match link.fault() {
+            LinkFault::None | LinkFault::CutNew => return true,
             LinkFault::Cut => return false,
             LinkFault::CutReplies => return !is_reply,
             LinkFault::HoldRequests if is_reply => return true,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod leaving;
 #[path = "gateway/limits.rs"]
 mod limits;
+#[path = "gateway/paths.rs"]
+mod paths;
 #[path = "gateway/pauses.rs"]
 mod pauses;
 #[path = "gateway/pipelining.rs"]
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' platform that gateways run with.
 
-use galenapath_dev::link::Relay;
+use super::Gateway;
+use galenapath_dev::link::{LinkFault, Relay};
 use galenapath_dev::users_platform::{KvStandIn, ServerStandIn};
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -78,6 +79,20 @@
         world
     }
 
+    /// Sets the fault of one instance's paths to all servers.
+    pub fn set_paths(&self, gateway: &Gateway, fault: LinkFault) {
+        self.links.iter().for_each(|link| link.set_fault_of(gateway.pid(), fault));
+    }
+
+    /// Sets the fault of one instance's paths to the servers of a service.
+    pub fn set_paths_to(&self, service: &str, gateway: &Gateway, fault: LinkFault) {
+        for ((name, _), link) in self.servers.iter().zip(&self.links) {
+            if *name == service {
+                link.set_fault_of(gateway.pid(), fault);
+            }
+        }
+    }
+
     /// Failure domain in which [`Self::spread_over_domains`] lists the server with this index.
     pub fn domain_of(at: usize) -> &'static str {
         if at.is_multiple_of(2) { "d1" } else { "d2" }
