--- a/crates/galenapath-dev/src/link.rs
+++ b/crates/galenapath-dev/src/link.rs
@@ -85,15 +85,17 @@
 
     /// The fault that applies to this connection now.
     fn fault(&self) -> LinkFault {
-        let state = self.link.lock();
-        let (changes, fault) = self.known.get();
-        if changes == state.changes {
-            return fault;
-        }
-        let is_from = |pid| owns_socket(pid, self.from, self.to);
-        let of_process = state.of_processes.iter().find(|(pid, _)| is_from(*pid));
-        let fault = of_process.map_or(state.fault, |(_, fault)| *fault);
-        self.known.set((state.changes, fault));
+        let (of_processes, of_all, changes) = {
+            let state = self.link.lock();
+            let (changes, fault) = self.known.get();
+            if changes == state.changes {
+                return fault;
+            }
+            (state.of_processes.clone(), state.fault, state.changes)
+        };
+        let of_process = of_processes.iter().find(|(pid, _)| owns_socket(*pid, self.from, self.to));
+        let fault = of_process.map_or(of_all, |(_, fault)| *fault);
+        self.known.set((changes, fault));
         fault
     }
 }
--- a/crates/galenapath-dev/src/socket_owner.rs
+++ b/crates/galenapath-dev/src/socket_owner.rs
@@ -1,24 +1,33 @@
 //! Finds out which process has opened a connection.
 //!
 //! All processes of a test share the loopback address, so that an address alone does not tell from
-//! which of them a connection comes.
+//! which of them a connection comes. The kernel's socket diagnostics give the inode of a socket, and
+//! a process's descriptors name the inodes that it has.
 
+use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketType, netlink, recv, sendto, socket};
 use std::fs;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-/// Columns of a socket's local and remote address in the kernel's table of connections.
-const ADDRESSES: std::ops::RangeInclusive<usize> = 1..=2;
+/// Type of a request for the state of a socket, and of its answer.
+const SOCK_DIAG_BY_FAMILY: u16 = 20;
 
-/// Column of its inode.
-const INODE: usize = 9;
+/// Flag of a request.
+const NLM_F_REQUEST: u16 = 1;
 
-/// How often the table is read for a socket that is not in it. The table may change while it is
-/// read, and entries are then left out.
-const MAX_READS: usize = 4;
+/// Numbers of the address family and of the protocol in a request.
+const FAMILY_IPV4: u8 = 2;
+const PROTOCOL_TCP: u8 = 6;
+
+/// Length of the header of a message.
+const HEADER_LEN: usize = 16;
+
+/// Position of the inode in an answer.
+const INODE_AT: usize = HEADER_LEN + 68;
 
 /// Whether the process `pid` has the socket of the connection from `local` to `remote`.
 pub(crate) fn owns_socket(pid: u32, local: SocketAddr, remote: SocketAddr) -> bool {
-    let Some(inode) = (0..MAX_READS).find_map(|_| inode_of(local, remote)) else { return false };
+    let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else { return false };
+    let Some(inode) = inode_of(local, remote) else { return false };
     let Ok(descriptors) = fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
     let name = format!("socket:[{inode}]");
     descriptors
@@ -28,18 +37,35 @@
 }
 
 /// Inode of the socket of a connection.
-fn inode_of(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
-    let addresses = [column(local)?, column(remote)?];
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().find_map(|line| {
-        let columns: Vec<&str> = line.split_whitespace().collect();
-        let is_it = columns.get(ADDRESSES)? == addresses;
-        is_it.then(|| columns.get(INODE)?.parse().ok())?
-    })
+fn inode_of(local: SocketAddrV4, remote: SocketAddrV4) -> Option<u32> {
+    let kernel = netlink::SocketAddrNetlink::new(0, 0);
+    let diagnostics =
+        socket(AddressFamily::NETLINK, SocketType::DGRAM, Some(netlink::SOCK_DIAG)).ok()?;
+    sendto(&diagnostics, &request(local, remote), SendFlags::empty(), &kernel).ok()?;
+    let mut answer = [0; 256];
+    let (len, _) = recv(&diagnostics, &mut answer, RecvFlags::empty()).ok()?;
+    let answer = answer.get(..len)?;
+    let kind = u16::from_ne_bytes(answer.get(4..6)?.try_into().ok()?);
+    let inode = u32::from_ne_bytes(answer.get(INODE_AT..INODE_AT + 4)?.try_into().ok()?);
+    (kind == SOCK_DIAG_BY_FAMILY).then_some(inode)
 }
 
-/// An address as the table has it: in the byte order of the machine.
-fn column(address: SocketAddr) -> Option<String> {
-    let IpAddr::V4(ip) = address.ip() else { return None };
-    Some(format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), address.port()))
+/// A request for the state of one TCP socket.
+fn request(local: SocketAddrV4, remote: SocketAddrV4) -> Vec<u8> {
+    let address = |ip: &Ipv4Addr| [&ip.octets()[..], &[0; 12]].concat();
+    let mut body = vec![FAMILY_IPV4, PROTOCOL_TCP, 0, 0];
+    body.extend(u32::MAX.to_ne_bytes()); // all states
+    body.extend(local.port().to_be_bytes());
+    body.extend(remote.port().to_be_bytes());
+    body.extend(address(local.ip()));
+    body.extend(address(remote.ip()));
+    body.extend([0; 4]); // any interface
+    body.extend([u8::MAX; 8]); // any cookie
+    let len = (HEADER_LEN + body.len()) as u32;
+    let mut message = len.to_ne_bytes().to_vec();
+    message.extend(SOCK_DIAG_BY_FAMILY.to_ne_bytes());
+    message.extend(NLM_F_REQUEST.to_ne_bytes());
+    message.extend([0; 8]); // sequence number and sender
+    message.extend(body);
+    message
 }
--- a/crates/galenapath-gateway/src/addresses.rs
+++ b/crates/galenapath-gateway/src/addresses.rs
@@ -50,6 +50,7 @@
         address: member.caller_address,
         rate: status.rate,
         capacity: status.capacity,
+        is_cut_off: status.is_cut_off,
         is_seed: seeds.iter().any(|seed| seed.ip() == member.peer_address.ip()),
     }
 }
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -168,7 +168,12 @@
             Err(error) => error.weight(),
         };
         if weight > 0.0 {
-            self.instance.share_failure(&self.service, server, weight);
+            match result {
+                Err(AttemptError::Unreachable | AttemptError::Broken) => {
+                    self.instance.share_no_answer(&self.service, server, weight);
+                }
+                Ok(_) | Err(_) => self.instance.share_failure(&self.service, server, weight),
+            }
         }
         self.add_step(&format!("{}:{outcome}:{}ms ", server.0, took.0 / 1_000));
     }
--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -3,14 +3,19 @@
 //! A broken connection alone does not show a crash: answers get lost and connections are reset for
 //! other reasons. A server counts as crashed only if it cannot be reached right afterwards, or if
 //! another server has its address.
+//!
+//! Load pattern: an instance loses its paths to all servers with many requests in flight. Each of
+//! them would be blamed for a crash, and rejected by all instances. So the other instances are asked
+//! whether they reach the server.
 
 use super::hash_text;
 use crate::call::Call;
 use crate::fleet::CrashNote;
 use crate::instance::Instance;
 use crate::load_query::{LoadQuery, Purpose};
+use crate::reach::OtherView;
 use crate::service::Service;
-use galenapath_protocol::BackendId;
+use galenapath_protocol::{BackendId, Micros};
 use monoio::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,12 +31,13 @@
     if instance.recent_answers.borrow().contains(instance.now(), request) {
         return;
     }
+    let lost_at = instance.now();
     monoio::spawn(async move {
-        if is_alive(&instance, &service, &server).await {
-            instance.metrics.lost_requests.with_label_values(&["alive"]).inc();
+        let state = state_after_loss(&instance, &service, &server, lost_at).await;
+        instance.metrics.lost_requests.with_label_values(&[state.as_str()]).inc();
+        if state != ServerState::Crashed {
             return;
         }
-        instance.metrics.lost_requests.with_label_values(&["crashed"]).inc();
         let note = CrashNote { server: server.hash(), request };
         log::warn!(server:% = server, request_hash:% = hash_text(request);
             "server crashed while running a request");
@@ -40,12 +46,64 @@
     });
 }
 
-async fn is_alive(instance: &Instance, service: &Service, server: &BackendId) -> bool {
-    let Some(address) = service.address(server) else { return false };
+/// State of a server whose connection broke during a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerState {
+    /// It answers.
+    Alive,
+    /// It does not answer, and it is not this instance's own paths that are gone.
+    Crashed,
+    /// It answers other instances, or none can tell and this instance's own paths are in doubt.
+    NotReached,
+}
+
+impl ServerState {
+    /// Its label in the metric of lost requests.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Crashed => "crashed",
+            Self::NotReached => "not_reached",
+        }
+    }
+}
+
+async fn state_after_loss(
+    instance: &Instance,
+    service: &Service,
+    server: &BackendId,
+    lost_at: Micros,
+) -> ServerState {
+    match probe(instance, service, server).await {
+        ProbeResult::Answered => return ServerState::Alive,
+        ProbeResult::OtherServer => return ServerState::Crashed,
+        ProbeResult::NoAnswer => {}
+    }
+    match instance.ask_about(service, server, lost_at).await {
+        OtherView::Unreached | OtherView::Alone => ServerState::Crashed,
+        OtherView::Unknown if !instance.are_paths_in_doubt() => ServerState::Crashed,
+        OtherView::Reached | OtherView::Unknown => ServerState::NotReached,
+    }
+}
+
+/// Result of the probe of a server whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeResult {
+    Answered,
+    /// Another server has its address, or it is no longer listed.
+    OtherServer,
+    NoAnswer,
+}
+
+async fn probe(instance: &Instance, service: &Service, server: &BackendId) -> ProbeResult {
+    let Some(address) = service.address(server) else { return ProbeResult::OtherServer };
     // A paused server must not be queried; that it takes the connection has to suffice.
     if service.placement.borrow().is_paused(instance.now(), server) {
         let connecting = TcpStream::connect_addr(address);
-        return monoio::time::timeout(PROBE_TIMEOUT, connecting).await.is_ok_and(|io| io.is_ok());
+        return match monoio::time::timeout(PROBE_TIMEOUT, connecting).await {
+            Ok(Ok(_)) => ProbeResult::Answered,
+            Ok(Err(_)) | Err(_) => ProbeResult::NoAnswer,
+        };
     }
     let query = LoadQuery {
         instance,
@@ -55,5 +113,9 @@
         purpose: Purpose::Crash,
         timeout: PROBE_TIMEOUT,
     };
-    query.send(None).await.is_ok_and(|answer| !answer.is_other)
+    match query.send(None).await {
+        Ok(answer) if answer.is_other => ProbeResult::OtherServer,
+        Ok(_) => ProbeResult::Answered,
+        Err(_) => ProbeResult::NoAnswer,
+    }
 }
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -294,6 +294,6 @@
 fn report_silence(call: &Call, server: &BackendId) {
     let now = call.instance.now();
     call.service.placement.borrow_mut().record_failure(now, server, SILENCE_WEIGHT);
-    call.instance.share_failure(&call.service, server, SILENCE_WEIGHT);
+    call.instance.share_no_answer(&call.service, server, SILENCE_WEIGHT);
     call.add_step("silent ");
 }
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -102,6 +102,7 @@
 ) -> Result<LoadQueryAnswer, AttemptError> {
     let instance = &call.instance;
     let timeout = instance.query_timeout();
+    let sent_at = instance.now();
     let (tx, rx) = oneshot::channel();
     monoio::spawn(run_query(
         Rc::clone(instance),
@@ -115,7 +116,10 @@
         Ok(Ok(LoadQueryAnswer { is_other: true, .. })) => Err(AttemptError::OtherServer),
         Ok(Ok(answer)) => Ok(answer),
         // Only the regular probes decide whether a server is unreachable.
-        Ok(Err(_)) | Err(_) => Err(AttemptError::Unfit),
+        Ok(Err(_)) | Err(_) => {
+            call.service.record_overdue(instance, server, sent_at);
+            Err(AttemptError::Unfit)
+        }
     }
 }
 
--- a/crates/galenapath-gateway/src/fleet/convert.rs
+++ b/crates/galenapath-gateway/src/fleet/convert.rs
@@ -2,11 +2,12 @@
 
 use super::generated::{
     BeatWire, CrashWire, DatagramWire, EndWire, FailureWire, FleetMemberWire, HelloWire, LimitWire,
-    LoadWire, LoadsWire, MembersWire, NoticesWire, RequestWire, RequestsWire, UsageWire,
-    UsagesWire, WarmthWire,
+    LoadWire, LoadsWire, MembersWire, NoticesWire, PathQueryWire, PathReportWire, ReachedWire,
+    RequestWire, RequestsWire, UsageWire, UsagesWire, WarmthWire,
 };
 use super::message::{
-    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RequestNote, WarmthNote,
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, PathReport, ReachedNote,
+    RequestNote, WarmthNote,
 };
 use galenapath_filings::Fingerprint;
 use galenapath_membership::{Heartbeat, InstanceStatus, Member, MemberStatus, StoreHealth};
@@ -22,6 +23,7 @@
 const STORE_FAILS: u8 = 16;
 const SERVES_CALLERS: u8 = 32;
 const CROSSES: u8 = 64;
+const CUT_OFF: u8 = 128;
 
 fn flags(status: &InstanceStatus) -> u8 {
     let bit = |is_set: bool, bit: u8| if is_set { bit } else { 0 };
@@ -36,6 +38,7 @@
         | bit(status.is_watching, WATCHING)
         | bit(status.serves_callers, SERVES_CALLERS)
         | bit(status.sends_cross_domain, CROSSES)
+        | bit(status.is_cut_off, CUT_OFF)
 }
 
 impl From<&Heartbeat> for BeatWire {
@@ -69,6 +72,7 @@
             is_watching: has(WATCHING),
             serves_callers: has(SERVES_CALLERS),
             sends_cross_domain: has(CROSSES),
+            is_cut_off: has(CUT_OFF),
             rate: wire.rate,
             capacity: wire.capacity,
             config_version: wire.config_version,
@@ -232,6 +236,40 @@
     }
 }
 
+impl From<&ReachedNote> for ReachedWire {
+    fn from(note: &ReachedNote) -> Self {
+        Self { age_ms: millis(note.age), server: note.server }
+    }
+}
+
+impl From<ReachedWire> for ReachedNote {
+    fn from(wire: ReachedWire) -> Self {
+        Self { server: wire.server, age: Micros::from_millis(u64::from(wire.age_ms)) }
+    }
+}
+
+impl From<&PathReport> for PathReportWire {
+    fn from(report: &PathReport) -> Self {
+        Self {
+            from: report.from.0,
+            has_paths: report.has_paths,
+            reached: report.reached.iter().map(Into::into).collect(),
+            unreached: report.unreached.clone(),
+        }
+    }
+}
+
+impl From<PathReportWire> for PathReport {
+    fn from(wire: PathReportWire) -> Self {
+        Self {
+            from: Incarnation(wire.from),
+            has_paths: wire.has_paths,
+            reached: wire.reached.into_iter().map(Into::into).collect(),
+            unreached: wire.unreached,
+        }
+    }
+}
+
 /// Wire units of one request of a quota.
 const TENTHS: f64 = 10.0;
 
@@ -277,6 +315,10 @@
                 Self::Q(UsagesWire { from: from.0, notes: notes.iter().map(Into::into).collect() })
             }
             Datagram::End(incarnation) => Self::E(EndWire { from: incarnation.0 }),
+            Datagram::PathQuery { from, servers } => {
+                Self::P(PathQueryWire { from: from.0, servers: servers.clone() })
+            }
+            Datagram::PathReport(report) => Self::R(report.into()),
         }
     }
 }
@@ -305,6 +347,10 @@
                 notes: usages.notes.into_iter().map(Into::into).collect(),
             },
             DatagramWire::E(end) => Self::End(Incarnation(end.from)),
+            DatagramWire::P(query) => {
+                Self::PathQuery { from: Incarnation(query.from), servers: query.servers }
+            }
+            DatagramWire::R(report) => Self::PathReport(report.into()),
         })
     }
 }
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -12,7 +12,7 @@
     pub config_version: u64,
     ///Exclusive or of the incarnations that the sender considers up, its own included.
     pub digest: u64,
-    ///Bits: 1 ready, 2 leaving, 4 watches the store, 8 the store answers, 16 the store does not answer, 32 serves callers, 64 sends requests beyond its failure domain.
+    ///Bits: 1 ready, 2 leaving, 4 watches the store, 8 the store answers, 16 the store does not answer, 32 serves callers, 64 sends requests beyond its failure domain, 128 has lost the paths to most backend servers of a service.
     pub flags: u8,
     ///Incarnation of the sender.
     pub from: u64,
@@ -52,6 +52,10 @@
     Q(UsagesWire),
     #[serde(rename = "e")]
     E(EndWire),
+    #[serde(rename = "p")]
+    P(PathQueryWire),
+    #[serde(rename = "r")]
+    R(PathReportWire),
 }
 impl ::std::convert::From<BeatWire> for DatagramWire {
     fn from(value: BeatWire) -> Self {
@@ -88,6 +92,16 @@
         Self::E(value)
     }
 }
+impl ::std::convert::From<PathQueryWire> for DatagramWire {
+    fn from(value: PathQueryWire) -> Self {
+        Self::P(value)
+    }
+}
+impl ::std::convert::From<PathReportWire> for DatagramWire {
+    fn from(value: PathReportWire) -> Self {
+        Self::R(value)
+    }
+}
 ///The sender is shutting down now.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -215,6 +229,27 @@
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub requests: ::std::option::Option<RequestsWire>,
 }
+///Asks whether the receiver reaches backend servers that do not answer the sender.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PathQueryWire {
+    ///Incarnation of the sender.
+    pub from: u64,
+    ///Hashes of the servers' identities.
+    pub servers: ::std::vec::Vec<u32>,
+}
+///Which backend servers the sender reaches on new connections.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PathReportWire {
+    ///Incarnation of the sender.
+    pub from: u64,
+    ///Whether other backend servers answer the sender, so that those which it does not reach have failed.
+    pub has_paths: bool,
+    pub reached: ::std::vec::Vec<ReachedWire>,
+    ///Hashes of the identities of the servers that do not answer the sender.
+    pub unreached: ::std::vec::Vec<u32>,
+}
 ///State that the requesting instance already has.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -227,6 +262,15 @@
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub within_epoch: ::std::option::Option<u64>,
 }
+///A backend server that the sender reached on a new connection.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ReachedWire {
+    ///Time since then when this message was sent.
+    pub age_ms: u32,
+    ///Hash of the server's identity.
+    pub server: u32,
+}
 ///An entry that was removed from the list.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/message.rs
+++ b/crates/galenapath-gateway/src/fleet/message.rs
@@ -36,6 +36,37 @@
     },
     /// The sender is about to exit.
     End(Incarnation),
+    /// Asks whether the receiver reaches servers that do not answer the sender.
+    PathQuery {
+        /// The sender.
+        from: Incarnation,
+        /// Short forms of the servers' identities.
+        servers: Vec<u32>,
+    },
+    /// The answer to that.
+    PathReport(PathReport),
+}
+
+/// Which servers an instance reaches on new connections.
+#[derive(Clone, Debug)]
+pub(crate) struct PathReport {
+    /// The instance.
+    pub(crate) from: Incarnation,
+    /// Whether other servers answer it, so that those which it does not reach have failed.
+    pub(crate) has_paths: bool,
+    /// Servers that it reaches.
+    pub(crate) reached: Vec<ReachedNote>,
+    /// Short forms of the identities of those that do not answer it.
+    pub(crate) unreached: Vec<u32>,
+}
+
+/// A server that an instance has reached on a new connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReachedNote {
+    /// Short form of the server's identity.
+    pub(crate) server: u32,
+    /// Time since then when this was sent.
+    pub(crate) age: Micros,
 }
 
 /// Updates on backend servers that the sender has just observed.
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -12,8 +12,8 @@
 
 pub(crate) use joining::{join, request_members};
 pub(crate) use message::{
-    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, RequestNote, WarmthNote,
-    encode,
+    CrashNote, Datagram, FailureNote, LimitNote, LoadNote, Loads, Notices, PathReport, ReachedNote,
+    RequestNote, WarmthNote, encode,
 };
 pub(crate) use pull::serve_pulls;
 pub(crate) use tasks::{broadcast_end, broadcast_heartbeat, receive, run};
--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -4,12 +4,13 @@
 use super::message::{Datagram, decode, encode};
 use super::pull;
 use crate::instance::{Instance, sleep, sleep_to_next};
+use crate::reach;
 use crate::usage::Flow;
 use galenapath_membership::{
     Heartbeat, HeartbeatOutcome, InstanceStatus, ReachabilityChange, StoreHealth,
 };
 use galenapath_policy::LogLineKind;
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Incarnation, Micros};
 use monoio::net::udp::UdpSocket;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -123,7 +124,8 @@
         || last_sent.is_leaving != now.is_leaving
         || last_sent.store != now.store
         || last_sent.is_watching != now.is_watching
-        || last_sent.serves_callers != now.serves_callers;
+        || last_sent.serves_callers != now.serves_callers
+        || last_sent.is_cut_off != now.is_cut_off;
     let is_for_serving = last_sent.sends_cross_domain != now.sends_cross_domain
         || is_rate_changed(last_sent.rate, now.rate);
     match (is_for_all, is_for_serving) {
@@ -214,9 +216,19 @@
             let mut membership = instance.membership.borrow_mut();
             store_failing.into_iter().for_each(|id| membership.set_store_failing(id));
         }
-        Datagram::Loads(loads) => instance.apply_loads(&loads),
+        Datagram::Loads(mut loads) => {
+            if is_cut_off(instance, from) {
+                // What does not answer the sender may well answer others.
+                loads.failures.clear();
+            }
+            instance.apply_loads(&loads);
+        }
         Datagram::Notices(notices) => instance.apply_notices(&notices, from),
         Datagram::Usage { from: sender, notes } => instance.apply_usage(sender, from, &notes),
+        Datagram::PathQuery { from: sender, servers } => {
+            instance.answer_path_query(sender, &servers, from);
+        }
+        Datagram::PathReport(report) => instance.apply_path_report(&report),
         Datagram::End(incarnation) => {
             log::info!(incarnation:% = incarnation; "instance has ended");
             instance.quotas.borrow_mut().forget(incarnation);
@@ -227,10 +239,14 @@
 
 fn handle_heartbeat(instance: &Rc<Instance>, heartbeat: &Heartbeat, from: SocketAddr) {
     let was_ready = instance.membership.borrow().is_ready(heartbeat.from);
+    let was_cut_off = instance.membership.borrow().is_cut_off(heartbeat.from);
     let outcome = instance.membership.borrow_mut().apply_heartbeat(instance.now(), heartbeat);
     if !was_ready && instance.membership.borrow().is_ready(heartbeat.from) {
         instance.send_known_notices(from);
     }
+    if heartbeat.status.is_cut_off && !was_cut_off && is_in_own_domain(instance, heartbeat.from) {
+        reach::verify_paths(instance);
+    }
     if heartbeat.status.store == StoreHealth::Answering {
         instance.record_store_answer();
     }
@@ -248,6 +264,18 @@
     }
 }
 
+/// Whether the instance with this address has lost its paths to backend servers.
+fn is_cut_off(instance: &Instance, address: SocketAddr) -> bool {
+    let membership = instance.membership.borrow();
+    let mut peers = membership.peers();
+    peers.any(|peer| peer.member.peer_address == address && peer.status.is_cut_off)
+}
+
+fn is_in_own_domain(instance: &Instance, other: Incarnation) -> bool {
+    let membership = instance.membership.borrow();
+    membership.domain_of(other) == Some(membership.domain())
+}
+
 /// Sends a heartbeat to all instances, because some reported this one as silent.
 fn refute_silence(instance: &Instance) {
     let now = instance.now();
--- a/crates/galenapath-gateway/src/gauges.rs
+++ b/crates/galenapath-gateway/src/gauges.rs
@@ -29,6 +29,7 @@
         let paths = services.values().map(|service| service.contacts.borrow().summary(now));
         let paths = paths.fold(PathSummary::default(), PathSummary::plus);
         let silent = paths.silent + paths.cut_off;
+        self.metrics.cut_off.set(i64::from(self.reach.is_withdrawn()));
         self.metrics.silent_servers.set(i64::try_from(silent).unwrap_or(i64::MAX));
         for service in services.values() {
             let age = seconds(service.placement.borrow().mean_observation_age(now));
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -5,6 +5,7 @@
 use crate::metrics::Metrics;
 use crate::quota::Reporters;
 use crate::rate::Rate;
+use crate::reach::Reach;
 use crate::services::Services;
 use crate::sharing::Outbox;
 use crate::state::State;
@@ -70,6 +71,8 @@
     pub(crate) reporters: RefCell<Reporters>,
     /// Updates to send to other instances with the next datagram.
     pub(crate) outbox: RefCell<Outbox>,
+    /// Which backend servers it reaches.
+    pub(crate) reach: Reach,
     pub(crate) stage: Cell<Stage>,
     pub(crate) store: Cell<StoreHealth>,
     pub(crate) is_watching: Cell<bool>,
@@ -129,6 +132,7 @@
             quotas: RefCell::default(),
             reporters: RefCell::default(),
             outbox: RefCell::default(),
+            reach: Reach::new(clock.now()),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
             is_watching: Cell::new(false),
@@ -197,8 +201,10 @@
             is_leaving: self.stage.get() >= Stage::Leaving,
             store: self.store.get(),
             is_watching: self.is_watching.get(),
-            serves_callers: self.now() - self.last_serving_at.get() < SERVING_HOLD,
+            serves_callers: self.now() - self.last_serving_at.get() < SERVING_HOLD
+                && !self.reach.is_nothing_reached(),
             sends_cross_domain: self.cross_domain_sends.get().is_cross_domain(self.now()),
+            is_cut_off: self.reach.is_withdrawn(),
             rate: self.rate.get().per_second(self.now()),
             capacity: self.capacity(),
             config_version: state.table().version(),
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod probe;
 mod quota;
 mod rate;
+mod reach;
 mod relay;
 mod reload;
 mod reply;
--- a/crates/galenapath-gateway/src/load_query.rs
+++ b/crates/galenapath-gateway/src/load_query.rs
@@ -50,6 +50,10 @@
     Send,
     /// To find out whether the server has crashed.
     Crash,
+    /// To find out whether the path to the server is good.
+    Check,
+    /// The same, on behalf of another instance.
+    CheckForOther,
 }
 
 impl Purpose {
@@ -59,6 +63,7 @@
             Self::Probe => "probe",
             Self::Send => "question",
             Self::Crash => "crash",
+            Self::Check | Self::CheckForOther => "check",
         }
     }
 }
@@ -100,11 +105,17 @@
         match &result {
             Ok(answer) if answer.is_other => {}
             Ok(_) => self.service.record_answer(self.instance, self.id, exchange),
+            // A server that this instance does not use is not its concern.
+            Err(_) if self.purpose == Purpose::CheckForOther && !self.is_in_use() => {}
             Err(_) => self.service.record_no_answer(self.instance, self.id, exchange),
         }
         result
     }
 
+    fn is_in_use(&self) -> bool {
+        self.service.contacts.borrow().has(self.id)
+    }
+
     async fn send_on(&self, connection: Connection) -> Result<LoadQueryAnswer, HttpError> {
         query(self.instance, self.service, self.id, connection).await
     }
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -242,7 +242,7 @@
             }
             if target.failures >= UNREACHABLE_AFTER {
                 service.mark_unreachable(now, &id);
-                instance.share_failure(&service, &id, 1.0);
+                instance.share_no_answer(&service, &id, 1.0);
             }
         }
     }
--- /dev/null
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -0,0 +1,203 @@
+//! Questions to other instances whether they reach servers that do not answer this one, and the
+//! answers.
+
+use super::checks;
+use crate::fleet::{self, Datagram, PathReport, ReachedNote};
+use crate::instance::{Instance, sleep};
+use crate::load_query::Purpose;
+use crate::service::Service;
+use crate::usage::Flow;
+use galenapath_membership::Peer;
+use galenapath_protocol::{BackendId, Incarnation, Micros};
+use rand::seq::SliceRandom;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Servers of one service in a question. One that others reach shows that paths are gone; more are
+/// asked about in turn.
+const MAX_SERVERS: usize = 4;
+
+/// Servers in one datagram.
+const MAX_PER_DATAGRAM: usize = 32;
+
+/// Instances asked of the own failure domain, and of others: where a whole domain has lost its
+/// paths, only those of others can tell.
+const ASKED_LOCAL: usize = 1;
+const ASKED_REMOTE: usize = 2;
+
+/// Time for the answers to a question about one server.
+const ANSWER_TIMEOUT: Micros = Micros::from_millis(300);
+
+/// Interval at which an arrived answer is looked for.
+const POLL_PERIOD: Micros = Micros::from_millis(5);
+
+/// Time within which a server has to have answered an instance for it to count as having paths.
+const PROOF_TTL: Micros = Micros::from_secs(1);
+
+/// Time within which a new connection to a server is not tried again for another question.
+const REPEATED_WITHIN: Micros = Micros::from_millis(10);
+
+/// What other instances say of a server that does not answer this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OtherView {
+    /// One of them reaches it.
+    Reached,
+    /// None reaches it, though other servers answer them.
+    Unreached,
+    /// None has told.
+    Unknown,
+    /// There is none.
+    Alone,
+}
+
+impl Instance {
+    /// Asks other instances about the servers for which that is due.
+    pub(super) fn ask_others(&self) {
+        let now = self.now();
+        let mut servers = Vec::new();
+        for service in self.services.borrow().values() {
+            let due = service.contacts.borrow_mut().begin_questions(now, MAX_SERVERS);
+            servers.extend(due.iter().map(BackendId::short_hash));
+        }
+        self.send_questions(&servers);
+    }
+
+    /// Sends the questions; returns the number of instances asked.
+    fn send_questions(&self, servers: &[u32]) -> usize {
+        if servers.is_empty() {
+            return 0;
+        }
+        let to = self.instances_to_ask();
+        for part in servers.chunks(MAX_PER_DATAGRAM) {
+            let question = Datagram::PathQuery { from: self.incarnation, servers: part.to_vec() };
+            let datagram = fleet::encode(&question);
+            to.iter().for_each(|address| self.send(*address, &datagram, Flow::Loads));
+        }
+        to.len()
+    }
+
+    /// Picks instances at random: first those that have lost no paths themselves, and of these the
+    /// ones that send requests to servers.
+    fn instances_to_ask(&self) -> Vec<SocketAddr> {
+        let membership = self.membership.borrow();
+        let usable = membership.peers().filter(|peer| peer.is_usable());
+        let (mut local, mut remote): (Vec<&Peer>, Vec<&Peer>) =
+            usable.partition(|peer| peer.member.domain == *membership.domain());
+        for side in [&mut local, &mut remote] {
+            side.shuffle(&mut rand::rng());
+            side.sort_by_key(|peer| (peer.status.is_cut_off, !peer.status.serves_callers));
+        }
+        let count = ASKED_LOCAL + ASKED_REMOTE;
+        let local_count = ASKED_LOCAL.max(count.saturating_sub(remote.len()));
+        let asked = local.iter().take(local_count).chain(&remote).take(count);
+        asked.map(|peer| peer.member.peer_address).collect()
+    }
+
+    /// Answers a question of another instance: each server is tried on a new connection.
+    pub(crate) fn answer_path_query(
+        self: &Rc<Self>,
+        from: Incarnation,
+        servers: &[u32],
+        address: SocketAddr,
+    ) {
+        let is_known = self.membership.borrow().peers().any(|peer| peer.member.incarnation == from);
+        if !is_known {
+            return;
+        }
+        for short in servers.iter().take(MAX_PER_DATAGRAM) {
+            let Some((service, id)) = self.find_server(*short) else { continue };
+            if !self.reach.may_check_for_others(self.now()) {
+                return;
+            }
+            let instance = Rc::clone(self);
+            monoio::spawn(async move { instance.try_for_other(&service, &id, address).await });
+        }
+    }
+
+    async fn try_for_other(&self, service: &Service, id: &BackendId, address: SocketAddr) {
+        let is_proved = |at: Micros| self.now() - at < REPEATED_WITHIN;
+        let connected_at = service.contacts.borrow().connected_at(id);
+        let is_reached = connected_at.is_some_and(is_proved)
+            || checks::check(self, service, id, Purpose::CheckForOther).await;
+        let since = self.now() - PROOF_TTL;
+        let has_answer = |s: &Rc<Service>| s.contacts.borrow().has_answer_since(since);
+        let server = id.short_hash();
+        let mut report = PathReport {
+            from: self.incarnation,
+            has_paths: self.services.borrow().values().any(has_answer),
+            reached: Vec::new(),
+            unreached: Vec::new(),
+        };
+        match is_reached {
+            true => report.reached.push(ReachedNote { server, age: Micros::ZERO }),
+            false => report.unreached.push(server),
+        }
+        self.send(address, &fleet::encode(&Datagram::PathReport(report)), Flow::Loads);
+    }
+
+    /// Applies another instance's answer.
+    pub(crate) fn apply_path_report(&self, report: &PathReport) {
+        let now = self.now();
+        for note in &report.reached {
+            if let Some((service, id)) = self.find_server(note.server) {
+                let at = now - note.age;
+                service.contacts.borrow_mut().record_reached_by(report.from, &id, at);
+            }
+        }
+        for short in &report.unreached {
+            if let Some((service, id)) = self.find_server(*short) {
+                let mut contacts = service.contacts.borrow_mut();
+                contacts.record_unreached_by(report.from, &id, report.has_paths);
+            }
+        }
+        self.reach.wake();
+    }
+
+    fn find_server(&self, short: u32) -> Option<(Rc<Service>, BackendId)> {
+        let services = self.services.borrow();
+        services.values().find_map(|service| {
+            // A service that is not in use may not have applied the current server list.
+            service.refresh(self);
+            Some((Rc::clone(service), service.by_short_id(short)?))
+        })
+    }
+
+    /// Asks other instances whether they reach a server that has not answered this one since
+    /// `since`.
+    pub(crate) async fn ask_about(
+        &self,
+        service: &Service,
+        id: &BackendId,
+        since: Micros,
+    ) -> OtherView {
+        let asked_at = self.now();
+        let asked = self.ask_unless_just_asked(service, id);
+        if asked == 0 {
+            return OtherView::Alone;
+        }
+        while self.now() - asked_at < ANSWER_TIMEOUT {
+            sleep(POLL_PERIOD).await;
+            let contacts = service.contacts.borrow();
+            if contacts.is_reached_by_others_since(id, since) {
+                return OtherView::Reached;
+            }
+            if contacts.denials(id) >= asked {
+                break;
+            }
+        }
+        match service.contacts.borrow().denials(id) {
+            0 => OtherView::Unknown,
+            _ => OtherView::Unreached,
+        }
+    }
+
+    /// Returns the number of instances asked. Many requests may be lost with one server.
+    fn ask_unless_just_asked(&self, service: &Service, id: &BackendId) -> usize {
+        let now = self.now();
+        if service.contacts.borrow().is_asked_since(id, now - ANSWER_TIMEOUT) {
+            return self.instances_to_ask().len();
+        }
+        service.contacts.borrow_mut().begin_question(now, id);
+        self.send_questions(&[id.short_hash()])
+    }
+}
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -6,7 +6,8 @@
 use crate::reload::{self, ReadSettings};
 use crate::stop::Signals;
 use crate::{
-    GatewayError, caller, control, crash, fleet, notices, probe, quota, sharing, stop, usage, watch,
+    GatewayError, caller, control, crash, fleet, notices, probe, quota, reach, sharing, stop,
+    usage, watch,
 };
 use error_stack::{Report, ResultExt};
 use futures::future::{Either, select};
@@ -104,6 +105,7 @@
     monoio::spawn(fleet::run(Rc::clone(instance)));
     monoio::spawn(sharing::run(Rc::clone(instance)));
     monoio::spawn(probe::run(Rc::clone(instance)));
+    monoio::spawn(reach::run(Rc::clone(instance)));
     monoio::spawn(notices::run(Rc::clone(instance)));
     monoio::spawn(crash::run(Rc::clone(instance)));
     monoio::spawn(quota::run(Rc::clone(instance)));
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -181,9 +181,11 @@
         }
         // Connections to an evacuated domain would be closed by its servers, or be stale by the
         // time the domain is used again.
-        self.pools.retain(|id| listed.get(id).is_some_and(|server| !server.is_withdrawn));
+        let is_in_use = |id: &BackendId| listed.get(id).is_some_and(|server| !server.is_withdrawn);
+        self.pools.retain(is_in_use);
         self.loss_watchers.retain(|id| listed.contains_key(id));
-        self.contacts.borrow_mut().retain(|id| listed.contains_key(id));
+        // Servers of an evacuated domain are not checked either.
+        self.contacts.borrow_mut().retain(is_in_use);
         *self.by_short_id.borrow_mut() =
             listed.keys().map(|id| (id.short_hash(), id.clone())).collect();
         *self.listed.borrow_mut() = listed;
@@ -199,17 +201,33 @@
     /// Records that the server answered.
     pub(crate) fn record_answer(&self, instance: &Instance, id: &BackendId, exchange: Exchange) {
         self.contacts.borrow_mut().record_answer(instance.now(), id, exchange);
-        self.placement.borrow_mut().mark_reachable(id);
+        let mut placement = self.placement.borrow_mut();
+        placement.mark_reachable(id);
+        if exchange.is_new_connection {
+            placement.set_connectable(id, true);
+        }
     }
 
     /// Records that the server did not answer, or that no connection could be opened.
-    pub(crate) fn record_no_answer(
-        &self,
-        _instance: &Instance,
-        id: &BackendId,
-        exchange: Exchange,
-    ) {
-        self.contacts.borrow_mut().record_failure(id, exchange);
+    pub(crate) fn record_no_answer(&self, instance: &Instance, id: &BackendId, exchange: Exchange) {
+        let (is_silent, is_unconnectable) = {
+            let mut contacts = self.contacts.borrow_mut();
+            contacts.record_failure(id, exchange);
+            (contacts.is_silent(id), contacts.is_unconnectable(id))
+        };
+        if is_silent {
+            self.mark_unreachable(instance.now(), id);
+        }
+        if is_unconnectable {
+            self.placement.borrow_mut().set_connectable(id, false);
+        }
+        instance.reach.wake();
+    }
+
+    /// Records that an exchange with the server, begun at `started_at`, takes longer than usual.
+    pub(crate) fn record_overdue(&self, instance: &Instance, id: &BackendId, started_at: Micros) {
+        self.contacts.borrow_mut().record_overdue(id, started_at);
+        instance.reach.wake();
     }
 
     /// Waits for `span`, or until the server is found unreachable; returns whether it was.
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::{self, CrashNote, FailureNote, LoadNote, Loads, WarmthNote};
 use crate::instance::{Instance, sleep};
+use crate::reach::ReportDecision;
 use crate::service::Service;
 use crate::usage::Flow;
 use galenapath_membership::Peer;
@@ -38,10 +39,21 @@
     warm: Vec<BackendId>,
 }
 
+/// Exchanges that a server did not answer.
+struct Unanswered {
+    service: Rc<Service>,
+    weight: f32,
+    /// When the first of them failed.
+    since: Micros,
+}
+
 /// Updates waiting for the next datagram, by the failure domain of their servers.
 #[derive(Default)]
 pub(crate) struct Outbox {
     by_domain: FastMap<DomainId, DomainUpdates>,
+    /// Servers that did not answer. They are reported only if that is not due to this instance's
+    /// own paths.
+    unanswered: FastMap<BackendId, Unanswered>,
     last_sent: FastMap<BackendId, LoadObservation>,
     crashes: Vec<CrashNote>,
     /// Servers that have turned cold, and until when they stay cold.
@@ -57,7 +69,10 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.by_domain.is_empty() && self.crashes.is_empty() && self.turned_cold.is_empty()
+        self.by_domain.is_empty()
+            && self.unanswered.is_empty()
+            && self.crashes.is_empty()
+            && self.turned_cold.is_empty()
     }
 
     /// Wakes the task that waits for the first update.
@@ -82,6 +97,16 @@
         self.wake();
     }
 
+    fn add_unanswered(&mut self, now: Micros, service: &Rc<Service>, id: &BackendId, weight: f32) {
+        let unanswered = self.unanswered.entry(id.clone()).or_insert_with(|| Unanswered {
+            service: Rc::clone(service),
+            weight: 0.0,
+            since: now,
+        });
+        unanswered.weight += weight;
+        self.wake();
+    }
+
     fn add_turned_cold(&mut self, id: &BackendId, cold_until: Micros) {
         self.turned_cold.insert(id.clone(), cold_until);
         self.wake();
@@ -130,7 +155,13 @@
         self.outbox.borrow_mut().add_load(domain, id, observation);
     }
 
-    /// Queues a failed request on a server for the other instances.
+    /// Queues a failure that a server did not answer for the other instances. They are notified
+    /// unless it turns out that only this instance does not reach the server.
+    pub(crate) fn share_no_answer(&self, service: &Rc<Service>, id: &BackendId, weight: f32) {
+        self.outbox.borrow_mut().add_unanswered(self.now(), service, id, weight);
+    }
+
+    /// Queues a failed request that a server answered for the other instances.
     pub(crate) fn share_failure(&self, service: &Service, id: &BackendId, weight: f32) {
         let Some(domain) = service.domain(id) else { return };
         self.outbox.borrow_mut().add_failure(domain, id, weight);
@@ -156,6 +187,21 @@
         self.outbox.borrow_mut().prune(self.now());
     }
 
+    /// Queues the failures of servers that did not answer, as far as they may be reported by now.
+    fn release_unanswered(&self) {
+        let held = std::mem::take(&mut self.outbox.borrow_mut().unanswered);
+        for (id, unanswered) in held {
+            let Unanswered { service, weight, since } = &unanswered;
+            match self.decide_report(service, &id, *since) {
+                ReportDecision::Send => self.share_failure(service, &id, *weight),
+                ReportDecision::Hold => {
+                    self.outbox.borrow_mut().unanswered.insert(id, unanswered);
+                }
+                ReportDecision::Drop => {}
+            }
+        }
+    }
+
     /// Applies the updates received from another instance.
     pub(crate) fn apply_loads(&self, loads: &Loads) {
         let now = self.now();
@@ -197,6 +243,7 @@
 
     fn flush_outbox(&self) {
         let now = self.now();
+        self.release_unanswered();
         let (by_domain, crashes, turned_cold) = {
             let mut outbox = self.outbox.borrow_mut();
             if outbox.is_empty() {
--- a/crates/galenapath-gateway/src/usage.rs
+++ b/crates/galenapath-gateway/src/usage.rs
@@ -15,7 +15,7 @@
 const LOG_PERIOD: Micros = Micros::from_secs(10);
 
 /// Purposes of connections to backend servers.
-const CONNECTS: [&str; 4] = ["request", "question", "probe", "crash"];
+const CONNECTS: [&str; 5] = ["request", "question", "probe", "crash", "check"];
 
 /// Calls to the store.
 const STORE_CALLS: [&str; 5] = ["get", "range", "watch", "ping", "put"];
--- a/crates/galenapath-gateway/src/waiting.rs
+++ b/crates/galenapath-gateway/src/waiting.rs
@@ -101,6 +101,10 @@
                 }
                 Ok(Ok(Err(rejection))) => return Err(NoServer::Rejected(rejection)),
                 Ok(Err(_)) => return Err(NoServer::Unavailable),
+                // Other instances reach the servers, so that there is nothing to wait for here.
+                Err(_) if self.contacts.borrow().is_nothing_reached(instance.now()) => {
+                    return Err(NoServer::Unavailable);
+                }
                 Err(_) => self.poll(instance),
             }
         }
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -137,6 +137,16 @@
         self.peers.get(&incarnation).is_some_and(|peer| peer.status.is_ready)
     }
 
+    /// Whether an instance is known to have lost its paths to backend servers.
+    pub fn is_cut_off(&self, incarnation: Incarnation) -> bool {
+        self.peers.get(&incarnation).is_some_and(|peer| peer.status.is_cut_off)
+    }
+
+    /// Failure domain of an instance, if it is known.
+    pub fn domain_of(&self, incarnation: Incarnation) -> Option<&DomainId> {
+        self.peers.get(&incarnation).map(|peer| &peer.member.domain)
+    }
+
     /// Applies a received heartbeat.
     pub fn apply_heartbeat(&mut self, now: Micros, heartbeat: &Heartbeat) -> HeartbeatOutcome {
         for accused in &heartbeat.accused {
--- a/crates/galenapath-membership/src/instance_status.rs
+++ b/crates/galenapath-membership/src/instance_status.rs
@@ -25,10 +25,14 @@
     pub store: StoreHealth,
     /// Whether it watches the store for the others.
     pub is_watching: bool,
-    /// Whether callers send it requests, or did so within a short hold time.
+    /// Whether callers send it requests, or did so within a short hold time, and it reaches backend
+    /// servers to send them to.
     pub serves_callers: bool,
     /// Whether it sends a considerable share of its requests to servers in other failure domains.
     pub sends_cross_domain: bool,
+    /// Whether it has lost its paths to most backend servers of a service that other instances
+    /// reach.
+    pub is_cut_off: bool,
     /// Requests per second that callers send to it.
     pub rate: u32,
     /// Requests per second that it can handle without being overloaded.
--- a/crates/galenapath-policy/src/dispatch/addresses.rs
+++ b/crates/galenapath-policy/src/dispatch/addresses.rs
@@ -12,6 +12,9 @@
 //! several times its capacity, until its own rate is known. The load of a domain's callers is
 //! therefore kept beyond the lifetime of an instance.
 //!
+//! Load pattern: some instances lose their paths to the backend servers. Each request that callers
+//! send to them has to be forwarded to another instance. They are left out unless that leaves none.
+//!
 //! Load pattern: all instances start at the same time. Each of them contacts the seeds for the list
 //! of members just when callers reconnect, so a seed comes last among equal instances.
 
@@ -99,6 +102,8 @@
     pub rate: u32,
     /// Requests per second that it can handle without overload; zero if unknown.
     pub capacity: u32,
+    /// Whether it has lost its paths to backend servers.
+    pub is_cut_off: bool,
     /// Whether starting instances contact it for the list of members.
     pub is_seed: bool,
 }
@@ -122,7 +127,9 @@
     reachable: &[ReachableInstance<'_>],
     load: Option<u32>,
 ) -> Vec<SocketAddr> {
-    let mut ranked: Vec<&ReachableInstance<'_>> = reachable.iter().collect();
+    let is_any_connected = reachable.iter().any(|instance| !instance.is_cut_off);
+    let mut ranked: Vec<&ReachableInstance<'_>> =
+        reachable.iter().filter(|instance| !instance.is_cut_off || !is_any_connected).collect();
     ranked.sort_by_key(|instance| {
         let order = hash64(INSTANCE_ORDER_SEED, instance.name.as_bytes());
         let capacity = std::cmp::Reverse(instance.available_capacity(domain));
--- a/crates/galenapath-policy/src/measure/token_bucket.rs
+++ b/crates/galenapath-policy/src/measure/token_bucket.rs
@@ -62,6 +62,11 @@
         self.tokens_at(now) >= 1.0
     }
 
+    /// Number of whole tokens available.
+    pub fn tokens(&self, now: Micros) -> usize {
+        self.tokens_at(now) as usize
+    }
+
     /// Time until a token is available; the maximum where the rate is zero and none will be.
     pub fn time_until_token(&self, now: Micros) -> Micros {
         let missing = (1.0 - self.tokens_at(now)).max(0.0);
--- a/crates/galenapath-policy/src/place/choose.rs
+++ b/crates/galenapath-policy/src/place/choose.rs
@@ -103,6 +103,7 @@
         let server = &self.servers[index];
         server.accepts_requests(now)
             && server.is_reachable(now)
+            && server.has_connection()
             && !criteria.tried.contains(&server.id)
     }
 
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -76,6 +76,7 @@
             if is_back {
                 // It may have turned cold while it got no requests.
                 server.clear_observation();
+                server.is_connectable = true;
                 server.cold_until = server.cold_until.max(now + self.default_cold_for());
             }
             self.servers.push(server);
@@ -91,6 +92,14 @@
         }
     }
 
+    /// Sets whether new connections to a server can be opened. A server to which none can be opened
+    /// gets requests only while an idle connection is open.
+    pub fn set_connectable(&mut self, id: &BackendId, is_connectable: bool) {
+        if let Some(server) = self.server_mut(id) {
+            server.is_connectable = is_connectable;
+        }
+    }
+
     /// Whether a server, after a load query, still matches its state at the time of the assignment.
     pub fn is_fit(&self, now: Micros, id: &BackendId, snapshot: ServerSnapshot) -> bool {
         let Some(index) = self.by_id.get(id).copied() else { return false };
--- a/crates/galenapath-policy/src/place/server.rs
+++ b/crates/galenapath-policy/src/place/server.rs
@@ -25,6 +25,8 @@
     pub is_withdrawn: bool,
     /// Whether an idle connection to it is open.
     pub is_connected: bool,
+    /// Whether new connections to it can be opened, as far as known.
+    pub is_connectable: bool,
     /// Time until which it counts as cold: it is slow and can take few requests.
     pub cold_until: Micros,
     pub warming: Warming,
@@ -55,6 +57,7 @@
             is_leaving: false,
             is_withdrawn: false,
             is_connected: false,
+            is_connectable: true,
             cold_until: Micros::ZERO,
             warming: Warming::default(),
             limited: RateLimitState::default(),
@@ -99,6 +102,11 @@
         now >= self.unreachable_until
     }
 
+    /// Whether there is a connection for a request to it, or one can be opened.
+    pub(super) fn has_connection(&self) -> bool {
+        self.is_connectable || self.is_connected
+    }
+
     /// Whether it may get requests at all.
     pub(super) fn takes_requests(&self) -> bool {
         !self.is_leaving && !self.is_withdrawn
@@ -113,7 +121,7 @@
     /// Whether it is reachable, accepts requests and is not known to be slow.
     pub(super) fn is_good(&self, now: Micros) -> bool {
         let is_slow = self.last_observation.is_some_and(|observation| observation.is_slow());
-        self.accepts_requests(now) && self.is_reachable(now) && !is_slow
+        self.accepts_requests(now) && self.is_reachable(now) && self.has_connection() && !is_slow
     }
 
     pub(super) fn mark_reachable(&mut self) {
--- a/crates/galenapath-policy/src/reach/config.rs
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -8,6 +8,9 @@
     /// Failed exchanges in a row after which a server counts as silent. One is not enough: links
     /// lose packets, and a server resets connections while it has too many.
     pub silent_after: u32,
+    /// Number of servers that have to keep exchanges waiting, all of which began after the last answer
+    /// of any server, for the service to count as stalled; all servers if it has fewer.
+    pub stalled_after: usize,
     /// Time for which a contact with a server counts. Longer than the pauses between the requests
     /// of a service that is hardly used.
     pub retention: Micros,
@@ -26,6 +29,7 @@
     fn default() -> Self {
         Self {
             silent_after: 2,
+            stalled_after: 3,
             retention: Micros::from_secs(10),
             evidence_ttl: Micros::from_secs(5),
             check_delays: [
--- a/crates/galenapath-policy/src/reach/contact.rs
+++ b/crates/galenapath-policy/src/reach/contact.rs
@@ -1,7 +1,7 @@
 //! What an instance knows of its paths to one server.
 
 use super::config::ReachConfig;
-use galenapath_protocol::Micros;
+use galenapath_protocol::{Incarnation, Micros};
 
 /// An exchange with a server: a load query or a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,18 +51,22 @@
 }
 
 /// The paths to one server.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Contact {
     /// When the server last answered.
     answered_at: Option<Micros>,
     /// When it last answered on a new connection.
     connected_at: Option<Micros>,
+    /// Start of the first exchange since the last answer that takes longer than usual.
+    waiting_since: Option<Micros>,
     /// Exchanges without an answer since the last one.
     unanswered: Failures,
     /// New connections without an answer since the last one that had one.
     unconnected: Failures,
     /// When another instance last reached the server on a new connection.
     others_connected_at: Option<Micros>,
+    /// Instances that were asked last and do not reach the server.
+    denied_by: Vec<Incarnation>,
     /// Questions to other instances since the server last answered.
     pub(super) questions: usize,
     pub(super) asked_at: Micros,
@@ -77,6 +81,7 @@
 impl Contact {
     pub(super) fn record_answer(&mut self, now: Micros, exchange: Exchange) {
         self.answered_at = Some(now);
+        self.waiting_since = None;
         self.unanswered = Failures::default();
         if exchange.is_new_connection {
             self.connected_at = Some(now);
@@ -91,6 +96,7 @@
     /// Records an exchange without an answer. It proves nothing if the server has answered another
     /// one since it began.
     pub(super) fn record_failure(&mut self, exchange: Exchange) {
+        self.record_overdue(exchange.started_at);
         let is_after = |at: Option<Micros>| at.is_none_or(|at| exchange.started_at >= at);
         if is_after(self.answered_at) {
             self.unanswered.add(exchange.started_at);
@@ -100,10 +106,42 @@
         }
     }
 
+    /// Records that an exchange takes longer than usual.
+    pub(super) fn record_overdue(&mut self, started_at: Micros) {
+        if self.answered_at.is_none_or(|at| started_at >= at) {
+            self.waiting_since.get_or_insert(started_at);
+        }
+    }
+
+    /// Start of the first exchange since the last answer that takes longer than usual.
+    pub(super) fn waiting_since(&self) -> Option<Micros> {
+        self.waiting_since
+    }
+
     pub(super) fn record_reached_by_other(&mut self, at: Micros) {
         self.others_connected_at = self.others_connected_at.max(Some(at));
     }
 
+    pub(super) fn record_unreached_by_other(&mut self, by: Incarnation) {
+        if !self.denied_by.contains(&by) {
+            self.denied_by.push(by);
+        }
+    }
+
+    pub(super) fn begin_question(&mut self, now: Micros) {
+        self.questions += 1;
+        self.asked_at = now;
+        self.denied_by.clear();
+    }
+
+    pub(super) fn is_reached_by_others_since(&self, since: Micros) -> bool {
+        self.others_connected_at.is_some_and(|at| at >= since)
+    }
+
+    pub(super) fn denials(&self) -> usize {
+        self.denied_by.len()
+    }
+
     pub(super) fn answered_at(&self) -> Option<Micros> {
         self.answered_at
     }
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -5,6 +5,23 @@
 use super::summary::PathSummary;
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros};
 
+/// Another instance that has reached servers which this one does not reach.
+#[derive(Clone, Copy, Debug, Default)]
+struct Helper {
+    /// When it last reached one.
+    reached_at: Micros,
+    /// Number of its reports that it reached one, and that it did not.
+    reached: u32,
+    unreached: u32,
+}
+
+impl Helper {
+    /// Part of the servers asked about that it reached.
+    fn part(&self) -> f64 {
+        f64::from(self.reached) / f64::from((self.reached + self.unreached).max(1))
+    }
+}
+
 /// The paths of one instance to the servers of one service, and which other instances reach them.
 ///
 /// It holds only servers that there was an exchange with, or that are to be checked.
@@ -12,9 +29,8 @@
 pub struct Contacts {
     cfg: ReachConfig,
     contacts: FastMap<BackendId, Contact>,
-    /// Other instances that have reached a server of the service which this one does not reach, and
-    /// when.
-    helpers: FastMap<Incarnation, Micros>,
+    /// Other instances that have reached servers of the service which this one does not reach.
+    helpers: FastMap<Incarnation, Helper>,
 }
 
 impl Contacts {
@@ -38,14 +54,61 @@
         self.contact_mut(id).record_failure(exchange);
     }
 
+    /// Records that an exchange with the server, begun at `started_at`, takes longer than usual.
+    pub fn record_overdue(&mut self, id: &BackendId, started_at: Micros) {
+        self.contact_mut(id).record_overdue(started_at);
+    }
+
     /// Records that the instance `by` reached the server at `at` on a new connection.
     pub fn record_reached_by(&mut self, by: Incarnation, id: &BackendId, at: Micros) {
         let Some(contact) = self.contacts.get_mut(id) else { return };
         contact.record_reached_by_other(at);
-        if contact.is_silent(&self.cfg) || contact.is_unconnectable(&self.cfg) {
-            let reached_at = self.helpers.entry(by).or_default();
-            *reached_at = at.max(*reached_at);
+        if contact.is_failing() || contact.waiting_since().is_some() {
+            let helper = self.helpers.entry(by).or_default();
+            helper.reached_at = at.max(helper.reached_at);
+            helper.reached += 1;
+        }
+    }
+
+    /// Records that the instance `by` does not reach the server. If it `has_paths` to others, the
+    /// server has failed as far as it can tell.
+    pub fn record_unreached_by(&mut self, by: Incarnation, id: &BackendId, has_paths: bool) {
+        if let Some(helper) = self.helpers.get_mut(&by) {
+            helper.unreached += 1;
         }
+        if let Some(contact) = self.contacts.get_mut(id).filter(|_| has_paths) {
+            contact.record_unreached_by_other(by);
+        }
+    }
+
+    /// Whether another instance has reached the server since `since`.
+    pub fn is_reached_by_others_since(&self, id: &BackendId, since: Micros) -> bool {
+        self.contacts.get(id).is_some_and(|contact| contact.is_reached_by_others_since(since))
+    }
+
+    /// Whether other instances were asked about the server since `since`.
+    pub fn is_asked_since(&self, id: &BackendId, since: Micros) -> bool {
+        self.contacts.get(id).is_some_and(|c| c.questions > 0 && c.asked_at >= since)
+    }
+
+    /// Number of other instances that do not reach the server, of those last asked.
+    pub fn denials(&self, id: &BackendId) -> usize {
+        self.contacts.get(id).map_or(0, Contact::denials)
+    }
+
+    /// Number of servers that are known here.
+    pub fn len(&self) -> usize {
+        self.contacts.len()
+    }
+
+    /// Whether no server is known here.
+    pub fn is_empty(&self) -> bool {
+        self.contacts.is_empty()
+    }
+
+    /// Whether a server is known here.
+    pub fn has(&self, id: &BackendId) -> bool {
+        self.contacts.contains_key(id)
     }
 
     /// State of the paths to a server.
@@ -87,7 +150,10 @@
     /// Whether an exchange with some server failed, or a check is wanted, so that there is
     /// something to do.
     pub fn needs_attention(&self) -> bool {
-        self.contacts.values().any(|contact| contact.is_failing() || contact.is_check_requested)
+        let needs_attention = |contact: &Contact| {
+            contact.is_failing() || contact.is_check_requested || contact.waiting_since().is_some()
+        };
+        self.contacts.values().any(needs_attention)
     }
 
     /// Number of servers in each state.
@@ -96,6 +162,27 @@
         states.fold(PathSummary::default(), PathSummary::with)
     }
 
+    /// Whether no server answers this instance, though some answer others. A service that has stalled
+    /// suffices, long before each of its servers has been tried.
+    pub fn is_nothing_reached(&self, now: Micros) -> bool {
+        let is_reached_by_others = |contact: &Contact| {
+            contact.waiting_since().is_some_and(|since| contact.is_reached_by_others_since(since))
+        };
+        self.summary(now).is_nothing_reached()
+            || self.is_stalled() && self.contacts.values().any(is_reached_by_others)
+    }
+
+    /// Whether several servers keep exchanges waiting that have all begun after the last answer of
+    /// any server.
+    pub fn is_stalled(&self) -> bool {
+        let answered_at = self.contacts.values().filter_map(Contact::answered_at).max();
+        let is_waiting = |contact: &&Contact| {
+            contact.waiting_since().is_some_and(|since| answered_at.is_none_or(|at| since >= at))
+        };
+        let waiting = self.contacts.values().filter(is_waiting).count();
+        waiting > 0 && waiting >= self.cfg.stalled_after.min(self.contacts.len())
+    }
+
     /// Requests a check of a server although no exchange with it failed.
     pub fn request_check(&mut self, id: &BackendId) {
         self.contact_mut(id).is_check_requested = true;
@@ -134,30 +221,36 @@
     pub fn begin_questions(&mut self, now: Micros, limit: usize) -> Vec<BackendId> {
         let cfg = &self.cfg;
         let delays = cfg.question_delays;
+        let is_stalled = self.is_stalled();
         let is_due = |contact: &Contact| {
             let delay = delays[contact.questions.min(delays.len() - 1)];
-            (contact.is_silent(cfg) || contact.is_unconnectable(cfg))
+            let is_waiting = is_stalled && contact.waiting_since().is_some();
+            (is_waiting || contact.is_silent(cfg) || contact.is_unconnectable(cfg))
                 && (contact.questions == 0 || now >= contact.asked_at + delay)
         };
         let mut due: Vec<_> = self.contacts.iter_mut().filter(|(_, c)| is_due(c)).collect();
         // Those asked about longest ago go first, so that all of many get their turn.
-        due.sort_by_key(|(_, contact)| (contact.questions > 0, contact.asked_at));
+        due.sort_by_key(|(_, contact)| contact.asked_at);
         due.into_iter()
             .take(limit)
             .map(|(id, contact)| {
-                contact.questions += 1;
-                contact.asked_at = now;
+                contact.begin_question(now);
                 id.clone()
             })
             .collect()
     }
 
-    /// Other instances that have lately reached a server of the service which this one does not
-    /// reach.
-    pub fn helpers(&self, now: Micros) -> impl Iterator<Item = Incarnation> {
+    /// Records that the other instances are asked about a server now.
+    pub fn begin_question(&mut self, now: Micros, id: &BackendId) {
+        self.contact_mut(id).begin_question(now);
+    }
+
+    /// Other instances that have lately reached servers of the service which this one does not
+    /// reach, and which part of them, from 0 to 1.
+    pub fn helpers(&self, now: Micros) -> impl Iterator<Item = (Incarnation, f64)> {
         let ttl = self.cfg.evidence_ttl;
-        let recent = self.helpers.iter().filter(move |(_, at)| now - **at < ttl);
-        recent.map(|(id, _)| *id)
+        let recent = self.helpers.iter().filter(move |(_, helper)| now - helper.reached_at < ttl);
+        recent.map(|(id, helper)| (*id, helper.part()))
     }
 
     /// Forgets that an instance has reached servers, because it turned out not to.
@@ -168,7 +261,7 @@
     /// Forgets what has expired.
     pub fn prune(&mut self, now: Micros) {
         let cfg = &self.cfg;
-        self.helpers.retain(|_, at| now - *at < cfg.evidence_ttl);
+        self.helpers.retain(|_, helper| now - helper.reached_at < cfg.evidence_ttl);
         self.contacts.retain(|_, contact| {
             contact.is_failing()
                 || contact.is_check_requested
--- a/crates/galenapath-policy/src/reach/mod.rs
+++ b/crates/galenapath-policy/src/reach/mod.rs
@@ -10,13 +10,16 @@
 //! they reach in the same span shows that its own paths are gone.
 //!
 //! - [`Contacts`]: what is known of the paths to the servers of one service.
+//! - [`Withdrawal`]: when an instance leaves the answers to callers, and when it comes back.
 
 mod config;
 mod contact;
 mod contacts;
 mod summary;
+mod withdrawal;
 
 pub use config::ReachConfig;
 pub use contact::{Exchange, PathState};
 pub use contacts::Contacts;
 pub use summary::PathSummary;
+pub use withdrawal::{Withdrawal, WithdrawalChange};
--- a/crates/galenapath-policy/tests/dispatch/addresses.rs
+++ b/crates/galenapath-policy/tests/dispatch/addresses.rs
@@ -7,11 +7,13 @@
     domain: &'static str,
     rate: u32,
     capacity: u32,
+    is_cut_off: bool,
     is_seed: bool,
 }
 
 fn instance(n: usize, domain: &'static str, rate: u32, capacity: u32) -> TestInstance {
-    TestInstance { name: format!("{domain}-{n}"), domain, rate, capacity, is_seed: false }
+    let name = format!("{domain}-{n}");
+    TestInstance { name, domain, rate, capacity, is_cut_off: false, is_seed: false }
 }
 
 fn reachable(all: &[TestInstance]) -> Vec<ReachableInstance<'_>> {
@@ -23,6 +25,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             rate: instance.rate,
             capacity: instance.capacity,
+            is_cut_off: instance.is_cut_off,
             is_seed: instance.is_seed,
         })
         .collect()
@@ -191,3 +194,30 @@
     // The peak decays.
     assert!(decayed.get(at + Micros::from_secs(20)) < 10);
 }
+
+#[test]
+fn addresses_for_domain_with_cut_off_instances_without_them() {
+    let mut all = fleet(30);
+    let named = addresses(&all, "a", true);
+    for (instance, port) in all.iter_mut().zip(9_000_u16..) {
+        instance.is_cut_off = named.iter().any(|address| address.port() == port);
+    }
+    let chosen = addresses(&all, "a", true);
+    assert!(!chosen.is_empty());
+    assert!(chosen.iter().all(|address| !named.contains(address) && address.port() < 9_006));
+}
+
+#[test]
+fn addresses_for_domain_cut_off_as_a_whole_those_of_another() {
+    let mut all = fleet(10);
+    all.iter_mut().filter(|at| at.domain == "a").for_each(|at| at.is_cut_off = true);
+    let chosen = addresses(&all, "a", true);
+    assert!(!chosen.is_empty() && chosen.iter().all(|address| address.port() >= 9_006));
+}
+
+#[test]
+fn addresses_for_fleet_cut_off_as_a_whole_not_empty() {
+    let mut all = fleet(10);
+    all.iter_mut().for_each(|instance| instance.is_cut_off = true);
+    assert!(!addresses(&all, "a", true).is_empty());
+}
