Forwarding: an instance without paths to the servers serves its callers through another one

Callers keep an address answer for seconds, and come back to the same instance after each rejection.

Cause: a request had no other way than this instance's own paths.

Change: where no server of a service answers while others reach some, a request goes to one of the instances that said so, over the peers' port, as HTTP with one header of its own. It is forwarded once and no further. The other instance's queue and retry budget decide; the route, the service, the workspace, the time left and the sends so far go with it; the quota is charged here alone. A lost instance or answer counts as may have run, and a filing is forwarded again only after the word that it has not run. A caller that leaves ends it there too; answers are streamed. Where only a part is out of reach, what finds no room here is forwarded.

Tests: 8 of forwarding (at most once though instances are killed, nobody but an instance at that door, one hop, a caller that leaves, large answers, kept connections, workspace and quota, planned stops).

--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -46,7 +46,7 @@
         if let Some(value) = self.retry_after.and_then(seconds_value) {
             headers.insert(RETRY_AFTER, value);
         }
-        caller.set_connection(&mut headers);
+        caller.set_headers(&mut headers);
         let body = format!("{{\"error\":\"{}\"}}", self.reason);
         send_whole(caller, self.status, &headers, &Bytes::from(body)).await
     }
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -45,6 +45,14 @@
     CrashesServers,
     /// The connection broke after the request was sent.
     Broken,
+    /// No connection to another instance could be opened; nothing was forwarded.
+    PeerUnreachable,
+    /// Another instance reported that the request has not run.
+    PeerRejected,
+    /// Another instance reported that the request failed and may have run.
+    PeerFailed,
+    /// The connection to another instance broke after the request was forwarded.
+    PeerLost,
     /// The answer is invalid and must not be forwarded.
     InvalidAnswer(&'static str),
 }
@@ -58,8 +66,12 @@
             | Self::OtherServer
             | Self::Unfit
             | Self::QueryBudgetSpent
-            | Self::CrashesServers => Verdict::NotRun,
-            Self::Broken | Self::InvalidAnswer(_) => Verdict::MayHaveRun,
+            | Self::CrashesServers
+            | Self::PeerUnreachable
+            | Self::PeerRejected => Verdict::NotRun,
+            Self::Broken | Self::InvalidAnswer(_) | Self::PeerFailed | Self::PeerLost => {
+                Verdict::MayHaveRun
+            }
         }
     }
 
@@ -73,6 +85,10 @@
             Self::QueryBudgetSpent => "not_asked",
             Self::CrashesServers => "crashes_servers",
             Self::Broken => "broken",
+            Self::PeerUnreachable => "peer_unreachable",
+            Self::PeerRejected => "peer_rejected",
+            Self::PeerFailed => "peer_failed",
+            Self::PeerLost => "peer_lost",
             Self::InvalidAnswer(why) => why,
         }
     }
@@ -81,7 +97,13 @@
     pub(crate) const fn weight(self) -> f32 {
         match self {
             Self::Rejected => 0.3,
-            Self::Unfit | Self::QueryBudgetSpent | Self::CrashesServers => 0.0,
+            Self::Unfit
+            | Self::QueryBudgetSpent
+            | Self::CrashesServers
+            | Self::PeerUnreachable
+            | Self::PeerRejected
+            | Self::PeerFailed
+            | Self::PeerLost => 0.0,
             Self::Unreachable | Self::OtherServer | Self::Broken | Self::InvalidAnswer(_) => 1.0,
         }
     }
@@ -279,7 +301,7 @@
         }
         None
     } else {
-        let server = in_flight.server.clone();
+        let server = Some(in_flight.server.clone());
         Some(RemainingBody { connection, body, is_local, server, is_lost: false })
     };
     Ok(Reply {
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -4,9 +4,9 @@
 use crate::in_flight::InFlight;
 use crate::instance::Instance;
 use crate::reply::Reply;
-use crate::request::Request;
+use crate::request::{Origin, Request};
 use crate::service::Service;
-use galenapath_protocol::{BackendId, LoadReport, Micros, Verdict};
+use galenapath_protocol::{BackendId, Incarnation, LoadReport, Micros, Verdict};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -26,6 +26,10 @@
     reselections: Cell<u32>,
     /// Servers that the request was assigned to.
     pub(crate) tried: RefCell<Vec<BackendId>>,
+    /// Instances that the request was forwarded to.
+    pub(crate) forwarded_to: RefCell<Vec<Incarnation>>,
+    /// Time after which another instance that rejected the request wants the caller to come back.
+    pub(crate) peer_retry_after: Cell<Option<Micros>>,
     /// Servers found unfit just before the request would have been sent to them.
     pub(crate) unfit: RefCell<Vec<BackendId>>,
     /// Time spent waiting for a server.
@@ -36,14 +40,20 @@
 
 impl Call {
     pub(crate) fn new(instance: &Rc<Instance>, service: Rc<Service>, req: Request) -> Self {
+        let sends = match req.origin {
+            Origin::Caller => 0,
+            Origin::Peer { sends } => sends,
+        };
         Self {
             instance: Rc::clone(instance),
             service,
             req,
             unresolved: Cell::new(0),
-            sends: Cell::new(0),
+            sends: Cell::new(sends),
             reselections: Cell::new(0),
             tried: RefCell::default(),
+            forwarded_to: RefCell::default(),
+            peer_retry_after: Cell::default(),
             unfit: RefCell::default(),
             waited: Cell::default(),
             steps: RefCell::default(),
@@ -76,6 +86,19 @@
         self.update_charge();
     }
 
+    /// Records that the request is being forwarded to another instance, which may use all sends
+    /// that are left.
+    pub(crate) fn record_forward(&self) {
+        self.unresolved.set(self.unresolved.get() + 1);
+        self.update_charge();
+        self.sends.set(self.sends.get().max(self.req.route.max_attempts));
+    }
+
+    /// Sets the number of sends to what another instance reports.
+    pub(crate) fn set_sends(&self, sends: u32) {
+        self.sends.set(sends);
+    }
+
     /// Records that the last server addressed did not run the request.
     pub(crate) fn record_not_run(&self) {
         self.unresolved.set(self.unresolved.get().saturating_sub(1));
@@ -97,7 +120,7 @@
         }
     }
 
-    /// Number of sends so far.
+    /// Number of sends so far, by this instance and by others that it was forwarded to or from.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
     }
@@ -156,9 +179,7 @@
                 placement.record_failure(now, server, 1.0);
                 placement.mark_unreachable(now, server);
             }
-            Err(
-                AttemptError::Unfit | AttemptError::QueryBudgetSpent | AttemptError::CrashesServers,
-            ) => {}
+            Err(error) if error.weight() == 0.0 => {}
             Err(error) => placement.record_failure(now, server, error.weight()),
         }
         drop(placement);
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -3,6 +3,8 @@
 use crate::answer::{LocalAnswer, RequestEnd, record_end, record_rejected};
 use crate::body::{self, Body};
 use crate::call::Call;
+use crate::fleet::{ForwardResult, RESULT_HEADER};
+use crate::forwarding;
 use crate::instance::{Instance, Stage};
 use crate::intake::{self, Admitted};
 use crate::pipeline::{self, Outcome, Pipeline, Started};
@@ -32,11 +34,27 @@
     pub(crate) keep_alive: bool,
     /// Whether the request is HTTP/1.0, whose answers must not be chunked.
     pub(crate) is_http_10: bool,
+    kind: CallerKind,
+    /// What another instance receives with the answer to a request that it has forwarded.
+    result: Option<ForwardResult>,
+}
+
+/// Who sends the requests on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallerKind {
+    /// A caller.
+    Caller,
+    /// Another instance that forwards requests of its callers.
+    Peer,
 }
 
 impl Caller {
-    /// Sets the `Connection` header of an answer where it differs from the HTTP version's default.
-    pub(crate) fn set_connection(&self, headers: &mut HeaderMap) {
+    /// Sets the headers of an answer that concern this connection: `Connection` where it differs
+    /// from the HTTP version's default, and the result for another instance.
+    pub(crate) fn set_headers(&self, headers: &mut HeaderMap) {
+        if let Some(result) = self.result.and_then(ForwardResult::to_header) {
+            headers.insert(RESULT_HEADER, result);
+        }
         if !self.keep_alive {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         } else if self.is_http_10 {
@@ -54,16 +72,28 @@
     }
 }
 
-/// Serves requests on a connection until either side closes it.
+/// Serves requests on a caller's connection until either side closes it.
 pub(crate) async fn serve(instance: Rc<Instance>, io: TcpStream) {
     instance.metrics.callers.inc();
     let _open = OpenGuard(&instance);
     let limits = *instance.state.borrow().table().limits();
+    let connection = Connection::new(io, limits.header_bytes);
+    serve_connection(&instance, connection, CallerKind::Caller).await;
+}
+
+/// Serves the requests that another instance forwards on a connection until either side closes it.
+pub(crate) async fn serve_peer(instance: &Rc<Instance>, connection: Connection) {
+    serve_connection(instance, connection, CallerKind::Peer).await;
+}
+
+async fn serve_connection(instance: &Rc<Instance>, connection: Connection, kind: CallerKind) {
     let mut caller = Caller {
-        connection: Connection::new(io, limits.header_bytes),
+        connection,
         method: Method::GET,
         keep_alive: true,
         is_http_10: false,
+        kind,
+        result: None,
     };
     let mut pipeline = Pipeline::default();
     loop {
@@ -73,13 +103,13 @@
             let head = match caller.connection.read_request(times).await {
                 Ok(head) => head,
                 Err(e) => {
-                    reject_head(&instance, &mut caller, &e).await;
+                    reject_head(instance, &mut caller, &e).await;
                     caller.connection.close(CLOSE_TIMEOUT).await;
                     return;
                 }
             };
             // Boxed, so that an idle connection does not hold the memory of a request in progress.
-            let started = Box::pin(start(&instance, &mut caller, head, &limits)).await;
+            let started = Box::pin(start(instance, &mut caller, head, &limits)).await;
             match started {
                 Ok(started) => pipeline.push(started),
                 Err(_) => {
@@ -88,7 +118,7 @@
                 }
             }
         }
-        let answered = Box::pin(answer_first(&instance, &mut caller, &mut pipeline)).await;
+        let answered = Box::pin(answer_first(instance, &mut caller, &mut pipeline)).await;
         if answered.is_err() || !caller.keep_alive {
             pipeline.abandon();
             caller.connection.close(CLOSE_TIMEOUT).await;
@@ -115,10 +145,15 @@
             return Err(e);
         }
     };
-    let caller_timeout = intake::caller_timeout(instance, &head);
-    startup::wait_until_known(instance, caller_timeout).await;
-    let admitted = intake::find_target(instance, &head)
-        .and_then(|target| intake::admit(instance, target, arrived, caller_timeout));
+    let admitted = match caller.kind {
+        CallerKind::Caller => {
+            let caller_timeout = intake::caller_timeout(instance, &head);
+            startup::wait_until_known(instance, caller_timeout).await;
+            intake::find_target(instance, &head)
+                .and_then(|target| intake::admit(instance, target, arrived, caller_timeout))
+        }
+        CallerKind::Peer => forwarding::admit(instance, &head, arrived),
+    };
     let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(answer) => {
@@ -153,8 +188,8 @@
     head: RequestHead,
     body: Body,
 ) {
+    let service_name = admitted.pick_service(instance);
     let req = intake::request(instance, admitted, head, body);
-    let service_name = instance.pick_service(&req.route).to_owned();
     match instance.service(&service_name) {
         Some(service) => started.run(Rc::new(Call::new(instance, service, req))),
         None => {
@@ -201,7 +236,11 @@
 
 /// Starts requests that have arrived behind those in progress, as far as that is allowed.
 fn start_early(instance: &Rc<Instance>, caller: &mut Caller, pipeline: &mut Pipeline) {
-    while caller.connection.has_unread() && pipeline.has_room(instance) {
+    // Another instance sends a further request only after the answer.
+    while caller.kind == CallerKind::Caller
+        && caller.connection.has_unread()
+        && pipeline.has_room(instance)
+    {
         let may_start = |head: &RequestHead| pipeline::may_start_early(instance, head);
         let Some(head) = caller.connection.take_request_if(may_start) else { return };
         let (arrived, caller_timeout) = (instance.now(), intake::caller_timeout(instance, &head));
@@ -222,6 +261,9 @@
     started: &Started,
     outcome: Outcome,
 ) -> Result<(), HttpError> {
+    if caller.kind == CallerKind::Peer {
+        caller.result = Some(outcome.forward_result());
+    }
     match outcome {
         Outcome::Reply(call, reply) => relay::send(&call, caller, *reply).await,
         Outcome::Failed(call, failure) => {
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{AttemptError, attempt};
 use crate::call::Call;
 use crate::crash;
+use crate::forwarding::{self, ForwardTarget};
 use crate::in_flight::InFlight;
 use crate::instance::sleep;
 use crate::reply::Reply;
@@ -73,40 +74,27 @@
     failure.retry_after = failure.retry_after.map(|usual| match error {
         Some(AttemptError::Rejected) => REJECTED_RETRY_AFTER,
         Some(AttemptError::CrashesServers) => crash::rejected_for(call).unwrap_or(usual),
+        Some(AttemptError::PeerRejected) => call.peer_retry_after.get().unwrap_or(usual),
         _ => usual,
     });
     failure
 }
 
+/// Where a request goes next.
+enum Next {
+    Server(InFlight),
+    /// Another instance.
+    Peer(ForwardTarget),
+}
+
 async fn run_attempts(call: &Call) -> Result<Reply, RequestFailure> {
     // A server's error answer, returned if no further attempt succeeds.
     let mut fallback = None;
     loop {
-        let in_flight = match place(call).await {
-            Ok(in_flight) => in_flight,
-            Err(NoServer::Rejected(rejection)) => {
-                add_shortage_step(call);
-                call.add_step(&format!(
-                    "refused:predicted{}ms ",
-                    rejection.predicted_wait.0 / 1_000
-                ));
-                let mut failure = failure(call, "no_room", StatusCode::BAD_GATEWAY);
-                failure.retry_after = failure.retry_after.map(|_| rejection.retry_after);
-                return fallback.ok_or(failure);
-            }
-            Err(NoServer::Unavailable) => {
-                add_shortage_step(call);
-                let mut failure = failure(call, "no_server", StatusCode::BAD_GATEWAY);
-                failure.retry_after =
-                    failure.retry_after.map(|usual| time_until_accepting(call).unwrap_or(usual));
-                return fallback.ok_or(failure);
-            }
-        };
-        let server = in_flight.server.clone();
-        call.tried.borrow_mut().push(server.clone());
-        let result = match call.req.route.kind {
-            RouteKind::NonIdempotent | RouteKind::Upload => attempt_once(call, in_flight).await,
-            RouteKind::Idempotent | RouteKind::Download => attempt_hedged(call, in_flight).await,
+        let result = match select_next(call).await {
+            Ok(Next::Server(in_flight)) => attempt_at(call, in_flight).await,
+            Ok(Next::Peer(target)) => forwarding::forward(call, target).await,
+            Err(no_server) => return fallback.ok_or(failure_without_server(call, no_server)),
         };
         let error = match result {
             Ok(reply) if !should_retry_answer(call, &reply) => return Ok(reply),
@@ -116,16 +104,58 @@
             }
             Err(error) => Some(error),
         };
-        if matches!(error, Some(AttemptError::Unfit | AttemptError::QueryBudgetSpent)) {
-            call.tried.borrow_mut().retain(|tried| *tried != server);
-            call.unfit.borrow_mut().push(server);
-        }
         if !may_try_again(call, error) {
             return fallback.ok_or(failure_after(call, error));
         }
     }
 }
 
+/// Selects a server, or another instance if none of the servers that this one reaches can take the
+/// request.
+async fn select_next(call: &Call) -> Result<Next, NoServer> {
+    if let Some(target) = forwarding::target_if_nothing_reached(call) {
+        return Ok(Next::Peer(target));
+    }
+    match place(call).await {
+        Ok(in_flight) => Ok(Next::Server(in_flight)),
+        Err(no_server) => forwarding::target_if_impaired(call).map(Next::Peer).ok_or(no_server),
+    }
+}
+
+/// The failure of a request for which there is no server.
+fn failure_without_server(call: &Call, no_server: NoServer) -> RequestFailure {
+    add_shortage_step(call);
+    match no_server {
+        NoServer::Rejected(rejection) => {
+            let predicted_ms = rejection.predicted_wait.0 / 1_000;
+            call.add_step(&format!("refused:predicted{predicted_ms}ms "));
+            let mut failure = failure(call, "no_room", StatusCode::BAD_GATEWAY);
+            failure.retry_after = failure.retry_after.map(|_| rejection.retry_after);
+            failure
+        }
+        NoServer::Unavailable => {
+            let mut failure = failure(call, "no_server", StatusCode::BAD_GATEWAY);
+            failure.retry_after =
+                failure.retry_after.map(|usual| time_until_accepting(call).unwrap_or(usual));
+            failure
+        }
+    }
+}
+
+async fn attempt_at(call: &Call, in_flight: InFlight) -> Result<Reply, AttemptError> {
+    let server = in_flight.server.clone();
+    call.tried.borrow_mut().push(server.clone());
+    let result = match call.req.route.kind {
+        RouteKind::NonIdempotent | RouteKind::Upload => attempt_once(call, in_flight).await,
+        RouteKind::Idempotent | RouteKind::Download => attempt_hedged(call, in_flight).await,
+    };
+    if matches!(result, Err(AttemptError::Unfit | AttemptError::QueryBudgetSpent)) {
+        call.tried.borrow_mut().retain(|tried| *tried != server);
+        call.unfit.borrow_mut().push(server);
+    }
+    result
+}
+
 async fn place(call: &Call) -> Result<InFlight, NoServer> {
     let began = call.instance.now();
     let req = &call.req;
@@ -196,6 +226,11 @@
     ) {
         return true;
     }
+    if matches!(error, Some(AttemptError::PeerUnreachable | AttemptError::PeerRejected))
+        && call.sends() == 0
+    {
+        return true;
+    }
     call.sends() < call.req.route.max_attempts && take_retry(call)
 }
 
@@ -237,7 +272,7 @@
     let Some(hedge) = hedge else { return first.await };
     call.instance.metrics.hedges.inc();
     call.add_step("copy ");
-    let second = pin!(attempt(call, hedge));
+    let second = pin!(attempt_next(call, hedge));
     match select(first, second).await {
         Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
         Either::Left((Err(_), second)) => second.await,
@@ -245,9 +280,16 @@
     }
 }
 
-/// Waits until a hedge may be sent or the server is found unreachable, and selects a server for the
-/// hedge; `None` if there is to be no hedge.
-async fn wait_for_hedge(call: &Call, server: &BackendId) -> Option<InFlight> {
+async fn attempt_next(call: &Call, next: Next) -> Result<Reply, AttemptError> {
+    match next {
+        Next::Server(in_flight) => attempt(call, in_flight).await,
+        Next::Peer(target) => forwarding::forward(call, target).await,
+    }
+}
+
+/// Waits until a hedge may be sent or the server is found unreachable, and selects where the hedge
+/// goes; `None` if there is to be no hedge.
+async fn wait_for_hedge(call: &Call, server: &BackendId) -> Option<Next> {
     let work = call.service.placement.borrow().work();
     let early = hedging::early_after(work, call.time_left_to_target());
     let late = hedging::late_after(work);
@@ -267,8 +309,9 @@
     place_hedge(call)
 }
 
-/// Selects a server for a hedge, if time, attempts and the retry budget allow it.
-fn place_hedge(call: &Call) -> Option<InFlight> {
+/// Selects a server for a hedge, or another instance if this one reaches none, if time, attempts and
+/// the retry budget allow it.
+fn place_hedge(call: &Call) -> Option<Next> {
     let has_time = call.time_left() > MIN_TIME_TO_SEND;
     if !has_time
         || call.sends() >= call.req.route.max_attempts
@@ -278,13 +321,16 @@
     }
     let is_large = call.req.route.kind.is_large();
     let tried = call.tried.borrow().clone();
+    if let Some(target) = forwarding::target_if_nothing_reached(call) {
+        return take_retry(call).then_some(Next::Peer(target));
+    }
     // The budget comes first: placing a hedge counts a send at its server.
     if !call.service.has_server_for_hedge(&call.instance, &tried, is_large) || !take_retry(call) {
         return None;
     }
     let hedge = call.service.place_hedge(&call.instance, &tried, is_large)?;
     call.tried.borrow_mut().push(hedge.server.clone());
-    Some(hedge)
+    Some(Next::Server(hedge))
 }
 
 fn silent_after(call: &Call) -> Micros {
--- a/crates/galenapath-gateway/src/fleet/generated.rs
+++ b/crates/galenapath-gateway/src/fleet/generated.rs
@@ -143,10 +143,48 @@
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub datagram: ::std::option::Option<DatagramWire>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub forward: ::std::option::Option<ForwardWire>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub forward_result: ::std::option::Option<ForwardResultWire>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub pull: ::std::option::Option<PullWire>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<StateWire>,
 }
+///What goes with the answer to a forwarded request, in a header.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardResultWire {
+    ///Whether the answer is a backend server's, not the instance's own.
+    pub is_answered: bool,
+    ///Whether the request may have run.
+    pub may_have_run: bool,
+    ///How often the request has been sent to backend servers, the sender's sends included.
+    pub sends: u32,
+}
+///What goes with a request that an instance forwards to another one, in a header.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ForwardWire {
+    ///Incarnation of the sender.
+    pub from: u64,
+    ///Whether the caller has sent the request before.
+    pub is_repeated: bool,
+    ///Time within which the request has to be answered.
+    pub left_ms: u32,
+    ///Name of the request's route.
+    pub route: ::std::string::String,
+    ///How often the request has been sent to backend servers already.
+    pub sends: u32,
+    ///The service that the sender has selected for the request.
+    pub service: ::std::string::String,
+    ///Time until the latency target; 0 if that has passed.
+    pub target_ms: u32,
+    ///Incarnation of the receiver.
+    pub to: u64,
+    ///Workspace that the request belongs to; empty if it needs none.
+    pub workspace: ::std::string::String,
+}
 ///Introduces the sender and requests the list of known instances.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/galenapath-gateway/src/fleet/pull.rs
+++ b/crates/galenapath-gateway/src/fleet/pull.rs
@@ -18,9 +18,11 @@
 
 use super::generated::{PullWire, StateWire};
 use super::tasks;
+use crate::caller;
 use crate::compression::{self, CompressedConfig};
 use crate::instance::{Instance, sleep};
 use crate::usage::Flow;
+use galenapath_http::Connection;
 use galenapath_membership::{InstanceStatus, Peer};
 use galenapath_protocol::{Micros, StorePosition};
 use galenapath_routes::{ListedServer, ServerChanges};
@@ -29,7 +31,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
-use std::io::{Error, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +62,12 @@
 /// Bit of a frame's length field that marks a deflated message.
 const DEFLATED_BIT: u32 = 1 << 31;
 
+/// Length of a frame's length field, in bytes.
+const HEAD_LEN: usize = 4;
+
+/// Bytes that the header which goes with a forwarded request may add to its head.
+const FORWARD_HEADER_LEN: usize = 2 * 1024;
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Micros = Micros::from_millis(20);
 
@@ -216,15 +224,15 @@
     }
 }
 
-/// Answers other instances on `listener` for as long as this instance runs.
-pub(crate) async fn serve_pulls(instance: Rc<Instance>, listener: TcpListener) {
+/// Serves other instances on `listener` for as long as this instance runs: each connection is for
+/// one exchange of state, or for requests that the other instance forwards.
+pub(crate) async fn serve_peers(instance: Rc<Instance>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((io, from)) => {
                 let instance = Rc::clone(&instance);
                 monoio::spawn(async move {
-                    let result = monoio::time::timeout(TIMEOUT, answer(&instance, io)).await;
-                    if let Ok(Err(e)) = result {
+                    if let Err(e) = serve_peer(&instance, io).await {
                         log::debug!(from:% = from, error:% = e; "failed to answer an instance");
                     }
                 });
@@ -237,8 +245,23 @@
     }
 }
 
-async fn answer(instance: &Instance, mut io: TcpStream) -> Result<()> {
-    let (request, _): (PullWire, usize) = read(&mut io).await?;
+async fn serve_peer(instance: &Rc<Instance>, mut io: TcpStream) -> Result<()> {
+    let (result, head) = monoio::time::timeout(TIMEOUT, io.read_exact(vec![0; HEAD_LEN])).await?;
+    result?;
+    let head: [u8; HEAD_LEN] = head.try_into().map_err(|_| ErrorKind::InvalidData)?;
+    // A frame is never so long that its length begins with the letter of an HTTP method.
+    if head[0].is_ascii_uppercase() {
+        let limits = *instance.state.borrow().table().limits();
+        let head_limit = limits.header_bytes + FORWARD_HEADER_LEN;
+        let connection = Connection::with_input(io, head_limit, &head);
+        caller::serve_peer(instance, connection).await;
+        return Ok(());
+    }
+    monoio::time::timeout(TIMEOUT, answer(instance, io, head)).await?
+}
+
+async fn answer(instance: &Instance, mut io: TcpStream, head: [u8; HEAD_LEN]) -> Result<()> {
+    let (request, _): (PullWire, usize) = read_body(&mut io, head).await?;
     let slot = if request.wants_config { AnswerSlot::begin() } else { None };
     if request.wants_config && slot.is_none() {
         return write(&mut io, &busy()).await.map(drop);
@@ -297,9 +320,17 @@
 
 /// Reads a frame; returns the message and the size of the frame, including the length field.
 async fn read<T: DeserializeOwned>(io: &mut TcpStream) -> Result<(T, usize)> {
-    let (result, head) = io.read_exact(vec![0; 4]).await;
+    let (result, head) = io.read_exact(vec![0; HEAD_LEN]).await;
     result?;
-    let word = u32::from_be_bytes([head[0], head[1], head[2], head[3]]);
+    read_body(io, head.try_into().map_err(|_| ErrorKind::InvalidData)?).await
+}
+
+/// Reads the rest of a frame that begins with `head`.
+async fn read_body<T: DeserializeOwned>(
+    io: &mut TcpStream,
+    head: [u8; HEAD_LEN],
+) -> Result<(T, usize)> {
+    let word = u32::from_be_bytes(head);
     let len = (word & !DEFLATED_BIT) as usize;
     if len > MAX_FRAME_LEN {
         return Err(Error::other(format!(
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -2,7 +2,9 @@
 
 use crate::clock::Clock;
 use crate::dialect::{Dialect, HeaderNames};
+use crate::forwarding::ForwardCounts;
 use crate::metrics::Metrics;
+use crate::pool::Pools;
 use crate::quota::Reporters;
 use crate::rate::Rate;
 use crate::reach::Reach;
@@ -73,6 +75,10 @@
     pub(crate) outbox: RefCell<Outbox>,
     /// Which backend servers it reaches.
     pub(crate) reach: Reach,
+    /// Requests that it has forwarded to other instances.
+    pub(crate) forwards: ForwardCounts,
+    /// Idle connections to other instances for forwarded requests.
+    pub(crate) forward_pools: Pools<SocketAddr>,
     pub(crate) stage: Cell<Stage>,
     pub(crate) store: Cell<StoreHealth>,
     pub(crate) is_watching: Cell<bool>,
@@ -133,6 +139,8 @@
             reporters: RefCell::default(),
             outbox: RefCell::default(),
             reach: Reach::new(clock.now()),
+            forwards: ForwardCounts::default(),
+            forward_pools: Pools::default(),
             stage: Cell::new(Stage::Serving),
             store: Cell::default(),
             is_watching: Cell::new(false),
--- a/crates/galenapath-gateway/src/intake.rs
+++ b/crates/galenapath-gateway/src/intake.rs
@@ -3,9 +3,10 @@
 use crate::access;
 use crate::answer::LocalAnswer;
 use crate::body::Body;
+use crate::forwarding::Forwarded;
 use crate::instance::Instance;
 use crate::quota::{self, QuotaCharge};
-use crate::request::{self, Request};
+use crate::request::{self, Origin, Request};
 use galenapath_filings::Fingerprint;
 use galenapath_http::{BadRequest, RequestHead, request_host};
 use galenapath_policy::CallerAttempt;
@@ -49,6 +50,30 @@
     caller_timeout: Micros,
     /// Time by which the request has to be answered.
     pub(crate) deadline: Micros,
+    /// What another instance has established, if that forwards the request.
+    forwarded: Option<Forwarded>,
+}
+
+impl Admitted {
+    /// A request that another instance forwards. Its quota has been charged there.
+    pub(crate) const fn forwarded(
+        target: Target,
+        arrived: Micros,
+        left: Micros,
+        deadline: Micros,
+        forwarded: Forwarded,
+    ) -> Self {
+        let (charge, caller_timeout) = (None, left);
+        Self { target, charge, arrived, caller_timeout, deadline, forwarded: Some(forwarded) }
+    }
+
+    /// Selects the service for the request.
+    pub(crate) fn pick_service(&self, instance: &Instance) -> String {
+        match &self.forwarded {
+            Some(forwarded) => forwarded.service.clone(),
+            None => instance.pick_service(&self.target.route).to_owned(),
+        }
+    }
 }
 
 /// The caller's timeout.
@@ -96,7 +121,7 @@
         None => None,
     };
     let deadline = arrived + caller_timeout.min(target.route.timeout.into());
-    Ok(Admitted { target, charge, arrived, caller_timeout, deadline })
+    Ok(Admitted { target, charge, arrived, caller_timeout, deadline, forwarded: None })
 }
 
 /// Builds the request of an admitted head and its body.
@@ -106,32 +131,33 @@
     head: RequestHead,
     body: Body,
 ) -> Request {
-    let Admitted { target, charge, arrived, caller_timeout, deadline } = admitted;
     let path = request::path(&head);
-    let route = &target.route;
-    let fingerprint = Fingerprint::of(&route.host, head.method.as_str(), &path, &body);
+    let target = &admitted.target;
+    let fingerprint = Fingerprint::of(&target.route.host, head.method.as_str(), &path, &body);
     // Equal requests of two workspaces may concern different data.
     let fingerprint = match &target.workspace {
         Some(workspace) => fingerprint.of_caller(&workspace.name),
         None => fingerprint,
     };
-    let failed_first = instance.failed_requests.borrow_mut().take(arrived, fingerprint.0);
-    let first_at = failed_first.unwrap_or(arrived);
-    let caller_attempt =
-        if failed_first.is_some() { CallerAttempt::Repeated } else { CallerAttempt::First };
-    let target_at = instance.target_at(route, arrived, first_at, caller_timeout);
+    let History { first_at, attempt, target_at } = history(instance, &admitted, fingerprint);
+    let origin = match &admitted.forwarded {
+        Some(forwarded) => Origin::Peer { sends: forwarded.sends },
+        None => Origin::Caller,
+    };
     let rank = target.rank();
     let requires_key = instance.state.borrow().table().requires_key();
     let headers = match requires_key {
         true => request::keyed_headers(&instance.names, head.headers, target.workspace.as_deref()),
         false => request::server_headers(&instance.names, head.headers),
     };
+    let Admitted { target, charge, arrived, deadline, .. } = admitted;
     Request {
         ticket: instance.next_request_number(),
         id: headers.get(&instance.names.request_id).cloned(),
         path,
         fingerprint,
-        caller_attempt,
+        caller_attempt: attempt,
+        origin,
         first_at,
         method: head.method,
         headers,
@@ -145,3 +171,28 @@
         deadline,
     }
 }
+
+/// A caller's attempts at a request, as far as known.
+struct History {
+    /// When the first one arrived.
+    first_at: Micros,
+    /// Whether this one is a repetition.
+    attempt: CallerAttempt,
+    /// The latency target, counted from the first one.
+    target_at: Micros,
+}
+
+fn history(instance: &Instance, admitted: &Admitted, fingerprint: Fingerprint) -> History {
+    let arrived = admitted.arrived;
+    if let Some(forwarded) = &admitted.forwarded {
+        let target_at = arrived + forwarded.target;
+        return History { first_at: arrived, attempt: forwarded.attempt, target_at };
+    }
+    let failed_first = instance.failed_requests.borrow_mut().take(arrived, fingerprint.0);
+    let first_at = failed_first.unwrap_or(arrived);
+    let attempt =
+        if failed_first.is_some() { CallerAttempt::Repeated } else { CallerAttempt::First };
+    let route = &admitted.target.route;
+    let target_at = instance.target_at(route, arrived, first_at, admitted.caller_timeout);
+    History { first_at, attempt, target_at }
+}
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod fitness;
 mod fleet;
+mod forwarding;
 mod gauges;
 mod in_flight;
 mod instance;
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub load_age: GaugeVec,
     /// Requests sent to backend servers, by outcome.
     pub sends: IntCounterVec,
+    /// Requests forwarded to other instances, by outcome.
+    pub forwards: IntCounterVec,
     /// Whether this instance has lost its paths to most servers of a service that others reach.
     pub cut_off: IntGauge,
     /// Hedged requests sent.
@@ -104,6 +106,12 @@
             peer_silence: age(&r, "peer_silence_seconds", "Longest silence of an instance")?,
             load_age: ages(&r, "load_age_seconds", "Mean age of the servers' loads")?,
             sends: counters(&r, "sends_total", "Sends to backend servers", &["outcome"])?,
+            forwards: counters(
+                &r,
+                "forwards_total",
+                "Requests forwarded to other instances",
+                &["outcome"],
+            )?,
             cut_off: gauge(&r, "cut_off", "Paths lost to servers that other instances reach")?,
             hedges: counter(&r, "copies_total", "Second copies sent")?,
             lost_requests: counters(
--- a/crates/galenapath-gateway/src/pipeline.rs
+++ b/crates/galenapath-gateway/src/pipeline.rs
@@ -10,10 +10,12 @@
 use crate::answer::{LocalAnswer, RequestEnd, record_end, record_rejected};
 use crate::call::Call;
 use crate::exchange::{self, RequestFailure};
+use crate::fleet::ForwardResult;
 use crate::instance::{Instance, Stage};
 use crate::intake;
 use crate::reply::Reply;
 use galenapath_http::{Framing, RequestHead, is_keep_alive, request_framing};
+use galenapath_protocol::Verdict;
 use galenapath_routes::RouteKind;
 use http::{HeaderValue, Method, StatusCode, Version};
 use std::collections::VecDeque;
@@ -55,6 +57,21 @@
     Rejected(LocalAnswer),
 }
 
+impl Outcome {
+    /// What another instance receives with the answer to a request that it has forwarded.
+    pub(crate) fn forward_result(&self) -> ForwardResult {
+        match self {
+            Self::Reply(call, _) => {
+                ForwardResult { verdict: Verdict::Answered, sends: call.sends() }
+            }
+            Self::Failed(call, failure) => {
+                ForwardResult { verdict: failure.verdict, sends: call.sends() }
+            }
+            Self::Rejected(_) => ForwardResult { verdict: Verdict::NotRun, sends: 0 },
+        }
+    }
+}
+
 enum Work {
     Running(Rc<Call>, Pin<Box<dyn Future<Output = Result<Reply, RequestFailure>>>>),
     Done(Outcome),
--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -1,11 +1,12 @@
-//! Pools of idle connections to backend servers.
+//! Pools of idle connections to backend servers and to other instances.
 
 use galenapath_http::Connection;
-use galenapath_protocol::{BackendId, FastMap, Micros};
+use galenapath_protocol::{FastMap, Micros};
 use std::cell::RefCell;
+use std::hash::Hash;
 
-/// More idle connections to one server than this are needed only briefly.
-const MAX_IDLE_PER_SERVER: usize = 4;
+/// More idle connections to one end than this are needed only briefly.
+const MAX_IDLE_PER_END: usize = 4;
 
 /// Time before a server's stated idle timeout from which a connection is no longer reused, so that
 /// the server does not close it while a request is in transit.
@@ -27,15 +28,21 @@
     pub(crate) idle: Micros,
 }
 
-/// Idle connections to the servers of one service.
-#[derive(Default)]
-pub(crate) struct Pools {
-    idle: RefCell<FastMap<BackendId, Vec<IdleConnection>>>,
+/// Idle connections, by what identifies their other end: the servers of one service, or the other
+/// instances.
+pub(crate) struct Pools<K> {
+    idle: RefCell<FastMap<K, Vec<IdleConnection>>>,
 }
 
-impl Pools {
-    /// Takes an unexpired connection that the server has not visibly closed.
-    pub(crate) async fn take(&self, now: Micros, id: &BackendId) -> Option<PooledConnection> {
+impl<K> Default for Pools<K> {
+    fn default() -> Self {
+        Self { idle: RefCell::default() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Pools<K> {
+    /// Takes an unexpired connection that the other end has not visibly closed.
+    pub(crate) async fn take(&self, now: Micros, id: &K) -> Option<PooledConnection> {
         loop {
             let mut idle = self.idle.borrow_mut().get_mut(id)?.pop()?;
             if idle.until >= now && !idle.connection.is_stale().await {
@@ -48,11 +55,11 @@
     }
 
     /// Keeps a connection whose last answer was read completely. `stated` is the idle time after
-    /// which the server closes it.
+    /// which the other end closes it.
     pub(crate) fn keep(
         &self,
         now: Micros,
-        id: &BackendId,
+        id: &K,
         mut connection: Connection,
         stated: Option<Micros>,
     ) {
@@ -61,24 +68,24 @@
         let mut idle = self.idle.borrow_mut();
         let pool = idle.entry(id.clone()).or_default();
         pool.retain(|kept| kept.until >= now);
-        if pool.len() < MAX_IDLE_PER_SERVER && limit > Micros::ZERO {
+        if pool.len() < MAX_IDLE_PER_END && limit > Micros::ZERO {
             pool.push(IdleConnection { connection, since: now, until: now + limit });
         }
     }
 
-    /// Closes the connections to servers for which `should_keep` is false.
-    pub(crate) fn retain(&self, should_keep: impl Fn(&BackendId) -> bool) {
+    /// Closes the connections to ends for which `should_keep` is false.
+    pub(crate) fn retain(&self, should_keep: impl Fn(&K) -> bool) {
         self.idle.borrow_mut().retain(|id, _| should_keep(id));
     }
 
-    /// Whether the pool has a connection to the server.
-    pub(crate) fn has(&self, id: &BackendId) -> bool {
+    /// Whether the pool has a connection to this end.
+    pub(crate) fn has(&self, id: &K) -> bool {
         self.idle.borrow().get(id).is_some_and(|pool| !pool.is_empty())
     }
 
-    /// Closes connections that have been idle for too long. Returns the servers whose last
+    /// Closes connections that have been idle for too long. Returns the ends whose last
     /// connection was closed.
-    pub(crate) fn prune(&self, now: Micros) -> Vec<BackendId> {
+    pub(crate) fn prune(&self, now: Micros) -> Vec<K> {
         let mut emptied = Vec::new();
         self.idle.borrow_mut().retain(|id, pool| {
             pool.retain(|idle| idle.until >= now);
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -25,7 +25,7 @@
     if rest.is_some() && caller.is_http_10 && framing == Framing::UntilClose {
         return reject_http_10(call, caller).await;
     }
-    caller.set_connection(&mut headers);
+    caller.set_headers(&mut headers);
     if caller.method == Method::HEAD {
         record_end(call, &answered_end(status, "answered"));
         put_response(caller.connection.output(), status, &headers, Framing::None, false);
@@ -42,8 +42,8 @@
     let mut rest = rest;
     let sent = stream(caller, framing, &start, &mut rest).await;
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
-    if rest.is_lost {
-        crash::check_for_crash(call, &rest.server);
+    if let Some(server) = rest.server.as_ref().filter(|_| rest.is_lost) {
+        crash::check_for_crash(call, server);
     }
     let outcome = match sent {
         Ok(()) => {
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -1,6 +1,7 @@
 //! Reads and checks backend servers' answers.
 
 use crate::dialect::HeaderNames;
+use crate::fleet::RESULT_HEADER;
 use bytes::{Bytes, BytesMut};
 use galenapath_http::{
     BodyState, Connection, Framing, HeadTimeouts, HttpError, ResponseHead, has_connection_option,
@@ -31,8 +32,8 @@
     pub(crate) body: BodyState,
     /// Whether the server is in this instance's failure domain.
     pub(crate) is_local: bool,
-    /// The server that sends it.
-    pub(crate) server: BackendId,
+    /// The server that sends it; `None` if another instance does.
+    pub(crate) server: Option<BackendId>,
     /// Whether the connection to the server broke before the end of the body.
     pub(crate) is_lost: bool,
 }
@@ -173,5 +174,6 @@
 pub(crate) fn caller_headers(names: &HeaderNames, mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
     headers.remove(&names.load);
+    headers.remove(RESULT_HEADER);
     headers
 }
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Body;
 use crate::dialect::HeaderNames;
+use crate::fleet::REQUEST_HEADER;
 use crate::quota::QuotaCharge;
 use galenapath_filings::Fingerprint;
 use galenapath_http::{Framing, RequestHead, strip_hop_by_hop};
@@ -14,6 +15,18 @@
 };
 use std::sync::Arc;
 
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance that forwarded it, after it had sent it to servers `sends` times.
+    Peer {
+        /// Sends to servers.
+        sends: u32,
+    },
+}
+
 /// A request that has been read completely.
 pub(crate) struct Request {
     /// Number of the request within this incarnation of the instance.
@@ -37,6 +50,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// Whether the caller has sent the same request before.
     pub(crate) caller_attempt: CallerAttempt,
+    /// Whether it came from a caller or from another instance.
+    pub(crate) origin: Origin,
     /// When the caller's first attempt arrived, as far as known.
     pub(crate) first_at: Micros,
     /// When the head was read.
@@ -80,6 +95,7 @@
     headers.remove(CONTENT_LENGTH);
     headers.remove(TRANSFER_ENCODING);
     headers.remove(&names.expected_server);
+    headers.remove(REQUEST_HEADER);
     headers
 }
 
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -99,7 +99,7 @@
     let datagrams = UdpSocket::from_std(sockets.datagrams)
         .change_context(GatewayError::Start("the datagram socket"))?;
     monoio::spawn(accept(Rc::clone(instance), callers));
-    monoio::spawn(fleet::serve_pulls(Rc::clone(instance), to_monoio(sockets.peers)?));
+    monoio::spawn(fleet::serve_peers(Rc::clone(instance), to_monoio(sockets.peers)?));
     monoio::spawn(fleet::receive(Rc::clone(instance), datagrams));
     monoio::spawn(fleet::join(Rc::clone(instance)));
     monoio::spawn(fleet::run(Rc::clone(instance)));
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -68,7 +68,7 @@
     /// Which servers this instance reaches.
     pub(crate) contacts: RefCell<Contacts>,
     /// Idle connections to the servers.
-    pools: Pools,
+    pools: Pools<BackendId>,
     /// Requests to be notified when their server is found unreachable.
     loss_watchers: LossWatchers,
     /// Keyed by process run, like all state here: a restarted server counts as another server.
--- a/crates/galenapath-gateway/src/usage.rs
+++ b/crates/galenapath-gateway/src/usage.rs
@@ -40,10 +40,12 @@
     Query,
     /// Requests to backend servers and their answers.
     Request,
+    /// Requests forwarded to other instances and their answers.
+    Forward,
 }
 
 impl Flow {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Heartbeat,
         Self::Members,
         Self::Loads,
@@ -51,6 +53,7 @@
         Self::State,
         Self::Query,
         Self::Request,
+        Self::Forward,
     ];
 
     const fn as_str(self) -> &'static str {
@@ -62,6 +65,7 @@
             Self::State => "state",
             Self::Query => "question",
             Self::Request => "request",
+            Self::Forward => "forward",
         }
     }
 }
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -66,6 +66,13 @@
         Self { io, input: BytesMut::new(), output: BytesMut::new(), head_limit, byte_count: 0 }
     }
 
+    /// Like [`Self::new`], for a socket from which `input` has been read already.
+    pub fn with_input(io: TcpStream, head_limit: usize, input: &[u8]) -> Self {
+        let mut connection = Self::new(io, head_limit);
+        connection.input.extend_from_slice(input);
+        connection
+    }
+
     /// Returns the number of bytes read and written since the last call.
     pub fn take_byte_count(&mut self) -> u64 {
         std::mem::take(&mut self.byte_count)
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod evacuation;
 #[path = "gateway/fleet.rs"]
 mod fleet;
+#[path = "gateway/forwarding.rs"]
+mod forwarding;
 #[path = "gateway/leaving.rs"]
 mod leaving;
 #[path = "gateway/limits.rs"]
