Reachability: an instance that denies a server shows that it has paths

An instance that has just started, or that serves nobody, had no answers of other servers; its word that a server does not answer counted for nothing, and where two of three servers had crashed the asking instance took its own paths for gone and named no cause. It now tries up to two other servers before it answers.

--- a/crates/galenapath-gateway/src/reach/questions.rs
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -34,6 +34,9 @@
 /// Time within which a server has to have answered an instance for it to count as having paths.
 const PROOF_TTL: Micros = Micros::from_secs(1);
 
+/// Number of servers that an instance tries in order to show that it has paths.
+const MAX_TRIED_FOR_PROOF: usize = 2;
+
 /// Time within which a new connection to a server is not tried again for another question.
 const REPEATED_WITHIN: Micros = Micros::from_millis(10);
 
@@ -119,12 +122,10 @@
         let connected_at = service.contacts.borrow().connected_at(id);
         let is_reached = connected_at.is_some_and(is_proved)
             || checks::check(self, service, id, Purpose::CheckForOther).await;
-        let since = self.now() - PROOF_TTL;
-        let has_answer = |s: &Rc<Service>| s.contacts.borrow().has_answer_since(since);
         let server = id.short_hash();
         let mut report = PathReport {
             from: self.incarnation,
-            has_paths: self.services.borrow().values().any(has_answer),
+            has_paths: is_reached || self.has_paths(service, id).await,
             reached: Vec::new(),
             unreached: Vec::new(),
         };
@@ -135,6 +136,24 @@
         self.send(address, &fleet::encode(&Datagram::PathReport(report)), Flow::Loads);
     }
 
+    /// Whether a server has answered this instance lately, or another one than `id` does now.
+    async fn has_paths(&self, service: &Service, id: &BackendId) -> bool {
+        let since = self.now() - PROOF_TTL;
+        let has_answer = |s: &Rc<Service>| s.contacts.borrow().has_answer_since(since);
+        if self.services.borrow().values().any(has_answer) {
+            return true;
+        }
+        let mut others = service.servers();
+        others.retain(|other| other.id != *id);
+        others.shuffle(&mut rand::rng());
+        for other in others.iter().take(MAX_TRIED_FOR_PROOF) {
+            if checks::check(self, service, &other.id, Purpose::CheckForOther).await {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Applies another instance's answer.
     pub(crate) fn apply_path_report(&self, report: &PathReport) {
         let now = self.now();
