HTTP: whether an idle connection is stale is asked of the socket

First of two causes: the check read through the runtime, which knows only of what had arrived when it last waited. The socket itself is asked now (MSG_PEEK). Ruled out: a connection kept with unread bytes (the pool closes those).

--- a/crates/galenapath-entry/src/data/pool.rs
+++ b/crates/galenapath-entry/src/data/pool.rs
@@ -62,8 +62,8 @@
     ///
     /// If the share is used up or the connection cannot be opened in time. Nothing was sent.
     pub(super) async fn checkout(self: &Rc<Self>, timeout: Duration) -> io::Result<Pooled> {
-        while let Some(mut connection) = self.take_idle() {
-            if !connection.is_stale().await {
+        while let Some(connection) = self.take_idle() {
+            if !connection.is_stale() {
                 return Ok(self.guard(connection));
             }
             self.open.set(self.open.get() - 1);
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -70,7 +70,7 @@
         return Err(AttemptError::QueryBudgetSpent);
     }
     let now = call.instance.now();
-    let kept = service.take_connection(now, server).await;
+    let kept = service.take_connection(now, server);
     let is_non_idempotent = !call.req.route.kind.is_idempotent();
     let is_idle_too_long =
         is_non_idempotent && kept.as_ref().is_some_and(|kept| kept.idle > MAX_TRUSTED_IDLE);
--- a/crates/galenapath-gateway/src/forwarding/client.rs
+++ b/crates/galenapath-gateway/src/forwarding/client.rs
@@ -90,7 +90,7 @@
 /// Takes a kept connection to the other instance, or opens one.
 async fn connect(call: &Call, target: &ForwardTarget) -> Result<Connection, AttemptError> {
     let instance: &Instance = &call.instance;
-    let kept = instance.forward_pools.take(instance.now(), &target.address).await;
+    let kept = instance.forward_pools.take(instance.now(), &target.address);
     let is_trusted = |idle: Micros| call.req.route.kind.is_idempotent() || idle <= MAX_TRUSTED_IDLE;
     if let Some(kept) = kept.filter(|kept| is_trusted(kept.idle)) {
         return Ok(kept.connection);
--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -42,10 +42,10 @@
 
 impl<K: Clone + Eq + Hash> Pools<K> {
     /// Takes an unexpired connection that the other end has not visibly closed.
-    pub(crate) async fn take(&self, now: Micros, id: &K) -> Option<PooledConnection> {
+    pub(crate) fn take(&self, now: Micros, id: &K) -> Option<PooledConnection> {
         loop {
-            let mut idle = self.idle.borrow_mut().get_mut(id)?.pop()?;
-            if idle.until >= now && !idle.connection.is_stale().await {
+            let idle = self.idle.borrow_mut().get_mut(id)?.pop()?;
+            if idle.until >= now && !idle.connection.is_stale() {
                 return Some(PooledConnection {
                     connection: idle.connection,
                     idle: now - idle.since,
--- a/crates/galenapath-gateway/src/probe.rs
+++ b/crates/galenapath-gateway/src/probe.rs
@@ -204,7 +204,7 @@
     else {
         return;
     };
-    let reused = service.take_connection(instance.now(), &id).await.map(|reused| reused.connection);
+    let reused = service.take_connection(instance.now(), &id).map(|reused| reused.connection);
     let query = LoadQuery {
         instance: &instance,
         service: &service,
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -236,12 +236,8 @@
     }
 
     /// Takes an idle connection to a server out of the pool.
-    pub(crate) async fn take_connection(
-        &self,
-        now: Micros,
-        id: &BackendId,
-    ) -> Option<PooledConnection> {
-        let kept = self.pools.take(now, id).await;
+    pub(crate) fn take_connection(&self, now: Micros, id: &BackendId) -> Option<PooledConnection> {
+        let kept = self.pools.take(now, id);
         self.placement.borrow_mut().set_connected(id, self.pools.has(id));
         kept
     }
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -9,6 +9,9 @@
 use monoio::net::TcpStream;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+use nix::errno::Errno;
+use nix::sys::socket::{MsgFlags, recv};
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 /// Buffer space reserved for a read within a message, in bytes.
@@ -322,14 +325,13 @@
     }
 
     /// Whether an idle connection has been closed by the peer or has received unsolicited bytes.
-    /// Does not wait.
-    pub async fn is_stale(&mut self) -> bool {
-        let is_ready = {
-            let mut fill = std::pin::pin!(self.fill_up_to(WATCH_READ_SIZE));
-            std::future::poll_fn(|cx| std::task::Poll::Ready(fill.as_mut().poll(cx).is_ready()))
-                .await
-        };
-        is_ready || self.has_unread()
+    ///
+    /// The socket itself is asked: the runtime knows only of what had arrived when it last waited,
+    /// and bytes that follow a complete answer may arrive just after that.
+    pub fn is_stale(&self) -> bool {
+        let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        let received = recv(self.io.as_raw_fd(), &mut [0], flags);
+        self.has_unread() || received != Err(Errno::EAGAIN)
     }
 
     /// Shuts down the sending side, so that the peer sees the end of the last message, and discards
