Class-based program: a connection rests for 50 ms before it is used again

The protocol of the class-based program has no identifiers by which an answer could be told from another.

Ruled out: dropping the reuse of connections (a new connection for each request costs a handshake at the server).

--- a/crates/galenapath-entry/src/data/pool.rs
+++ b/crates/galenapath-entry/src/data/pool.rs
@@ -7,6 +7,7 @@
 use galenapath_http::Connection;
 use monoio::net::TcpStream;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
@@ -20,6 +21,11 @@
 /// that a connection is rarely reused while the server is closing it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which a connection rests after an answer before it is used again. A faulty server may
+/// send a second answer after a complete one, and the request that came next would receive it.
+/// Longer than the kernel holds back a second small write (40 ms).
+const REST_TIME: Duration = Duration::from_millis(50);
+
 /// Connections to one backend server.
 ///
 /// Invariant: `open` counts the idle connections, those in use and those being opened. No
@@ -28,7 +34,8 @@
     address: SocketAddr,
     share: Cell<usize>,
     open: Cell<usize>,
-    idle: RefCell<Vec<IdleConnection>>,
+    /// In the order in which they became idle.
+    idle: RefCell<VecDeque<IdleConnection>>,
 }
 
 struct IdleConnection {
@@ -42,7 +49,7 @@
             address,
             share: Cell::new(usize::MAX),
             open: Cell::new(0),
-            idle: RefCell::new(Vec::new()),
+            idle: RefCell::new(VecDeque::new()),
         }
     }
 
@@ -56,20 +63,21 @@
         self.open.get()
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection that has rested, or opens a new one. Once the share is used up, it
+    /// waits until one has rested.
     ///
     /// # Errors
     ///
     /// If the share is used up or the connection cannot be opened in time. Nothing was sent.
     pub(super) async fn checkout(self: &Rc<Self>, timeout: Duration) -> io::Result<Pooled> {
-        while let Some(connection) = self.take_idle() {
-            if !connection.is_stale() {
-                return Ok(self.guard(connection));
-            }
-            self.open.set(self.open.get() - 1);
+        if let Some(rested) = self.take_rested() {
+            return Ok(rested);
         }
         if self.open.get() >= self.share.get() {
-            return Err(io::Error::new(io::ErrorKind::WouldBlock, "connection share is used up"));
+            return match self.take_idle() {
+                Some((connection, since)) => self.rest(connection, since).await,
+                None => Err(share_used_up()),
+            };
         }
         // Counted before the connection is open, so that concurrent calls do not exceed the share.
         self.open.set(self.open.get() + 1);
@@ -95,8 +103,32 @@
         self.open.set(self.open.get() - idle.len());
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        self.idle.borrow_mut().pop().map(|entry| entry.connection)
+    /// Takes the connection that was used last of those that have rested. Others are more likely to
+    /// be closed by the server soon.
+    fn take_rested(self: &Rc<Self>) -> Option<Pooled> {
+        loop {
+            let last = {
+                let idle = self.idle.borrow();
+                idle.iter().rposition(|entry| entry.since.elapsed() >= REST_TIME)?
+            };
+            let entry = self.idle.borrow_mut().remove(last)?;
+            let connection = self.guard(entry.connection);
+            if !connection.is_stale() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Takes the connection that has rested longest, and when it became idle.
+    fn take_idle(self: &Rc<Self>) -> Option<(Pooled, Instant)> {
+        let entry = self.idle.borrow_mut().pop_front()?;
+        Some((self.guard(entry.connection), entry.since))
+    }
+
+    /// Returns the connection once it has rested, unless it has become stale by then.
+    async fn rest(&self, connection: Pooled, since: Instant) -> io::Result<Pooled> {
+        monoio::time::sleep(REST_TIME.saturating_sub(since.elapsed())).await;
+        if connection.is_stale() { Err(share_used_up()) } else { Ok(connection) }
     }
 
     fn guard(self: &Rc<Self>, connection: Connection) -> Pooled {
@@ -104,6 +136,10 @@
     }
 }
 
+fn share_used_up() -> io::Error {
+    io::Error::new(io::ErrorKind::WouldBlock, "connection share is used up")
+}
+
 /// A reservation of one connection of the share. Dropping it releases the reservation.
 struct Reservation<'a>(&'a Pool);
 
@@ -129,7 +165,7 @@
             self.connection = Some(connection);
             return;
         }
-        self.pool.idle.borrow_mut().push(IdleConnection { connection, since: Instant::now() });
+        self.pool.idle.borrow_mut().push_back(IdleConnection { connection, since: Instant::now() });
     }
 }
 
