Answers without end: bounded by size, by time and by turns

What callers saw: a server that sent interim answers, or a body to a load query, without end kept the thread of an instance busy for as long as it sent; timers do not expire while a task can run, so that all its callers waited.

Cause: three loops without a bound (interim answers, bodies that are discarded, streamed bodies of unknown length), and a runtime that neither interrupts a task nor looks at its timers while one is ready. Ruled out: heads, chunk lines and trailers (bounded already).

Change: at most 8 interim answers; discarded bodies 64 KiB (load queries) and 256 KiB (answers to other requests); a streamed body of unknown length ends with the caller's time, one of known length as before; a stream pauses every 256 KiB, small chunks counted as 1 KiB each. The same bounds in the class-based program (it had the pauses).

--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -2,6 +2,7 @@
 //! its own thread, with faults that a test sets while it runs.
 
 mod cold;
+mod endless;
 mod kv;
 mod kv_state;
 mod limit;
@@ -11,4 +12,4 @@
 mod thread;
 
 pub use kv::{KvFault, KvStandIn};
-pub use server::{DOWNTIME, ExecutedRequest, ServerFault, ServerStandIn};
+pub use server::{DOWNTIME, EndlessPart, ExecutedRequest, ServerFault, ServerStandIn};
--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -1,5 +1,6 @@
 //! Serves requests and load queries of a server of the users' platform.
 
+use super::endless;
 use super::server::{DOWNTIME, ExecutedRequest, Inner, ServerFault, lock};
 use super::thread::{DOWN_POLL, wait_forever};
 use crate::wire::{Conn, Framing, WireError, answer_head};
@@ -56,6 +57,9 @@
     lock(inner).pause.record_arrival();
     if head.uri.path() == "/health" {
         lock(inner).probes += 1;
+        if let ServerFault::Endless(part) = fault {
+            return endless::send(inner, conn, part, "").await;
+        }
         return health(inner, conn).await;
     }
     let header = |name: &str| text(&head.headers, name).to_owned();
@@ -144,6 +148,7 @@
             monoio::time::sleep(2 * DOWN_POLL).await;
             Err(WireError::Closed)
         }
+        ServerFault::Endless(part) => endless::send(inner, conn, part, id).await,
         ServerFault::Extra => conn.write(success.clone() + &success).await,
         ServerFault::Foreign => {
             conn.write(signed_answer(inner, StatusCode::OK, "another", "not yours") + &success)
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -49,6 +49,27 @@
     CrashesInAnswer,
     /// Closes a connection that was idle for more than 300 ms when the next request arrives on it.
     ForgetsIdle,
+    /// Sends bytes without end where an answer is due, also to load queries.
+    Endless(EndlessPart),
+}
+
+/// The part of an answer that never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// The status line.
+    StatusLine,
+    /// The header fields.
+    Fields,
+    /// Interim answers (1xx).
+    Interim,
+    /// A body that ends with the connection.
+    Body,
+    /// A body in chunks.
+    Chunks,
+    /// The extension of a chunk's size.
+    Extension,
+    /// The trailers after the last chunk.
+    Trailers,
 }
 
 /// A request that a server ran.
@@ -84,6 +105,8 @@
     pub(super) probes: usize,
     pub(super) connections: usize,
     pub(super) cancelled: usize,
+    /// Connections on which bytes without end are being sent.
+    pub(super) endless: usize,
     /// Time until which the server is down after a crash.
     pub(super) down_until: Option<Instant>,
     pub(super) cold: Cold,
@@ -138,6 +161,7 @@
             probes: 0,
             connections: 0,
             cancelled: 0,
+            endless: 0,
             down_until: None,
             cold: Cold::default(),
             crashes: 0,
@@ -276,6 +300,11 @@
         self.lock().cancelled
     }
 
+    /// Returns the number of connections on which bytes without end are being sent.
+    pub fn endless(&self) -> usize {
+        self.lock().endless
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         lock(&self.inner)
     }
--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -161,17 +161,12 @@
     read_final_head(connection).await
 }
 
-/// Reads the head of the final answer; heads of interim (1xx) answers are skipped.
+/// Reads the head of the final answer.
 pub(super) async fn read_final_head(
     connection: &mut Connection,
 ) -> Result<ResponseHead, HttpError> {
     let times = HeadTimeouts { idle: HEAD_TIMEOUT, head: HEAD_TIMEOUT };
-    loop {
-        let head = connection.read_response(times).await?;
-        if !head.status.is_informational() {
-            return Ok(head);
-        }
-    }
+    connection.read_final_response(times).await
 }
 
 async fn read_start(
--- a/crates/galenapath-entry/src/data/caller.rs
+++ b/crates/galenapath-entry/src/data/caller.rs
@@ -101,7 +101,7 @@
             (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
         }
         HttpError::HeadTimeout => (StatusCode::REQUEST_TIMEOUT, "head_timeout"),
-        HttpError::BadHead(_) | HttpError::BadFraming(_) => {
+        HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::BodyTooLarge { .. } => {
             (StatusCode::BAD_REQUEST, "bad_request")
         }
     };
--- a/crates/galenapath-entry/src/data/forward.rs
+++ b/crates/galenapath-entry/src/data/forward.rs
@@ -61,7 +61,9 @@
                 call.record_end(status.as_u16(), verdict, "passed on");
                 let attempts = header_number(&reply.headers, ATTEMPT_HEADER).unwrap_or(1);
                 let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
-                let answer_meta = AnswerMeta { id: meta.id, backend: &name, verdict, attempts };
+                let time_left = Duration::from(meta.deadline - plane.now());
+                let id = meta.id;
+                let answer_meta = AnswerMeta { id, backend: &name, verdict, attempts, time_left };
                 return relay::send(caller, &answer_meta, reply).await;
             }
             Err(e) => trace.borrow_mut().record_failure(&name, &e),
--- a/crates/galenapath-entry/src/data/pool.rs
+++ b/crates/galenapath-entry/src/data/pool.rs
@@ -23,7 +23,8 @@
 
 /// Time for which a connection rests after an answer before it is used again. A faulty server may
 /// send a second answer after a complete one, and the request that came next would receive it.
-/// Longer than the kernel holds back a second small write (40 ms).
+/// Longer than a server's thread is usually interrupted between two writes, and than the kernel
+/// holds back a second small write (40 ms).
 const REST_TIME: Duration = Duration::from_millis(50);
 
 /// Connections to one backend server.
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -31,13 +31,16 @@
     pub(super) verdict: Verdict,
     /// Attempts made over the whole chain of calls.
     pub(super) attempts: u32,
+    /// Time until the request's deadline.
+    pub(super) time_left: Duration,
 }
 
 impl<'a> AnswerMeta<'a> {
     /// Creates the metadata of a backend server's answer to `call`.
     pub(super) fn answered(call: &Call, backend: &'a BackendId) -> Self {
         let attempts = call.trace.borrow().attempt_count;
-        Self { id: call.meta.id, backend, verdict: Verdict::Answered, attempts }
+        let time_left = Duration::from(call.meta.deadline - call.plane.now());
+        Self { id: call.meta.id, backend, verdict: Verdict::Answered, attempts, time_left }
     }
 }
 
@@ -126,17 +129,34 @@
     }
     caller.set_connection_header(&mut head.headers);
     put_response(caller.connection.output(), head.status, &head.headers, framing, true);
+    // A body whose length is known ends; a faulty server may send another one without end.
+    let time_limit = match framing {
+        Framing::Length(_) | Framing::None => Duration::MAX,
+        Framing::Chunked | Framing::UntilClose => answer_meta.time_left,
+    };
+    let streaming = stream(caller, framing, start, &mut rest);
+    monoio::time::timeout(time_limit, streaming)
+        .await
+        .unwrap_or_else(|_| Err(HttpError::Io(std::io::ErrorKind::TimedOut.into())))?;
+    if head.framing != Framing::UntilClose {
+        rest.connection.return_to_pool();
+    }
+    Ok(())
+}
+
+async fn stream(
+    caller: &mut Caller,
+    framing: Framing,
+    start: &[u8],
+    rest: &mut Rest,
+) -> Result<(), HttpError> {
     with_idle_timeout(caller.connection.write_body(framing, start)).await?;
     let mut throttle = StreamThrottle::default();
-    while let Some(piece) = next_piece(caller, &mut rest).await? {
+    while let Some(piece) = next_piece(caller, rest).await? {
         with_idle_timeout(caller.connection.write_body(framing, &piece)).await?;
         throttle.record(piece.len()).await;
     }
-    with_idle_timeout(caller.connection.finish_body(framing)).await?;
-    if head.framing != Framing::UntilClose {
-        rest.connection.return_to_pool();
-    }
-    Ok(())
+    with_idle_timeout(caller.connection.finish_body(framing)).await
 }
 
 /// Reads the next piece of an answer; fails if the caller disconnects first.
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -230,9 +230,10 @@
 
 fn attempt_error(e: &HttpError) -> AttemptError {
     match e {
-        HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::HeadTooLarge { .. } => {
-            AttemptError::InvalidAnswer("not_http")
-        }
+        HttpError::BadHead(_)
+        | HttpError::BadFraming(_)
+        | HttpError::HeadTooLarge { .. }
+        | HttpError::BodyTooLarge { .. } => AttemptError::InvalidAnswer("not_http"),
         _ => AttemptError::Broken,
     }
 }
--- a/crates/galenapath-gateway/src/call.rs
+++ b/crates/galenapath-gateway/src/call.rs
@@ -130,6 +130,11 @@
         self.req.deadline - self.instance.now()
     }
 
+    /// Time until the caller no longer waits, whatever the route allows; zero once it has passed.
+    pub(crate) fn time_left_for_caller(&self) -> Micros {
+        self.req.caller_deadline - self.instance.now()
+    }
+
     /// Time until the latency target; zero once it has passed.
     pub(crate) fn time_left_to_target(&self) -> Micros {
         self.req.target_at - self.instance.now()
--- a/crates/galenapath-gateway/src/caller.rs
+++ b/crates/galenapath-gateway/src/caller.rs
@@ -296,7 +296,7 @@
         // No request was begun on the idle connection, so no answer is expected.
         HttpError::HeadTimeout if !caller.connection.has_unread() => return,
         HttpError::HeadTimeout => LocalAnswer::new(StatusCode::REQUEST_TIMEOUT, "head_timeout"),
-        HttpError::BadHead(_) | HttpError::BadFraming(_) => {
+        HttpError::BadHead(_) | HttpError::BadFraming(_) | HttpError::BodyTooLarge { .. } => {
             LocalAnswer::new(StatusCode::BAD_REQUEST, "bad_request")
         }
     };
--- a/crates/galenapath-gateway/src/intake.rs
+++ b/crates/galenapath-gateway/src/intake.rs
@@ -150,6 +150,7 @@
         true => request::keyed_headers(&instance.names, head.headers, target.workspace.as_deref()),
         false => request::server_headers(&instance.names, head.headers),
     };
+    let caller_deadline = admitted.arrived + admitted.caller_timeout;
     let Admitted { target, charge, arrived, deadline, .. } = admitted;
     Request {
         ticket: instance.next_request_number(),
@@ -169,6 +170,7 @@
         arrived,
         target_at,
         deadline,
+        caller_deadline,
     }
 }
 
--- a/crates/galenapath-gateway/src/load_query.rs
+++ b/crates/galenapath-gateway/src/load_query.rs
@@ -23,6 +23,10 @@
 /// Maximum size of the head of an answer, in bytes.
 pub(crate) const HEAD_LIMIT: usize = 8 * 1024;
 
+/// Maximum size of the body of an answer, in bytes. It is not used, and a faulty server may send one
+/// without end.
+const BODY_LIMIT: usize = 64 * 1024;
+
 /// Upper limits on the time for an answer; [`LoadQuery::timeout`] is shorter.
 const TIMES: HeadTimeouts =
     HeadTimeouts { idle: Duration::from_secs(1), head: Duration::from_secs(1) };
@@ -140,10 +144,10 @@
     let queried_at = instance.now();
     put_request(connection.output(), &Method::GET, &path, &headers, &[], Framing::None);
     connection.flush().await?;
-    let head = connection.read_response(TIMES).await?;
+    let head = connection.read_final_response(TIMES).await?;
     let framing = response_framing(&Method::GET, head.status, &head.headers)?;
     let mut body = BodyState::new(framing);
-    while connection.read_body(&mut body).await?.is_some() {}
+    connection.skip_body(&mut body, BODY_LIMIT).await?;
     instance.usage.count(Flow::Query, service.is_local(id), connection.take_byte_count());
     let is_other = is_other(instance, service, id, &head);
     if !is_other {
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -18,6 +18,16 @@
 /// Time without progress on either side after which a streamed answer is aborted.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes after which a stream pauses. The runtime neither interrupts a task whose reads and writes
+/// never have to wait nor lets timers expire while one can run.
+const PAUSE_EVERY_BYTES: usize = 256 * 1024;
+
+/// Bytes that take as long as the handling of one piece. A server may send chunks of a few bytes.
+const PIECE_OVERHEAD: usize = 1024;
+
+/// The pause. It limits one stream to 250 MB/s.
+const PAUSE: Duration = Duration::from_millis(1);
+
 /// Forwards an answer. After an error the caller has not received all of it; its connection must be
 /// closed, which shows the caller that the answer is incomplete.
 pub(crate) async fn send(call: &Call, caller: &mut Caller, reply: Reply) -> Result<(), HttpError> {
@@ -40,7 +50,14 @@
     let framing = if framing == Framing::UntilClose { Framing::Chunked } else { framing };
     put_response(caller.connection.output(), status, &headers, framing, true);
     let mut rest = rest;
-    let sent = stream(caller, framing, &start, &mut rest).await;
+    // A body whose length is known ends; a faulty server may send another one without end.
+    let time_limit = match framing {
+        Framing::Length(_) | Framing::None => Duration::MAX,
+        Framing::Chunked | Framing::UntilClose => call.time_left_for_caller().into(),
+    };
+    let streaming = stream(caller, framing, &start, &mut rest);
+    let sent = monoio::time::timeout(time_limit, streaming).await;
+    let sent = sent.unwrap_or_else(|_| Err(HttpError::Io(ErrorKind::TimedOut.into())));
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
     if let Some(server) = rest.server.as_ref().filter(|_| rest.is_lost) {
         crash::check_for_crash(call, server);
@@ -72,8 +89,14 @@
     rest: &mut RemainingBody,
 ) -> Result<(), HttpError> {
     with_stall_timeout(caller.connection.write_body(framing, start)).await?;
+    let mut since_pause = 0;
     while let Some(piece) = next_piece(caller, rest).await? {
         with_stall_timeout(caller.connection.write_body(framing, &piece)).await?;
+        since_pause += piece.len() + PIECE_OVERHEAD;
+        if since_pause >= PAUSE_EVERY_BYTES {
+            since_pause = 0;
+            monoio::time::sleep(PAUSE).await;
+        }
     }
     with_stall_timeout(caller.connection.finish_body(framing)).await
 }
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -116,10 +116,7 @@
     let times = HeadTimeouts { idle: FIRST_BYTE_TIMEOUT, head: HEAD_TIMEOUT };
     let mut skipped = 0;
     loop {
-        let head = connection.read_response(times).await?;
-        if head.status.is_informational() {
-            continue;
-        }
+        let head = connection.read_final_response(times).await?;
         let verdict = classify(names, &head, id);
         if verdict != HeadVerdict::Foreign || skipped == MAX_SKIPPED_ANSWERS {
             return Ok((head, verdict));
@@ -130,7 +127,7 @@
             return Ok((head, verdict));
         }
         let mut body = BodyState::new(framing);
-        while connection.read_body(&mut body).await?.is_some() {}
+        connection.skip_body(&mut body, BUFFER_LIMIT).await?;
     }
 }
 
--- a/crates/galenapath-gateway/src/request.rs
+++ b/crates/galenapath-gateway/src/request.rs
@@ -60,6 +60,8 @@
     pub(crate) target_at: Micros,
     /// The earlier of the caller's and the route's timeout.
     pub(crate) deadline: Micros,
+    /// The caller's timeout.
+    pub(crate) caller_deadline: Micros,
 }
 
 impl Request {
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection.rs
@@ -32,6 +32,9 @@
 /// A body smaller than this many bytes is copied and sent in one packet with its head.
 const MAX_COPIED_BODY: usize = 4 * 1024;
 
+/// Maximum number of interim answers (1xx) before the final one.
+const MAX_INTERIM_ANSWERS: u32 = 8;
+
 /// Maximum number of bytes read ahead from the peer while [`Connection::closed`] waits.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
@@ -104,6 +107,25 @@
         self.read_head(timeouts, |input| ResponseHeadDecoder.decode(input).ok()).await
     }
 
+    /// Reads the head of the next final answer; a limited number of interim answers (1xx) before it
+    /// is skipped.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Self::read_response`], and `BadHead` after too many interim answers.
+    pub async fn read_final_response(
+        &mut self,
+        timeouts: HeadTimeouts,
+    ) -> Result<ResponseHead, HttpError> {
+        for _ in 0..=MAX_INTERIM_ANSWERS {
+            let head = self.read_response(timeouts).await?;
+            if !head.status.is_informational() {
+                return Ok(head);
+            }
+        }
+        Err(HttpError::BadHead("too many interim answers"))
+    }
+
     async fn read_head<T>(
         &mut self,
         timeouts: HeadTimeouts,
@@ -197,6 +219,22 @@
         }
     }
 
+    /// Reads and discards the rest of a body.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Self::read_body`], and `BodyTooLarge` if it has more than `limit` bytes.
+    pub async fn skip_body(&mut self, body: &mut BodyState, limit: usize) -> Result<(), HttpError> {
+        let mut skipped = 0;
+        while let Some(piece) = self.read_body(body).await? {
+            skipped += piece.len();
+            if skipped > limit {
+                return Err(HttpError::BodyTooLarge { limit });
+            }
+        }
+        Ok(())
+    }
+
     /// The output buffer, to which heads are appended.
     pub fn output(&mut self) -> &mut BytesMut {
         &mut self.output
--- a/crates/galenapath-http/src/error.rs
+++ b/crates/galenapath-http/src/error.rs
@@ -19,6 +19,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// A body that is not needed is larger than the limit.
+    #[error("the body is larger than {limit} bytes")]
+    BodyTooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// The head is not valid HTTP/1.1.
     #[error("bad head: {0}")]
     BadHead(&'static str),
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::ops::ControlFlow;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 use support::{Client, FakeServer, Instance, Request, Setup, answer_ok, get};
 
 /// Bytes that are not a valid HTTP/1.1 answer.
@@ -49,6 +50,13 @@
             b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2;x\r\nde\r\n0\r\nx: y\r\n\r\n",
         ),
         "close" => send_and_close(io, b"HTTP/1.1 200 OK\r\n\r\nuntil the end"),
+        "endless-interim" => send_endlessly(io, "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        "endless-chunks" => send_endlessly(
+            io,
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "4\r\nxxxx\r\n",
+        ),
+        "endless-body" => send_endlessly(io, "HTTP/1.1 200 OK\r\n\r\n", "x"),
         "none" => send_and_close(io, b"HTTP/1.1 204 No Content\r\n\r\n"),
         "report" => send_and_close(io, bad_report(&req).as_bytes()),
         "cut" => send_and_close(io, &cut(&req)),
@@ -57,6 +65,16 @@
     })
 }
 
+/// Sends `start`, and then `unit` again and again until the other end closes the connection.
+fn send_endlessly(io: &mut TcpStream, start: &str, unit: &str) -> ControlFlow<()> {
+    let block = unit.repeat(16 * 1024 / unit.len());
+    let mut result = io.write_all(start.as_bytes());
+    while result.is_ok() {
+        result = io.write_all(block.as_bytes());
+    }
+    ControlFlow::Break(())
+}
+
 fn send_and_close(io: &mut TcpStream, bytes: &[u8]) -> ControlFlow<()> {
     let _ = io.write_all(bytes);
     ControlFlow::Break(())
@@ -216,3 +234,19 @@
     assert_eq!((answer.status, answer.verdict()), (502, "may-have-run"));
     assert_eq!(RUNS.load(Ordering::SeqCst), 1);
 }
+
+#[test]
+fn backends_endless_ended_with_the_request() {
+    for path in ["/endless-interim", "/endless-chunks", "/endless-body"] {
+        let instance = start(&misbehaving_server());
+        let began = Instant::now();
+        let answer = get(instance.callers, path, "Galenapath-Deadline-Ms: 500\r\n");
+        let is_complete_answer = answer.status == 200 && answer.is_whole;
+        assert!(!is_complete_answer, "{path}: a complete answer");
+        assert!(began.elapsed() < Duration::from_secs(2), "{path}: {:?}", began.elapsed());
+        // The instance still serves others at once.
+        let began = Instant::now();
+        assert_eq!(get(instance.callers, "/after", "").text(), "/after");
+        assert!(began.elapsed() < Duration::from_secs(1), "{path}: {:?}", began.elapsed());
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,8 @@
 
 #[path = "gateway/crashes.rs"]
 mod crashes;
+#[path = "gateway/endless.rs"]
+mod endless;
 #[path = "gateway/evacuation.rs"]
 mod evacuation;
 #[path = "gateway/fleet.rs"]
