Requests wait for the verdict on a stalled service, and are not sent blindly

Cause: once the query budget is spent a request is sent unasked; the other instances' word came 25 to 60 ms later; a hedge that found its server unfit counted as tried. Now a request waits up to 120 ms from the start of a stall for that word, is not sent to a server that keeps a query waiting, and a hedge that was not sent goes to another instance once that is known.

The scenario language has paths, and servers with links.

--- a/crates/galenapath-dev/src/scenario/run.rs
+++ b/crates/galenapath-dev/src/scenario/run.rs
@@ -90,6 +90,10 @@
             let to = callers.collect::<Result<Vec<_>, ScenarioError>>()?;
             cluster.users.send_lookups(line, &to).await
         }
+        "paths" => {
+            let pid = cluster.running(line.word(1))?.id();
+            cluster.users.set_paths(line, pid)
+        }
         "ask" => {
             let addr = cluster.instance(line.word(2))?.callers;
             cluster.users.send_request(line, addr).await
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::reply::Reply;
 use crate::waiting::NoServer;
 use futures::future::{Either, select};
+use galenapath_membership::Peer;
 use galenapath_policy::place::{PlacementRequest, QueueEntry, hedging};
 use galenapath_protocol::{BackendId, Micros, Verdict};
 use galenapath_routes::RouteKind;
@@ -29,6 +30,12 @@
 /// late.
 const MIN_TIME_TO_SEND: Micros = Micros::from_millis(10);
 
+/// Interval at which a request looks whether other instances reach the servers of its service.
+const VERDICT_POLL_PERIOD: Micros = Micros::from_millis(5);
+
+/// Interval at which a request whose hedge was not sent looks for another way.
+const HEDGE_POLL_PERIOD: Micros = Micros::from_millis(25);
+
 /// The end of a request without a backend server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RequestFailure {
@@ -113,6 +120,7 @@
 /// Selects a server, or another instance if none of the servers that this one reaches can take the
 /// request.
 async fn select_next(call: &Call) -> Result<Next, NoServer> {
+    wait_for_verdict(call).await;
     if let Some(target) = forwarding::target_if_nothing_reached(call) {
         return Ok(Next::Peer(target));
     }
@@ -122,6 +130,17 @@
     }
 }
 
+/// Waits while the service has stalled and other instances are being asked whether they reach its
+/// servers. A request that was sent now would most likely be lost.
+async fn wait_for_verdict(call: &Call) {
+    let has_peers = || call.instance.membership.borrow().peers().any(Peer::is_usable);
+    let is_verdict_due =
+        || call.service.contacts.borrow().is_verdict_due(call.instance.now()) && has_peers();
+    while is_verdict_due() && call.time_left() > MIN_TIME_TO_SEND {
+        sleep(VERDICT_POLL_PERIOD).await;
+    }
+}
+
 /// The failure of a request for which there is no server.
 fn failure_without_server(call: &Call, no_server: NoServer) -> RequestFailure {
     add_shortage_step(call);
@@ -276,6 +295,31 @@
     match select(first, second).await {
         Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
         Either::Left((Err(_), second)) => second.await,
+        Either::Right((Err(error), first)) if error.verdict() == Verdict::NotRun => {
+            wait_or_forward(call, first).await
+        }
+        Either::Right((Err(_), first)) => first.await,
+    }
+}
+
+/// Waits for the answer to the first send. The hedge was not sent: it is forwarded once it turns out
+/// that this instance has lost its paths to the servers.
+async fn wait_or_forward(
+    call: &Call,
+    mut first: impl Future<Output = Result<Reply, AttemptError>> + Unpin,
+) -> Result<Reply, AttemptError> {
+    let target = loop {
+        match select(first, pin!(sleep(HEDGE_POLL_PERIOD))).await {
+            Either::Left((result, _)) => return result,
+            Either::Right(((), waiting)) => first = waiting,
+        }
+        if let Some(target) = forwarding::target_if_nothing_reached(call) {
+            break target;
+        }
+    };
+    match select(first, pin!(forwarding::forward(call, target))).await {
+        Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
+        Either::Left((Err(_), hedge)) => hedge.await,
         Either::Right((Err(_), first)) => first.await,
     }
 }
--- a/crates/galenapath-gateway/src/fitness.rs
+++ b/crates/galenapath-gateway/src/fitness.rs
@@ -9,7 +9,7 @@
 use crate::attempt::{AttemptError, connect};
 use crate::call::Call;
 use crate::in_flight::InFlight;
-use crate::instance::Instance;
+use crate::instance::{Instance, sleep};
 use crate::load_query::{LoadQuery, LoadQueryAnswer, Purpose};
 use crate::service::Service;
 use futures::channel::oneshot;
@@ -69,6 +69,9 @@
     if decision == QueryDecision::BudgetSpent && call.may_reselect() {
         return Err(AttemptError::QueryBudgetSpent);
     }
+    if decision == QueryDecision::BudgetSpent && !is_waiting_over(call, server).await {
+        return Err(AttemptError::Unfit);
+    }
     let now = call.instance.now();
     let kept = service.take_connection(now, server);
     let is_non_idempotent = !call.req.route.kind.is_idempotent();
@@ -92,6 +95,16 @@
     check_fitness(call, in_flight, address, answer).await
 }
 
+/// Whether the server keeps no earlier exchange waiting, or answers it now. A request that is sent to
+/// a server which has not answered just before would most likely be lost.
+async fn is_waiting_over(call: &Call, server: &BackendId) -> bool {
+    let is_waiting = || call.service.contacts.borrow().is_waiting(server);
+    if is_waiting() {
+        sleep(call.instance.query_timeout()).await;
+    }
+    !is_waiting()
+}
+
 /// Queries the server's load. The query continues in the background if it takes too long for this
 /// request.
 async fn query_load(
--- a/crates/galenapath-policy/src/reach/config.rs
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -11,6 +11,9 @@
     /// Number of servers that have to keep exchanges waiting, all of which began after the last answer
     /// of any server, for the service to count as stalled; all servers if it has fewer.
     pub stalled_after: usize,
+    /// Time within which other instances are expected to have told whether they reach the servers of a
+    /// service that has stalled.
+    pub stall_verdict: Micros,
     /// Time for which a contact with a server counts. Longer than the pauses between the requests
     /// of a service that is hardly used.
     pub retention: Micros,
@@ -30,6 +33,7 @@
         Self {
             silent_after: 2,
             stalled_after: 3,
+            stall_verdict: Micros::from_millis(120),
             retention: Micros::from_secs(10),
             evidence_ttl: Micros::from_secs(5),
             check_delays: [
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -116,6 +116,11 @@
         self.contacts.get(id).map_or(PathState::Unknown, |contact| contact.state(now, &self.cfg))
     }
 
+    /// Whether the server keeps an exchange waiting.
+    pub fn is_waiting(&self, id: &BackendId) -> bool {
+        self.contacts.get(id).is_some_and(|contact| contact.waiting_since().is_some())
+    }
+
     /// Whether the server counts as not answering this instance.
     pub fn is_silent(&self, id: &BackendId) -> bool {
         self.contacts.get(id).is_some_and(|contact| contact.is_silent(&self.cfg))
@@ -175,12 +180,24 @@
     /// Whether several servers keep exchanges waiting that have all begun after the last answer of
     /// any server.
     pub fn is_stalled(&self) -> bool {
+        self.stalled_since().is_some()
+    }
+
+    /// Whether the service has stalled so lately that the other instances have not told yet whether
+    /// they reach its servers.
+    pub fn is_verdict_due(&self, now: Micros) -> bool {
+        self.stalled_since().is_some_and(|since| now - since < self.cfg.stall_verdict)
+            && !self.is_nothing_reached(now)
+    }
+
+    /// Start of the first of the exchanges by which the service has stalled.
+    fn stalled_since(&self) -> Option<Micros> {
         let answered_at = self.contacts.values().filter_map(Contact::answered_at).max();
-        let is_waiting = |contact: &&Contact| {
-            contact.waiting_since().is_some_and(|since| answered_at.is_none_or(|at| since >= at))
-        };
-        let waiting = self.contacts.values().filter(is_waiting).count();
-        waiting > 0 && waiting >= self.cfg.stalled_after.min(self.contacts.len())
+        let is_waiting = |since: &Micros| answered_at.is_none_or(|at| *since >= at);
+        let waiting =
+            || self.contacts.values().filter_map(Contact::waiting_since).filter(is_waiting);
+        let is_stalled = waiting().count() >= self.cfg.stalled_after.min(self.contacts.len());
+        if is_stalled { waiting().min() } else { None }
     }
 
     /// Requests a check of a server although no exchange with it failed.
--- a/crates/galenapath-policy/tests/reach/contacts.rs
+++ b/crates/galenapath-policy/tests/reach/contacts.rs
@@ -224,3 +224,13 @@
     contacts.record_answer(ms(20), &id(9), kept(ms(15)));
     assert!(!contacts.is_stalled());
 }
+
+#[test]
+fn is_verdict_due_until_others_have_told_or_time_has_passed() {
+    let mut contacts = waiting(18, 3);
+    assert!(contacts.is_verdict_due(ms(30)));
+    assert!(!contacts.is_verdict_due(ms(200)));
+    contacts.record_reached_by(OTHER, &id(0), ms(35));
+    assert!(!contacts.is_verdict_due(ms(40)));
+    assert!(!waiting(18, 2).is_verdict_due(ms(30)));
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,6 +107,7 @@
     scenario_garbage: "garbage",
     scenario_gateway_each_kind_change_leave_stop: "gateway-each-kind-change-leave-stop",
     scenario_gateway_domain_evacuated_and_cold: "gateway-domain-evacuated-and-cold",
+    scenario_gateway_instance_without_paths: "gateway-instance-without-paths",
     scenario_gateway_key_replaced: "gateway-key-replaced",
     scenario_gateway_request_crashes_servers: "gateway-request-crashes-servers",
     scenario_gateway_servers_ask_for_less: "gateway-servers-ask-for-less",
