Soak: instances lose their paths to servers

Each run then checks that an instance without paths serves at least nine tenths of its requests from three seconds on.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -3,11 +3,13 @@
 //! `SOAK_SEEDS=1,2,3 SOAK_SECONDS=20 cargo test --test gateway_soak` runs other seeds for longer.
 //! `SOAK_INSTANCES=100` starts more instances; seeds then run one at a time.
 //!
-//! Each seed draws faults of these kinds, of which two run at a time:
+//! Each seed draws faults of these kinds, of which two run at a time, and one more of the paths:
 //!
 //! - Instances are killed, paused, stopped and started again, or reload their settings.
 //! - The store is unreachable for one instance or for all.
 //! - Links to the store and to servers are cut, delayed or silenced, in one direction or in both.
+//! - Instances lose their paths to servers: to all of them, to those of a service or of a failure
+//!   domain; new connections alone; in one direction or in both.
 //! - Servers fail in every way that the stand-in has, turn cold, state a rate limit, leave, are
 //!   paused, or restart under the same identity.
 //! - Other writers add entries to the store.
@@ -31,9 +33,9 @@
 
 use checks::{
     assert_answers_match_runs, assert_crashing_request_ends, assert_evacuation_holds,
-    assert_limit_and_leaving_hold,
+    assert_limit_and_leaving_hold, assert_served_without_paths,
 };
-use faults::inject_fault;
+use faults::{inject_fault, lose_paths};
 use galenapath_dev::link::Relay;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -75,6 +77,10 @@
 /// Threads that inject faults, and so the number of concurrent faults.
 const FAULT_THREADS: u64 = 2;
 
+/// Distinguishes the draws of lost paths, which have a thread of their own, from those of the other
+/// faults.
+const PATHS_SEED: u64 = 0x7061_7468;
+
 /// Threads that send requests.
 const CALLER_THREADS: usize = 4;
 
@@ -217,10 +223,15 @@
         self.gateways[n].lock().unwrap()
     }
 
-    /// Draws faults and injects them until `end`.
-    fn inject_faults(&self, mut rng: SmallRng, end: Instant) {
+    /// Draws faults with `inject` and injects them until `end`.
+    fn inject_faults(
+        &self,
+        mut rng: SmallRng,
+        end: Instant,
+        inject: fn(&mut SmallRng, &Self) -> String,
+    ) {
         while Instant::now() < end {
-            let description = inject_fault(&mut rng, self);
+            let description = inject(&mut rng, self);
             self.trace.lock().unwrap().push(description);
             std::thread::sleep(Duration::from_millis(rng.random_range(0..300)));
         }
@@ -248,8 +259,10 @@
         for n in 0..FAULT_THREADS {
             let (deployment, rng) =
                 (&deployment, SmallRng::seed_from_u64(seed * FAULT_THREADS + n));
-            scope.spawn(move || deployment.inject_faults(rng, end));
+            scope.spawn(move || deployment.inject_faults(rng, end, inject_fault));
         }
+        let (deployment, rng) = (&deployment, SmallRng::seed_from_u64(seed ^ PATHS_SEED));
+        scope.spawn(move || deployment.inject_faults(rng, end, lose_paths));
     });
     let trace = deployment.trace();
     let version = deployment.configure(1, &[]);
@@ -263,6 +276,7 @@
             call(gateway.callers(), &format!("{seed}-end"), false).answer.status == 200
         });
     }
+    assert_served_without_paths(&deployment, &trace);
     assert_crashing_request_ends(&deployment, &trace);
     assert_evacuation_holds(&deployment, &trace);
     assert_limit_and_leaving_hold(&deployment, &trace);
--- a/tests/gateway_soak/checks.rs
+++ b/tests/gateway_soak/checks.rs
@@ -2,6 +2,7 @@
 
 use super::{CallRecord, Deployment, call};
 use crate::support::{World, send_request, wait_until};
+use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::{DOWNTIME, ServerFault};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -32,6 +33,31 @@
     }
 }
 
+/// Checks that, whatever faults preceded it, an instance that loses its paths to all servers serves
+/// at least nine tenths of its requests through the others once it has had time to find out.
+pub fn assert_served_without_paths(deployment: &Deployment, trace: &[String]) {
+    const SETTLE: Duration = Duration::from_secs(3);
+    /// Requests that count.
+    const REQUESTS: usize = 40;
+    let gateway = deployment.gateway(0);
+    let send = |n: usize| call(gateway.callers(), &format!("paths{n}"), n % 2 == 1).answer.status;
+    deployment.world.set_paths(&gateway, LinkFault::Cut);
+    let end = Instant::now() + SETTLE;
+    let mut sent = 0;
+    while Instant::now() < end {
+        send(sent);
+        sent += 1;
+    }
+    let statuses: Vec<u16> = (sent..sent + REQUESTS).map(send).collect();
+    deployment.world.set_paths(&gateway, LinkFault::None);
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served * 10 >= REQUESTS * 9, "{statuses:?} without paths after {trace:?}");
+    wait_until(&format!("its own paths after {trace:?}"), || {
+        send(usize::MAX);
+        gateway.metric("galenapath_cut_off ") == 0
+    });
+}
+
 /// Checks that, whatever faults preceded it, a request that crashes servers is no longer sent once
 /// all instances have had time to learn of it, also by one that has restarted.
 pub fn assert_crashing_request_ends(deployment: &Deployment, trace: &[String]) {
--- a/tests/gateway_soak/faults.rs
+++ b/tests/gateway_soak/faults.rs
@@ -83,6 +83,41 @@
     }
 }
 
+/// Faults of an instance's paths.
+const PATH_FAULTS: &[LinkFault] = &[
+    LinkFault::Cut,
+    LinkFault::CutNew,
+    LinkFault::Hold,
+    LinkFault::HoldRequests,
+    LinkFault::HoldReplies,
+    LinkFault::Delay(Duration::from_millis(80)),
+];
+
+/// Instances lose their paths to all servers, or to those of a service or of a failure domain.
+pub fn lose_paths(rng: &mut SmallRng, deployment: &Deployment) -> String {
+    let fault = *draw(rng, PATH_FAULTS);
+    let span = draw_span(rng) * *draw(rng, &[1, 1, 3]);
+    let n = rng.random_range(0..deployment.gateways.len());
+    // All of them at times, so that none is left that reaches the servers.
+    let count = rng.random_range(1..=deployment.gateways.len());
+    let (what, servers): (&str, Vec<usize>) = match rng.random_range(0..4) {
+        0 => ("a service", (0..2).collect()),
+        1 => ("a domain", (0..deployment.world.servers.len()).step_by(2).collect()),
+        _ => ("all servers", (0..deployment.world.servers.len()).collect()),
+    };
+    let instances = (0..deployment.gateways.len()).cycle().skip(n).take(count);
+    let pids: Vec<u32> = instances.map(|n| deployment.gateway(n).pid()).collect();
+    let set = |fault| {
+        for at in &servers {
+            pids.iter().for_each(|pid| deployment.world.links[*at].set_fault_of(*pid, fault));
+        }
+    };
+    set(fault);
+    std::thread::sleep(span);
+    set(LinkFault::None);
+    format!("paths of {count} from {n} to {what} {fault:?} for {span:?}")
+}
+
 /// A server fails, is cut off, slows down, turns cold or restarts.
 fn server_fault(rng: &mut SmallRng, deployment: &Deployment, kind: u32) -> String {
     let span = draw_span(rng);
