Withdrawal: by the paths to all services together

Cause: one service without paths sufficed, even one of which a single server was in use; with paths cut service by service, 150 to 190 withdrawals in a fleet of 130 moved callers from instance to instance. Change: an instance withdraws once most of its paths to all services together are lost; requests for the other services that it does not reach are forwarded. The test that pinned one service is replaced by one of each side of the bound.

--- a/crates/galenapath-gateway/src/reach/mod.rs
+++ b/crates/galenapath-gateway/src/reach/mod.rs
@@ -124,14 +124,14 @@
     /// Updates whether this instance has lost its paths, and logs a change.
     fn update_reach(&self) {
         let now = self.now();
-        let paths: Vec<PathSummary> = {
+        let all = {
             let services = self.services.borrow();
-            services.values().map(|service| service.contacts.borrow().summary(now)).collect()
+            let paths = services.values().map(|service| service.contacts.borrow().summary(now));
+            paths.fold(PathSummary::default(), PathSummary::plus)
         };
-        let all = paths.iter().copied().fold(PathSummary::default(), PathSummary::plus);
         self.reach.is_nothing_reached.set(all.is_nothing_reached());
         let mut withdrawal = self.reach.withdrawal.get();
-        let change = withdrawal.update(now, paths.into_iter());
+        let change = withdrawal.update(now, all);
         self.reach.withdrawal.set(withdrawal);
         let Some(change) = change else { return };
         let PathSummary { open, closing, silent, cut_off } = all;
--- a/crates/galenapath-policy/src/reach/withdrawal.rs
+++ b/crates/galenapath-policy/src/reach/withdrawal.rs
@@ -4,6 +4,11 @@
 //! would move all its callers twice a second, each time with new connections to all servers. It
 //! comes back once its paths have held for some time, which doubles with each return that did not
 //! last.
+//!
+//! Load pattern: each of many instances loses the paths to some services. If each of them withdrew,
+//! callers would crowd at the few that are left, or move from one to the next as these lose theirs.
+//! An instance withdraws only if it has lost most of its paths to all services together; until then
+//! it forwards the requests for the services that it does not reach.
 
 use super::summary::PathSummary;
 use galenapath_protocol::Micros;
@@ -44,16 +49,12 @@
         self.since.is_some()
     }
 
-    /// Applies the state of the paths to the servers of each service.
-    pub fn update(
-        &mut self,
-        now: Micros,
-        services: impl Iterator<Item = PathSummary> + Clone,
-    ) -> Option<WithdrawalChange> {
+    /// Applies the state of the paths to the servers of all services together.
+    pub fn update(&mut self, now: Micros, paths: PathSummary) -> Option<WithdrawalChange> {
         if self.since.is_none() {
-            return services.clone().any(|paths| paths.is_most_lost()).then(|| self.withdraw(now));
+            return paths.is_most_lost().then(|| self.withdraw(now));
         }
-        if !services.clone().all(|paths| paths.is_most_reached()) {
+        if !paths.is_most_reached() {
             self.holding_since = None;
             return None;
         }
