--- a/crates/galenapath-gateway/src/forwarding/client.rs
+++ b/crates/galenapath-gateway/src/forwarding/client.rs
@@ -39,8 +39,14 @@
     let took = call.instance.now() - began;
     call.add_step(&format!("forwarded:{}:{outcome}:{}ms ", target.name, took.0 / 1_000));
     call.instance.metrics.forwards.with_label_values(&[outcome]).inc();
-    if matches!(result, Err(AttemptError::PeerUnreachable | AttemptError::PeerLost)) {
-        call.service.contacts.borrow_mut().remove_helper(target.id);
+    let mut contacts = call.service.contacts.borrow_mut();
+    match result {
+        Ok(_) => contacts.record_help(target.id, true),
+        Err(AttemptError::PeerRejected) => contacts.record_help(target.id, false),
+        Err(AttemptError::PeerUnreachable | AttemptError::PeerLost) => {
+            contacts.remove_helper(target.id);
+        }
+        Err(_) => {}
     }
     result
 }
--- a/crates/galenapath-gateway/src/reach/mod.rs
+++ b/crates/galenapath-gateway/src/reach/mod.rs
@@ -33,6 +33,10 @@
 /// Checks a second on behalf of other instances.
 const CHECKS_FOR_OTHERS_PER_SECOND: f64 = 60.0;
 
+/// Servers a second about which other instances are asked, and the time for which unused ones add up.
+const QUESTIONS_PER_SECOND: f64 = 40.0;
+const QUESTION_BURST_SECS: f32 = 0.25;
+
 /// Time within which servers have to have failed or answered to show whether this instance's own
 /// paths are in doubt.
 const DOUBT_WINDOW: Micros = Micros::from_secs(1);
@@ -44,6 +48,7 @@
     is_nothing_reached: Cell<bool>,
     checks: Cell<TokenBucket>,
     checks_for_others: Cell<TokenBucket>,
+    questions: Cell<TokenBucket>,
     /// The task that waits for something to check.
     waker: RefCell<Option<Waker>>,
 }
@@ -55,6 +60,11 @@
             is_nothing_reached: Cell::new(false),
             checks: Cell::new(TokenBucket::new(now, CHECKS_PER_SECOND)),
             checks_for_others: Cell::new(TokenBucket::new(now, CHECKS_FOR_OTHERS_PER_SECOND)),
+            questions: Cell::new(TokenBucket::with_burst(
+                now,
+                QUESTIONS_PER_SECOND,
+                QUESTION_BURST_SECS,
+            )),
             waker: RefCell::default(),
         }
     }
@@ -78,6 +88,15 @@
         take(&self.checks, now);
     }
 
+    /// Number of servers about which other instances may be asked now.
+    fn questions_left(&self, now: Micros) -> usize {
+        self.questions.get().tokens(now)
+    }
+
+    fn count_question(&self, now: Micros) {
+        take(&self.questions, now);
+    }
+
     fn may_check_for_others(&self, now: Micros) -> bool {
         take(&self.checks_for_others, now)
     }
--- a/crates/galenapath-gateway/src/reach/questions.rs
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -15,15 +15,18 @@
 
 /// Servers of one service in a question. One that others reach shows that paths are gone; more are
 /// asked about in turn.
-const MAX_SERVERS: usize = 4;
+const MAX_SERVERS: usize = 2;
 
 /// Servers in one datagram.
 const MAX_PER_DATAGRAM: usize = 32;
 
 /// Instances asked of the own failure domain, and of others: where a whole domain has lost its
 /// paths, only those of others can tell.
-const ASKED_LOCAL: usize = 1;
-const ASKED_REMOTE: usize = 2;
+const FEW: Asked = Asked { local: 1, remote: 2, prefers_serving: true };
+
+/// Instances asked once those do not reach the service either: many may have lost their paths, and
+/// the few that serve callers are asked by all of them.
+const MANY: Asked = Asked { local: 2, remote: 6, prefers_serving: false };
 
 /// Time for the answers to a question about one server.
 const ANSWER_TIMEOUT: Micros = Micros::from_millis(300);
@@ -31,15 +34,23 @@
 /// Interval at which an arrived answer is looked for.
 const POLL_PERIOD: Micros = Micros::from_millis(5);
 
-/// Time within which a server has to have answered an instance for it to count as having paths.
-const PROOF_TTL: Micros = Micros::from_secs(1);
-
 /// Number of servers that an instance tries in order to show that it has paths.
 const MAX_TRIED_FOR_PROOF: usize = 2;
 
 /// Time within which a new connection to a server is not tried again for another question.
 const REPEATED_WITHIN: Micros = Micros::from_millis(10);
 
+/// The instances that are asked.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// Instances of the own failure domain.
+    local: usize,
+    /// Instances of other failure domains.
+    remote: usize,
+    /// Whether those that serve callers go first: they have connections to the servers.
+    prefers_serving: bool,
+}
+
 /// What other instances say of a server that does not answer this one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OtherView {
@@ -57,20 +68,27 @@
     /// Asks other instances about the servers for which that is due.
     pub(super) fn ask_others(&self) {
         let now = self.now();
-        let mut servers = Vec::new();
-        for service in self.services.borrow().values() {
-            let due = service.contacts.borrow_mut().begin_questions(now, MAX_SERVERS);
+        let (mut to_few, mut to_many) = (Vec::new(), Vec::new());
+        let mut services: Vec<_> = self.services.borrow().values().cloned().collect();
+        services.shuffle(&mut rand::rng());
+        for service in services {
+            let mut contacts = service.contacts.borrow_mut();
+            let limit = MAX_SERVERS.min(self.reach.questions_left(now));
+            let due = contacts.begin_questions(now, limit);
+            due.iter().for_each(|_| self.reach.count_question(now));
+            let servers = if contacts.is_unhelped() { &mut to_many } else { &mut to_few };
             servers.extend(due.iter().map(BackendId::short_hash));
         }
-        self.send_questions(&servers);
+        self.send_questions(&to_few, FEW);
+        self.send_questions(&to_many, MANY);
     }
 
     /// Sends the questions; returns the number of instances asked.
-    fn send_questions(&self, servers: &[u32]) -> usize {
+    fn send_questions(&self, servers: &[u32], asked: Asked) -> usize {
         if servers.is_empty() {
             return 0;
         }
-        let to = self.instances_to_ask();
+        let to = self.instances_to_ask(asked);
         for part in servers.chunks(MAX_PER_DATAGRAM) {
             let question = Datagram::PathQuery { from: self.incarnation, servers: part.to_vec() };
             let datagram = fleet::encode(&question);
@@ -79,19 +97,21 @@
         to.len()
     }
 
-    /// Picks instances at random: first those that have lost no paths themselves, and of these the
-    /// ones that send requests to servers.
-    fn instances_to_ask(&self) -> Vec<SocketAddr> {
+    /// Picks instances at random, those that have lost most paths themselves last.
+    fn instances_to_ask(&self, asked: Asked) -> Vec<SocketAddr> {
         let membership = self.membership.borrow();
         let usable = membership.peers().filter(|peer| peer.is_usable());
         let (mut local, mut remote): (Vec<&Peer>, Vec<&Peer>) =
             usable.partition(|peer| peer.member.domain == *membership.domain());
         for side in [&mut local, &mut remote] {
             side.shuffle(&mut rand::rng());
-            side.sort_by_key(|peer| (peer.status.is_cut_off, !peer.status.serves_callers));
+            side.sort_by_key(|peer| {
+                let is_later = asked.prefers_serving && !peer.status.serves_callers;
+                (peer.status.is_cut_off, is_later)
+            });
         }
-        let count = ASKED_LOCAL + ASKED_REMOTE;
-        let local_count = ASKED_LOCAL.max(count.saturating_sub(remote.len()));
+        let count = asked.local + asked.remote;
+        let local_count = asked.local.max(count.saturating_sub(remote.len()));
         let asked = local.iter().take(local_count).chain(&remote).take(count);
         asked.map(|peer| peer.member.peer_address).collect()
     }
@@ -118,33 +138,46 @@
     }
 
     async fn try_for_other(&self, service: &Service, id: &BackendId, address: SocketAddr) {
-        let is_proved = |at: Micros| self.now() - at < REPEATED_WITHIN;
-        let connected_at = service.contacts.borrow().connected_at(id);
-        let is_reached = connected_at.is_some_and(is_proved)
-            || checks::check(self, service, id, Purpose::CheckForOther).await;
+        let began = self.now();
+        let reached_ago = self.reached_ago(service, id).await;
         let server = id.short_hash();
         let mut report = PathReport {
             from: self.incarnation,
-            has_paths: is_reached || self.has_paths(service, id).await,
+            has_paths: reached_ago.is_some() || self.has_paths(service, id, began).await,
             reached: Vec::new(),
             unreached: Vec::new(),
         };
-        match is_reached {
-            true => report.reached.push(ReachedNote { server, age: Micros::ZERO }),
-            false => report.unreached.push(server),
+        match reached_ago {
+            Some(age) => report.reached.push(ReachedNote { server, age }),
+            None => report.unreached.push(server),
         }
         self.send(address, &fleet::encode(&Datagram::PathReport(report)), Flow::Loads);
     }
 
-    /// Whether a server has answered this instance lately, or another one than `id` does now.
-    async fn has_paths(&self, service: &Service, id: &BackendId) -> bool {
-        let since = self.now() - PROOF_TTL;
-        let has_answer = |s: &Rc<Service>| s.contacts.borrow().has_answer_since(since);
-        if self.services.borrow().values().any(has_answer) {
-            return true;
+    /// Time since the server answered on a new connection, which is opened unless one was just now;
+    /// `None` if it does not answer.
+    async fn reached_ago(&self, service: &Service, id: &BackendId) -> Option<Micros> {
+        let ago = service.contacts.borrow().connected_at(id).map(|at| self.now() - at);
+        if let Some(ago) = ago.filter(|ago| *ago < REPEATED_WITHIN) {
+            return Some(ago);
         }
+        let is_reached = checks::check(self, service, id, Purpose::CheckForOther).await;
+        is_reached.then_some(Micros::ZERO)
+    }
+
+    /// Whether another server of the service has answered this instance since `since`, or does now.
+    /// The paths to the servers of a service may be gone while those to others are not. If it has
+    /// no other server, those of other services count.
+    async fn has_paths(&self, service: &Service, id: &BackendId, since: Micros) -> bool {
         let mut others = service.servers();
         others.retain(|other| other.id != *id);
+        let has_answer = |s: &Service| s.contacts.borrow().has_answer_since(since);
+        if others.is_empty() {
+            return self.services.borrow().values().any(|s| has_answer(s));
+        }
+        if has_answer(service) {
+            return true;
+        }
         others.shuffle(&mut rand::rng());
         for other in others.iter().take(MAX_TRIED_FOR_PROOF) {
             if checks::check(self, service, &other.id, Purpose::CheckForOther).await {
@@ -214,9 +247,9 @@
     fn ask_unless_just_asked(&self, service: &Service, id: &BackendId) -> usize {
         let now = self.now();
         if service.contacts.borrow().is_asked_since(id, now - ANSWER_TIMEOUT) {
-            return self.instances_to_ask().len();
+            return self.instances_to_ask(FEW).len();
         }
         service.contacts.borrow_mut().begin_question(now, id);
-        self.send_questions(&[id.short_hash()])
+        self.send_questions(&[id.short_hash()], FEW)
     }
 }
--- a/crates/galenapath-policy/src/reach/config.rs
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -19,6 +19,9 @@
     pub retention: Micros,
     /// Time for which it counts that another instance reached a server. Spans several questions.
     pub evidence_ttl: Micros,
+    /// Requests in a row that another instance rejects after which no more are forwarded to it until
+    /// it has reached a server again: it may have lost its own paths, or is at its limit.
+    pub max_rejections: u32,
     /// Delays before each further check of a server that did not answer; the last one repeats. The
     /// first ones are short because callers wait, the last one bounds the time until a path that is
     /// back is noticed.
@@ -36,6 +39,7 @@
             stall_verdict: Micros::from_millis(120),
             retention: Micros::from_secs(10),
             evidence_ttl: Micros::from_secs(5),
+            max_rejections: 3,
             check_delays: [
                 Micros::ZERO,
                 Micros::from_millis(100),
--- a/crates/galenapath-policy/src/reach/contact.rs
+++ b/crates/galenapath-policy/src/reach/contact.rs
@@ -67,6 +67,8 @@
     others_connected_at: Option<Micros>,
     /// Instances that were asked last and do not reach the server.
     denied_by: Vec<Incarnation>,
+    /// Whether one of those ever asked did not, and none has reached the server since.
+    is_denied: bool,
     /// Questions to other instances since the server last answered.
     pub(super) questions: usize,
     pub(super) asked_at: Micros,
@@ -82,6 +84,7 @@
     pub(super) fn record_answer(&mut self, now: Micros, exchange: Exchange) {
         self.answered_at = Some(now);
         self.waiting_since = None;
+        self.is_denied = false;
         self.unanswered = Failures::default();
         if exchange.is_new_connection {
             self.connected_at = Some(now);
@@ -118,11 +121,19 @@
         self.waiting_since
     }
 
+    /// Start of the first exchange or new connection without an answer since the last one.
+    pub(super) fn lost_since(&self) -> Option<Micros> {
+        let failures = [self.unanswered, self.unconnected].map(|f| f.since_if_at_least(1));
+        failures.into_iter().chain([self.waiting_since]).flatten().min()
+    }
+
     pub(super) fn record_reached_by_other(&mut self, at: Micros) {
+        self.is_denied = false;
         self.others_connected_at = self.others_connected_at.max(Some(at));
     }
 
     pub(super) fn record_unreached_by_other(&mut self, by: Incarnation) {
+        self.is_denied = true;
         if !self.denied_by.contains(&by) {
             self.denied_by.push(by);
         }
@@ -142,6 +153,10 @@
         self.denied_by.len()
     }
 
+    pub(super) fn is_denied(&self) -> bool {
+        self.is_denied
+    }
+
     pub(super) fn answered_at(&self) -> Option<Micros> {
         self.answered_at
     }
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -13,6 +13,8 @@
     /// Number of its reports that it reached one, and that it did not.
     reached: u32,
     unreached: u32,
+    /// Requests in a row that it rejected since it last reached one.
+    rejections: u32,
 }
 
 impl Helper {
@@ -31,6 +33,8 @@
     contacts: FastMap<BackendId, Contact>,
     /// Other instances that have reached servers of the service which this one does not reach.
     helpers: FastMap<Incarnation, Helper>,
+    /// Rounds of questions in a row at the time of which no helper was known.
+    unhelped_rounds: u32,
 }
 
 impl Contacts {
@@ -63,10 +67,12 @@
     pub fn record_reached_by(&mut self, by: Incarnation, id: &BackendId, at: Micros) {
         let Some(contact) = self.contacts.get_mut(id) else { return };
         contact.record_reached_by_other(at);
-        if contact.is_failing() || contact.waiting_since().is_some() {
+        // What it reached before this instance lost the server says nothing.
+        if contact.lost_since().is_some_and(|since| at > since) {
             let helper = self.helpers.entry(by).or_default();
             helper.reached_at = at.max(helper.reached_at);
             helper.reached += 1;
+            helper.rejections = 0;
         }
     }
 
@@ -161,10 +167,19 @@
         self.contacts.values().any(needs_attention)
     }
 
-    /// Number of servers in each state.
+    /// Number of servers in each state. If other instances reach some that do not answer this one,
+    /// those that none was asked about or has denied count like them.
     pub fn summary(&self, now: Micros) -> PathSummary {
         let states = self.contacts.values().map(|contact| contact.state(now, &self.cfg));
-        states.fold(PathSummary::default(), PathSummary::with)
+        let known = states.fold(PathSummary::default(), PathSummary::with);
+        if known.cut_off == 0 {
+            return known;
+        }
+        let is_undenied = |contact: &&Contact| {
+            contact.state(now, &self.cfg) == PathState::Silent && !contact.is_denied()
+        };
+        let undenied = self.contacts.values().filter(is_undenied).count();
+        known.with_silent_cut_off(undenied)
     }
 
     /// Whether no server answers this instance, though some answer others. A service that has stalled
@@ -248,13 +263,21 @@
         let mut due: Vec<_> = self.contacts.iter_mut().filter(|(_, c)| is_due(c)).collect();
         // Those asked about longest ago go first, so that all of many get their turn.
         due.sort_by_key(|(_, contact)| contact.asked_at);
-        due.into_iter()
-            .take(limit)
-            .map(|(id, contact)| {
-                contact.begin_question(now);
-                id.clone()
-            })
-            .collect()
+        due.truncate(limit);
+        if !due.is_empty() {
+            self.unhelped_rounds =
+                if self.helpers.is_empty() { self.unhelped_rounds + 1 } else { 0 };
+        }
+        let begin = |(id, contact): (&BackendId, &mut Contact)| {
+            contact.begin_question(now);
+            id.clone()
+        };
+        due.into_iter().map(begin).collect()
+    }
+
+    /// Whether those asked so far do not reach the service either, so that more are to be asked.
+    pub fn is_unhelped(&self) -> bool {
+        self.unhelped_rounds > 1 && self.helpers.is_empty()
     }
 
     /// Records that the other instances are asked about a server now.
@@ -266,10 +289,20 @@
     /// reach, and which part of them, from 0 to 1.
     pub fn helpers(&self, now: Micros) -> impl Iterator<Item = (Incarnation, f64)> {
         let ttl = self.cfg.evidence_ttl;
-        let recent = self.helpers.iter().filter(move |(_, helper)| now - helper.reached_at < ttl);
+        let limit = self.cfg.max_rejections;
+        let is_usable =
+            move |helper: &Helper| now - helper.reached_at < ttl && helper.rejections < limit;
+        let recent = self.helpers.iter().filter(move |(_, helper)| is_usable(helper));
         recent.map(|(id, helper)| (*id, helper.part()))
     }
 
+    /// Records that an instance which has reached servers rejected a request, or served it.
+    pub fn record_help(&mut self, id: Incarnation, is_served: bool) {
+        if let Some(helper) = self.helpers.get_mut(&id) {
+            helper.rejections = if is_served { 0 } else { helper.rejections + 1 };
+        }
+    }
+
     /// Forgets that an instance has reached servers, because it turned out not to.
     pub fn remove_helper(&mut self, id: Incarnation) {
         self.helpers.remove(&id);
--- a/crates/galenapath-policy/src/reach/summary.rs
+++ b/crates/galenapath-policy/src/reach/summary.rs
@@ -28,6 +28,13 @@
         self
     }
 
+    /// The same with `count` of the silent servers cut off.
+    pub(super) fn with_silent_cut_off(mut self, count: usize) -> Self {
+        self.silent -= count;
+        self.cut_off += count;
+        self
+    }
+
     /// The sum of two.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
--- a/crates/galenapath-policy/tests/reach/contacts.rs
+++ b/crates/galenapath-policy/tests/reach/contacts.rs
@@ -234,3 +234,57 @@
     assert!(!contacts.is_verdict_due(ms(40)));
     assert!(!waiting(18, 2).is_verdict_due(ms(30)));
 }
+
+#[test]
+fn helpers_not_by_what_others_reached_before_the_server_was_lost() {
+    let mut contacts = silent();
+    contacts.record_reached_by(OTHER, &id(0), ms(5));
+    assert_eq!(contacts.helpers(ms(30)).count(), 0);
+}
+
+#[test]
+fn helpers_without_those_that_reject_until_they_reach_a_server_again() {
+    let mut contacts = silent();
+    contacts.record_reached_by(OTHER, &id(0), ms(25));
+    for _ in 0..2 {
+        contacts.record_help(OTHER, false);
+    }
+    contacts.record_help(OTHER, true);
+    assert_eq!(contacts.helpers(ms(30)).count(), 1);
+    for _ in 0..3 {
+        contacts.record_help(OTHER, false);
+    }
+    assert_eq!(contacts.helpers(ms(30)).count(), 0);
+    contacts.record_reached_by(OTHER, &id(0), ms(35));
+    assert_eq!(contacts.helpers(ms(40)).count(), 1);
+}
+
+#[test]
+fn is_unhelped_from_the_second_round_without_helpers() {
+    let mut contacts = Contacts::default();
+    for n in 0..6 {
+        contacts.record_failure(&id(n), new(ms(0)));
+        contacts.record_failure(&id(n), new(ms(0)));
+    }
+    contacts.begin_questions(ms(10), 2);
+    assert!(!contacts.is_unhelped());
+    contacts.begin_questions(ms(35), 2);
+    assert!(contacts.is_unhelped());
+    contacts.record_reached_by(OTHER, &id(0), ms(40));
+    assert!(!contacts.is_unhelped());
+}
+
+#[test]
+fn summary_counts_silent_servers_like_those_asked_about() {
+    let mut contacts = silent();
+    for n in 1..4 {
+        contacts.record_failure(&id(n), new(ms(10)));
+        contacts.record_failure(&id(n), new(ms(20)));
+    }
+    assert_eq!(contacts.summary(ms(30)).silent, 4);
+    contacts.begin_question(ms(30), &id(1));
+    contacts.record_unreached_by(OTHER, &id(1), true);
+    contacts.record_reached_by(OTHER, &id(0), ms(31));
+    let paths = contacts.summary(ms(32));
+    assert_eq!((paths.cut_off, paths.silent), (3, 1));
+}
