--- a/crates/galenapath-entry/src/data/backend.rs
+++ b/crates/galenapath-entry/src/data/backend.rs
@@ -1,11 +1,12 @@
 //! A backend server as the data path uses it.
 
 use super::crash::RunningSet;
+use super::own_paths::PathCheck;
 use super::pool::Pool;
 use crate::fleet::FleetBackend;
 use galenapath_membership::LeavingMark;
 use galenapath_protocol::BackendId;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -21,6 +22,8 @@
     pub(super) pool: Rc<Pool>,
     /// Requests of this instance that are running on it.
     pub(super) running: RunningSet,
+    /// The last check after a connection to it broke.
+    path_check: RefCell<Option<PathCheck>>,
     /// Whether other instances know already that the server is leaving.
     is_leaving_reported: Cell<bool>,
 }
@@ -33,10 +36,19 @@
             address: entry.address,
             pool: Rc::new(Pool::new(entry.address)),
             running: RunningSet::default(),
+            path_check: RefCell::default(),
             is_leaving_reported: Cell::new(entry.is_leaving),
         }
     }
 
+    /// Returns the check in progress after a connection to it broke, or else the one that `begin`
+    /// starts.
+    pub(super) fn path_check(&self, begin: impl FnOnce() -> PathCheck) -> PathCheck {
+        let mut check = self.path_check.borrow_mut();
+        let in_progress = check.take().filter(|check| check.peek().is_none());
+        check.insert(in_progress.unwrap_or_else(begin)).clone()
+    }
+
     /// Returns whether `entry` lists this run of the server at this address.
     pub(super) fn is_same_run(&self, entry: &FleetBackend) -> bool {
         self.started == entry.started && self.address == entry.address
--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -1,16 +1,20 @@
 //! Detection of requests that crash backend servers.
 //!
-//! When a connection is lost, all requests that were running on the server become crash suspects.
+//! When a connection is lost, all requests that were running on the server become crash suspects,
+//! unless this instance has lost its own paths to the servers.
 //! Later requests with the same fingerprint may be rejected, or may have to run isolated: on a
 //! server on which nothing else of this instance is running.
 
 use super::backend::Backend;
+use super::call::Call;
+use super::own_paths;
 use super::plane::DataPlane;
 use crate::shared::{ControlEvent, CrashReport};
-use flume::Receiver;
+use flume::{Receiver, Sender};
 use galenapath_filings::{Fingerprint, SuspectVerdict};
-use galenapath_protocol::hash64;
+use galenapath_protocol::{Micros, hash64};
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Seed of the hash that identifies a backend server in reports of suspects; the same on every
@@ -55,30 +59,68 @@
 /// trips between failure domains. A peer that has not answered by then learns of it by gossip.
 const PEER_NOTIFY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// A notification of the peers about a crash that they have not acknowledged yet.
-pub(super) struct PeerNotification(Receiver<()>);
+/// A lost connection that may be recorded as a crash.
+pub(super) struct Loss {
+    /// Closed once it is recorded, or not counted.
+    recorded: Receiver<()>,
+    /// Closed once the peers have acknowledged it.
+    acknowledged: Receiver<()>,
+}
+
+impl Loss {
+    /// Waits until it is recorded here or not counted.
+    pub(super) async fn wait_until_recorded(&self) {
+        let _ = self.recorded.recv_async().await;
+    }
 
-impl PeerNotification {
-    /// Waits until the peers have acknowledged, at most `PEER_NOTIFY_TIMEOUT`. Without the wait, a
-    /// caller that retries immediately could reach an instance that does not count this crash yet.
-    pub(super) async fn wait(self) {
-        let _ = monoio::time::timeout(PEER_NOTIFY_TIMEOUT, self.0.recv_async()).await;
+    /// Waits until the peers have acknowledged it, at most `PEER_NOTIFY_TIMEOUT`. Without the wait,
+    /// a caller that retries immediately could reach an instance that does not count this crash yet.
+    pub(super) async fn wait_for_peers(self) {
+        let _ = monoio::time::timeout(PEER_NOTIFY_TIMEOUT, self.acknowledged.recv_async()).await;
     }
 }
 
-/// Records that a connection was lost while a request was on it. All requests that are running on
-/// the server become suspects, and the peers are notified.
-pub(super) fn record_connection_loss(plane: &DataPlane, backend: &Backend) -> PeerNotification {
-    plane.shared.metrics.count_fault("connection_lost");
-    let name = hash64(BACKEND_SEED, backend.id.0.as_bytes());
-    let running = backend.running.running.borrow();
-    let now = plane.now();
-    let mut suspects = plane.suspects.borrow_mut();
-    suspects.record_crash(now, name, &running);
-    let (acknowledged, rx) = flume::bounded(1);
-    let crash = CrashReport { suspects: suspects.export(now), acknowledged };
-    let _ = plane.events.try_send(ControlEvent::Crash(crash));
-    PeerNotification(rx)
+/// Begins to record that a connection was lost while a request was on it. Unless this instance's
+/// own paths are gone, all requests that are running on the server become suspects, and the peers
+/// are notified.
+pub(super) fn record_connection_loss(call: &Call, backend: &Backend) -> Loss {
+    call.plane.shared.metrics.count_fault("connection_lost");
+    let lost = LostRequests {
+        at: call.plane.now(),
+        backend: hash64(BACKEND_SEED, backend.id.0.as_bytes()),
+        running: backend.running.running.borrow().clone(),
+    };
+    let begin = || own_paths::begin_check(&call.plane, &call.service, backend.address);
+    let check = backend.path_check(begin);
+    let (recorded_tx, recorded) = flume::bounded::<()>(1);
+    let (acknowledged_tx, acknowledged) = flume::bounded(1);
+    let plane = Rc::clone(&call.plane);
+    // A request may end before the check does.
+    monoio::spawn(async move {
+        if check.await {
+            lost.record(&plane, acknowledged_tx);
+        } else {
+            plane.shared.metrics.count_fault("own_paths_lost");
+        }
+        drop(recorded_tx);
+    });
+    Loss { recorded, acknowledged }
+}
+
+/// The requests that were running on a backend server when a connection to it was lost.
+struct LostRequests {
+    at: Micros,
+    backend: u64,
+    running: Vec<Fingerprint>,
+}
+
+impl LostRequests {
+    fn record(&self, plane: &DataPlane, acknowledged: Sender<()>) {
+        let mut suspects = plane.suspects.borrow_mut();
+        suspects.record_crash(self.at, self.backend, &self.running);
+        let report = CrashReport { suspects: suspects.export(plane.now()), acknowledged };
+        let _ = plane.events.try_send(ControlEvent::Crash(report));
+    }
 }
 
 /// How a request may run, given the known crashes.
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -4,7 +4,7 @@
 use super::attempt::{AttemptError, Reply, Target, attempt};
 use super::backend::Backend;
 use super::call::Call;
-use super::crash::{self, IsolatedRun, PeerNotification, RunPermission};
+use super::crash::{self, IsolatedRun, Loss, RunPermission};
 use super::error_answers;
 use super::permit::{InFlight, Permit};
 use super::prepare::Prepared;
@@ -29,8 +29,8 @@
     req: &'a Prepared,
     /// Attempts made over the whole chain of calls.
     attempts: Cell<AttemptCount>,
-    /// Notification of the peers about the last crash that the request was involved in.
-    peer_notification: RefCell<Option<PeerNotification>>,
+    /// The last loss of a connection that the request was on.
+    loss: RefCell<Option<Loss>>,
     /// Held if the request is a crash suspect that runs isolated.
     isolated_run: Option<IsolatedRun<'a>>,
     /// Backend servers tried already. Never borrowed across an await.
@@ -50,16 +50,16 @@
             RunPermission::Rejected(verdict) => return Err(error_answers::suspect(verdict)),
         };
         let attempts = Cell::new(AttemptCount::received(call.meta.attempts));
-        let (peer_notification, tried) = Default::default();
-        Ok(Self { call, req, attempts, peer_notification, isolated_run, tried })
+        let (loss, tried) = Default::default();
+        Ok(Self { call, req, attempts, loss, isolated_run, tried })
     }
 
     /// Waits until the peers know of a crash that the request was involved in. Must be called
     /// before the caller is answered that the request failed.
     pub(super) async fn wait_for_peers(&self) {
-        let peer_notification = self.peer_notification.borrow_mut().take();
-        if let Some(peer_notification) = peer_notification {
-            peer_notification.wait().await;
+        let loss = self.loss.borrow_mut().take();
+        if let Some(loss) = loss {
+            loss.wait_for_peers().await;
         }
     }
 
@@ -187,8 +187,9 @@
             }
             Err(error) => {
                 if error.is_connection_lost() {
-                    *self.peer_notification.borrow_mut() =
-                        Some(crash::record_connection_loss(&self.call.plane, &backend));
+                    let loss = crash::record_connection_loss(self.call, &backend);
+                    loss.wait_until_recorded().await;
+                    *self.loss.borrow_mut() = Some(loss);
                 }
                 drop(running);
                 self.call.trace.borrow_mut().record_failure(&backend.id, &error);
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -19,6 +19,7 @@
 mod headers;
 mod listener;
 mod lookup;
+mod own_paths;
 mod permit;
 mod plane;
 mod pool;
--- a/crates/galenapath-entry/src/data/pool.rs
+++ b/crates/galenapath-entry/src/data/pool.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 /// Maximum size of the head of an answer.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Time after which idle connections are closed. It is below the idle timeout of common servers, so
 /// that a connection is rarely reused while the server is closing it.
--- a/crates/galenapath-entry/src/data/probes.rs
+++ b/crates/galenapath-entry/src/data/probes.rs
@@ -3,11 +3,14 @@
 
 use super::attempt::{Target, apply_report, read_final_head};
 use super::plane::DataPlane;
+use super::pool::MAX_HEAD_BYTES;
 use super::service::Service;
-use galenapath_http::{Framing, HttpError, put_request};
+use galenapath_http::{Connection, Framing, HttpError, ResponseHead, put_request};
 use galenapath_policy::BackendHandle;
 use galenapath_protocol::Micros;
 use http::{HeaderMap, Method};
+use monoio::net::TcpStream;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -69,12 +72,26 @@
 ) -> Result<(), HttpError> {
     let Some(backend) = service.backend(handle) else { return Ok(()) };
     let mut connection = backend.pool.checkout(PROBE_TIMEOUT).await?;
-    let headers = HeaderMap::new();
-    put_request(connection.output(), &Method::HEAD, PROBE_PATH, &headers, &[], Framing::None);
-    connection.flush().await?;
-    let head = read_final_head(&mut connection).await?;
+    let head = query(&mut connection).await?;
     let deadline = plane.now() + Micros::from(PROBE_TIMEOUT);
     apply_report(&Target { plane, service, handle, backend: &backend, deadline }, &head.headers);
     connection.return_to_pool();
     Ok(())
 }
+
+/// Queries the load of the server at `address` on a connection of its own.
+///
+/// # Errors
+///
+/// If the server cannot be connected to or does not answer.
+pub(super) async fn query_load(address: SocketAddr) -> Result<ResponseHead, HttpError> {
+    let io = TcpStream::connect(address).await?;
+    query(&mut Connection::new(io, MAX_HEAD_BYTES)).await
+}
+
+async fn query(connection: &mut Connection) -> Result<ResponseHead, HttpError> {
+    let headers = HeaderMap::new();
+    put_request(connection.output(), &Method::HEAD, PROBE_PATH, &headers, &[], Framing::None);
+    connection.flush().await?;
+    read_final_head(connection).await
+}
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -15,6 +15,7 @@
 use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros, hash64};
 use galenapath_settings::BalancingPolicy;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Number of slots assumed per listed backend server, whether or not it has reported its load.
@@ -129,6 +130,11 @@
         state.backends.values().map(|backend| backend.pool.open()).sum()
     }
 
+    /// Returns the addresses of its backend servers, in no particular order.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.state.borrow().backends.values().map(|backend| backend.address).collect()
+    }
+
     /// Returns the backend server with this handle.
     pub(super) fn backend(&self, handle: BackendHandle) -> Option<Rc<Backend>> {
         let state = self.state.borrow();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -65,6 +65,7 @@
 scenarios! {
     scenario_answers_damaged: "answers-damaged",
     scenario_backend_cut_and_store_down: "backend-cut-and-store-down",
+    scenario_backends_cut_common_lookup: "backends-cut-common-lookup",
     scenario_backend_frozen: "backend-frozen",
     scenario_backend_killed: "backend-killed",
     scenario_backend_leaving_list_lags: "backend-leaving-list-lags",
