Watch of the store: an overdue watch is followed by a read, and failures by more watchers

Cause, from the logs: the store cut the waiting watches without a word while it answered everything else. The watch was given up after 2.6 s, and both watchers then counted as not answered by the store. Their successors were cut off from the store in truth; each took a second to find out, two at a time, three times. Change: a watch waits 1.4 s; if it is cut, or not answered 150 ms after its wait, all keys are read at once, and only that read decides whether the store answers. A new watcher pings first. For each instance that the store does not answer one more watches, eight at most.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -36,6 +36,8 @@
     /// Watches receive no changes and are answered with 410 (history gone) at the end of their
     /// wait.
     Deaf,
+    /// Watches are not answered; other calls are.
+    Mute,
 }
 
 #[derive(Debug, Default)]
@@ -187,7 +189,8 @@
         KvFault::None | KvFault::Deaf if path == "/-/kv-watch" => {
             watch(inner, port, &query).await?
         }
-        KvFault::None | KvFault::Deaf => call(inner, &path, &query, &body),
+        KvFault::Mute if path == "/-/kv-watch" => wait_forever().await,
+        KvFault::None | KvFault::Deaf | KvFault::Mute => call(inner, &path, &query, &body),
         KvFault::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         KvFault::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
         KvFault::Reset => return Err(WireError::Closed),
@@ -263,7 +266,7 @@
         }
         monoio::time::sleep(WATCH_POLL).await;
         match fault_at(inner, port) {
-            KvFault::Silent => wait_forever().await,
+            KvFault::Silent | KvFault::Mute => wait_forever().await,
             KvFault::Reset => return Err(WireError::Closed),
             KvFault::None | KvFault::Deaf | KvFault::Busy | KvFault::Limited => {}
         }
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_membership::{StoreHealth, WatchRole, reads_store_at_start, watch_role};
-use galenapath_platform::{Freshness, Item, KeyStore, PlatformError, WatchOutcome};
+use galenapath_platform::{Freshness, Item, KeyEvent, KeyStore, PlatformError, WatchOutcome};
 use galenapath_protocol::{Micros, StorePosition};
 use std::pin::pin;
 use std::rc::Rc;
@@ -13,8 +13,11 @@
 
 /// Maximum duration of one watch call. A connection may stop delivering, and a watch may receive no
 /// events while changes are made and learn only at its end that the history is gone. Such a change
-/// takes effect after this time and one read.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// takes effect after this time, a little more for a watch that is not answered at all, and one read.
+const WATCH_WAIT: Duration = Duration::from_millis(1_400);
+
+/// Time after the end of its wait for a watch to be answered: some round trips.
+const WATCH_OVERDUE: Duration = Duration::from_millis(150);
 
 /// Time between two pings during a watch, which check at a tenth of a normal call's cost that the
 /// store still answers this instance.
@@ -83,6 +86,15 @@
     }
 }
 
+/// How a watch ended.
+enum Watched {
+    Answered(WatchOutcome),
+    /// It was cut or not answered, which says nothing about the store.
+    Cut,
+    /// The store did not answer a ping.
+    StoreFailing,
+}
+
 struct Watcher<S> {
     instance: Rc<Instance>,
     store: S,
@@ -130,8 +142,7 @@
         self.instance.is_watching.set(false);
         sleep(RETRY_DELAY).await;
         if self.role() == WatchRole::Retry {
-            let result = self.store.get(PING_KEY, Freshness::MayBeStale).await;
-            self.record_result("ping", &result);
+            self.is_answered().await;
         }
     }
 
@@ -149,43 +160,81 @@
             }
             return;
         }
-        let watched = {
-            let watching = pin!(self.store.watch_prefix("", position, WATCH_WAIT));
-            let pinging = pin!(self.ping_until_change(position.epoch));
-            match select(watching, pinging).await {
-                Either::Left((watched, _)) => watched,
-                // No change can follow on a position of an epoch that is over.
-                Either::Right((ended, _)) => ended.map(|()| WatchOutcome::HistoryGone),
-            }
-        };
-        self.record_result("watch", &watched);
-        match watched {
+        // Many of those that the store does not answer are tried one after the other, so each is to
+        // know that soon.
+        if self.instance.store.get() != StoreHealth::Answering && !self.is_answered().await {
+            return;
+        }
+        match self.watch_from(position).await {
             // The store has come back from a backup.
-            Ok(WatchOutcome::Events { position: answered, .. })
+            Watched::Answered(WatchOutcome::Events { position: answered, .. })
                 if answered.or_epoch(position.epoch).epoch != position.epoch =>
             {
                 self.reload().await;
             }
-            Ok(WatchOutcome::Events { events, position: answered }) => {
-                let position = answered.or_epoch(position.epoch);
-                let before = self.instance.status();
-                self.instance.apply_events(&events, position);
-                let after = self.instance.status();
-                if before != after && !events.is_empty() {
-                    fleet::broadcast_heartbeat(&self.instance);
-                }
-                self.register().await;
-                sleep(BATCH_DELAY).await;
+            Watched::Answered(WatchOutcome::Events { events, position: answered }) => {
+                self.apply_events(&events, answered.or_epoch(position.epoch)).await;
             }
-            Ok(WatchOutcome::HistoryGone) => {
+            Watched::Answered(WatchOutcome::HistoryGone) => {
                 let StorePosition { epoch, revision } = position;
                 log::warn!(epoch, revision; "the store discarded its history; reading all keys again");
                 self.reload().await;
             }
-            Err(_) => {}
+            Watched::Cut => {
+                let StorePosition { epoch, revision } = position;
+                log::info!(epoch, revision; "a watch was not answered; reading all keys again");
+                self.reload().await;
+            }
+            Watched::StoreFailing => {}
         }
     }
 
+    /// Waits for changes after `position` and pings the store meanwhile.
+    async fn watch_from(&mut self, position: StorePosition) -> Watched {
+        let watched = {
+            let watching = self.store.watch_prefix("", position, WATCH_WAIT);
+            let watching = pin!(monoio::time::timeout(WATCH_WAIT + WATCH_OVERDUE, watching));
+            let pinging = pin!(self.ping_until_change(position.epoch));
+            match select(watching, pinging).await {
+                Either::Left((watched, _)) => Ok(watched.ok().and_then(Result::ok)),
+                // No change can follow on a position of an epoch that is over.
+                Either::Right((ended, _)) => ended.map(|()| Some(WatchOutcome::HistoryGone)),
+            }
+        };
+        match watched {
+            Ok(Some(outcome)) => {
+                self.record_result("watch", &Ok(()));
+                Watched::Answered(outcome)
+            }
+            Ok(None) => {
+                self.instance.count_call("watch", false);
+                Watched::Cut
+            }
+            Err(error) => {
+                self.record_health("ping", Err(&error));
+                Watched::StoreFailing
+            }
+        }
+    }
+
+    async fn apply_events(&mut self, events: &[KeyEvent], position: StorePosition) {
+        let before = self.instance.status();
+        self.instance.apply_events(events, position);
+        let after = self.instance.status();
+        if before != after && !events.is_empty() {
+            fleet::broadcast_heartbeat(&self.instance);
+        }
+        self.register().await;
+        sleep(BATCH_DELAY).await;
+    }
+
+    /// Whether the store answers a ping.
+    async fn is_answered(&mut self) -> bool {
+        let result = self.store.get(PING_KEY, Freshness::MayBeStale).await;
+        self.record_result("ping", &result);
+        result.is_ok()
+    }
+
     /// Reads all keys again, after a pause if that brings nothing new.
     async fn reload(&mut self) {
         let before = self.instance.state.borrow().position();
@@ -300,13 +349,18 @@
         fleet::request_members(&self.instance, &addresses);
     }
 
-    /// Records whether the store answered a call.
+    /// Counts a call and records whether the store answered it.
     fn record_result<T>(&mut self, call: &'static str, result: &Result<T, PlatformError>) {
+        self.instance.count_call(call, result.is_ok());
+        self.record_health(call, result.as_ref().map(drop));
+    }
+
+    /// Records whether the store answered a call.
+    fn record_health(&mut self, call: &'static str, result: Result<(), &PlatformError>) {
         let instance = Rc::clone(&self.instance);
-        instance.count_call(call, result.is_ok());
         let before = instance.store.get();
         match result {
-            Ok(_) => {
+            Ok(()) => {
                 if before != StoreHealth::Answering && self.is_no_peer_answered() {
                     instance.state.borrow_mut().record_store_recovery(instance.now());
                 }
--- a/crates/galenapath-membership/src/watchers.rs
+++ b/crates/galenapath-membership/src/watchers.rs
@@ -4,7 +4,8 @@
 //! affect some instances and not others. If every instance watched, the calls would grow with the
 //! fleet; if only one did, its outage would affect all. Therefore a few instances watch, each in
 //! another failure domain if possible, and an instance that the store does not answer becomes a
-//! standby at once.
+//! standby at once. The store may turn away a third of the instances, most of which find that only
+//! when they are to watch: the more it has turned away lately, the more try at a time.
 
 use crate::{InstanceStatus, Peer, StoreHealth};
 use galenapath_protocol::{DomainId, Incarnation, hash64};
@@ -12,6 +13,9 @@
 /// Number of instances that watch at a time: if one is cut off, the other continues.
 pub const WATCHERS: usize = 2;
 
+/// Upper limit on the instances that watch at a time while the store does not answer others.
+const MAX_WATCHERS: usize = 8;
+
 /// Seed of the order in which instances are selected to watch.
 const ORDER_SEED: u64 = 0x0077_6174_6368;
 
@@ -89,8 +93,10 @@
 }
 
 /// Indexes of the selected candidates: the first ones, no two of one failure domain while the store
-/// answers candidates in others.
+/// answers candidates in others. One more is selected for each that the store does not answer.
 fn spread_over_domains(all: &[Candidate<'_>]) -> Vec<usize> {
+    let failing = all.iter().filter(|candidate| candidate.is_failing).count();
+    let count = (WATCHERS + failing).min(MAX_WATCHERS);
     let mut chosen: Vec<usize> = Vec::new();
     let is_apart = |chosen: &[usize], index: usize| {
         chosen.iter().all(|other| all[*other].domain != all[index].domain)
@@ -100,8 +106,9 @@
             chosen.push(index);
         }
     }
-    for index in 0..all.len() {
-        if chosen.len() < WATCHERS && !chosen.contains(&index) {
+    for (index, candidate) in all.iter().enumerate() {
+        let limit = if candidate.is_failing { WATCHERS } else { count };
+        if chosen.len() < limit && !chosen.contains(&index) {
             chosen.push(index);
         }
     }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -192,6 +192,56 @@
     assert!(began.elapsed() < Duration::from_millis(2_500), "{:?}", began.elapsed());
 }
 
+#[test]
+fn watch_that_is_not_answered_delays_change_by_its_wait_at_most() {
+    let world = World::start();
+    let gateways = start_many(&world, 6);
+    for gateway in &gateways {
+        let fault = if is_watching(gateway) { KvFault::Mute } else { KvFault::Silent };
+        world.store.set_fault(gateway.store, fault);
+    }
+    assert_in_force_in_time(&world, &gateways);
+}
+
+#[test]
+fn watchers_cut_off_from_store_replaced_though_most_others_are_too() {
+    let world = World::start();
+    let gateways = start_many(&world, 6);
+    let last = gateways.iter().rposition(|gateway| !is_watching(gateway)).unwrap();
+    for gateway in gateways.iter().enumerate().filter(|(at, _)| *at != last).map(|(_, g)| g) {
+        world.store.set_fault(gateway.store, KvFault::Silent);
+    }
+    assert_in_force_in_time(&world, &gateways);
+}
+
+fn start_many(world: &World, count: usize) -> Vec<Gateway> {
+    let first = Gateway::start_ready(world, &[]);
+    let others: Vec<Gateway> = (1..count).map(|_| Gateway::start_ready(world, &[&first])).collect();
+    let all: Vec<Gateway> = [first].into_iter().chain(others).collect();
+    all.iter().for_each(|gateway| gateway.wait_for_peers(count - 1));
+    wait_until("two that watch", || all.iter().filter(|g| is_watching(g)).count() == 2);
+    all
+}
+
+/// Whether the instance watches the store now.
+fn is_watching(gateway: &Gateway) -> bool {
+    let log = gateway.log();
+    let is_change = |line: &&serde_json::Value| {
+        line["event"] == "watching the store" || line["event"] == "no longer watching the store"
+    };
+    log.iter().rfind(is_change).is_some_and(|line| line["event"] == "watching the store")
+}
+
+/// Makes a change; it has to be in force on all within 2 s after the store has acknowledged it.
+fn assert_in_force_in_time(world: &World, gateways: &[Gateway]) {
+    let began = Instant::now();
+    world.store.put("op/config", &config(5, &[]));
+    for gateway in gateways {
+        wait_until("version 5", || gateway.metrics().contains("galenapath_config_version 5"));
+    }
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
+
 #[test]
 fn change_between_two_reads_followed() {
     let world = World::start();
