Members: of many unknown senders, one is asked for its list in 200 ms

Cause, from the logs: each instance asked every sender that it did not know for its list. With 213 of 234 started anew at once, small instances sent 1 MB and received 2 MB of lists within a second, which filled their links for seconds; pulls of the configuration timed out behind it. Ruled out: stale reads of the store (they had no read), lost watchers. Change: heartbeats of unknown senders lead to one request in 200 ms; the others are in that list, or found by the digests. Test: 1,000 unknown senders in a second lead to five requests (before: 1,000).

--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -251,7 +251,7 @@
         instance.record_store_answer();
     }
     match outcome {
-        HeartbeatOutcome::Known => {}
+        HeartbeatOutcome::Known | HeartbeatOutcome::UnknownSenderForNow => {}
         HeartbeatOutcome::UnknownSender => request_members(instance, &[from]),
         HeartbeatOutcome::AccusesUs => refute_silence(instance),
         HeartbeatOutcome::ViewDiffers => {
--- a/crates/galenapath-membership/src/heartbeat_config.rs
+++ b/crates/galenapath-membership/src/heartbeat_config.rs
@@ -41,6 +41,10 @@
     pub max_peer_difference: Micros,
     /// Minimum time between two requests of that kind.
     pub min_peer_sync_interval: Micros,
+    /// Minimum time between two requests for the members of senders that are not known. If most
+    /// instances restart at once, each gets heartbeats of hundreds that it does not know, and a
+    /// list from each of them would fill the links of small instances for seconds.
+    pub min_list_interval: Micros,
     /// How long an accusation counts.
     pub accusation_ttl: Micros,
     /// Gap between two calls of `tick` above which this instance itself was suspended, so that the
@@ -64,6 +68,7 @@
             min_sync_interval: Micros::from_secs(2),
             max_peer_difference: Micros::from_secs(2),
             min_peer_sync_interval: Micros::from_secs(8),
+            min_list_interval: Micros::from_millis(200),
             accusation_ttl: Micros::from_secs(3),
             max_tick_gap: Micros::from_millis(500),
         }
--- a/crates/galenapath-membership/src/heartbeat_membership.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership.rs
@@ -54,6 +54,8 @@
     agreed_at: Micros,
     /// When another instance was last asked for its members because its digest differed.
     synced_at: Micros,
+    /// When one that was not known was last asked for its members.
+    list_asked_at: Option<Micros>,
     /// Whether most of the monitored instances are silent, which means that this instance is cut
     /// off.
     is_isolated: bool,
@@ -74,6 +76,7 @@
             ticked_at: now,
             agreed_at: now,
             synced_at: now,
+            list_asked_at: None,
             is_isolated: false,
         }
     }
@@ -155,7 +158,7 @@
             }
         }
         let Some(peer) = self.peers.get_mut(&heartbeat.from) else {
-            return HeartbeatOutcome::UnknownSender;
+            return self.meet_unknown_sender(now);
         };
         peer.record_contact(now);
         peer.status = heartbeat.status;
@@ -166,6 +169,15 @@
         self.compare(now, heartbeat)
     }
 
+    fn meet_unknown_sender(&mut self, now: Micros) -> HeartbeatOutcome {
+        let is_due = self.list_asked_at.is_none_or(|at| now - at >= self.cfg.min_list_interval);
+        if !is_due {
+            return HeartbeatOutcome::UnknownSenderForNow;
+        }
+        self.list_asked_at = Some(now);
+        HeartbeatOutcome::UnknownSender
+    }
+
     fn compare(&mut self, now: Micros, heartbeat: &Heartbeat) -> HeartbeatOutcome {
         let agrees = heartbeat.digest == self.digest();
         let Some(peer) = self.peers.get_mut(&heartbeat.from) else {
--- a/crates/galenapath-membership/src/instance_status.rs
+++ b/crates/galenapath-membership/src/instance_status.rs
@@ -63,6 +63,9 @@
     Known,
     /// Ask the sender for its members: only its incarnation is known.
     UnknownSender,
+    /// Nothing yet: the sender is not known, but another one's members were asked for just now, and
+    /// it is probably among them.
+    UnknownSenderForNow,
     /// Refute the accusation: the sender reports this instance as silent.
     AccusesUs,
     /// Ask the sender for its members: its digest has differed for too long.
--- a/crates/galenapath-membership/tests/fleet.rs
+++ b/crates/galenapath-membership/tests/fleet.rs
@@ -30,6 +30,8 @@
     on_difference: OnDifference,
     /// When each instance last refuted an accusation.
     refuted_at: FastMap<usize, Micros>,
+    /// Number of lists of members that were sent.
+    lists: usize,
 }
 
 fn address(n: usize) -> SocketAddr {
@@ -46,6 +48,7 @@
             rng,
             on_difference,
             refuted_at: FastMap::default(),
+            lists: 0,
         };
         for n in 0..INSTANCES {
             let member = fleet.new_member(n);
@@ -89,6 +92,7 @@
         if from == to || self.is_lost() {
             return;
         }
+        self.lists += 1;
         let requester = self.members[from].clone();
         self.nodes[to].learn(self.now, requester.clone());
         self.nodes[to].record_contact(self.now, requester.incarnation);
@@ -123,7 +127,7 @@
         }
         let heartbeat = self.heartbeat_of(from);
         match self.nodes[to].apply_heartbeat(self.now, &heartbeat) {
-            HeartbeatOutcome::Known => {}
+            HeartbeatOutcome::Known | HeartbeatOutcome::UnknownSenderForNow => {}
             HeartbeatOutcome::AccusesUs => self.refute_accusation(to),
             HeartbeatOutcome::ViewDiffers if self.on_difference == OnDifference::Ignore => {}
             HeartbeatOutcome::UnknownSender | HeartbeatOutcome::ViewDiffers => {
@@ -221,6 +225,21 @@
     }
 }
 
+#[test]
+fn restart_of_most_at_once_views_converge_with_few_lists() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::start(seed, OnDifference::RequestMembers);
+        fleet.advance_time(Micros::from_secs(3));
+        fleet.lists = 0;
+        (4..INSTANCES).for_each(|n| fleet.restart(n));
+        fleet.advance_time(Micros::from_secs(1));
+        // Two at the start, and one in 200 ms.
+        assert!(fleet.lists <= 7 * INSTANCES, "seed {seed}: {} lists", fleet.lists);
+        fleet.advance_time(Micros::from_secs(8));
+        assert_eq!(fleet.missing_links(), 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn restarts_in_turn_views_differ_without_digests() {
     let left: usize =
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -228,6 +228,18 @@
     );
 }
 
+#[test]
+fn apply_heartbeat_of_many_unknown_senders_asks_one_for_its_members() {
+    let mut membership = membership(0, 0..3);
+    let mut asked = 0;
+    for ms in 0..1_000 {
+        let heartbeat = heartbeat(100 + ms, &[]);
+        let outcome = membership.apply_heartbeat(START + Micros::from_millis(ms), &heartbeat);
+        asked += u32::from(outcome == HeartbeatOutcome::UnknownSender);
+    }
+    assert_eq!(asked, 5);
+}
+
 #[test]
 fn apply_heartbeat_lasting_difference_reported() {
     let mut membership = membership(0, 0..3);
