--- a/tests/gateway/paths.rs
+++ b/tests/gateway/paths.rs
@@ -147,3 +147,45 @@
         wait_until("the instance to serve again", || gateways[0].send_lookup("z").status == 200);
     }
 }
+
+/// Instances that lose all servers together.
+const MANY_INSTANCES: usize = 8;
+
+/// A server that no instance reaches is not asked for more than a few connections a second by each
+/// of them, however many others ask about it. Otherwise it could not come back.
+#[test]
+fn servers_that_no_instance_reaches_not_flooded_with_checks() {
+    /// Checks of one server a second by one instance: those of its own, every half second, and as
+    /// many on behalf of all others.
+    const MAX_PER_SERVER: f64 = 4.0;
+    const SPAN: Duration = Duration::from_secs(3);
+    let world = World::start_linked();
+    let first = Gateway::start_ready(&world, &[]);
+    let mut gateways: Vec<Gateway> =
+        (1..MANY_INSTANCES).map(|_| Gateway::start_ready(&world, &[&first])).collect();
+    gateways.push(first);
+    gateways.iter().for_each(|gateway| gateway.wait_for_peers(MANY_INSTANCES - 1));
+    let send_all = |name: &str, span| {
+        std::thread::scope(|scope| {
+            for gateway in &gateways {
+                scope.spawn(move || send_requests(gateway, name, span));
+            }
+        });
+    };
+    send_all("before", Duration::from_millis(500));
+    world.links.iter().for_each(|link| link.set_fault(LinkFault::Hold));
+    send_all("lost", SETTLE_TIME);
+    let checks = |gateway: &Gateway| gateway.metric("galenapath_connects_total{for=\"check\"}");
+    let before: Vec<u64> = gateways.iter().map(checks).collect();
+    send_all("silent", SPAN);
+    let after: Vec<u64> = gateways.iter().map(checks).collect();
+    world.links.iter().for_each(|link| link.set_fault(LinkFault::None));
+    let limit = MAX_PER_SERVER * SPAN.as_secs_f64() * world.servers.len() as f64;
+    for (before, after) in before.iter().zip(&after) {
+        let checks = after - before;
+        assert!(checks as f64 <= limit, "{checks} checks, {limit} allowed: {before:?} {after:?}");
+    }
+    for gateway in &gateways {
+        wait_until("an answer", || gateway.send_lookup("back").status == 200);
+    }
+}
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -45,7 +45,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use support::callers::PersistentConnection;
-use support::{Answer, Gateway, World, config, send_request, wait_until};
+use support::{Answer, Gateway, WAIT_TIMEOUT, World, config, send_request, wait_until};
 
 /// Seeds of every run. A seed that ever failed stays here with its cause.
 ///
@@ -130,6 +130,29 @@
     CallRecord { id: id.to_owned(), is_non_idempotent, answer: answer.unwrap_or_default() }
 }
 
+/// Waits until a lookup at `gateway` is answered; otherwise panics with its last answer, the
+/// instance's metrics and the last lines of its log.
+fn wait_for_answer(gateway: &Gateway, id: &str, trace: &[String]) {
+    /// Log lines to show.
+    const LINES: usize = 60;
+    let end = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let answer = call(gateway.callers(), id, false).answer;
+        if answer.status == 200 {
+            return;
+        }
+        if Instant::now() > end {
+            let log = gateway.log();
+            let log: Vec<String> =
+                log[log.len().saturating_sub(LINES)..].iter().map(Value::to_string).collect();
+            let (head, body) = (&answer.head, String::from_utf8_lossy(&answer.body));
+            let (metrics, log) = (gateway.metrics(), log.join("\n"));
+            panic!("no answer to {id} but {head:?} {body}\n{trace:?}\n{metrics}\n{log}");
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Threads that send requests until [`Self::end`].
 struct Callers {
     is_over: Arc<AtomicBool>,
@@ -272,9 +295,7 @@
         wait_until(&format!("version {version} after {trace:?}"), || {
             gateway.metrics().contains(&metric_line)
         });
-        wait_until(&format!("a request to be answered after {trace:?}"), || {
-            call(gateway.callers(), &format!("{seed}-end"), false).answer.status == 200
-        });
+        wait_for_answer(&gateway, &format!("{seed}-end"), &trace);
     }
     assert_served_without_paths(&deployment, &trace);
     assert_crashing_request_ends(&deployment, &trace);
--- a/tests/gateway_soak/checks.rs
+++ b/tests/gateway_soak/checks.rs
@@ -1,6 +1,6 @@
 //! What a run checks at its end.
 
-use super::{CallRecord, Deployment, call};
+use super::{CallRecord, Deployment, call, wait_for_answer};
 use crate::support::{World, send_request, wait_until};
 use galenapath_dev::link::LinkFault;
 use galenapath_dev::users_platform::{DOWNTIME, ServerFault};
@@ -108,9 +108,7 @@
     assert!(sends <= MAX_SENDS, "{sends} sends of a crashing request, {before} before: {trace:?}");
     servers.iter().for_each(|server| server.set_fault(ServerFault::None));
     for n in 0..deployment.gateways.len() {
-        wait_until(&format!("an answer after crashes and {trace:?}"), || {
-            call(deployment.gateway(n).callers(), "after-crashes", false).answer.status == 200
-        });
+        wait_for_answer(&deployment.gateway(n), "after-crashes", trace);
     }
 }
 
