Reachability: checks for other instances are shared, and none is made of a server known to be lost

Cause: an instance that is asked about a server opened a connection to it for each question, and to two more servers where it failed, the latter outside its limit of checks. Ruled out: links left cut (all faults are lifted), the list (position and servers as listed), the store (watches answered). Change: Trials: questions that arrive during a check share its result, a failed one answers those of the next 500 ms; an instance that does not reach the server itself answers from its own checks; every connection for others counts in the limit.

--- a/crates/galenapath-gateway/src/reach/mod.rs
+++ b/crates/galenapath-gateway/src/reach/mod.rs
@@ -16,7 +16,7 @@
 use crate::instance::{Instance, sleep_to_next};
 use crate::service::Service;
 use galenapath_policy::measure::TokenBucket;
-use galenapath_policy::reach::{PathSummary, Withdrawal, WithdrawalChange};
+use galenapath_policy::reach::{PathSummary, Trials, Withdrawal, WithdrawalChange};
 use galenapath_protocol::Micros;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -48,6 +48,7 @@
     is_nothing_reached: Cell<bool>,
     checks: Cell<TokenBucket>,
     checks_for_others: Cell<TokenBucket>,
+    trials: RefCell<Trials>,
     questions: Cell<TokenBucket>,
     /// The task that waits for something to check.
     waker: RefCell<Option<Waker>>,
@@ -60,6 +61,7 @@
             is_nothing_reached: Cell::new(false),
             checks: Cell::new(TokenBucket::new(now, CHECKS_PER_SECOND)),
             checks_for_others: Cell::new(TokenBucket::new(now, CHECKS_FOR_OTHERS_PER_SECOND)),
+            trials: RefCell::default(),
             questions: Cell::new(TokenBucket::with_burst(
                 now,
                 QUESTIONS_PER_SECOND,
@@ -97,7 +99,8 @@
         take(&self.questions, now);
     }
 
-    fn may_check_for_others(&self, now: Micros) -> bool {
+    /// Takes one of the checks on behalf of other instances; returns whether there is one.
+    fn take_check_for_others(&self, now: Micros) -> bool {
         take(&self.checks_for_others, now)
     }
 
--- a/crates/galenapath-gateway/src/reach/questions.rs
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -8,6 +8,7 @@
 use crate::service::Service;
 use crate::usage::Flow;
 use galenapath_membership::Peer;
+use galenapath_policy::reach::{Trial, Trials};
 use galenapath_protocol::{BackendId, Incarnation, Micros};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
@@ -64,6 +65,29 @@
     Alone,
 }
 
+/// Result of a trial of a server on behalf of another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tried {
+    /// It answered on a new connection this long ago.
+    Reached { age: Micros },
+    /// It did not answer a check that began at this time.
+    Failed { began: Micros },
+    /// There were too many checks to begin one more.
+    Refrained,
+}
+
+/// What this instance's own use of a server shows: it answered on a new connection just now, or has
+/// not answered several times, the last one a moment ago.
+fn known(service: &Service, id: &BackendId, now: Micros) -> Option<Tried> {
+    let contacts = service.contacts.borrow();
+    let age = contacts.connected_at(id).map(|at| now - at).filter(|age| *age < REPEATED_WITHIN);
+    let reached = age.map(|age| Tried::Reached { age });
+    reached.or_else(|| {
+        let began = contacts.failed_check_since(id, now - Trials::FAILURE_TTL)?;
+        Some(Tried::Failed { began })
+    })
+}
+
 impl Instance {
     /// Asks other instances about the servers for which that is due.
     pub(super) fn ask_others(&self) {
@@ -116,7 +140,8 @@
         asked.map(|peer| peer.member.peer_address).collect()
     }
 
-    /// Answers a question of another instance: each server is tried on a new connection.
+    /// Answers a question of another instance: each server is tried on a new connection, unless that
+    /// was done just now.
     pub(crate) fn answer_path_query(
         self: &Rc<Self>,
         from: Incarnation,
@@ -129,40 +154,57 @@
         }
         for short in servers.iter().take(MAX_PER_DATAGRAM) {
             let Some((service, id)) = self.find_server(*short) else { continue };
-            if !self.reach.may_check_for_others(self.now()) {
-                return;
-            }
             let instance = Rc::clone(self);
             monoio::spawn(async move { instance.try_for_other(&service, &id, address).await });
         }
     }
 
     async fn try_for_other(&self, service: &Service, id: &BackendId, address: SocketAddr) {
-        let began = self.now();
-        let reached_ago = self.reached_ago(service, id).await;
         let server = id.short_hash();
-        let mut report = PathReport {
-            from: self.incarnation,
-            has_paths: reached_ago.is_some() || self.has_paths(service, id, began).await,
-            reached: Vec::new(),
-            unreached: Vec::new(),
+        let (mut reached, mut unreached) = (Vec::new(), Vec::new());
+        let has_paths = match self.try_server(service, id).await {
+            Tried::Reached { age } => {
+                reached.push(ReachedNote { server, age });
+                true
+            }
+            Tried::Failed { began } => {
+                unreached.push(server);
+                self.has_paths(service, id, began).await
+            }
+            Tried::Refrained => return,
         };
-        match reached_ago {
-            Some(age) => report.reached.push(ReachedNote { server, age }),
-            None => report.unreached.push(server),
-        }
+        let report = PathReport { from: self.incarnation, has_paths, reached, unreached };
         self.send(address, &fleet::encode(&Datagram::PathReport(report)), Flow::Loads);
     }
 
-    /// Time since the server answered on a new connection, which is opened unless one was just now;
-    /// `None` if it does not answer.
-    async fn reached_ago(&self, service: &Service, id: &BackendId) -> Option<Micros> {
-        let ago = service.contacts.borrow().connected_at(id).map(|at| self.now() - at);
-        if let Some(ago) = ago.filter(|ago| *ago < REPEATED_WITHIN) {
-            return Some(ago);
+    /// Whether the server answers on a new connection, from what is known or by a check.
+    async fn try_server(&self, service: &Service, id: &BackendId) -> Tried {
+        loop {
+            let now = self.now();
+            if let Some(tried) = known(service, id, now) {
+                return tried;
+            }
+            let trial = self.reach.trials.borrow().get(now, id);
+            match trial {
+                Trial::Running => sleep(POLL_PERIOD).await,
+                Trial::Failed(began) => return Tried::Failed { began },
+                Trial::Unknown => return self.check_for_other(service, id).await,
+            }
+        }
+    }
+
+    async fn check_for_other(&self, service: &Service, id: &BackendId) -> Tried {
+        let began = self.now();
+        if !self.reach.take_check_for_others(began) {
+            return Tried::Refrained;
         }
+        self.reach.trials.borrow_mut().begin(began, id);
         let is_reached = checks::check(self, service, id, Purpose::CheckForOther).await;
-        is_reached.then_some(Micros::ZERO)
+        self.reach.trials.borrow_mut().end(id, is_reached);
+        match is_reached {
+            true => Tried::Reached { age: Micros::ZERO },
+            false => Tried::Failed { began },
+        }
     }
 
     /// Whether another server of the service has answered this instance since `since`, or does now.
@@ -180,7 +222,7 @@
         }
         others.shuffle(&mut rand::rng());
         for other in others.iter().take(MAX_TRIED_FOR_PROOF) {
-            if checks::check(self, service, &other.id, Purpose::CheckForOther).await {
+            if matches!(self.try_server(service, &other.id).await, Tried::Reached { .. }) {
                 return true;
             }
         }
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -137,6 +137,14 @@
         self.contacts.get(id).is_some_and(|contact| contact.is_unconnectable(&self.cfg))
     }
 
+    /// Start of the last check of a server that counts as not answering this instance, or not on new
+    /// connections, if that was after `since`.
+    pub fn failed_check_since(&self, id: &BackendId, since: Micros) -> Option<Micros> {
+        let contact = self.contacts.get(id)?;
+        let is_lost = contact.is_silent(&self.cfg) || contact.is_unconnectable(&self.cfg);
+        (is_lost && contact.checks > 0 && contact.checked_at > since).then_some(contact.checked_at)
+    }
+
     /// When the server last answered on a new connection.
     pub fn connected_at(&self, id: &BackendId) -> Option<Micros> {
         self.contacts.get(id)?.connected_at()
--- a/crates/galenapath-policy/src/reach/mod.rs
+++ b/crates/galenapath-policy/src/reach/mod.rs
@@ -10,16 +10,19 @@
 //! they reach in the same span shows that its own paths are gone.
 //!
 //! - [`Contacts`]: what is known of the paths to the servers of one service.
+//! - [`Trials`]: checks on behalf of other instances.
 //! - [`Withdrawal`]: when an instance leaves the answers to callers, and when it comes back.
 
 mod config;
 mod contact;
 mod contacts;
 mod summary;
+mod trials;
 mod withdrawal;
 
 pub use config::ReachConfig;
 pub use contact::{Exchange, PathState};
 pub use contacts::Contacts;
 pub use summary::PathSummary;
+pub use trials::{Trial, Trials};
 pub use withdrawal::{Withdrawal, WithdrawalChange};
--- a/crates/galenapath-policy/tests/reach/contacts.rs
+++ b/crates/galenapath-policy/tests/reach/contacts.rs
@@ -125,6 +125,18 @@
     assert!(contacts.begin_checks(ms(5_000), 8).is_empty());
 }
 
+#[test]
+fn failed_check_since_for_servers_that_do_not_answer() {
+    let mut contacts = silent();
+    assert_eq!(contacts.failed_check_since(&id(0), Micros::ZERO), None);
+    contacts.begin_checks(ms(1_000), 8);
+    contacts.record_failure(&id(0), new(ms(1_000)));
+    assert_eq!(contacts.failed_check_since(&id(0), ms(999)), Some(ms(1_000)));
+    assert_eq!(contacts.failed_check_since(&id(0), ms(1_000)), None);
+    contacts.record_answer(ms(1_200), &id(0), new(ms(1_100)));
+    assert_eq!(contacts.failed_check_since(&id(0), ms(999)), None);
+}
+
 #[test]
 fn request_check_of_server_without_failures_checks_it_once() {
     let mut contacts = Contacts::default();
--- a/crates/galenapath-policy/tests/reach/main.rs
+++ b/crates/galenapath-policy/tests/reach/main.rs
@@ -5,4 +5,5 @@
 
 mod contacts;
 mod fleet;
+mod trials;
 mod withdrawal;
