--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -266,17 +266,50 @@
     assert!(poisoned_runs(&world) <= 4, "{} servers crashed", poisoned_runs(&world));
 }
 
-/// A datagram by which an instance tells another one that lookups crash servers.
-fn blame_lookups() -> Vec<u8> {
-    const FORMAT_VERSION: u8 = 2;
+/// Upper and lower half of the fingerprint of lookups.
+fn lookup_fingerprint() -> (u64, u64) {
     let Fingerprint(hash) = Fingerprint::of("h.example", "GET", "/look/1", b"");
-    let request = json!([0, (hash >> 64) as u64, hash as u64]);
-    let notices = json!({ "n": [[], [], [[request], []]] });
+    ((hash >> 64) as u64, hash as u64)
+}
+
+fn datagram(content: &Value) -> Vec<u8> {
+    const FORMAT_VERSION: u8 = 2;
     let mut datagram = vec![FORMAT_VERSION];
-    datagram.extend(rmp_serde::to_vec(&notices).unwrap());
+    datagram.extend(rmp_serde::to_vec(content).unwrap());
     datagram
 }
 
+/// A datagram by which an instance tells another one that lookups crash servers.
+fn blame_lookups() -> Vec<u8> {
+    let (high, low) = lookup_fingerprint();
+    datagram(&json!({ "n": [[], [], [[[0, high, low]], []]] }))
+}
+
+/// A datagram by which an instance tells others that two servers have crashed with a lookup.
+fn two_crashes_with_lookups() -> Vec<u8> {
+    let (high, low) = lookup_fingerprint();
+    datagram(&json!({ "l": [[[high, low, 1], [high, low, 2]], [], [], []] }))
+}
+
+/// An instance that serves a request hardly ever may meet it in two crashes; the others answer it
+/// all the time.
+#[test]
+fn request_answered_elsewhere_not_blamed_for_crashes() {
+    let world = World::start();
+    let first = Gateway::start_ready(&world, &[]);
+    let second = Gateway::start_ready(&world, &[&first]);
+    first.wait_for_peers(1);
+    second.wait_for_peers(1);
+    assert_eq!(first.send_lookup("ae0").status, 200);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for gateway in [&second, &first] {
+        socket.send_to(&two_crashes_with_lookups(), gateway.peers()).unwrap();
+    }
+    wait_until("the lookups to be rejected", || second.send_lookup("ae1").status == 503);
+    assert_eq!(first.send_lookup("ae2").status, 200);
+    wait_until("an answer", || second.send_lookup("ae3").status == 200);
+}
+
 #[test]
 fn request_blamed_by_mistake_served_again() {
     let world = World::start();
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -133,7 +133,7 @@
 /// Waits until a lookup at `gateway` is answered; otherwise panics with its last answer, the
 /// instance's metrics and the last lines of its log.
 fn wait_for_answer(gateway: &Gateway, id: &str, trace: &[String]) {
-    /// Log lines to show.
+    /// Log lines to show, besides the end of the last request.
     const LINES: usize = 60;
     let end = Instant::now() + WAIT_TIMEOUT;
     loop {
@@ -143,8 +143,11 @@
         }
         if Instant::now() > end {
             let log = gateway.log();
-            let log: Vec<String> =
-                log[log.len().saturating_sub(LINES)..].iter().map(Value::to_string).collect();
+            let (ends, mut events): (Vec<&Value>, Vec<&Value>) =
+                log.iter().partition(|line| line["event"] == "request ended");
+            events.extend(ends.last());
+            let log = events[events.len().saturating_sub(LINES)..].iter();
+            let log: Vec<String> = log.map(|line| line.to_string()).collect();
             let (head, body) = (&answer.head, String::from_utf8_lossy(&answer.body));
             let (metrics, log) = (gateway.metrics(), log.join("\n"));
             panic!("no answer to {id} but {head:?} {body}\n{trace:?}\n{metrics}\n{log}");
