Crashes: a request that another instance has just answered is not blamed

Cause: whether a request is common was known only to the instance that met the crash. One that serves it hardly ever counted two crashes of it, told all, and all rejected it: no answer could clear it. Ruled out: servers that stay down (other requests are answered), the identity of the request. Change: an instance that has had an answer to the request within the last second does not count the crash, and clears the request, for that second, at those that repeat that they reject it. A request that begins to crash servers is no longer answered, so its crashes count a second later everywhere, as they did at the instance that had answered it.

--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -62,8 +62,8 @@
     /// their last known crash: peers reported them, or their crashes have been dropped. Newer
     /// crashes of other requests, such as the loss of a rack, do not make them run again.
     verdicts: BTreeMap<Fingerprint, Micros>,
-    /// Time of the last complete answer of each request that was a suspect. The answer clears the
-    /// request of all crashes up to that time.
+    /// Time of the last complete answer of each request that was a suspect, or time up to which it is
+    /// known to be common. That clears the request of all crashes up to that time.
     answered: BTreeMap<Fingerprint, Micros>,
     /// Suspects with an isolated run in progress at this instance.
     isolated_runs: BTreeSet<Fingerprint>,
@@ -152,7 +152,12 @@
         }
     }
 
-    /// Time of the last complete answer of a request that was a suspect.
+    /// Records that the request caused no crash up to `until`, because servers answer it all the time.
+    pub fn record_common(&mut self, now: Micros, fp: Fingerprint, until: Micros) {
+        self.clear(now, fp, until);
+    }
+
+    /// Time up to which answers have shown that a request that was a suspect crashes no server.
     pub fn answered_at(&self, fp: Fingerprint) -> Option<Micros> {
         self.answered.get(&fp).copied()
     }
--- a/crates/galenapath-filings/src/suspects/recent_answers.rs
+++ b/crates/galenapath-filings/src/suspects/recent_answers.rs
@@ -33,8 +33,10 @@
         self.answered.get(&fp).copied()
     }
 
-    /// Whether the request was answered within the second before `now`.
-    pub fn contains(&self, now: Micros, fp: Fingerprint) -> bool {
-        self.answered.get(&fp).is_some_and(|at| now - *at < RETENTION)
+    /// Time up to which the last answer shows that the request crashes no server, if that is later
+    /// than `now`.
+    pub fn cleared_until(&self, now: Micros, fp: Fingerprint) -> Option<Micros> {
+        let until = *self.answered.get(&fp)? + RETENTION;
+        (now < until).then_some(until)
     }
 }
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -152,14 +152,29 @@
 }
 
 #[test]
-fn recent_answers_contains_until_a_second_later() {
+fn recent_answers_clear_until_a_second_later() {
     let mut recent = RecentAnswers::default();
     recent.record(T0, fp(1));
-    assert!(recent.contains(T0 + Micros::from_millis(999), fp(1)));
-    assert!(!recent.contains(T0 + Micros::from_millis(1_000), fp(1)));
-    assert!(!recent.contains(T0, fp(2)));
+    let until = T0 + Micros::from_millis(1_000);
+    assert_eq!(recent.cleared_until(T0 + Micros::from_millis(999), fp(1)), Some(until));
+    assert_eq!(recent.cleared_until(until, fp(1)), None);
+    assert_eq!(recent.cleared_until(T0, fp(2)), None);
     recent.record(T0 + Micros::from_secs(2), fp(2));
-    assert!(!recent.contains(T0, fp(1)));
+    assert_eq!(recent.cleared_until(T0, fp(1)), None);
+}
+
+#[test]
+fn record_common_counts_only_later_crashes() {
+    let mut s = suspects();
+    let until = T0 + Micros::from_secs(1);
+    s.record_crash(T0, 1, &[CRASHING]);
+    s.record_common(T0, CRASHING, until);
+    s.record_crash(T0 + Micros::from_millis(500), 2, &[CRASHING]);
+    assert_eq!(s.check(until, CRASHING), SuspectVerdict::Clear);
+    assert!(!s.record_verdict(until, CRASHING, T0 + Micros::from_millis(900)));
+    s.record_crash(until + Micros::from_millis(1), 3, &[CRASHING]);
+    s.record_crash(until + Micros::from_millis(2), 4, &[CRASHING]);
+    assert!(is_rejected(s.check(until + Micros::from_millis(3), CRASHING)));
 }
 
 /// Sends the crashing request through the given instances in turn and returns the number of servers
--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -28,7 +28,7 @@
     let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
     let (server, request) = (server.clone(), call.req.fingerprint);
     // Many callers send this request, and it was in flight by chance.
-    if instance.recent_answers.borrow().contains(instance.now(), request) {
+    if instance.recent_answers.borrow().cleared_until(instance.now(), request).is_some() {
         return;
     }
     let lost_at = instance.now();
--- a/crates/galenapath-gateway/src/crash/exchange.rs
+++ b/crates/galenapath-gateway/src/crash/exchange.rs
@@ -20,10 +20,16 @@
 const MAX_REPEATED: usize = 16;
 
 impl Instance {
-    /// Records a crash that this or another instance detected. `source` is logged.
+    /// Records a crash that this or another instance detected, unless servers have just answered the
+    /// request here: an instance that hardly ever serves a common request cannot know that it is one.
+    /// Those that reject it meanwhile learn of the answer once they repeat that. `source` is logged.
     pub(crate) fn record_crash(&self, note: &CrashNote, source: &'static str) {
         let now = self.now();
         let mut suspects = self.suspects.borrow_mut();
+        if let Some(until) = self.recent_answers.borrow().cleared_until(now, note.request) {
+            suspects.record_common(now, note.request, until);
+            return;
+        }
         let was_confirmed = suspects.is_confirmed(now, note.request);
         suspects.record_crash(now, note.server, &[note.request]);
         if !was_confirmed && suspects.is_confirmed(now, note.request) {
