--- a/crates/galenapath-gateway/src/answer.rs
+++ b/crates/galenapath-gateway/src/answer.rs
@@ -2,8 +2,8 @@
 
 use crate::call::Call;
 use crate::caller::Caller;
-use crate::exchange::RequestFailure;
 use crate::instance::Instance;
+use crate::request_failure::RequestFailure;
 use bytes::Bytes;
 use galenapath_http::{Framing, HttpError, put_response};
 use galenapath_policy::LogLineKind;
--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -53,7 +53,7 @@
     Alive,
     /// It does not answer, and it is not this instance's own paths that are gone.
     Crashed,
-    /// It answers other instances, or none can tell and this instance's own paths are in doubt.
+    /// It answers other instances, or none has answered and this instance's own paths are in doubt.
     NotReached,
 }
 
--- a/crates/galenapath-gateway/src/exchange.rs
+++ b/crates/galenapath-gateway/src/exchange.rs
@@ -1,51 +1,28 @@
-//! Serves one request: selects a server, sends the request, and retries or hedges where allowed.
+//! Serves one request: selects a server, sends the request, and retries where allowed.
 
-use crate::attempt::{AttemptError, attempt};
+use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::crash;
 use crate::forwarding::{self, ForwardTarget};
+use crate::hedge::{attempt_hedged, attempt_once};
 use crate::in_flight::InFlight;
 use crate::instance::sleep;
 use crate::reply::Reply;
+use crate::request_failure::{RequestFailure, failure, failure_after, failure_without_server};
 use crate::waiting::NoServer;
-use futures::future::{Either, select};
 use galenapath_membership::Peer;
-use galenapath_policy::place::{PlacementRequest, QueueEntry, hedging};
+use galenapath_policy::place::{PlacementRequest, QueueEntry};
 use galenapath_protocol::{BackendId, Micros, Verdict};
 use galenapath_routes::RouteKind;
 use http::StatusCode;
-use std::pin::pin;
-
-/// `Retry-After` if no server can be reached; about the time until a crashed server is excluded.
-const NO_SERVER_RETRY_AFTER: Micros = Micros::from_millis(250);
-
-/// `Retry-After` if a server rejected a request although it appeared to have room and the retry
-/// budget is spent. Short, because other servers may accept the request at once.
-const REJECTED_RETRY_AFTER: Micros = Micros::from_millis(25);
-
-/// Failure weight of a server that has not answered for long; 1.0 is an ordinary failure.
-const SILENCE_WEIGHT: f32 = 0.6;
 
 /// Time until the deadline below which a request is no longer sent, because its answer would be
 /// late.
-const MIN_TIME_TO_SEND: Micros = Micros::from_millis(10);
+pub(crate) const MIN_TIME_TO_SEND: Micros = Micros::from_millis(10);
 
 /// Interval at which a request looks whether other instances reach the servers of its service.
 const VERDICT_POLL_PERIOD: Micros = Micros::from_millis(5);
 
-/// Interval at which a request whose hedge was not sent looks for another way.
-const HEDGE_POLL_PERIOD: Micros = Micros::from_millis(25);
-
-/// The end of a request without a backend server's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct RequestFailure {
-    pub(crate) status: StatusCode,
-    pub(crate) reason: &'static str,
-    pub(crate) verdict: Verdict,
-    /// When the caller may retry; only set if the request has not run.
-    pub(crate) retry_after: Option<Micros>,
-}
-
 /// Serves the request until its deadline.
 pub(crate) async fn run(call: &Call) -> Result<Reply, RequestFailure> {
     let _suspect_run = match crash::check_suspect(call) {
@@ -61,34 +38,8 @@
     }
 }
 
-/// The failure for `reason`: status 503 if the request has not run, `may_have_run` otherwise.
-fn failure(call: &Call, reason: &'static str, may_have_run: StatusCode) -> RequestFailure {
-    match call.verdict() {
-        Verdict::NotRun => RequestFailure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            verdict: Verdict::NotRun,
-            retry_after: Some(NO_SERVER_RETRY_AFTER),
-        },
-        verdict => RequestFailure { status: may_have_run, reason, verdict, retry_after: None },
-    }
-}
-
-/// The failure of a request that must not be retried after `error`.
-fn failure_after(call: &Call, error: Option<AttemptError>) -> RequestFailure {
-    let reason = error.map_or("server_error", AttemptError::as_str);
-    let mut failure = failure(call, reason, StatusCode::BAD_GATEWAY);
-    failure.retry_after = failure.retry_after.map(|usual| match error {
-        Some(AttemptError::Rejected) => REJECTED_RETRY_AFTER,
-        Some(AttemptError::CrashesServers) => crash::rejected_for(call).unwrap_or(usual),
-        Some(AttemptError::PeerRejected) => call.peer_retry_after.get().unwrap_or(usual),
-        _ => usual,
-    });
-    failure
-}
-
 /// Where a request goes next.
-enum Next {
+pub(crate) enum Next {
     Server(InFlight),
     /// Another instance.
     Peer(ForwardTarget),
@@ -141,26 +92,6 @@
     }
 }
 
-/// The failure of a request for which there is no server.
-fn failure_without_server(call: &Call, no_server: NoServer) -> RequestFailure {
-    add_shortage_step(call);
-    match no_server {
-        NoServer::Rejected(rejection) => {
-            let predicted_ms = rejection.predicted_wait.0 / 1_000;
-            call.add_step(&format!("refused:predicted{predicted_ms}ms "));
-            let mut failure = failure(call, "no_room", StatusCode::BAD_GATEWAY);
-            failure.retry_after = failure.retry_after.map(|_| rejection.retry_after);
-            failure
-        }
-        NoServer::Unavailable => {
-            let mut failure = failure(call, "no_server", StatusCode::BAD_GATEWAY);
-            failure.retry_after =
-                failure.retry_after.map(|usual| time_until_accepting(call).unwrap_or(usual));
-            failure
-        }
-    }
-}
-
 async fn attempt_at(call: &Call, in_flight: InFlight) -> Result<Reply, AttemptError> {
     let server = in_flight.server.clone();
     call.tried.borrow_mut().push(server.clone());
@@ -204,21 +135,6 @@
     result
 }
 
-/// Time until a server accepts requests again; `None` if that is unknown or a server accepts now.
-fn time_until_accepting(call: &Call) -> Option<Micros> {
-    let placement = call.service.placement.borrow();
-    let wait = placement.time_until_accepting(call.instance.now(), &[])?;
-    (wait > Micros::ZERO).then_some(wait)
-}
-
-/// Adds the reason why most servers get no requests to the steps in the log line.
-fn add_shortage_step(call: &Call) {
-    let shortage = call.service.placement.borrow().shortage(call.instance.now());
-    if let Some(shortage) = shortage {
-        call.add_step(&format!("{} ", shortage.as_str()));
-    }
-}
-
 /// Whether the request is retried although the server has answered.
 fn should_retry_answer(call: &Call, reply: &Reply) -> bool {
     call.req.route.kind.is_idempotent() && reply.status.is_server_error() && reply.rest.is_none()
@@ -262,128 +178,3 @@
     }
     is_taken
 }
-
-/// Sends a non-idempotent request. If the server does not answer for long, this is reported to the
-/// other instances so that they avoid it.
-async fn attempt_once(call: &Call, in_flight: InFlight) -> Result<Reply, AttemptError> {
-    let server = in_flight.server.clone();
-    let sent = pin!(attempt(call, in_flight));
-    let silence = pin!(sleep(silent_after(call)));
-    match select(sent, silence).await {
-        Either::Left((result, _)) => result,
-        Either::Right(((), sent)) => {
-            report_silence(call, &server);
-            sent.await
-        }
-    }
-}
-
-/// Sends an idempotent request, and a hedge if the answer is late. The first answer is used and the
-/// other send is cancelled.
-async fn attempt_hedged(call: &Call, in_flight: InFlight) -> Result<Reply, AttemptError> {
-    let server = in_flight.server.clone();
-    let first = pin!(attempt(call, in_flight));
-    let hedging = pin!(wait_for_hedge(call, &server));
-    let (hedge, first) = match select(first, hedging).await {
-        Either::Left((result, _)) => return result,
-        Either::Right((hedge, first)) => (hedge, first),
-    };
-    let Some(hedge) = hedge else { return first.await };
-    call.instance.metrics.hedges.inc();
-    call.add_step("copy ");
-    let second = pin!(attempt_next(call, hedge));
-    match select(first, second).await {
-        Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
-        Either::Left((Err(_), second)) => second.await,
-        Either::Right((Err(error), first)) if error.verdict() == Verdict::NotRun => {
-            wait_or_forward(call, first).await
-        }
-        Either::Right((Err(_), first)) => first.await,
-    }
-}
-
-/// Waits for the answer to the first send. The hedge was not sent: it is forwarded once it turns out
-/// that this instance has lost its paths to the servers.
-async fn wait_or_forward(
-    call: &Call,
-    mut first: impl Future<Output = Result<Reply, AttemptError>> + Unpin,
-) -> Result<Reply, AttemptError> {
-    let target = loop {
-        match select(first, pin!(sleep(HEDGE_POLL_PERIOD))).await {
-            Either::Left((result, _)) => return result,
-            Either::Right(((), waiting)) => first = waiting,
-        }
-        if let Some(target) = forwarding::target_if_nothing_reached(call) {
-            break target;
-        }
-    };
-    match select(first, pin!(forwarding::forward(call, target))).await {
-        Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
-        Either::Left((Err(_), hedge)) => hedge.await,
-        Either::Right((Err(_), first)) => first.await,
-    }
-}
-
-async fn attempt_next(call: &Call, next: Next) -> Result<Reply, AttemptError> {
-    match next {
-        Next::Server(in_flight) => attempt(call, in_flight).await,
-        Next::Peer(target) => forwarding::forward(call, target).await,
-    }
-}
-
-/// Waits until a hedge may be sent or the server is found unreachable, and selects where the hedge
-/// goes; `None` if there is to be no hedge.
-async fn wait_for_hedge(call: &Call, server: &BackendId) -> Option<Next> {
-    let work = call.service.placement.borrow().work();
-    let early = hedging::early_after(work, call.time_left_to_target());
-    let late = hedging::late_after(work);
-    let is_lost = call.service.wait_for_loss(server, early).await;
-    let is_ample = call.service.retries.borrow_mut().is_ample(call.instance.now());
-    if (is_lost || is_ample)
-        && let Some(hedge) = place_hedge(call)
-    {
-        return Some(hedge);
-    }
-    call.service.wait_for_loss(server, late - early).await;
-    if let Some(hedge) = place_hedge(call) {
-        return Some(hedge);
-    }
-    sleep(hedging::silent_after(work) - late).await;
-    report_silence(call, server);
-    place_hedge(call)
-}
-
-/// Selects a server for a hedge, or another instance if this one reaches none, if time, attempts and
-/// the retry budget allow it.
-fn place_hedge(call: &Call) -> Option<Next> {
-    let has_time = call.time_left() > MIN_TIME_TO_SEND;
-    if !has_time
-        || call.sends() >= call.req.route.max_attempts
-        || crash::is_known_to_crash_servers(call)
-    {
-        return None;
-    }
-    let is_large = call.req.route.kind.is_large();
-    let tried = call.tried.borrow().clone();
-    if let Some(target) = forwarding::target_if_nothing_reached(call) {
-        return take_retry(call).then_some(Next::Peer(target));
-    }
-    // The budget comes first: placing a hedge counts a send at its server.
-    if !call.service.has_server_for_hedge(&call.instance, &tried, is_large) || !take_retry(call) {
-        return None;
-    }
-    let hedge = call.service.place_hedge(&call.instance, &tried, is_large)?;
-    call.tried.borrow_mut().push(hedge.server.clone());
-    Some(Next::Server(hedge))
-}
-
-fn silent_after(call: &Call) -> Micros {
-    hedging::silent_after(call.service.placement.borrow().work())
-}
-
-fn report_silence(call: &Call, server: &BackendId) {
-    let now = call.instance.now();
-    call.service.placement.borrow_mut().record_failure(now, server, SILENCE_WEIGHT);
-    call.instance.share_no_answer(&call.service, server, SILENCE_WEIGHT);
-    call.add_step("silent ");
-}
--- a/crates/galenapath-gateway/src/fleet/mod.rs
+++ b/crates/galenapath-gateway/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between instances and the tasks that send and receive them.
 
 mod convert;
+mod convert_notes;
 mod convert_state;
 mod forward;
 #[allow(missing_docs, dead_code, clippy::pedantic)]
--- a/crates/galenapath-gateway/src/pipeline.rs
+++ b/crates/galenapath-gateway/src/pipeline.rs
@@ -9,11 +9,12 @@
 
 use crate::answer::{LocalAnswer, RequestEnd, record_end, record_rejected};
 use crate::call::Call;
-use crate::exchange::{self, RequestFailure};
+use crate::exchange;
 use crate::fleet::ForwardResult;
 use crate::instance::{Instance, Stage};
 use crate::intake;
 use crate::reply::Reply;
+use crate::request_failure::RequestFailure;
 use galenapath_http::{Framing, RequestHead, is_keep_alive, request_framing};
 use galenapath_protocol::Verdict;
 use galenapath_routes::RouteKind;
--- a/crates/galenapath-gateway/src/reach/mod.rs
+++ b/crates/galenapath-gateway/src/reach/mod.rs
@@ -6,6 +6,7 @@
 //! callers.
 
 mod checks;
+mod exchanges;
 mod questions;
 mod reports;
 
--- a/crates/galenapath-gateway/src/reach/questions.rs
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -22,7 +22,7 @@
 const MAX_PER_DATAGRAM: usize = 32;
 
 /// Instances asked of the own failure domain, and of others: where a whole domain has lost its
-/// paths, only those of others can tell.
+/// paths, only those of others can know.
 const FEW: Asked = Asked { local: 1, remote: 2, prefers_serving: true };
 
 /// Instances asked once those do not reach the service either: many may have lost their paths, and
@@ -59,7 +59,7 @@
     Reached,
     /// None reaches it, though other servers answer them.
     Unreached,
-    /// None has told.
+    /// None has answered.
     Unknown,
     /// There is none.
     Alone,
--- a/crates/galenapath-gateway/src/reach/reports.rs
+++ b/crates/galenapath-gateway/src/reach/reports.rs
@@ -6,7 +6,7 @@
 use galenapath_protocol::{BackendId, Micros};
 
 /// Time for which a report is held back while this instance's own paths are in doubt: until the
-/// other instances have told whether they reach the server.
+/// other instances have answered whether they reach the server.
 const HOLD: Micros = Micros::from_millis(400);
 
 /// What happens with a report that a server did not answer.
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -3,18 +3,18 @@
 use crate::instance::Instance;
 use crate::loss_watchers::LossWatchers;
 use crate::pool::{PooledConnection, Pools};
+use crate::retry_share::initial_retry_budget;
 use crate::waiting::Waiter;
 use galenapath_http::Connection;
+use galenapath_policy::RetryBudget;
 use galenapath_policy::measure::{QueryShares, TokenBucket};
 use galenapath_policy::place::{
     LoadObservation, PlaceConfig, PlacedServer, Placement, PlacementQueue, QueueConfig,
     ServerSnapshot, WaitQueue, WarmUp,
 };
-use galenapath_policy::reach::{Contacts, Exchange, ReachConfig};
-use galenapath_policy::{RetryBudget, RetryConfig, SharedRetryBudget};
+use galenapath_policy::reach::{Contacts, ReachConfig};
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros, hash64};
 use galenapath_routes::{ServerRecord, ServerState, ServiceSpec};
-use galenapath_settings::RetrySettings;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,16 +31,6 @@
 /// request.
 const IDLE_AFTER: Micros = Micros::from_secs(1);
 
-/// Share of the retry budget of an instance that does not know the load of the others yet.
-const INITIAL_RETRY_SHARE: f64 = 1.0 / 16.0;
-
-/// Largest share of the retry budget for one instance, because another instance that has just
-/// started may not be known yet.
-const MAX_RETRY_SHARE: f64 = 0.5;
-
-/// Time after its start during which an instance does not know the load of the others.
-const RETRY_SHARE_SETTLING_TIME: Micros = Micros::from_secs(3);
-
 /// A server in the server list.
 struct ListedServer {
     record: Arc<ServerRecord>,
@@ -70,7 +60,7 @@
     /// Idle connections to the servers.
     pools: Pools<BackendId>,
     /// Requests to be notified when their server is found unreachable.
-    loss_watchers: LossWatchers,
+    pub(crate) loss_watchers: LossWatchers,
     /// Keyed by process run, like all state here: a restarted server counts as another server.
     listed: RefCell<FastMap<BackendId, ListedServer>>,
     /// Servers by the short form of their identities.
@@ -100,10 +90,7 @@
             name: name.to_owned(),
             spec: RefCell::new(spec),
             placement: RefCell::new(placement),
-            retries: RefCell::new(RetryBudget::new(retry_config(
-                &instance.settings().retries,
-                INITIAL_RETRY_SHARE,
-            ))),
+            retries: RefCell::new(initial_retry_budget(instance)),
             contacts: RefCell::new(Contacts::new(ReachConfig::default())),
             pools: Pools::default(),
             loss_watchers: LossWatchers::default(),
@@ -192,49 +179,6 @@
         self.placement.borrow_mut().set_servers(now, &list);
     }
 
-    /// Marks a server that answers no probes as unreachable and notifies its requests.
-    pub(crate) fn mark_unreachable(&self, now: Micros, id: &BackendId) {
-        self.placement.borrow_mut().mark_unreachable(now, id);
-        self.loss_watchers.notify(id);
-    }
-
-    /// Records that the server answered.
-    pub(crate) fn record_answer(&self, instance: &Instance, id: &BackendId, exchange: Exchange) {
-        self.contacts.borrow_mut().record_answer(instance.now(), id, exchange);
-        let mut placement = self.placement.borrow_mut();
-        placement.mark_reachable(id);
-        if exchange.is_new_connection {
-            placement.set_connectable(id, true);
-        }
-    }
-
-    /// Records that the server did not answer, or that no connection could be opened.
-    pub(crate) fn record_no_answer(&self, instance: &Instance, id: &BackendId, exchange: Exchange) {
-        let (is_silent, is_unconnectable) = {
-            let mut contacts = self.contacts.borrow_mut();
-            contacts.record_failure(id, exchange);
-            (contacts.is_silent(id), contacts.is_unconnectable(id))
-        };
-        if is_silent {
-            self.mark_unreachable(instance.now(), id);
-        }
-        if is_unconnectable {
-            self.placement.borrow_mut().set_connectable(id, false);
-        }
-        instance.reach.wake();
-    }
-
-    /// Records that an exchange with the server, begun at `started_at`, takes longer than usual.
-    pub(crate) fn record_overdue(&self, instance: &Instance, id: &BackendId, started_at: Micros) {
-        self.contacts.borrow_mut().record_overdue(id, started_at);
-        instance.reach.wake();
-    }
-
-    /// Waits for `span`, or until the server is found unreachable; returns whether it was.
-    pub(crate) async fn wait_for_loss(&self, id: &BackendId, span: Micros) -> bool {
-        matches!(monoio::time::timeout(span.into(), self.loss_watchers.watch(id)).await, Ok(Ok(())))
-    }
-
     /// Takes an idle connection to a server out of the pool.
     pub(crate) fn take_connection(&self, now: Micros, id: &BackendId) -> Option<PooledConnection> {
         let kept = self.pools.take(now, id);
@@ -352,17 +296,6 @@
         self.no_load_until.set(now + NO_LOAD_PERIOD);
     }
 
-    /// Updates this instance's share of the retry budget.
-    pub(crate) fn update_retry_share(&self, instance: &Instance) {
-        let share = if instance.clock.uptime() < RETRY_SHARE_SETTLING_TIME {
-            INITIAL_RETRY_SHARE
-        } else {
-            f64::from(instance.load_share()).min(MAX_RETRY_SHARE)
-        };
-        let cfg = retry_config(&instance.settings().retries, share);
-        self.retries.borrow_mut().set_config(instance.now(), cfg);
-    }
-
     /// Updates this instance's shares of the query budget.
     pub(crate) fn update_probe_share(&self, now: Micros, shares: QueryShares) {
         if self.shares.replace(Some(shares)) == Some(shares) {
@@ -388,9 +321,3 @@
     let warm_up = spec.warm_up?;
     Some(WarmUp { duration: warm_up.duration.into(), per_second: warm_up.per_second })
 }
-
-/// The retry budget of an instance that serves `share` of all requests.
-fn retry_config(settings: &RetrySettings, share: f64) -> RetryConfig {
-    let RetrySettings { ratio, slack, window } = *settings;
-    SharedRetryBudget { ratio, slack, window: window.into() }.for_share(share)
-}
--- /dev/null
+++ b/crates/galenapath-gateway/src/watch/health.rs
@@ -0,0 +1,61 @@
+//! Whether the store answers this instance.
+
+use super::Watcher;
+use crate::fleet;
+use crate::instance::Instance;
+use galenapath_membership::StoreHealth;
+use galenapath_platform::{KeyStore, PlatformError};
+use std::rc::Rc;
+
+impl<S: KeyStore> Watcher<S> {
+    /// Counts a call and records whether the store answered it.
+    pub(super) fn record_result<T>(
+        &mut self,
+        call: &'static str,
+        result: &Result<T, PlatformError>,
+    ) {
+        self.instance.count_call(call, result.is_ok());
+        self.record_health(call, result.as_ref().map(drop));
+    }
+
+    /// Records whether the store answered a call.
+    pub(super) fn record_health(&mut self, call: &'static str, result: Result<(), &PlatformError>) {
+        let instance = Rc::clone(&self.instance);
+        let before = instance.store.get();
+        match result {
+            Ok(()) => {
+                if before != StoreHealth::Answering && self.is_no_peer_answered() {
+                    instance.state.borrow_mut().record_store_recovery(instance.now());
+                }
+                instance.store.set(StoreHealth::Answering);
+                instance.record_store_answer();
+                if before == StoreHealth::Failing {
+                    log::info!(call; "the store answers again");
+                }
+            }
+            Err(e) => {
+                self.failed_at = instance.now();
+                instance.store.set(StoreHealth::Failing);
+                instance.is_watching.set(false);
+                log::warn!(call, error:% = e; "the store did not answer");
+            }
+        }
+        if before != instance.store.get() {
+            fleet::broadcast_heartbeat(&instance);
+        }
+    }
+
+    /// Whether no other running instance reports that the store answers it.
+    fn is_no_peer_answered(&self) -> bool {
+        let membership = self.instance.membership.borrow();
+        let mut up = membership.peers().filter(|peer| peer.is_up());
+        !up.any(|peer| peer.status.store == StoreHealth::Answering)
+    }
+}
+
+impl Instance {
+    pub(super) fn count_call(&self, call: &str, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "failed" };
+        self.metrics.store_calls.with_label_values(&[call, result]).inc();
+    }
+}
--- a/crates/galenapath-gateway/src/watch.rs
+++ b/crates/galenapath-gateway/src/watch/mod.rs
@@ -1,11 +1,14 @@
 //! Access to the platform's store: the first read, the watch and the recovery after an outage.
 
+mod health;
+mod reads;
+
 use crate::fleet;
 use crate::instance::{Instance, sleep, sleep_to_next};
 use bytes::Bytes;
 use futures::future::{Either, select};
 use galenapath_membership::{StoreHealth, WatchRole, reads_store_at_start, watch_role};
-use galenapath_platform::{Freshness, Item, KeyEvent, KeyStore, PlatformError, WatchOutcome};
+use galenapath_platform::{Freshness, KeyEvent, KeyStore, PlatformError, WatchOutcome};
 use galenapath_protocol::{Micros, StorePosition};
 use std::pin::pin;
 use std::rc::Rc;
@@ -235,15 +238,6 @@
         result.is_ok()
     }
 
-    /// Reads all keys again, after a pause if that brings nothing new.
-    async fn reload(&mut self) {
-        let before = self.instance.state.borrow().position();
-        self.load(Freshness::Current).await;
-        if self.instance.state.borrow().position() <= before {
-            sleep(RETRY_DELAY).await;
-        }
-    }
-
     /// Pings until the store has left the epoch, or a ping fails.
     ///
     /// # Errors
@@ -261,74 +255,6 @@
         }
     }
 
-    /// Reads the configuration, the evacuations and the server list.
-    ///
-    /// The first read of an instance may be stale, which costs a tenth of a current read: all
-    /// instances start at the same moment, and the watchers read the current state half a second
-    /// later and notify the others.
-    async fn load(&mut self, freshness: Freshness) {
-        let operator = self.instance.dialect.operator_prefix();
-        let Some((operator_position, items)) = self.read_all(operator, freshness).await else {
-            return;
-        };
-        let known = self.instance.state.borrow().position();
-        if operator_position.epoch < known.epoch {
-            log::warn!(position:? = operator_position, known:?; "the store is in an earlier epoch");
-            return;
-        }
-        self.instance.apply_operator_items(operator_position, &items);
-        let servers = self.instance.dialect.servers_prefix();
-        let Some((position, items)) = self.read_all(servers, freshness).await else { return };
-        if position.epoch != operator_position.epoch {
-            return;
-        }
-        if freshness == Freshness::Current && position < known {
-            log::warn!(position:?, known:?; "the store is at an earlier position than what is known");
-        }
-        self.instance.apply_list(position, &items);
-        let is_stale = freshness == Freshness::MayBeStale;
-        self.stale_position = is_stale.then(|| self.instance.state.borrow().position());
-        fleet::broadcast_heartbeat(&self.instance);
-    }
-
-    /// Reads all pages of the items under `prefix` and returns them with the position that they are
-    /// valid at; `None` if a page cannot be read or is of another epoch than the first.
-    ///
-    /// For a current read, that is the position of the first page: changes made while the others
-    /// are read arrive with the watch. For a stale read, it is the newest change among the items,
-    /// which may be older than the store's position.
-    async fn read_all(
-        &mut self,
-        prefix: &str,
-        freshness: Freshness,
-    ) -> Option<(StorePosition, Vec<Item>)> {
-        let known_epoch = self.instance.state.borrow().position().epoch;
-        let mut items = Vec::new();
-        let mut first = None;
-        let mut after: Option<String> = None;
-        loop {
-            let page = self.store.range(prefix, after.as_deref(), freshness).await;
-            self.record_result("range", &page);
-            let page = page.ok()?;
-            let position = page.position.or_epoch(known_epoch);
-            let first = *first.get_or_insert(position);
-            if position.epoch != first.epoch {
-                log::info!(prefix; "the store has changed its epoch between two pages");
-                return None;
-            }
-            after = page.items.last().map(|item| item.key.clone());
-            items.extend(page.items);
-            if page.has_more && after.is_some() {
-                continue;
-            }
-            let newest = items.iter().map(|item| item.revision.0).max().unwrap_or(0);
-            return match freshness {
-                Freshness::Current => Some((first, items)),
-                Freshness::MayBeStale => Some((StorePosition::new(first.epoch, newest), items)),
-            };
-        }
-    }
-
     /// Registers this instance's address in the store once, and contacts the instances registered
     /// there.
     async fn register(&mut self) {
@@ -348,51 +274,4 @@
         let addresses: Vec<_> = keys.filter_map(|text| text.parse().ok()).collect();
         fleet::request_members(&self.instance, &addresses);
     }
-
-    /// Counts a call and records whether the store answered it.
-    fn record_result<T>(&mut self, call: &'static str, result: &Result<T, PlatformError>) {
-        self.instance.count_call(call, result.is_ok());
-        self.record_health(call, result.as_ref().map(drop));
-    }
-
-    /// Records whether the store answered a call.
-    fn record_health(&mut self, call: &'static str, result: Result<(), &PlatformError>) {
-        let instance = Rc::clone(&self.instance);
-        let before = instance.store.get();
-        match result {
-            Ok(()) => {
-                if before != StoreHealth::Answering && self.is_no_peer_answered() {
-                    instance.state.borrow_mut().record_store_recovery(instance.now());
-                }
-                instance.store.set(StoreHealth::Answering);
-                instance.record_store_answer();
-                if before == StoreHealth::Failing {
-                    log::info!(call; "the store answers again");
-                }
-            }
-            Err(e) => {
-                self.failed_at = instance.now();
-                instance.store.set(StoreHealth::Failing);
-                instance.is_watching.set(false);
-                log::warn!(call, error:% = e; "the store did not answer");
-            }
-        }
-        if before != instance.store.get() {
-            fleet::broadcast_heartbeat(&instance);
-        }
-    }
-
-    /// Whether no other running instance reports that the store answers it.
-    fn is_no_peer_answered(&self) -> bool {
-        let membership = self.instance.membership.borrow();
-        let mut up = membership.peers().filter(|peer| peer.is_up());
-        !up.any(|peer| peer.status.store == StoreHealth::Answering)
-    }
-}
-
-impl Instance {
-    fn count_call(&self, call: &str, is_answered: bool) {
-        let result = if is_answered { "answered" } else { "failed" };
-        self.metrics.store_calls.with_label_values(&[call, result]).inc();
-    }
 }
--- a/crates/galenapath-http/src/connection.rs
+++ b/crates/galenapath-http/src/connection/mod.rs
@@ -1,11 +1,13 @@
 //! An HTTP/1.1 connection, for both servers and clients.
 
+mod writing;
+
 use crate::body::TakeResult;
 use crate::head::{find_head_end, reject_bare_line_feed};
-use crate::{BodyState, Framing, HttpError, RequestHead, ResponseHead, check_head};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use crate::{BodyState, HttpError, RequestHead, ResponseHead, check_head};
+use bytes::{Buf, Bytes, BytesMut};
 use monoio::buf::{IoBufMut, SliceMut};
-use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::TcpStream;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
@@ -22,16 +24,9 @@
 const IDLE_READ_SIZE: usize = 1024;
 
 /// Buffer space reserved while only waiting for the peer to close, in bytes. Small because every
-/// request in progress holds it: with 16 KiB each, and with large bodies copied, the memory of the
-/// busiest instance peaked at 25 MB instead of 7 MB.
+/// request in progress holds it.
 const WATCH_READ_SIZE: usize = 128;
 
-/// The output buffer is written to the socket once it holds this many bytes.
-const FLUSH_THRESHOLD: usize = 64 * 1024;
-
-/// A body smaller than this many bytes is copied and sent in one packet with its head.
-const MAX_COPIED_BODY: usize = 4 * 1024;
-
 /// Maximum number of interim answers (1xx) before the final one.
 const MAX_INTERIM_ANSWERS: u32 = 8;
 
@@ -235,73 +230,6 @@
         Ok(())
     }
 
-    /// The output buffer, to which heads are appended.
-    pub fn output(&mut self) -> &mut BytesMut {
-        &mut self.output
-    }
-
-    /// Appends a piece of a body, and writes the output buffer once it is large enough.
-    ///
-    /// # Errors
-    ///
-    /// `Io` if the socket failed.
-    pub async fn write_body(&mut self, framing: Framing, piece: &[u8]) -> Result<(), HttpError> {
-        if framing == Framing::Chunked {
-            self.output.put_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-            self.output.put_slice(piece);
-            self.output.put_slice(b"\r\n");
-        } else {
-            self.output.put_slice(piece);
-        }
-        if self.output.len() >= FLUSH_THRESHOLD {
-            self.flush().await?;
-        }
-        Ok(())
-    }
-
-    /// Ends a body and writes the whole output buffer.
-    ///
-    /// # Errors
-    ///
-    /// `Io` if the socket failed.
-    pub async fn finish_body(&mut self, framing: Framing) -> Result<(), HttpError> {
-        if framing == Framing::Chunked {
-            self.output.put_slice(b"0\r\n\r\n");
-        }
-        self.flush().await
-    }
-
-    /// Writes the whole output buffer.
-    ///
-    /// # Errors
-    ///
-    /// `Io` if the socket failed; the connection then cannot be used again.
-    pub async fn flush(&mut self) -> Result<(), HttpError> {
-        if self.output.is_empty() {
-            return Ok(());
-        }
-        let out = self.output.split();
-        let (result, _) = self.io.write_all(out).await;
-        self.byte_count += result? as u64;
-        Ok(())
-    }
-
-    /// Writes the whole output buffer and then `body`, which is copied only if it is small.
-    ///
-    /// # Errors
-    ///
-    /// `Io` if the socket failed; the connection then cannot be used again.
-    pub async fn flush_with(&mut self, body: Bytes) -> Result<(), HttpError> {
-        if body.len() < MAX_COPIED_BODY {
-            self.output.put_slice(&body);
-            return self.flush().await;
-        }
-        self.flush().await?;
-        let (result, _) = self.io.write_all(body).await;
-        self.byte_count += result? as u64;
-        Ok(())
-    }
-
     /// Whether the connection holds received bytes that belong to no message yet. A connection with
     /// such bytes must not be reused.
     pub fn has_unread(&self) -> bool {
--- a/crates/galenapath-policy/src/quota/account.rs
+++ b/crates/galenapath-policy/src/quota/account.rs
@@ -1,8 +1,10 @@
 //! One workspace's quota as one instance knows it.
 
+use super::contention::Contention;
 use super::demand::{Demand, TIME_CONSTANT_SECS};
-use super::ledger::UsageNote;
-use galenapath_protocol::{FastMap, Incarnation, Micros, Quota};
+use super::ledger::{UsageNote, UsageReport};
+use super::peer_usage::{DEMAND_EXPIRY, PeerUsage, PeerUsages, RECENT_REPORT};
+use galenapath_protocol::{Incarnation, Micros, Quota};
 
 /// Part of the burst below which the quota counts as contended.
 const CONTENDED_BELOW: f64 = 0.5;
@@ -19,10 +21,6 @@
 /// account refills if there are none.
 const SETTLING_TIME: Micros = Micros::from_secs(1);
 
-/// Time without a report after which a peer's demand no longer counts. Longer than
-/// [`DEMAND_REPORT_PERIOD`].
-const DEMAND_EXPIRY: Micros = Micros::from_millis(1_200);
-
 /// Time between two reports of an instance whose requests are all refused, so that others leave its
 /// share to it.
 const DEMAND_REPORT_PERIOD: Micros = Micros::from_millis(200);
@@ -34,12 +32,6 @@
 /// Time after its first report within which an instance receives what others have granted.
 const JOIN_TIME: Micros = Micros::from_millis(150);
 
-/// Time after a peer's report for which this instance is not cut off: some report periods.
-const RECENT_REPORT: Micros = Micros::from_millis(300);
-
-/// Requests per second from which on a peer has something to report in [`RECENT_REPORT`].
-const STEADY_DEMAND: f64 = 20.0;
-
 /// Time after which an instance that is cut off knows that.
 const CUT_OFF_DETECTION: Micros = Micros::from_secs(1);
 
@@ -51,31 +43,14 @@
 /// Resolution of a level that a peer states, in requests.
 const LEVEL_RESOLUTION: f64 = 0.1;
 
-/// Time for which the sum that a peer reported is kept. A later report of it counts as its first.
-const PEER_RETENTION: Micros = Micros::from_secs(60);
-
 /// Seconds of the rate, beside the burst, that instances which did not reach each other are charged
 /// with at most: about the time after which each knows that it is cut off.
 const MAX_DEBT_SECS: f64 = 3.0;
 
-/// Bounds of the time that a refused caller is told to wait.
+/// Bounds of the time after which a rejected caller may come back.
 const MIN_RETRY_AFTER: Micros = Micros::from_millis(20);
 const MAX_RETRY_AFTER: Micros = Micros::from_secs(30);
 
-/// Time for which the quota has to be uncontended before instances count as no longer reporting to
-/// all: they find that at different moments, and it may be contended again at once.
-const CONTENTION_GAP: Micros = RECENT_REPORT;
-
-/// What one peer has reported.
-#[derive(Clone, Copy, Debug)]
-struct PeerUsage {
-    used: i64,
-    demand: f64,
-    received_at: Micros,
-    /// Whether the peer took the quota to be contended, and so reported to all.
-    is_contended: bool,
-}
-
 /// What an account needs to know about the other instances.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Surroundings {
@@ -127,16 +102,10 @@
     requested_at: Micros,
     /// Part of the load on instances that reached this one at `filled_at`.
     reachable_part: f64,
-    /// Since when the quota is contended; `None` while it is not.
-    contended_since: Option<Micros>,
-    /// When it was last contended.
-    contended_at: Micros,
-    /// Since when all instances reported to all, when it was last contended. What they reported to
-    /// their owners before that is not known here.
-    all_report_since: Micros,
-    /// Whether all have to be told that the quota has become contended.
+    contention: Contention,
+    /// Whether all have to be notified that the quota has become contended.
     must_announce: bool,
-    peers: FastMap<Incarnation, PeerUsage>,
+    peers: PeerUsages,
 }
 
 impl Account {
@@ -158,11 +127,9 @@
             demand: Demand::default(),
             requested_at: Micros::ZERO,
             reachable_part: 1.0,
-            contended_since: None,
-            contended_at: Micros::ZERO,
-            all_report_since: Micros::ZERO,
+            contention: Contention::default(),
             must_announce: false,
-            peers: FastMap::default(),
+            peers: PeerUsages::default(),
         }
     }
 
@@ -174,7 +141,7 @@
         margin: f64,
         around: Surroundings,
     ) {
-        self.peers.retain(|_, peer| now - peer.received_at < PEER_RETENTION);
+        self.peers.prune(now);
         self.refill(now, around);
         self.rate = quota.per_second;
         self.capacity = capacity(quota, margin);
@@ -235,7 +202,7 @@
         let stated = note.level + self.rate * LEVEL_DELAY_SECS + LEVEL_RESOLUTION;
         self.level = self.level.min(stated).max(-self.capacity - self.rate * MAX_DEBT_SECS);
         self.must_announce |= self.is_contended() && !was_contended;
-        self.update_contention(now);
+        self.contention.update(now, self.is_contended());
     }
 
     /// What a peer has granted between two of its reports, as far as that is to be charged now. A
@@ -249,9 +216,10 @@
     ) -> f64 {
         let granted = (usage.used - before.used) as f64;
         let is_complete = match before.is_contended {
-            true => {
-                self.hears_all_since(usage.received_at).is_some_and(|t| before.received_at >= t)
-            }
+            true => self
+                .contention
+                .all_report_since(usage.received_at)
+                .is_some_and(|t| before.received_at >= t),
             false => usage.received_at - before.received_at < DEMAND_EXPIRY,
         };
         if is_complete {
@@ -266,7 +234,7 @@
 
     /// Forgets a peer that has ended. What it granted stays charged.
     pub(super) fn forget(&mut self, peer: Incarnation) {
-        self.peers.remove(&peer);
+        self.peers.remove(peer);
     }
 
     /// Who is to get a report now.
@@ -321,22 +289,6 @@
         (self.contended_below() * around.equal_share()).max(1.0)
     }
 
-    fn update_contention(&mut self, now: Micros) {
-        if !self.is_contended() {
-            self.contended_since = None;
-            return;
-        }
-        self.all_report_since = self.hears_all_since(now).unwrap_or(now);
-        self.contended_at = now;
-        self.contended_since.get_or_insert(now);
-    }
-
-    /// Since when this instance has got all reports of all instances; `None` while they report to
-    /// owners only.
-    fn hears_all_since(&self, now: Micros) -> Option<Micros> {
-        (now - self.contended_at <= CONTENTION_GAP).then_some(self.all_report_since)
-    }
-
     fn refill(&mut self, now: Micros, around: Surroundings) {
         let seconds = (now - self.filled_at).0 as f64 / 1e6;
         self.filled_at = now.max(self.filled_at);
@@ -346,42 +298,25 @@
         self.level -= self.capacity * lost;
         let part = around.reachable_part.min(self.unreachable_limit(now, around));
         self.level = (self.level + seconds * self.rate * part).min(self.capacity);
-        self.update_contention(now);
+        self.contention.update(now, self.is_contended());
     }
 
     /// Part of the rate that is sure not to be granted by instances that do not reach this one, while
     /// the quota is contended and this instance grants part of it.
     fn unreachable_limit(&self, now: Micros, around: Surroundings) -> f64 {
-        let Some(since) = self.contended_since else { return 1.0 };
+        let Some(since) = self.contention.since() else { return 1.0 };
         if now - self.requested_at > CUT_OFF_DETECTION {
             return 1.0;
         }
         let span = now - since;
-        if span < CUT_OFF_DETECTION && !self.has_recent_report(now) {
+        if span < CUT_OFF_DETECTION && !self.peers.has_recent_report(now) {
             return around.equal_share();
         }
-        if span < RECENT_REPORT { 1.0 } else { self.reporting_part(now) }
-    }
-
-    fn has_recent_report(&self, now: Micros) -> bool {
-        self.peers.values().any(|peer| now - peer.received_at < RECENT_REPORT)
-    }
-
-    /// Part of the demand at this instance and at peers that still report. While the quota is
-    /// contended, a peer with many requests reports all the time; one that has stopped may be cut
-    /// off and grant its part, for longer than others need to find it silent.
-    fn reporting_part(&self, now: Micros) -> f64 {
-        let own = self.demand.per_second(now);
-        let (mut reporting, mut all) = (own, own);
-        for peer in self.peers.values() {
-            let silence = now - peer.received_at;
-            if silence < DEMAND_EXPIRY {
-                all += peer.demand;
-                let reports = silence < RECENT_REPORT || peer.demand < STEADY_DEMAND;
-                reporting += if reports { peer.demand } else { 0.0 };
-            }
+        if span < RECENT_REPORT {
+            1.0
+        } else {
+            self.peers.reporting_part(now, self.demand.per_second(now))
         }
-        if all > 0.0 { reporting / all } else { 1.0 }
     }
 
     /// Part of what is left that this instance may grant until its next report.
@@ -390,10 +325,8 @@
         if self.joined_at.is_none_or(|since| now - since < JOIN_TIME) {
             return equal;
         }
-        let is_recent = |peer: &&PeerUsage| now - peer.received_at < DEMAND_EXPIRY;
-        let others: f64 = self.peers.values().filter(is_recent).map(|peer| peer.demand).sum();
         let own = self.demand.per_second(now);
-        (own / (own + others)).max(equal)
+        (own / (own + self.peers.demand(now))).max(equal)
     }
 
     /// When this instance may grant the next request.
@@ -405,13 +338,6 @@
     }
 }
 
-/// A report without the workspace that it is about.
-pub(super) struct UsageReport {
-    pub(super) used: i64,
-    pub(super) level: f64,
-    pub(super) demand: f64,
-}
-
 /// Requests that may be granted at once: the burst, at least one.
 fn capacity(quota: Quota, margin: f64) -> f64 {
     (quota.burst + margin).max(1.0)
--- a/crates/galenapath-policy/src/quota/ledger.rs
+++ b/crates/galenapath-policy/src/quota/ledger.rs
@@ -16,6 +16,13 @@
     pub demand: f64,
 }
 
+/// A report without the workspace that it is about.
+pub(super) struct UsageReport {
+    pub(super) used: i64,
+    pub(super) level: f64,
+    pub(super) demand: f64,
+}
+
 /// Reports that are due.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DueReports {
--- a/crates/galenapath-policy/src/quota/mod.rs
+++ b/crates/galenapath-policy/src/quota/mod.rs
@@ -26,9 +26,11 @@
 //! charged for minutes of granted requests and refuse everything for seconds.
 
 mod account;
+mod contention;
 mod demand;
 mod ledger;
 mod owners;
+mod peer_usage;
 
 pub use ledger::{DueReports, QuotaDecision, QuotaLedger, UsageNote};
 pub use owners::quota_owners;
--- a/crates/galenapath-policy/src/reach/config.rs
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -11,7 +11,7 @@
     /// Number of servers that have to keep exchanges waiting, all of which began after the last answer
     /// of any server, for the service to count as stalled; all servers if it has fewer.
     pub stalled_after: usize,
-    /// Time within which other instances are expected to have told whether they reach the servers of a
+    /// Time within which other instances are expected to have answered whether they reach the servers of a
     /// service that has stalled.
     pub stall_verdict: Micros,
     /// Time for which a contact with a server counts. Longer than the pauses between the requests
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -77,7 +77,7 @@
     }
 
     /// Records that the instance `by` does not reach the server. If it `has_paths` to others, the
-    /// server has failed as far as it can tell.
+    /// server has failed as far as it knows.
     pub fn record_unreached_by(&mut self, by: Incarnation, id: &BackendId, has_paths: bool) {
         if let Some(helper) = self.helpers.get_mut(&by) {
             helper.unreached += 1;
@@ -206,7 +206,7 @@
         self.stalled_since().is_some()
     }
 
-    /// Whether the service has stalled so lately that the other instances have not told yet whether
+    /// Whether the service has stalled so lately that the other instances have not answered yet whether
     /// they reach its servers.
     pub fn is_verdict_due(&self, now: Micros) -> bool {
         self.stalled_since().is_some_and(|since| now - since < self.cfg.stall_verdict)
