Test of the calls of a quiet store: counts once the watchers have registered

store_without_changes_called_rarely failed 2 of 4 runs with 7 or 8 watches. Cause, from the calls and the logs: only two instances watch; since a watch waits 1.4 s instead of 2 s, their first one, the write of their address and the watch that returns it fall into the four seconds that are counted. The bound is as before: two watchers, three watches each in four seconds.

--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -263,14 +263,15 @@
     let world = World::start();
     let first = Gateway::start_ready(&world, &[]);
     let others: Vec<Gateway> = (0..4).map(|_| Gateway::start_ready(&world, &[&first])).collect();
-    std::thread::sleep(Duration::from_secs(2));
+    // After its first watch each watcher registers its address, which the next one returns at once.
+    std::thread::sleep(Duration::from_secs(3));
     let before = world.store.calls().len();
     std::thread::sleep(Duration::from_secs(4));
     let calls: Vec<String> = world.store.calls()[before..].to_vec();
     let watches = calls.iter().filter(|call| call.ends_with("kv-watch")).count();
     let pings = calls.iter().filter(|call| call.ends_with("kv-key")).count();
-    // Two instances watch the store, however many there are.
-    assert!(watches <= 6, "{watches} watches of {} instances", others.len() + 1);
+    // Two instances watch the store, however many there are, each three times at most.
+    assert!(watches <= 6, "{watches} watches of {} instances: {calls:?}", others.len() + 1);
     assert!(pings <= 24, "{pings} pings");
 }
 
