Tests of warming and of paths: independent of how many requests the machine lets through

Two tests of paths failed beside it because no request had been sent within half a second; each caller sends at least one.

--- a/tests/gateway/paths.rs
+++ b/tests/gateway/paths.rs
@@ -27,7 +27,8 @@
 /// Number of callers that send requests at the same time.
 const CALLERS: usize = 3;
 
-/// Sends lookups and filings to one instance for `span`, each caller one after the other.
+/// Sends lookups and filings to one instance for `span`, each caller at least one and one after the
+/// other.
 fn send_requests(gateway: &Gateway, name: &str, span: Duration) -> Served {
     let end = Instant::now() + span;
     let statuses = std::thread::scope(|scope| {
@@ -35,16 +36,18 @@
             .map(|caller| {
                 scope.spawn(move || {
                     let mut statuses = Vec::new();
-                    while Instant::now() < end {
+                    loop {
                         let n = statuses.len();
                         let answer = match (caller + n).is_multiple_of(2) {
                             true => gateway.send_lookup(&format!("{name}{caller}-{n}")),
                             false => gateway.send_filing(&format!("{name}{caller}-{n}")),
                         };
                         statuses.push(answer.status);
+                        if Instant::now() >= end {
+                            break statuses;
+                        }
                         std::thread::sleep(Duration::from_millis(10));
                     }
-                    statuses
                 })
             })
             .collect();
--- a/tests/gateway/warming.rs
+++ b/tests/gateway/warming.rs
@@ -34,13 +34,11 @@
         || gateways.iter().any(|g| g.log().iter().any(|l| l["event"] == "server warm-up changed"));
     assert!(is_logged());
     // Once it is warm, it gets as many requests as any other server.
-    let before = servers[0].executed_requests().len();
+    let runs = |at: usize| servers[at].executed_requests().len();
+    let before = [runs(0), runs(1)];
     send_lookups(&gateways, Duration::from_secs(1));
-    assert!(
-        servers[0].executed_requests().len() > before + 20,
-        "{}",
-        servers[0].executed_requests().len() - before
-    );
+    let [warm, other] = [runs(0) - before[0], runs(1) - before[1]];
+    assert!(warm > 0 && 2 * warm >= other, "{warm} and {other}");
 }
 
 #[test]
