Hedges: a request that waits at a silent server shows that its paths may be gone, and is forwarded once that is known

Cause, from the steps: the lookup was sent to a server that had answered 0.1 s before, without a load query because their budget was spent. Only load queries reported that an exchange takes long. The server stayed open in this instance's view, so the service did not count as stalled, nothing as lost, and a request without a hedge never looked for another way again. Change: a request that has waited for several usual times is an overdue exchange; a lookup that got no hedge goes on looking whether its instance has lost its paths, within its attempts, time and retry budget.

--- a/crates/galenapath-gateway/src/hedge.rs
+++ b/crates/galenapath-gateway/src/hedge.rs
@@ -47,7 +47,9 @@
         Either::Left((result, _)) => return result,
         Either::Right((hedge, first)) => (hedge, first),
     };
-    let Some(hedge) = hedge else { return first.await };
+    let Some(hedge) = hedge else {
+        return wait_or_forward(call, first, || may_hedge(call) && take_retry(call)).await;
+    };
     call.instance.metrics.hedges.inc();
     call.add_step("copy ");
     let second = pin!(attempt_next(call, hedge));
@@ -55,17 +57,19 @@
         Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
         Either::Left((Err(_), second)) => second.await,
         Either::Right((Err(error), first)) if error.verdict() == Verdict::NotRun => {
-            wait_or_forward(call, first).await
+            // The hedge that was not sent has taken its retry already.
+            wait_or_forward(call, first, || true).await
         }
         Either::Right((Err(_), first)) => first.await,
     }
 }
 
-/// Waits for the answer to the first send. The hedge was not sent: it is forwarded once it turns out
-/// that this instance has lost its paths to the servers.
+/// Waits for the answer to the first send, of which there is no hedge. Once it turns out that this
+/// instance has lost its paths to the servers, the request is forwarded if `may_forward`.
 async fn wait_or_forward(
     call: &Call,
     mut first: impl Future<Output = Result<Reply, AttemptError>> + Unpin,
+    may_forward: impl Fn() -> bool,
 ) -> Result<Reply, AttemptError> {
     let target = loop {
         match select(first, pin!(sleep(HEDGE_POLL_PERIOD))).await {
@@ -76,6 +80,9 @@
             break target;
         }
     };
+    if !may_forward() {
+        return first.await;
+    }
     match select(first, pin!(forwarding::forward(call, target))).await {
         Either::Left((Ok(reply), _)) | Either::Right((Ok(reply), _)) => Ok(reply),
         Either::Left((Err(_), hedge)) => hedge.await,
@@ -112,14 +119,17 @@
     place_hedge(call)
 }
 
+/// Whether time and attempts allow another send.
+fn may_hedge(call: &Call) -> bool {
+    call.time_left() > MIN_TIME_TO_SEND
+        && call.sends() < call.req.route.max_attempts
+        && !crash::is_known_to_crash_servers(call)
+}
+
 /// Selects a server for a hedge, or another instance if this one reaches none, if time, attempts and
 /// the retry budget allow it.
 fn place_hedge(call: &Call) -> Option<Next> {
-    let has_time = call.time_left() > MIN_TIME_TO_SEND;
-    if !has_time
-        || call.sends() >= call.req.route.max_attempts
-        || crash::is_known_to_crash_servers(call)
-    {
+    if !may_hedge(call) {
         return None;
     }
     let is_large = call.req.route.kind.is_large();
@@ -142,6 +152,8 @@
 
 fn report_silence(call: &Call, server: &BackendId) {
     let now = call.instance.now();
+    // The paths to the server may be gone: nothing else shows it while the request waits.
+    call.service.record_overdue(&call.instance, server, now - silent_after(call));
     call.service.placement.borrow_mut().record_failure(now, server, SILENCE_WEIGHT);
     call.instance.share_no_answer(&call.service, server, SILENCE_WEIGHT);
     call.add_step("silent ");
