Failing tests: the crash of a server under a request that nobody waits for is not noticed

What callers saw: a request that crashes servers is sent to a server again each time its caller left, or its time was over, before the server crashed. Crashes are looked into by the end of an attempt alone; an attempt that is dropped has none. Stand-in: a server that crashes also if the connection has closed.

--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -117,9 +117,14 @@
         (inner.executed.len() - 1, wanted.work.unwrap_or(inner.work) * inner.slowdown / 100)
     };
     let running = Running(inner);
-    run(inner, conn, work).await?;
+    let is_poison = head.uri.path().contains("poison");
+    if is_poison && fault == ServerFault::CrashesOnAbandonedPoison {
+        monoio::time::sleep(work).await;
+    } else {
+        run(inner, conn, work).await?;
+    }
     lock(inner).executed[run_number].ended = Some(Instant::now());
-    if fault == ServerFault::CrashesOnPoison && head.uri.path().contains("poison") {
+    if is_poison && crashes_on_poison(fault) {
         lock(inner).crash();
     }
     if lock(inner).is_down() {
@@ -131,6 +136,10 @@
     answer(inner, conn, fault, &id, wanted.bytes).await
 }
 
+const fn crashes_on_poison(fault: ServerFault) -> bool {
+    matches!(fault, ServerFault::CrashesOnPoison | ServerFault::CrashesOnAbandonedPoison)
+}
+
 /// Waits for the work time; fails if the connection closes first.
 async fn run(inner: &Mutex<Inner>, conn: &mut Conn, work: Duration) -> Result<(), WireError> {
     let worked = std::pin::pin!(monoio::time::sleep(work));
@@ -185,6 +194,7 @@
         | ServerFault::Shed
         | ServerFault::Other
         | ServerFault::CrashesOnPoison
+        | ServerFault::CrashesOnAbandonedPoison
         | ServerFault::EndlessProbes(_)
         | ServerFault::ForgetsIdle => conn.write(success).await,
     }
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -46,6 +46,8 @@
     /// Crashes at the end of the work on a request whose path contains `poison`, with all requests
     /// in flight; refuses connections until it restarts after one second.
     CrashesOnPoison,
+    /// The same, also if the connection of the request closes before the end of the work.
+    CrashesOnAbandonedPoison,
     /// Crashes after half of the answer.
     CrashesInAnswer,
     /// Closes a connection that was idle for more than 300 ms when the next request arrives on it.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod control;
 #[path = "gateway/crashes.rs"]
 mod crashes;
+#[path = "gateway/crashes_abandoned.rs"]
+mod crashes_abandoned;
 #[path = "gateway/endless.rs"]
 mod endless;
 #[path = "gateway/evacuation.rs"]
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 /// Log line of an instance that has found out that a server crashed.
-const CRASHED: &str = "server crashed while running a request";
+pub const CRASHED: &str = "server crashed while running a request";
 
 /// Number of servers that ran a request with `poison` in its path.
-fn poisoned_runs(world: &World) -> usize {
+pub fn poisoned_runs(world: &World) -> usize {
     let servers = world.servers_of("look").into_iter();
     let runs = servers.flat_map(|server| server.executed_requests());
     runs.filter(|ran| ran.line.contains("poison")).count()
