--- a/crates/galenapath-filings/src/lib.rs
+++ b/crates/galenapath-filings/src/lib.rs
@@ -26,5 +26,7 @@
 pub use key::{FilingKey, KeyId, KeyKind, ParseKeyError};
 pub use record::{AfterAttempt, AttemptEnd, FilingEnd, RecordGone, RecordId};
 pub use successors::successors;
-pub use suspects::{RecentAnswers, SuspectConfig, SuspectReport, SuspectVerdict, Suspects};
+pub use suspects::{
+    RecentAnswers, RunId, ServerRuns, SuspectConfig, SuspectReport, SuspectVerdict, Suspects,
+};
 pub use table::{FilingDecision, FilingTable};
--- a/crates/galenapath-filings/src/suspects/mod.rs
+++ b/crates/galenapath-filings/src/suspects/mod.rs
@@ -10,7 +10,9 @@
 mod list;
 mod recent_answers;
 mod report;
+mod server_runs;
 
 pub use list::{SuspectConfig, SuspectVerdict, Suspects};
 pub use recent_answers::RecentAnswers;
 pub use report::SuspectReport;
+pub use server_runs::{RunId, ServerRuns};
--- a/crates/galenapath-gateway/src/attempt.rs
+++ b/crates/galenapath-gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one backend server and reads its answer.
 
 use crate::call::Call;
-use crate::crash;
+use crate::crash::{self, Running};
 use crate::exchange::take_retry;
 use crate::fitness;
 use crate::in_flight::InFlight;
@@ -121,11 +121,8 @@
     let result = send(call, &in_flight).await;
     let took = call.instance.now() - started;
     call.record_attempt(&in_flight, took, &result);
-    match &result {
-        Ok(Reply { status, rest: None, .. }) => crash::record_answer(call, *status),
-        Ok(_) => {}
-        Err(AttemptError::Broken) => crash::check_for_crash(call, &in_flight.server),
-        Err(_) => {}
+    if let Ok(Reply { status, rest: None, .. }) = &result {
+        crash::record_answer(call, *status);
     }
     result
 }
@@ -135,20 +132,47 @@
     let address = service.address(server).ok_or(AttemptError::Unreachable)?;
     // Checked here as well, so that a server that accepts no requests gets no load query.
     check_send(call, in_flight)?;
-    let (mut connection, mut is_reused) = fitness::connect_if_fit(call, in_flight, address).await?;
+    let kept_or_new = fitness::connect_if_fit(call, in_flight, address).await?;
     // Meanwhile the server may have paused, started to drain, turned cold or stated a rate limit,
     // or its failure domain may have been evacuated, or the request may have crashed other servers.
     check_send(call, in_flight)?;
     let listed_id = service.listed_id(server).ok_or(AttemptError::Unreachable)?;
-    write_request(call, &listed_id, &mut connection);
+    let running = Running::begin(call, server);
+    let mut result = exchange(call, in_flight, kept_or_new, Addressee { address, listed_id }).await;
+    match &mut result {
+        Ok(Reply { rest: Some(rest), .. }) => rest.running = Some(running),
+        Ok(_) | Err(AttemptError::Rejected | AttemptError::OtherServer) => running.end(),
+        Err(AttemptError::Broken) => running.lose(),
+        // The server may still be at work on it.
+        Err(_) => {}
+    }
+    result
+}
+
+/// The server that a request is sent to.
+struct Addressee {
+    address: SocketAddr,
+    /// Identity under which it is listed.
+    listed_id: BackendId,
+}
+
+/// Sends the request on a connection that is kept or new, and reads the answer.
+async fn exchange(
+    call: &Call,
+    in_flight: &InFlight,
+    (mut connection, mut is_reused): (Connection, bool),
+    to: Addressee,
+) -> Result<Reply, AttemptError> {
+    let (service, server) = (&call.service, &in_flight.server);
+    write_request(call, &to.listed_id, &mut connection);
     in_flight.mark_sent();
     let _outstanding = call.record_send(&in_flight.server);
     let mut sent_at = call.instance.now();
     let mut head = send_and_read_head(call, &mut connection).await;
     if is_connection_lost(&head) && is_reused && may_resend(call, server) {
-        connection = reconnect(call, server, address).await?;
+        connection = reconnect(call, server, to.address).await?;
         is_reused = false;
-        write_request(call, &listed_id, &mut connection);
+        write_request(call, &to.listed_id, &mut connection);
         call.record_resend();
         sent_at = call.instance.now();
         head = send_and_read_head(call, &mut connection).await;
@@ -313,8 +337,7 @@
         }
         None
     } else {
-        let server = Some(in_flight.server.clone());
-        Some(RemainingBody { connection, body, is_local, server, is_lost: false })
+        Some(RemainingBody { connection, body, is_local, running: None, is_lost: false })
     };
     Ok(Reply {
         status: head.status,
--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -8,9 +8,6 @@
 //! them would be blamed for a crash, and rejected by all instances. So the other instances are asked
 //! whether they reach the server.
 
-use super::hash_text;
-use crate::call::Call;
-use crate::fleet::CrashNote;
 use crate::instance::Instance;
 use crate::load_query::{LoadQuery, Purpose};
 use crate::reach::OtherView;
@@ -24,25 +21,39 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// After a connection broke during a request, checks in the background whether the server crashed.
-pub(crate) fn check_for_crash(call: &Call, server: &BackendId) {
-    let (instance, service) = (Rc::clone(&call.instance), Rc::clone(&call.service));
-    let (server, request) = (server.clone(), call.req.fingerprint);
-    // Many callers send this request, and it was in flight by chance.
-    if instance.recent_answers.borrow().cleared_until(instance.now(), request).is_some() {
+/// One check is for all requests that were lost until it began.
+pub(super) fn check(instance: &Rc<Instance>, service: &Rc<Service>, server: &BackendId) {
+    let (instance, service) = (Rc::clone(instance), Rc::clone(service));
+    let server = server.clone();
+    monoio::spawn(async move {
+        while let Some(lost) = instance.running.take_lost(&server) {
+            let began = instance.now();
+            let state = state_after_loss(&instance, &service, &server, began).await;
+            instance.metrics.lost_requests.with_label_values(&[state.as_str()]).inc_by(lost);
+            if state == ServerState::Crashed {
+                instance.record_own_crash(&server);
+            }
+        }
+    });
+}
+
+/// Checks in the background whether a server crashed that may be running abandoned requests. The end
+/// of one that leaves is planned.
+pub(super) fn look(instance: &Rc<Instance>, service: Rc<Service>, server: BackendId) {
+    service.refresh(instance);
+    let is_leaving = service.placement.borrow().is_leaving(&server);
+    let is_used = service.address(&server).is_some() && !is_leaving;
+    if !is_used || service.has_open_connection(&server) {
         return;
     }
-    let lost_at = instance.now();
+    let (instance, began) = (Rc::clone(instance), instance.now());
     monoio::spawn(async move {
-        let state = state_after_loss(&instance, &service, &server, lost_at).await;
-        instance.metrics.lost_requests.with_label_values(&[state.as_str()]).inc();
-        if state != ServerState::Crashed {
+        if probe(&instance, &service, &server).await != ProbeResult::NoAnswer {
             return;
         }
-        let note = CrashNote { server: server.hash(), request };
-        log::warn!(server:% = server, request_hash:% = hash_text(request);
-            "server crashed while running a request");
-        instance.record_crash(&note, "own");
-        instance.share_crash(note);
+        if ask_others(&instance, &service, &server, began).await == ServerState::Crashed {
+            instance.record_own_crash(&server);
+        }
     });
 }
 
@@ -72,14 +83,23 @@
     instance: &Instance,
     service: &Service,
     server: &BackendId,
-    lost_at: Micros,
+    began: Micros,
 ) -> ServerState {
     match probe(instance, service, server).await {
-        ProbeResult::Answered => return ServerState::Alive,
-        ProbeResult::OtherServer => return ServerState::Crashed,
-        ProbeResult::NoAnswer => {}
+        ProbeResult::Answered => ServerState::Alive,
+        ProbeResult::OtherServer => ServerState::Crashed,
+        ProbeResult::NoAnswer => ask_others(instance, service, server, began).await,
     }
-    match instance.ask_about(service, server, lost_at).await {
+}
+
+/// State of a server that has not answered this instance since `began`.
+async fn ask_others(
+    instance: &Instance,
+    service: &Service,
+    server: &BackendId,
+    began: Micros,
+) -> ServerState {
+    match instance.ask_about(service, server, began).await {
         OtherView::Unreached | OtherView::Alone => ServerState::Crashed,
         OtherView::Unknown if !instance.are_paths_in_doubt() => ServerState::Crashed,
         OtherView::Reached | OtherView::Unknown => ServerState::NotReached,
--- a/crates/galenapath-gateway/src/crash/exchange.rs
+++ b/crates/galenapath-gateway/src/crash/exchange.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{CrashNote, Notices, RequestNote};
 use crate::instance::{Instance, sleep_to_next};
 use galenapath_filings::Fingerprint;
-use galenapath_protocol::Micros;
+use galenapath_protocol::{BackendId, Micros};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,20 +20,50 @@
 const MAX_REPEATED: usize = 16;
 
 impl Instance {
-    /// Records a crash that this or another instance detected, unless servers have just answered the
-    /// request here: an instance that hardly ever serves a common request cannot know that it is one.
-    /// Those that reject it meanwhile learn of the answer once they repeat that. `source` is logged.
-    pub(crate) fn record_crash(&self, note: &CrashNote, source: &'static str) {
+    /// Records the crash of a server that this instance has detected, and sends it to the others.
+    pub(super) fn record_own_crash(&self, server: &BackendId) {
+        let running = self.running.take(self.now(), server);
+        for request in &running {
+            log::warn!(server:% = server, request_hash:% = hash_text(*request);
+                "server crashed while running a request");
+        }
+        self.record_crash(server.hash(), &running, "own");
+        self.share_crash(server.hash(), &running);
+    }
+
+    /// Applies crashes that another instance has detected. Nothing shows this one that a server crashed
+    /// under requests that nobody here waits for, so those are added.
+    pub(crate) fn apply_crashes(&self, notes: &[CrashNote]) {
+        for notes in notes.chunk_by(|a, b| a.server == b.server) {
+            let server = notes[0].server;
+            let requests: Vec<Fingerprint> = notes.iter().map(|note| note.request).collect();
+            self.record_crash(server, &requests, "peer");
+            let abandoned = self.running.take_abandoned(self.now(), server);
+            self.record_crash(server, &abandoned, "own");
+            self.share_crash(server, &abandoned);
+        }
+    }
+
+    /// Records a crash, except for requests that servers have just answered here: an instance that
+    /// hardly ever serves a common request cannot know that it is one. Those that reject it meanwhile
+    /// learn of the answer once they repeat that. `source` is logged.
+    fn record_crash(&self, server: u64, running: &[Fingerprint], source: &'static str) {
         let now = self.now();
         let mut suspects = self.suspects.borrow_mut();
-        if let Some(until) = self.recent_answers.borrow().cleared_until(now, note.request) {
-            suspects.record_common(now, note.request, until);
-            return;
+        let mut blamed = Vec::new();
+        for request in running {
+            match self.recent_answers.borrow().cleared_until(now, *request) {
+                Some(until) => suspects.record_common(now, *request, until),
+                None => blamed.push(*request),
+            }
         }
-        let was_confirmed = suspects.is_confirmed(now, note.request);
-        suspects.record_crash(now, note.server, &[note.request]);
-        if !was_confirmed && suspects.is_confirmed(now, note.request) {
-            log_rejected(note.request, source);
+        let was_confirmed: Vec<bool> =
+            blamed.iter().map(|request| suspects.is_confirmed(now, *request)).collect();
+        suspects.record_crash(now, server, &blamed);
+        for (request, was_confirmed) in blamed.iter().zip(was_confirmed) {
+            if !was_confirmed && suspects.is_confirmed(now, *request) {
+                log_rejected(*request, source);
+            }
         }
     }
 
--- a/crates/galenapath-gateway/src/forwarding/client.rs
+++ b/crates/galenapath-gateway/src/forwarding/client.rs
@@ -162,7 +162,7 @@
         }
         None
     } else {
-        Some(RemainingBody { connection, body, is_local, server: None, is_lost: false })
+        Some(RemainingBody { connection, body, is_local, running: None, is_lost: false })
     };
     let headers = reply::caller_headers(&instance.names, head.headers);
     Ok(Reply { status: head.status, headers, framing, start, rest })
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of an instance.
 
 use crate::clock::Clock;
+use crate::crash::RunningRequests;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::forwarding::ForwardCounts;
 use crate::metrics::Metrics;
@@ -55,6 +56,8 @@
     longest_timeouts: RefCell<FastMap<String, Micros>>,
     /// Requests suspected of crashing backend servers.
     pub(crate) suspects: RefCell<Suspects>,
+    /// Requests that backend servers may be running.
+    pub(crate) running: RunningRequests,
     /// Requests that servers have just answered.
     pub(crate) recent_answers: RefCell<RecentAnswers>,
     /// Requests that failed on this instance and that their callers may retry.
@@ -127,6 +130,7 @@
             services: RefCell::default(),
             splits: RefCell::default(),
             longest_timeouts: RefCell::default(),
+            running: RunningRequests::default(),
             recent_answers: RefCell::default(),
             suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
             failed_requests: RefCell::default(),
--- a/crates/galenapath-gateway/src/pool.rs
+++ b/crates/galenapath-gateway/src/pool.rs
@@ -83,6 +83,12 @@
         self.idle.borrow().get(id).is_some_and(|pool| !pool.is_empty())
     }
 
+    /// Whether the pool has a connection that its other end has not visibly closed.
+    pub(crate) fn has_open(&self, id: &K) -> bool {
+        let idle = self.idle.borrow();
+        idle.get(id).is_some_and(|pool| pool.iter().any(|idle| !idle.connection.is_stale()))
+    }
+
     /// Closes connections that have been idle for too long. Returns the ends whose last
     /// connection was closed.
     pub(crate) fn prune(&self, now: Micros) -> Vec<K> {
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -69,9 +69,6 @@
     let sent = monoio::time::timeout(time_limit, streaming).await;
     let sent = sent.unwrap_or_else(|_| Err(HttpError::Io(ErrorKind::TimedOut.into())));
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
-    if let Some(server) = rest.server.as_ref().filter(|_| rest.is_lost) {
-        crash::check_for_crash(call, server);
-    }
     let outcome = match sent {
         Ok(()) => {
             crash::record_answer(call, status);
@@ -79,10 +76,22 @@
         }
         Err(_) => "broke_off",
     };
+    record_run(rest, sent.is_ok());
     record_end(call, &answered_end(status, outcome));
     sent
 }
 
+/// Records what became of the request at its server. One whose answer was not read to its end may
+/// still run there.
+fn record_run(rest: RemainingBody, is_sent: bool) {
+    let Some(running) = rest.running else { return };
+    if rest.is_lost {
+        running.lose();
+    } else if is_sent {
+        running.end();
+    }
+}
+
 /// Answers with an error, because the caller could not distinguish a complete body from an aborted
 /// one: HTTP/1.0 has no chunked encoding, and the body's length is unknown.
 async fn reject_http_10(call: &Call, caller: &mut Caller) -> Result<(), HttpError> {
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Body, BodyRoom};
 use crate::call::Call;
+use crate::crash::Running;
 use crate::dialect::HeaderNames;
 use crate::fleet::RESULT_HEADER;
 use bytes::BytesMut;
@@ -9,7 +10,7 @@
     BodyState, Connection, Framing, HeadTimeouts, HttpError, ResponseHead, has_connection_option,
     response_framing, strip_hop_by_hop,
 };
-use galenapath_protocol::{BackendId, Micros};
+use galenapath_protocol::Micros;
 use http::header::{CONTENT_ENCODING, HeaderMap};
 use http::{Method, StatusCode};
 use std::time::Duration;
@@ -38,8 +39,8 @@
     pub(crate) body: BodyState,
     /// Whether the server is in this instance's failure domain.
     pub(crate) is_local: bool,
-    /// The server that sends it; `None` if another instance does.
-    pub(crate) server: Option<BackendId>,
+    /// The request at the server that sends it; `None` if another instance does.
+    pub(crate) running: Option<Running>,
     /// Whether the connection to the server broke before the end of the body.
     pub(crate) is_lost: bool,
 }
--- a/crates/galenapath-gateway/src/run.rs
+++ b/crates/galenapath-gateway/src/run.rs
@@ -107,6 +107,7 @@
     monoio::spawn(reach::run(Rc::clone(instance)));
     monoio::spawn(notices::run(Rc::clone(instance)));
     monoio::spawn(crash::run(Rc::clone(instance)));
+    monoio::spawn(crash::follow_abandoned(Rc::clone(instance)));
     monoio::spawn(quota::run(Rc::clone(instance)));
     monoio::spawn(usage::run(Rc::clone(instance)));
     monoio::spawn(watch::run(Rc::clone(instance), store));
--- a/crates/galenapath-gateway/src/service.rs
+++ b/crates/galenapath-gateway/src/service.rs
@@ -206,6 +206,11 @@
         self.placement.borrow_mut().set_connected(id, self.pools.has(id));
     }
 
+    /// Whether an idle connection to the server is open, so that the server has not crashed.
+    pub(crate) fn has_open_connection(&self, id: &BackendId) -> bool {
+        self.pools.has_open(id)
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn prune_connections(&self, now: Micros) {
         let mut placement = self.placement.borrow_mut();
--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -11,6 +11,7 @@
 use crate::reach::ReportDecision;
 use crate::service::Service;
 use crate::usage::Flow;
+use galenapath_filings::Fingerprint;
 use galenapath_membership::Peer;
 use galenapath_policy::place::LoadObservation;
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros};
@@ -117,8 +118,8 @@
         self.wake();
     }
 
-    fn add_crash(&mut self, note: CrashNote) {
-        self.crashes.push(note);
+    fn add_crash(&mut self, server: u64, running: &[Fingerprint]) {
+        self.crashes.extend(running.iter().map(|request| CrashNote { server, request: *request }));
         self.wake();
     }
 }
@@ -177,9 +178,9 @@
         }
     }
 
-    /// Queues a crash for the other instances.
-    pub(crate) fn share_crash(&self, note: CrashNote) {
-        self.outbox.borrow_mut().add_crash(note);
+    /// Queues the crash of a server, given by its hash, for the other instances.
+    pub(crate) fn share_crash(&self, server: u64, running: &[Fingerprint]) {
+        self.outbox.borrow_mut().add_crash(server, running);
     }
 
     /// Frees memory held for servers that are gone.
@@ -205,7 +206,7 @@
     /// Applies the updates received from another instance.
     pub(crate) fn apply_loads(&self, loads: &Loads) {
         let now = self.now();
-        loads.crashes.iter().for_each(|note| self.record_crash(note, "peer"));
+        self.apply_crashes(&loads.crashes);
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
             if !loads.warmth.is_empty() {
@@ -327,9 +328,10 @@
         parts.push(Loads::default());
     }
     parts[0].failures.clone_from(&notes.failures);
-    parts[0].crashes.clone_from(&notes.crashes);
-    let more = notes.warmth.chunks(MAX_UPDATES);
-    parts.extend(more.map(|part| Loads { warmth: part.to_vec(), ..Loads::default() }));
+    let crashes = notes.crashes.chunks(MAX_UPDATES);
+    parts.extend(crashes.map(|part| Loads { crashes: part.to_vec(), ..Loads::default() }));
+    let warmth = notes.warmth.chunks(MAX_UPDATES);
+    parts.extend(warmth.map(|part| Loads { warmth: part.to_vec(), ..Loads::default() }));
     parts.retain(|part| !part.is_empty());
     parts
 }
--- a/crates/galenapath-policy/src/place/placement.rs
+++ b/crates/galenapath-policy/src/place/placement.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Whether a server is leaving.
+    pub fn is_leaving(&self, id: &BackendId) -> bool {
+        self.server(id).is_some_and(|server| server.is_leaving)
+    }
+
     /// Number of leaving servers.
     pub fn leaving_count(&self) -> usize {
         self.servers.iter().filter(|server| server.is_leaving).count()
