Crashes: what is known of a request is not taken back by later crashes of others

What callers saw: a request known to crash servers is sent to servers again once other servers have ended with the requests that were beside it. Cause: the cause of a crash is the request that was in more crashes than each other one, counted over all crashes known at the moment. Two requests that were beside the cause, one in each of its crashes, and then in one more each (a rack that is lost), have as many; then no crash has a cause any more. Nothing but an answer shows that a request crashes no server. Class: a decision that is worked out anew from what has happened since, though nothing of it concerns the decision. Change: a cause is confirmed by the crashes up to one of its own and stays so. The decision is still a function of the set of crashes (ordered by time and server), so that instances which receive them in any order agree (merge_any_order_same_verdicts). Ruled out: keeping each verdict once it is there; reports of one crash arrive one by one, and a bystander whose report is first would be kept. Test that failed before: record_crash_of_others_leaves_the_cause_known.

--- a/crates/galenapath-filings/src/suspects/assessment.rs
+++ b/crates/galenapath-filings/src/suspects/assessment.rs
@@ -3,7 +3,8 @@
 use super::crash::Crash;
 use crate::Fingerprint;
 use galenapath_protocol::Micros;
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Crashes after which a request can be confirmed as their cause. One crash may be a coincidence.
 const MIN_CRASHES_TO_CONFIRM: usize = 2;
@@ -25,28 +26,20 @@
     Explained,
     /// At least one of its crashes has no confirmed cause.
     Suspected,
-    /// It was in at least two crashes, and in one of them no other request was in as many.
+    /// It was in at least two crashes, and in one of them no other request was in as many at the time of
+    /// its last one.
     Confirmed,
 }
 
-/// Assesses every request in `crashes`. This takes a few passes over all members, so it is done
-/// when the crashes change and not for each request.
-pub(super) fn assess<'a>(
-    crashes: impl Iterator<Item = &'a Crash> + Clone,
-) -> BTreeMap<Fingerprint, Assessment> {
-    let mut all = BTreeMap::new();
-    for crash in crashes.clone() {
-        for fp in &crash.members {
-            let fresh = Assessment { crashes: 0, last: crash.at, suspicion: Suspicion::Explained };
-            let assessment = all.entry(*fp).or_insert(fresh);
-            assessment.crashes += 1;
-            assessment.last = assessment.last.max(crash.at);
-        }
-    }
-    for crash in crashes.clone() {
-        if let Some(cause) = confirmed_cause(crash, &all) {
-            set_suspicion(&mut all, cause, Suspicion::Confirmed);
-        }
+type Assessments = BTreeMap<Fingerprint, Assessment>;
+
+/// Assesses every request in `crashes`, which are in the order of their times. This takes a few passes
+/// over all members, so it is done when the crashes change and not for each request.
+pub(super) fn assess(crashes: &VecDeque<Crash>) -> Assessments {
+    let mut all = Assessments::new();
+    for (at, crash) in crashes.iter().enumerate() {
+        count(&mut all, crash);
+        confirm_causes(&mut all, crashes.iter().take(at + 1), crash);
     }
     for crash in crashes {
         if crash.members.iter().all(|fp| !is_confirmed(&all, *fp)) {
@@ -56,24 +49,50 @@
     all
 }
 
+fn count(all: &mut Assessments, crash: &Crash) {
+    for fp in &crash.members {
+        let fresh = Assessment { crashes: 0, last: crash.at, suspicion: Suspicion::Explained };
+        let assessment = all.entry(*fp).or_insert(fresh);
+        assessment.crashes += 1;
+        assessment.last = assessment.last.max(crash.at);
+    }
+}
+
+/// Confirms the causes of the crashes up to `newest`, by what is known at that time. Crashes later on
+/// do not change that: the requests beside a cause may be in flight when other servers are lost.
+fn confirm_causes<'a>(
+    all: &mut Assessments,
+    known: impl Iterator<Item = &'a Crash>,
+    newest: &Crash,
+) {
+    // Only the counts of the members of the newest crash have changed.
+    for crash in known.filter(|crash| crash.has_member_of(newest)) {
+        if let Some(cause) = confirmed_cause(crash, all) {
+            set_suspicion(all, cause, Suspicion::Confirmed);
+        }
+    }
+}
+
 /// The member that was in more crashes than all others, if it was in at least
 /// [`MIN_CRASHES_TO_CONFIRM`].
-fn confirmed_cause(crash: &Crash, all: &BTreeMap<Fingerprint, Assessment>) -> Option<Fingerprint> {
-    let count = |fp: &Fingerprint| all.get(fp).map_or(0, |assessment| assessment.crashes);
-    let top = crash.members.iter().max_by_key(|fp| count(fp))?;
-    let equals = crash.members.iter().filter(|fp| count(fp) == count(top)).count();
-    (count(top) >= MIN_CRASHES_TO_CONFIRM && equals == 1).then_some(*top)
+fn confirmed_cause(crash: &Crash, all: &Assessments) -> Option<Fingerprint> {
+    let (mut most, mut cause) = (MIN_CRASHES_TO_CONFIRM - 1, None);
+    for fp in &crash.members {
+        let count = all.get(fp).map_or(0, |assessment| assessment.crashes);
+        match count.cmp(&most) {
+            Ordering::Greater => (most, cause) = (count, Some(*fp)),
+            Ordering::Equal => cause = None,
+            Ordering::Less => {}
+        }
+    }
+    cause
 }
 
-fn is_confirmed(all: &BTreeMap<Fingerprint, Assessment>, fp: Fingerprint) -> bool {
+fn is_confirmed(all: &Assessments, fp: Fingerprint) -> bool {
     all.get(&fp).is_some_and(|assessment| assessment.suspicion == Suspicion::Confirmed)
 }
 
-fn set_suspicion(
-    all: &mut BTreeMap<Fingerprint, Assessment>,
-    fp: Fingerprint,
-    suspicion: Suspicion,
-) {
+fn set_suspicion(all: &mut Assessments, fp: Fingerprint, suspicion: Suspicion) {
     if let Some(assessment) = all.get_mut(&fp) {
         assessment.suspicion = suspicion;
     }
--- a/crates/galenapath-filings/src/suspects/crash.rs
+++ b/crates/galenapath-filings/src/suspects/crash.rs
@@ -24,6 +24,11 @@
         self.backend == backend && apart < SAME_CRASH_WINDOW
     }
 
+    /// Whether a request was in flight in both crashes.
+    pub(super) fn has_member_of(&self, other: &Self) -> bool {
+        self.members.iter().any(|fp| other.members.binary_search(fp).is_ok())
+    }
+
     pub(super) fn add(&mut self, fp: Fingerprint, max: usize) {
         if let Err(at) = self.members.binary_search(&fp)
             && self.members.len() < max
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Suspects {
     cfg: SuspectConfig,
-    /// Oldest first.
+    /// Invariant: in the order of their times, oldest first, and then of their backend servers.
     crashes: VecDeque<Crash>,
     /// Invariant: the assessment of each member of `crashes`.
     assessments: BTreeMap<Fingerprint, Assessment>,
@@ -202,7 +202,7 @@
                 self.crashes[index].add(*fp, max);
             }
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
         if self.crashes.len() > self.cfg.max_crashes.max(1) {
             self.drop_oldest_crash(now);
         }
@@ -216,11 +216,12 @@
                 self.keep_verdict(fp, last);
             }
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
     }
 
     fn insert_crash(&mut self, backend: u64, at: Micros) -> usize {
-        let index = self.crashes.partition_point(|crash| crash.at <= at);
+        // The same order on all instances, whoever reports first.
+        let index = self.crashes.partition_point(|crash| (crash.at, crash.backend) < (at, backend));
         self.crashes.insert(index, Crash { backend, at, members: Vec::new() });
         index
     }
@@ -233,7 +234,7 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
             crash.clear(fp);
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
         if self.verdicts.get(&fp).is_some_and(|last| *last <= at) {
             self.verdicts.remove(&fp);
         }
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -177,6 +177,24 @@
     assert!(is_rejected(s.check(until + Micros::from_millis(3), CRASHING)));
 }
 
+/// Two requests that were beside the cause are in flight in a rack that is lost afterwards.
+#[test]
+fn record_crash_of_others_leaves_the_cause_known() {
+    let (mut s, mut now) = (suspects(), T0);
+    for (backend, running) in [[CRASHING, fp(1)], [CRASHING, fp(2)]].iter().enumerate() {
+        now = now + APART;
+        s.record_crash(now, backend as u64, running);
+    }
+    assert!(is_rejected(s.check(now, CRASHING)));
+    for (backend, other) in [fp(1), fp(2)].into_iter().enumerate() {
+        now = now + APART;
+        s.record_crash(now, 10 + backend as u64, &[other]);
+    }
+    assert!(is_rejected(s.check(now, CRASHING)));
+    s.record_answer(now, CRASHING);
+    assert_eq!(s.check(now, CRASHING), SuspectVerdict::Clear);
+}
+
 /// Sends the crashing request through the given instances in turn and returns the number of servers
 /// that crash. All instances learn of each crash before the next send. `sends` also contains the
 /// other requests in flight on the server, unless the crashing request runs isolated.
