--- a/crates/galenapath-filings/src/suspects/server_runs.rs
+++ b/crates/galenapath-filings/src/suspects/server_runs.rs
@@ -11,6 +11,10 @@
 /// noticed that.
 const MAX_OVERRUN: Micros = Micros::from_millis(500);
 
+/// Time from the last request that was abandoned to the first look at its server. Until the next looks, it
+/// doubles each time.
+const FIRST_LOOK: Micros = Micros::from_millis(50);
+
 /// Maximum number of abandoned requests kept for one server; the oldest are dropped first.
 const MAX_ABANDONED: usize = 64;
 
@@ -34,6 +38,10 @@
     /// In the order in which they were sent.
     runs: Vec<Run>,
     next: u64,
+    /// When the server is looked at next, if no awaited answer shows whether it has crashed.
+    look_at: Micros,
+    /// Time from that look to the one after it.
+    look_interval: Micros,
 }
 
 impl ServerRuns {
@@ -51,16 +59,31 @@
     }
 
     /// Keeps a request whose answer will not be read, for as long as the server may run it.
-    pub fn abandon(&mut self, id: RunId) {
-        if let Some(run) = self.runs.iter_mut().find(|run| run.id == id) {
-            run.is_abandoned = true;
-        }
+    pub fn abandon(&mut self, now: Micros, id: RunId) {
+        let is_first = !self.has_abandoned();
+        let Some(run) = self.runs.iter_mut().find(|run| run.id == id) else { return };
+        run.is_abandoned = true;
+        let first_look = now + FIRST_LOOK;
+        self.look_at = if is_first { first_look } else { first_look.min(self.look_at) };
+        self.look_interval = FIRST_LOOK + FIRST_LOOK;
         if self.runs.iter().filter(|run| run.is_abandoned).count() > MAX_ABANDONED {
             let oldest = self.runs.iter().position(|run| run.is_abandoned);
             oldest.map(|at| self.runs.remove(at));
         }
     }
 
+    /// Returns whether the server has to be looked at now, because it may be running abandoned requests
+    /// and its connections show nothing; schedules the next look if so.
+    pub fn take_look(&mut self, now: Micros) -> bool {
+        self.expire(now);
+        let is_due = self.has_abandoned() && !self.is_awaited() && now >= self.look_at;
+        if is_due {
+            self.look_at = now + self.look_interval;
+            self.look_interval = self.look_interval + self.look_interval;
+        }
+        is_due
+    }
+
     /// Drops abandoned requests that the server no longer runs.
     pub fn expire(&mut self, now: Micros) {
         self.runs.retain(|run| !run.is_abandoned || now < run.until);
@@ -72,7 +95,7 @@
     }
 
     /// Whether the answer to a request is awaited, so that its connection shows a crash.
-    pub fn is_awaited(&self) -> bool {
+    fn is_awaited(&self) -> bool {
         self.runs.iter().any(|run| !run.is_abandoned)
     }
 
@@ -81,6 +104,11 @@
         self.runs.iter().any(|run| run.is_abandoned)
     }
 
+    /// The requests that the server may be running.
+    pub fn possible(&self, now: Micros) -> Vec<Fingerprint> {
+        self.clone().take(now)
+    }
+
     /// Takes out the requests that the server may have been running when it crashed.
     pub fn take(&mut self, now: Micros) -> Vec<Fingerprint> {
         self.expire(now);
--- a/crates/galenapath-gateway/src/crash/running.rs
+++ b/crates/galenapath-gateway/src/crash/running.rs
@@ -15,9 +15,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-/// Time until a server with abandoned requests alone is first looked at, and the interval at which that
-/// is considered. It doubles with each look.
-const LOOK_PERIOD: Micros = Micros::from_millis(50);
+/// Period at which the servers that have to be looked at are determined.
+const LOOK_PERIOD: Micros = Micros::from_millis(25);
 
 /// What one server may be running.
 struct Watched {
@@ -28,10 +27,6 @@
     lost: u64,
     /// Whether a check of the server is in progress.
     is_checked: bool,
-    /// When the server is looked at next, if nothing else shows whether it has crashed.
-    look_at: Micros,
-    /// Time between the next look and the one after it.
-    look_interval: Micros,
 }
 
 impl Watched {
@@ -42,33 +37,9 @@
             runs: ServerRuns::default(),
             lost: 0,
             is_checked: false,
-            look_at: Micros::ZERO,
-            look_interval: LOOK_PERIOD,
         }
     }
 
-    /// Schedules looks at the server, more often again if a request has just been abandoned.
-    fn abandon(&mut self, now: Micros, id: RunId) {
-        self.runs.abandon(id);
-        self.look_interval = LOOK_PERIOD;
-        self.look_at = now + LOOK_PERIOD;
-    }
-
-    /// Whether the server is to be looked at now; schedules the next look if so. While an answer is
-    /// awaited, its connection shows a crash.
-    fn take_look(&mut self, now: Micros) -> bool {
-        self.runs.expire(now);
-        let is_due = self.runs.has_abandoned()
-            && !self.runs.is_awaited()
-            && !self.is_checked
-            && now >= self.look_at;
-        if is_due {
-            self.look_interval = self.look_interval + self.look_interval;
-            self.look_at = now + self.look_interval;
-        }
-        is_due
-    }
-
     fn is_needed(&self) -> bool {
         !self.runs.is_empty() || self.is_checked
     }
@@ -120,7 +91,8 @@
     fn take_looks(&self, now: Micros) -> Vec<(Rc<Service>, BackendId)> {
         let mut servers = self.servers.borrow_mut();
         let due = servers.values_mut().filter_map(|watched| {
-            watched.take_look(now).then(|| (Rc::clone(&watched.service), watched.id.clone()))
+            let is_due = watched.runs.take_look(now) && !watched.is_checked;
+            is_due.then(|| (Rc::clone(&watched.service), watched.id.clone()))
         });
         let due = due.collect();
         servers.retain(|_, watched| watched.is_needed());
@@ -155,7 +127,7 @@
 
     fn abandon(&self, now: Micros, server: &BackendId, id: RunId) {
         if let Some(watched) = self.servers.borrow_mut().get_mut(&server.hash()) {
-            watched.abandon(now, id);
+            watched.runs.abandon(now, id);
         }
         if let Some(waker) = self.waker.borrow_mut().take() {
             waker.wake();
