Crashes: that a server is silent does not blame the requests which nobody waits for

A request whose deadline passes at a server that hangs is abandoned there. Looked at, a hanging server, or one whose machine is lost, does not answer either; its abandoned requests, and after a hedge those of two servers, would be rejected for ten minutes though nothing shows that they end anything. A server that has crashed under a request leaves a machine that refuses connections: only that counts, and that others do not reach it. Remains as before: a server whose machine loses power under a request does not count.

--- a/crates/galenapath-gateway/src/crash/detection.rs
+++ b/crates/galenapath-gateway/src/crash/detection.rs
@@ -9,9 +9,10 @@
 //! whether they reach the server.
 
 use crate::instance::Instance;
-use crate::load_query::{LoadQuery, Purpose};
-use crate::reach::OtherView;
+use crate::load_query::{self, LoadQuery, Purpose};
+use crate::reach::{self, OtherView};
 use crate::service::Service;
+use galenapath_policy::reach::NoAnswer;
 use galenapath_protocol::{BackendId, Micros};
 use monoio::net::TcpStream;
 use std::rc::Rc;
@@ -37,8 +38,9 @@
     });
 }
 
-/// Checks in the background whether a server crashed that may be running abandoned requests. The end
-/// of one that leaves is planned.
+/// Checks in the background whether a server crashed that may be running abandoned requests: whether
+/// its machine refuses connections. Silence shows nothing, since the server may hang, or its machine may
+/// be lost with it. The end of one that leaves is planned.
 pub(super) fn look(instance: &Rc<Instance>, service: Rc<Service>, server: BackendId) {
     service.refresh(instance);
     let is_leaving = service.placement.borrow().is_leaving(&server);
@@ -48,7 +50,8 @@
     }
     let (instance, began) = (Rc::clone(instance), instance.now());
     monoio::spawn(async move {
-        if probe(&instance, &service, &server).await != ProbeResult::NoAnswer {
+        let refused = ProbeResult::NoAnswer(NoAnswer::Refused);
+        if probe(&instance, &service, &server).await != refused {
             return;
         }
         if ask_others(&instance, &service, &server, began).await == ServerState::Crashed {
@@ -88,7 +91,7 @@
     match probe(instance, service, server).await {
         ProbeResult::Answered => ServerState::Alive,
         ProbeResult::OtherServer => ServerState::Crashed,
-        ProbeResult::NoAnswer => ask_others(instance, service, server, began).await,
+        ProbeResult::NoAnswer(_) => ask_others(instance, service, server, began).await,
     }
 }
 
@@ -112,7 +115,7 @@
     Answered,
     /// Another server has its address, or it is no longer listed.
     OtherServer,
-    NoAnswer,
+    NoAnswer(NoAnswer),
 }
 
 async fn probe(instance: &Instance, service: &Service, server: &BackendId) -> ProbeResult {
@@ -122,7 +125,8 @@
         let connecting = TcpStream::connect_addr(address);
         return match monoio::time::timeout(PROBE_TIMEOUT, connecting).await {
             Ok(Ok(_)) => ProbeResult::Answered,
-            Ok(Err(_)) | Err(_) => ProbeResult::NoAnswer,
+            Ok(Err(e)) => ProbeResult::NoAnswer(reach::no_answer(&e)),
+            Err(_) => ProbeResult::NoAnswer(NoAnswer::Lost),
         };
     }
     let query = LoadQuery {
@@ -136,6 +140,6 @@
     match query.send(None).await {
         Ok(answer) if answer.is_other => ProbeResult::OtherServer,
         Ok(_) => ProbeResult::Answered,
-        Err(_) => ProbeResult::NoAnswer,
+        Err(e) => ProbeResult::NoAnswer(load_query::no_answer(&e)),
     }
 }
--- a/tests/gateway/crashes_abandoned.rs
+++ b/tests/gateway/crashes_abandoned.rs
@@ -2,7 +2,7 @@
 
 use crate::crashes::{CRASHED, poisoned_runs};
 use crate::support::kept::{Kept, get};
-use crate::support::{Gateway, World};
+use crate::support::{Gateway, World, wait_until};
 use galenapath_dev::users_platform::ServerFault;
 use std::time::Duration;
 
@@ -58,3 +58,22 @@
         gateway.request("GET", "/look/poison", &format!("ad{n}"), timeout_ms, b"");
     });
 }
+
+/// A server that hangs may be at work on anything, and its machine may be lost with it.
+#[test]
+fn silence_of_a_server_not_counted_as_crash_under_abandoned_requests() {
+    let world = World::start();
+    let gateway = Gateway::start_ready(&world, &[]);
+    let servers = world.servers_of("look");
+    servers.iter().for_each(|server| server.set_fault(ServerFault::Hang));
+    std::thread::scope(|scope| {
+        let request = scope.spawn(|| gateway.request("GET", "/look/1", "sh0", 400, b""));
+        wait_until("the request to run", || world.run_count("look") > 0);
+        // New connections are accepted and not served.
+        servers.iter().for_each(|server| server.set_accept_delay(Duration::from_secs(60)));
+        assert_eq!(request.join().unwrap().status, 504);
+    });
+    // Longer than a server counts as possibly at work on it.
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(!gateway.log().iter().any(|line| line["event"] == CRASHED));
+}
