Class-based program: an error answer is no proof that a request crashes no server

What callers saw: a request that crashes servers was sent on after each answer with a server error, of a server that failed it without running it. Cause: any answer cleared the request. Test that failed before: scenario_poison_answered_with_errors (three servers ended where two may).

--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -219,8 +219,11 @@
 
     /// Records an answer and the attempts that it reports.
     fn record_answer(&self, backend: &Backend, reply: &Reply, latency: Micros) {
-        let fingerprint = self.req.fingerprint;
-        self.call.plane.suspects.borrow_mut().record_answer(self.call.plane.now(), fingerprint);
+        // A server may fail requests without running them.
+        if !reply.status.is_server_error() {
+            let (now, fingerprint) = (self.call.plane.now(), self.req.fingerprint);
+            self.call.plane.suspects.borrow_mut().record_answer(now, fingerprint);
+        }
         self.call.trace.borrow_mut().record_answer(&backend.id, reply.status);
         self.call.service.state.borrow_mut().hedges.observe(latency);
         if let Some(count) = header_number(&reply.headers, ATTEMPT_HEADER) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -122,6 +122,7 @@
     scenario_not_run_saturated: "not-run-saturated",
     scenario_overload_recovers: "overload-recovers",
     scenario_poison_and_store_down: "poison-and-store-down",
+    scenario_poison_answered_with_errors: "poison-answered-with-errors",
     scenario_poison_bystanders: "poison-bystanders",
     scenario_poison_lookup_retried: "poison-lookup-retried",
     scenario_poison_resent: "poison-resent",
