Class-based program: a server that ends under a request nobody waits for is noticed

What callers saw: a request that crashes servers was sent to the next one each time its deadline passed, its caller left or a hedge was answered before the server ended; also in the middle of a large answer, whose start counted as proof of innocence. Cause: the requests in flight at a server were those whose attempt was running. Metric galenapath_crashes_total. Test that failed before: scenario_poison_abandoned (waits for a crash that is never counted). Not covered: requests whose bodies are streamed through; they have no fingerprint.

--- a/crates/galenapath-entry/src/data/attempt.rs
+++ b/crates/galenapath-entry/src/data/attempt.rs
@@ -4,6 +4,7 @@
 use super::plane::DataPlane;
 use super::pool::Pooled;
 use super::prepare::Prepared;
+use super::running::Running;
 use super::service::Service;
 use crate::shared::ControlEvent;
 use bytes::{Bytes, BytesMut};
@@ -102,6 +103,8 @@
 pub(super) struct Rest {
     pub(super) connection: Pooled,
     pub(super) state: BodyState,
+    /// The request at the backend server, which is still at work on it.
+    pub(super) running: Option<Running>,
 }
 
 /// The backend server of an attempt, and the deadline.
@@ -191,7 +194,7 @@
         return_if_reusable(connection, framing, &head);
         None
     } else {
-        Some(Rest { connection, state })
+        Some(Rest { connection, state, running: None })
     };
     Ok(Reply { status: head.status, headers: head.headers, framing, start: start.freeze(), rest })
 }
--- a/crates/galenapath-entry/src/data/backend.rs
+++ b/crates/galenapath-entry/src/data/backend.rs
@@ -1,8 +1,8 @@
 //! A backend server as the data path uses it.
 
-use super::crash::RunningSet;
 use super::own_paths::PathCheck;
 use super::pool::Pool;
+use super::running::RunningSet;
 use crate::fleet::FleetBackend;
 use galenapath_membership::LeavingMark;
 use galenapath_protocol::BackendId;
@@ -20,7 +20,7 @@
     pub(super) address: SocketAddr,
     /// Connections to it.
     pub(super) pool: Rc<Pool>,
-    /// Requests of this instance that are running on it.
+    /// Requests of this instance that it may be running.
     pub(super) running: RunningSet,
     /// The last check after a connection to it broke.
     path_check: RefCell<Option<PathCheck>>,
@@ -59,6 +59,11 @@
         self.pool.set_share(share as usize);
     }
 
+    /// Returns whether the server is known to be leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving_reported.get()
+    }
+
     /// Returns the mark to send to other instances, if this is the first report that the server is
     /// leaving.
     pub(super) fn take_leaving_mark(&self) -> Option<LeavingMark> {
--- a/crates/galenapath-entry/src/data/commands.rs
+++ b/crates/galenapath-entry/src/data/commands.rs
@@ -1,5 +1,6 @@
 //! Commands that other threads send to the data thread.
 
+use super::crash;
 use super::explain::Explanation;
 use super::open::OpenCounts;
 use super::plane::DataPlane;
@@ -72,7 +73,7 @@
         DataCommand::Explain { id, reply } => {
             let _ = reply.try_send(plane.history.borrow().find(&id).cloned());
         }
-        DataCommand::MergeSuspects(reports) => plane.suspects.borrow_mut().merge(now, &reports),
+        DataCommand::MergeSuspects(reports) => crash::merge_suspects(plane, &reports),
         DataCommand::ApplyHandOver { from, outcomes } => {
             plane.filings.borrow_mut().apply_hand_over(now, from, outcomes);
         }
--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -1,19 +1,18 @@
 //! Detection of requests that crash backend servers.
 //!
-//! When a connection is lost, all requests that were running on the server become crash suspects,
+//! When a connection is lost, all requests that the server may have been running become crash suspects,
 //! unless this instance has lost its own paths to the servers.
 //! Later requests with the same fingerprint may be rejected, or may have to run isolated: on a
 //! server on which nothing else of this instance is running.
 
 use super::backend::Backend;
-use super::call::Call;
 use super::own_paths;
 use super::plane::DataPlane;
+use super::service::Service;
 use crate::shared::{ControlEvent, CrashReport};
 use flume::{Receiver, Sender};
-use galenapath_filings::{Fingerprint, SuspectVerdict};
-use galenapath_protocol::{Micros, hash64};
-use std::cell::RefCell;
+use galenapath_filings::{Fingerprint, SuspectReport, SuspectVerdict};
+use galenapath_protocol::{BackendId, Micros, hash64};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,40 +20,6 @@
 /// instance.
 const BACKEND_SEED: u64 = 0;
 
-/// Fingerprints of the requests of this instance that are running on one backend server.
-#[derive(Default)]
-pub(super) struct RunningSet {
-    running: RefCell<Vec<Fingerprint>>,
-}
-
-impl RunningSet {
-    /// Adds a request until the returned guard is dropped.
-    pub(super) fn enter(&self, fp: Fingerprint) -> Running<'_> {
-        self.running.borrow_mut().push(fp);
-        Running { set: self, fp }
-    }
-
-    /// Returns whether no request of this instance is running on the server.
-    pub(super) fn is_empty(&self) -> bool {
-        self.running.borrow().is_empty()
-    }
-}
-
-/// Guard of a request that is running on a backend server.
-pub(super) struct Running<'a> {
-    set: &'a RunningSet,
-    fp: Fingerprint,
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        let mut running = self.set.running.borrow_mut();
-        if let Some(index) = running.iter().position(|fp| *fp == self.fp) {
-            running.swap_remove(index);
-        }
-    }
-}
-
 /// Maximum wait for the peers to acknowledge a crash before the caller is answered: several round
 /// trips between failure domains. A peer that has not answered by then learns of it by gossip.
 const PEER_NOTIFY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -80,24 +45,27 @@
     }
 }
 
-/// Begins to record that a connection was lost while a request was on it. Unless this instance's
-/// own paths are gone, all requests that are running on the server become suspects, and the peers
-/// are notified.
-pub(super) fn record_connection_loss(call: &Call, backend: &Backend) -> Loss {
-    call.plane.shared.metrics.count_fault("connection_lost");
-    let lost = LostRequests {
-        at: call.plane.now(),
-        backend: hash64(BACKEND_SEED, backend.id.0.as_bytes()),
-        running: backend.running.running.borrow().clone(),
-    };
-    let begin = || own_paths::begin_check(&call.plane, &call.service, backend.address);
+/// Begins to record that a connection to a server was lost while a request was on it. Unless this
+/// instance's own paths are gone, all requests that the server may be running become suspects, and the
+/// peers are notified.
+pub(super) fn record_connection_loss(
+    plane: &Rc<DataPlane>,
+    service: &Service,
+    backend: &Rc<Backend>,
+) -> Loss {
+    plane.shared.metrics.count_fault("connection_lost");
+    let at = plane.now();
+    let running = backend.running.possible(at);
+    let begin = || own_paths::begin_check(plane, service, backend.address);
     let check = backend.path_check(begin);
     let (recorded_tx, recorded) = flume::bounded::<()>(1);
     let (acknowledged_tx, acknowledged) = flume::bounded(1);
-    let plane = Rc::clone(&call.plane);
+    let (plane, backend) = (Rc::clone(plane), Rc::clone(backend));
     // A request may end before the check does.
     monoio::spawn(async move {
         if check.await {
+            backend.running.take_abandoned(plane.now());
+            let lost = LostRequests { at, backend: hash_of(&backend.id), running };
             lost.record(&plane, acknowledged_tx);
         } else {
             plane.shared.metrics.count_fault("own_paths_lost");
@@ -107,7 +75,12 @@
     Loss { recorded, acknowledged }
 }
 
-/// The requests that were running on a backend server when a connection to it was lost.
+/// The name of a backend server in reports of suspects; the same on every instance.
+fn hash_of(id: &BackendId) -> u64 {
+    hash64(BACKEND_SEED, id.0.as_bytes())
+}
+
+/// The requests that a backend server may have been running when a connection to it was lost.
 struct LostRequests {
     at: Micros,
     backend: u64,
@@ -118,11 +91,33 @@
     fn record(&self, plane: &DataPlane, acknowledged: Sender<()>) {
         let mut suspects = plane.suspects.borrow_mut();
         suspects.record_crash(self.at, self.backend, &self.running);
+        plane.shared.metrics.crashes.inc();
         let report = CrashReport { suspects: suspects.export(plane.now()), acknowledged };
         let _ = plane.events.try_send(ControlEvent::Crash(report));
     }
 }
 
+/// Merges what another instance knows of crash suspects. Nothing shows this one that a server crashed
+/// under requests that nobody here waits for, so those are added.
+pub(super) fn merge_suspects(plane: &DataPlane, reports: &[SuspectReport]) {
+    let now = plane.now();
+    let crashed = plane.suspects.borrow_mut().merge(now, reports);
+    if crashed.is_empty() {
+        return;
+    }
+    for backend in plane.services().iter().flat_map(|service| service.backends()) {
+        let hash = hash_of(&backend.id);
+        if !crashed.contains(&hash) {
+            continue;
+        }
+        let running = backend.running.take_abandoned(now);
+        if !running.is_empty() {
+            let (acknowledged, _) = flume::bounded(1);
+            LostRequests { at: now, backend: hash, running }.record(plane, acknowledged);
+        }
+    }
+}
+
 /// How a request may run, given the known crashes.
 pub(super) enum RunPermission<'a> {
     /// Without restrictions.
--- a/crates/galenapath-entry/src/data/dispatch.rs
+++ b/crates/galenapath-entry/src/data/dispatch.rs
@@ -9,6 +9,7 @@
 use super::permit::{InFlight, Permit};
 use super::prepare::Prepared;
 use super::request::header_number;
+use super::running::Running;
 use super::service::State;
 use galenapath_config::ClassKind;
 use galenapath_policy::{AttemptCount, BackendHandle, MAX_ATTEMPTS, may_retry};
@@ -153,7 +154,7 @@
         let now = self.call.plane.now();
         loop {
             let handle = self.call.service.state.borrow_mut().balancer.choose(now, &exclude)?;
-            if self.call.service.backend(handle).is_some_and(|b| b.running.is_empty()) {
+            if self.call.service.backend(handle).is_some_and(|b| b.running.is_empty(now)) {
                 return Some(handle);
             }
             exclude.push(handle);
@@ -192,24 +193,31 @@
             open.mark_sent(self.call.plane.now(), &backend.id);
             Ok(())
         };
-        let running = backend.running.enter(self.req.fingerprint);
+        let deadline = self.call.meta.deadline;
+        let running = Running::begin(&self.call.plane, &backend, self.req.fingerprint, deadline);
         let result = attempt(&target, self.req, self.attempts.get().made(), before_send).await;
         if was_sent && matches!(&result, Err(error) if error.verdict() == Verdict::NotRun) {
             open.remove_send();
         }
         match result {
-            Ok(reply) => {
-                drop(running);
+            Ok(mut reply) => {
+                match &mut reply.rest {
+                    Some(rest) => rest.running = Some(running),
+                    None => running.answer(reply.status),
+                }
                 self.record_answer(&backend, &reply, in_flight.latency());
                 Ok(Served { backend: backend.id.clone(), in_flight, reply })
             }
             Err(error) => {
                 if error.is_connection_lost() {
-                    let loss = crash::record_connection_loss(self.call, &backend);
+                    let Call { plane, service, .. } = self.call;
+                    let loss = crash::record_connection_loss(plane, service, &backend);
                     loss.wait_until_recorded().await;
                     *self.loss.borrow_mut() = Some(loss);
+                    running.end();
+                } else if !was_sent || error.verdict() == Verdict::NotRun {
+                    running.end();
                 }
-                drop(running);
                 self.call.trace.borrow_mut().record_failure(&backend.id, &error);
                 in_flight.finish(error.outcome());
                 Err(error)
@@ -219,11 +227,6 @@
 
     /// Records an answer and the attempts that it reports.
     fn record_answer(&self, backend: &Backend, reply: &Reply, latency: Micros) {
-        // A server may fail requests without running them.
-        if !reply.status.is_server_error() {
-            let (now, fingerprint) = (self.call.plane.now(), self.req.fingerprint);
-            self.call.plane.suspects.borrow_mut().record_answer(now, fingerprint);
-        }
         self.call.trace.borrow_mut().record_answer(&backend.id, reply.status);
         self.call.service.state.borrow_mut().hedges.observe(latency);
         if let Some(count) = header_number(&reply.headers, ATTEMPT_HEADER) {
--- a/crates/galenapath-entry/src/data/mod.rs
+++ b/crates/galenapath-entry/src/data/mod.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod request;
 mod request_body;
+mod running;
 mod service;
 mod stopping;
 mod stream;
--- a/crates/galenapath-entry/src/data/plane.rs
+++ b/crates/galenapath-entry/src/data/plane.rs
@@ -8,7 +8,7 @@
 use flume::Sender;
 use futures::channel::oneshot;
 use galenapath_config::Config;
-use galenapath_filings::{FilingConfig, FilingTable, RecordId, Suspects};
+use galenapath_filings::{FilingConfig, FilingTable, RecentAnswers, RecordId, Suspects};
 use galenapath_protocol::{FastMap, Micros};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -24,6 +24,8 @@
     pub filings: RefCell<FilingTable>,
     /// Requests suspected of crashing backend servers.
     pub suspects: RefCell<Suspects>,
+    /// Requests that backend servers have just answered.
+    pub recent_answers: RefCell<RecentAnswers>,
     /// Explanations of recent requests.
     pub history: RefCell<History>,
     /// Resends that wait for the end of a filing in progress.
@@ -47,6 +49,7 @@
             events,
             filings: RefCell::new(filings),
             suspects: RefCell::new(Suspects::default()),
+            recent_answers: RefCell::default(),
             history: RefCell::default(),
             filing_waiters: RefCell::default(),
             services: RefCell::default(),
--- a/crates/galenapath-entry/src/data/probes.rs
+++ b/crates/galenapath-entry/src/data/probes.rs
@@ -1,9 +1,11 @@
 //! Periodic tasks of the data thread: probes of the load of backend servers whose reports are
-//! stale, and expiry of idle connections and filing records.
+//! stale, looks at servers that may be running abandoned requests, and expiry of idle connections and
+//! filing records.
 
 use super::attempt::{Target, apply_report, read_final_head};
 use super::plane::DataPlane;
 use super::pool::MAX_HEAD_BYTES;
+use super::running;
 use super::service::Service;
 use galenapath_http::{Connection, Framing, HttpError, ResponseHead, put_request};
 use galenapath_policy::BackendHandle;
@@ -38,6 +40,7 @@
             service.refresh(&plane, &config);
             service.poll(plane.now());
             send_due_probes(&plane, &service);
+            running::look_at_abandoned(&plane, &service);
             if ticks.is_multiple_of(SWEEP_TICKS) {
                 connections += service.sweep();
             }
--- a/crates/galenapath-entry/src/data/relay.rs
+++ b/crates/galenapath-entry/src/data/relay.rs
@@ -139,6 +139,9 @@
     monoio::time::timeout(time_limit, streaming)
         .await
         .unwrap_or_else(|_| Err(HttpError::Io(std::io::ErrorKind::TimedOut.into())))?;
+    if let Some(running) = rest.running {
+        running.answer(head.status);
+    }
     if head.framing != Framing::UntilClose {
         rest.connection.return_to_pool();
     }
--- a/crates/galenapath-entry/src/data/service.rs
+++ b/crates/galenapath-entry/src/data/service.rs
@@ -134,6 +134,11 @@
         state.backends.values().map(|backend| backend.pool.open()).sum()
     }
 
+    /// Returns its backend servers, in no particular order.
+    pub(super) fn backends(&self) -> Vec<Rc<Backend>> {
+        self.state.borrow().backends.values().cloned().collect()
+    }
+
     /// Returns the addresses of its backend servers, in no particular order.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.state.borrow().backends.values().map(|backend| backend.address).collect()
--- a/crates/galenapath-entry/src/data/stream.rs
+++ b/crates/galenapath-entry/src/data/stream.rs
@@ -125,7 +125,7 @@
         }
         None
     } else {
-        Some(Rest { connection, state })
+        Some(Rest { connection, state, running: None })
     };
     Ok(Reply { status: head.status, headers: head.headers, framing, start: Bytes::new(), rest })
 }
--- a/crates/galenapath-entry/src/metrics.rs
+++ b/crates/galenapath-entry/src/metrics.rs
@@ -33,6 +33,9 @@
     pub hedges: IntCounter,
     /// Load probes sent.
     pub probes: IntCounter,
+    /// Losses of backend servers that were recorded as crashes; several for one crash under several
+    /// requests.
+    pub crashes: IntCounter,
     /// Faults, by kind.
     pub faults: IntCounterVec,
     /// Filings, by decision.
@@ -73,6 +76,7 @@
             retries: counter(r, "retries_total", "Retries sent")?,
             hedges: counter(r, "hedges_total", "Second copies sent")?,
             probes: counter(r, "probes_total", "Load probes sent")?,
+            crashes: counter(r, "crashes_total", "Losses of backend servers recorded as crashes")?,
             faults: counters(r, "faults_total", "Faults seen", &["kind"])?,
             filings: counters(r, "filings_total", "Filings by decision", &["decision"])?,
             platform_calls: counters(
--- a/crates/galenapath-filings/src/suspects/crash.rs
+++ b/crates/galenapath-filings/src/suspects/crash.rs
@@ -24,6 +24,11 @@
         self.backend == backend && apart < SAME_CRASH_WINDOW
     }
 
+    /// Whether a server that crashed at `at` has not restarted yet.
+    pub(super) fn is_recent(now: Micros, at: Micros) -> bool {
+        now - at < SAME_CRASH_WINDOW
+    }
+
     /// Whether a request was in flight in both crashes.
     pub(super) fn has_member_of(&self, other: &Self) -> bool {
         self.members.iter().any(|fp| other.members.binary_search(fp).is_ok())
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -184,18 +184,26 @@
         self.answered.get(&fp).copied()
     }
 
-    /// Merges the reports of a peer. Merging is idempotent and does not depend on order.
-    pub fn merge(&mut self, now: Micros, reports: &[SuspectReport]) {
+    /// Merges the reports of a peer. Merging is idempotent and does not depend on order. Returns the
+    /// backend servers of crashes that have just happened and were not known.
+    pub fn merge(&mut self, now: Micros, reports: &[SuspectReport]) -> Vec<u64> {
+        let mut new = Vec::new();
         for report in reports {
             match report {
                 SuspectReport::Answered { fp, age_ms } => {
                     self.clear(now, *fp, time_at_age(now, *age_ms))
                 }
                 SuspectReport::Crash { backend, age_ms, members } => {
-                    self.add(now, *backend, time_at_age(now, *age_ms), members);
+                    let at = time_at_age(now, *age_ms);
+                    let is_known = self.crashes.iter().any(|crash| crash.is_same(*backend, at));
+                    if !is_known && Crash::is_recent(now, at) {
+                        new.push(*backend);
+                    }
+                    self.add(now, *backend, at, members);
                 }
             }
         }
+        new
     }
 
     /// All crashes and answers that this instance knows, for its peers.
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -21,7 +21,7 @@
 
 fn share(now: Micros, all: &mut [Suspects]) {
     let reports: Vec<_> = all.iter().flat_map(|s| s.export(now)).collect();
-    all.iter_mut().for_each(|s| s.merge(now, &reports));
+    all.iter_mut().for_each(|s| drop(s.merge(now, &reports)));
 }
 
 fn is_rejected(verdict: SuspectVerdict) -> bool {
@@ -179,6 +179,15 @@
     assert!(is_rejected(s.check(until + Micros::from_millis(3), CRASHING)));
 }
 
+#[test]
+fn merge_crash_new_only_once() {
+    let mut s = suspects();
+    let crash = |age_ms| SuspectReport::Crash { backend: 1, age_ms, members: vec![CRASHING] };
+    assert_eq!(s.merge(T0, &[crash(100)]), [1]);
+    assert_eq!(s.merge(T0 + APART, &[crash(3_100)]), []);
+    assert_eq!(suspects().merge(T0, &[crash(60_000)]), []);
+}
+
 /// Two requests that were beside the cause are in flight in a rack that is lost afterwards.
 #[test]
 fn record_crash_of_others_leaves_the_cause_known() {
@@ -271,7 +280,7 @@
             let age_ms = (now - report.at).0 / 1_000;
             let (backend, members) = (report.backend, report.members);
             let crash = SuspectReport::Crash { backend, age_ms, members };
-            all.iter_mut().for_each(|s| s.merge(now, std::slice::from_ref(&crash)));
+            all.iter_mut().for_each(|s| drop(s.merge(now, std::slice::from_ref(&crash))));
         }
         let may_run = |fp: &Fingerprint| !is_rejected(all[*index].check(now, *fp));
         let members: Vec<_> = [CRASHING, companion].into_iter().filter(may_run).collect();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -121,6 +121,7 @@
     scenario_not_run_no_backend: "not-run-no-backend",
     scenario_not_run_saturated: "not-run-saturated",
     scenario_overload_recovers: "overload-recovers",
+    scenario_poison_abandoned: "poison-abandoned",
     scenario_poison_and_store_down: "poison-and-store-down",
     scenario_poison_answered_with_errors: "poison-answered-with-errors",
     scenario_poison_bystanders: "poison-bystanders",
