Class-based program: that a suspect was answered reaches the other instances

What callers saw: a lookup that ran on two servers which ended at the same moment was refused by the other instances for ten minutes, though the first one answered it all the time. Cause: the data thread sends its control thread what it knows of suspects with each crash alone; an answer that clears one was known to itself. The gateway does it by what it repeats each second. Change: an answer that clears a suspect is an event of its own; it goes out with the next exchange, within half a second.

--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -97,6 +97,16 @@
     }
 }
 
+/// Records that a server has answered a request, so that the request did not crash it. Other instances
+/// that suspect it are notified.
+pub(super) fn record_answer(plane: &DataPlane, fp: Fingerprint) {
+    let now = plane.now();
+    plane.recent_answers.borrow_mut().record(now, fp);
+    if plane.suspects.borrow_mut().record_answer(now, fp) {
+        let _ = plane.events.try_send(ControlEvent::SuspectAnswered(fp));
+    }
+}
+
 /// Merges what another instance knows of crash suspects. Nothing shows this one that a server crashed
 /// under requests that nobody here waits for, so those are added.
 pub(super) fn merge_suspects(plane: &DataPlane, reports: &[SuspectReport]) {
--- a/crates/galenapath-entry/src/data/running.rs
+++ b/crates/galenapath-entry/src/data/running.rs
@@ -78,9 +78,7 @@
     pub(super) fn answer(self, status: StatusCode) {
         // A server may fail requests without running them.
         if !status.is_server_error() {
-            let now = self.plane.now();
-            self.plane.suspects.borrow_mut().record_answer(now, self.request);
-            self.plane.recent_answers.borrow_mut().record(now, self.request);
+            crash::record_answer(&self.plane, self.request);
         }
         self.end();
     }
--- a/crates/galenapath-entry/src/shared.rs
+++ b/crates/galenapath-entry/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::signals::StopSignals;
 use arc_swap::ArcSwap;
 use galenapath_config::Config;
-use galenapath_filings::{ClaimId, ClaimResult, SuspectReport};
+use galenapath_filings::{ClaimId, ClaimResult, Fingerprint, SuspectReport};
 use galenapath_membership::{LeavingMark, Member};
 use galenapath_policy::stop::StopSchedule;
 use galenapath_protocol::{Incarnation, InstanceId, Micros};
@@ -154,6 +154,8 @@
     Leaving(LeavingMark),
     /// A backend server seems to have crashed.
     Crash(CrashReport),
+    /// A backend server has answered a crash suspect.
+    SuspectAnswered(Fingerprint),
     /// A caller-chosen key must be claimed in the store.
     Claim(ClaimRequest),
 }
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -168,10 +168,13 @@
     }
 
     /// Records that a request was answered completely, so it did not crash the server that ran it.
-    pub fn record_answer(&mut self, now: Micros, fp: Fingerprint) {
-        if self.assessments.contains_key(&fp) || self.verdicts.contains_key(&fp) {
+    /// Returns whether it was a suspect.
+    pub fn record_answer(&mut self, now: Micros, fp: Fingerprint) -> bool {
+        let is_suspect = self.assessments.contains_key(&fp) || self.verdicts.contains_key(&fp);
+        if is_suspect {
             self.clear(now, fp, now);
         }
+        is_suspect
     }
 
     /// Records that the request caused no crash up to `until`, because servers answer it all the time.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -136,6 +136,7 @@
     scenario_store_down_new_instance_serves: "store-down-new-instance-serves",
     scenario_store_slow: "store-slow",
     scenario_straggler: "straggler",
+    scenario_suspect_answered_elsewhere: "suspect-answered-elsewhere",
     scenario_transfer_among_lookups: "transfer-among-lookups",
     scenario_transfer_cut: "transfer-cut",
     scenario_transfer_large: "transfer-large",
