Class-based program: a request that servers have just answered is not blamed for crashes beside it

What callers saw: a request that many send, in flight on two servers that ended at the same moment, was refused everywhere for ten minutes. Answers clear it, but a refused request gets none. Cause: only answers to what is a suspect already counted. The gateway keeps who was answered within the last second; the class-based program did not. Change: the same here, for own losses and for those that peers report.

--- a/crates/galenapath-entry/src/data/crash.rs
+++ b/crates/galenapath-entry/src/data/crash.rs
@@ -88,9 +88,18 @@
 }
 
 impl LostRequests {
+    /// Records the crash, except for requests that servers have just answered: many callers send those,
+    /// and they were in flight by chance.
     fn record(&self, plane: &DataPlane, acknowledged: Sender<()>) {
         let mut suspects = plane.suspects.borrow_mut();
-        suspects.record_crash(self.at, self.backend, &self.running);
+        let mut blamed = Vec::new();
+        for fp in &self.running {
+            match plane.recent_answers.borrow().cleared_until(self.at, *fp) {
+                Some(until) => suspects.record_common(self.at, *fp, until),
+                None => blamed.push(*fp),
+            }
+        }
+        suspects.record_crash(self.at, self.backend, &blamed);
         plane.shared.metrics.crashes.inc();
         let report = CrashReport { suspects: suspects.export(plane.now()), acknowledged };
         let _ = plane.events.try_send(ControlEvent::Crash(report));
@@ -107,14 +116,34 @@
     }
 }
 
-/// Merges what another instance knows of crash suspects. Nothing shows this one that a server crashed
-/// under requests that nobody here waits for, so those are added.
+/// Merges what another instance knows of crash suspects.
 pub(super) fn merge_suspects(plane: &DataPlane, reports: &[SuspectReport]) {
+    let crashed = plane.suspects.borrow_mut().merge(plane.now(), reports);
+    if !crashed.is_empty() {
+        clear_common(plane, reports);
+        record_abandoned(plane, &crashed);
+    }
+}
+
+/// Clears the requests in reported crashes that servers have just answered here. An instance that hardly
+/// ever serves a common request cannot know that it is one.
+fn clear_common(plane: &DataPlane, reports: &[SuspectReport]) {
     let now = plane.now();
-    let crashed = plane.suspects.borrow_mut().merge(now, reports);
-    if crashed.is_empty() {
-        return;
+    for report in reports {
+        let SuspectReport::Crash { members, .. } = report else { continue };
+        for fp in members {
+            if let Some(until) = plane.recent_answers.borrow().cleared_until(now, *fp) {
+                plane.suspects.borrow_mut().record_common(now, *fp, until);
+                let _ = plane.events.try_send(ControlEvent::SuspectAnswered(*fp));
+            }
+        }
     }
+}
+
+/// Records what servers that have just crashed may have been running for this instance, of which nothing
+/// shows it that they crashed.
+fn record_abandoned(plane: &DataPlane, crashed: &[u64]) {
+    let now = plane.now();
     for backend in plane.services().iter().flat_map(|service| service.backends()) {
         let hash = hash_of(&backend.id);
         if !crashed.contains(&hash) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -128,6 +128,7 @@
     scenario_poison_lookup_retried: "poison-lookup-retried",
     scenario_poison_resent: "poison-resent",
     scenario_reports_lie: "reports-lie",
+    scenario_rack_lost_common_request: "rack-lost-common-request",
     scenario_rolling_all: "rolling-all",
     scenario_rolling_backends: "rolling-backends",
     scenario_rolling_instances: "rolling-instances",
