--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -19,6 +19,9 @@
     pub max_answered: usize,
     /// How long a crash or an answer is taken into account.
     pub lifetime: Micros,
+    /// How long requests are rejected that were in as many crashes, so that the cause is unknown. Then
+    /// they are tried in turn, this time apart: each trial tells whether that one is the cause.
+    pub tied_trial_interval: Micros,
     /// Retry-after time for a caller while another isolated run of the same request is in progress.
     pub isolated_run_retry_after: Micros,
 }
@@ -30,6 +33,7 @@
             max_members: 64,
             max_answered: 1_024,
             lifetime: Micros::from_secs(600),
+            tied_trial_interval: Micros::from_secs(20),
             isolated_run_retry_after: Micros::from_secs(1),
         }
     }
@@ -43,7 +47,8 @@
     /// The request was in flight in a crash. Run it on a backend server without other requests in
     /// flight.
     RunIsolated,
-    /// The request crashes backend servers, or an isolated run of it is in progress. Do not run it.
+    /// The request crashes backend servers or cannot be told apart from one that does, or an isolated
+    /// run of it is in progress. Do not run it.
     Reject {
         /// Time after which the request is checked again.
         retry_after: Micros,
@@ -54,7 +59,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Suspects {
     cfg: SuspectConfig,
-    /// Oldest first.
+    /// Invariant: in the order of their times, oldest first, and then of their backend servers.
     crashes: VecDeque<Crash>,
     /// Invariant: the assessment of each member of `crashes`.
     assessments: BTreeMap<Fingerprint, Assessment>,
@@ -77,9 +82,8 @@
 
     /// Decides whether and how the request `fp` may run.
     pub fn check(&self, now: Micros, fp: Fingerprint) -> SuspectVerdict {
-        if let Some(last) = self.confirmed_at(now, fp) {
-            let retry_after = last + self.cfg.lifetime - now;
-            return SuspectVerdict::Reject { retry_after };
+        if let Some(until) = self.rejected_until(now, fp) {
+            return SuspectVerdict::Reject { retry_after: until - now };
         }
         let known = self.assessments.get(&fp).filter(|s| self.is_within_lifetime(now, s.last));
         if known.is_none_or(|known| known.suspicion == Suspicion::Explained) {
@@ -91,6 +95,24 @@
         SuspectVerdict::RunIsolated
     }
 
+    /// Whether the request is known to crash backend servers, or cannot be told apart from one that
+    /// does.
+    pub fn is_rejected(&self, now: Micros, fp: Fingerprint) -> bool {
+        self.rejected_until(now, fp).is_some()
+    }
+
+    fn rejected_until(&self, now: Micros, fp: Fingerprint) -> Option<Micros> {
+        if let Some(last) = self.confirmed_at(now, fp) {
+            return Some(last + self.cfg.lifetime);
+        }
+        let known = self.assessments.get(&fp)?;
+        let Suspicion::Tied { rank } = known.suspicion else { return None };
+        let interval = self.cfg.tied_trial_interval;
+        let quiet = Micros(interval.0.saturating_mul(u64::from(rank) + 1));
+        let until = known.last + quiet.min(self.cfg.lifetime);
+        (now < until).then_some(until)
+    }
+
     /// Whether the request is known to crash backend servers.
     pub fn is_confirmed(&self, now: Micros, fp: Fingerprint) -> bool {
         self.confirmed_at(now, fp).is_some()
@@ -146,10 +168,13 @@
     }
 
     /// Records that a request was answered completely, so it did not crash the server that ran it.
-    pub fn record_answer(&mut self, now: Micros, fp: Fingerprint) {
-        if self.assessments.contains_key(&fp) || self.verdicts.contains_key(&fp) {
+    /// Returns whether it was a suspect.
+    pub fn record_answer(&mut self, now: Micros, fp: Fingerprint) -> bool {
+        let is_suspect = self.assessments.contains_key(&fp) || self.verdicts.contains_key(&fp);
+        if is_suspect {
             self.clear(now, fp, now);
         }
+        is_suspect
     }
 
     /// Records that the request caused no crash up to `until`, because servers answer it all the time.
@@ -162,18 +187,26 @@
         self.answered.get(&fp).copied()
     }
 
-    /// Merges the reports of a peer. Merging is idempotent and does not depend on order.
-    pub fn merge(&mut self, now: Micros, reports: &[SuspectReport]) {
+    /// Merges the reports of a peer. Merging is idempotent and does not depend on order. Returns the
+    /// backend servers of crashes that have just happened and were not known.
+    pub fn merge(&mut self, now: Micros, reports: &[SuspectReport]) -> Vec<u64> {
+        let mut new = Vec::new();
         for report in reports {
             match report {
                 SuspectReport::Answered { fp, age_ms } => {
                     self.clear(now, *fp, time_at_age(now, *age_ms))
                 }
                 SuspectReport::Crash { backend, age_ms, members } => {
-                    self.add(now, *backend, time_at_age(now, *age_ms), members);
+                    let at = time_at_age(now, *age_ms);
+                    let is_known = self.crashes.iter().any(|crash| crash.is_same(*backend, at));
+                    if !is_known && Crash::is_recent(now, at) {
+                        new.push(*backend);
+                    }
+                    self.add(now, *backend, at, members);
                 }
             }
         }
+        new
     }
 
     /// All crashes and answers that this instance knows, for its peers.
@@ -202,7 +235,7 @@
                 self.crashes[index].add(*fp, max);
             }
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
         if self.crashes.len() > self.cfg.max_crashes.max(1) {
             self.drop_oldest_crash(now);
         }
@@ -216,11 +249,12 @@
                 self.keep_verdict(fp, last);
             }
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
     }
 
     fn insert_crash(&mut self, backend: u64, at: Micros) -> usize {
-        let index = self.crashes.partition_point(|crash| crash.at <= at);
+        // The same order on all instances, whoever reports first.
+        let index = self.crashes.partition_point(|crash| (crash.at, crash.backend) < (at, backend));
         self.crashes.insert(index, Crash { backend, at, members: Vec::new() });
         index
     }
@@ -233,7 +267,7 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
             crash.clear(fp);
         }
-        self.assessments = assess(self.crashes.iter());
+        self.assessments = assess(&self.crashes);
         if self.verdicts.get(&fp).is_some_and(|last| *last <= at) {
             self.verdicts.remove(&fp);
         }
