Crashes: what is known of a request lasts ten minutes from its last crash

What callers saw: a request that is refused because it crashes servers is sent to one again before the time that the refusal states, once another server has crashed more than ten minutes after the first of its crashes. Cause: a crash that is ten minutes old was dropped with what it showed; the request's last crash alone does not show it. Crashes that are dropped for their number kept it already. Change: both keep it. A report that says nothing new is not assessed again. Test that failed before: check_rejected_until_ten_minutes_after_the_last_crash.

--- a/crates/galenapath-filings/src/suspects/crash.rs
+++ b/crates/galenapath-filings/src/suspects/crash.rs
@@ -34,11 +34,14 @@
         self.members.iter().any(|fp| other.members.binary_search(fp).is_ok())
     }
 
-    pub(super) fn add(&mut self, fp: Fingerprint, max: usize) {
-        if let Err(at) = self.members.binary_search(&fp)
-            && self.members.len() < max
-        {
-            self.members.insert(at, fp);
+    /// Adds a request that was in flight; returns whether it was not known, and there was room.
+    pub(super) fn add(&mut self, fp: Fingerprint, max: usize) -> bool {
+        match self.members.binary_search(&fp) {
+            Err(at) if self.members.len() < max => {
+                self.members.insert(at, fp);
+                true
+            }
+            Ok(_) | Err(_) => false,
         }
     }
 
--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -230,21 +230,29 @@
         let found = self.crashes.iter().position(|crash| crash.is_same(backend, at));
         let index = found.unwrap_or_else(|| self.insert_crash(backend, at));
         let max = self.cfg.max_members;
+        let mut is_changed = false;
         for fp in in_flight {
             if self.answered.get(fp).is_none_or(|answered| *answered < at) {
-                self.crashes[index].add(*fp, max);
+                is_changed |= self.crashes[index].add(*fp, max);
             }
         }
-        self.assessments = assess(&self.crashes);
-        if self.crashes.len() > self.cfg.max_crashes.max(1) {
-            self.drop_oldest_crash(now);
+        // Reports of a crash are repeated.
+        if is_changed {
+            self.assessments = assess(&self.crashes);
         }
+        self.drop_oldest_crashes(
+            now,
+            self.crashes.len().saturating_sub(self.cfg.max_crashes.max(1)),
+        );
     }
 
-    /// Drops the oldest crash, but not what it showed.
-    fn drop_oldest_crash(&mut self, now: Micros) {
-        let Some(oldest) = self.crashes.pop_front() else { return };
-        for fp in oldest.members {
+    /// Drops the `count` oldest crashes, but not what they showed.
+    fn drop_oldest_crashes(&mut self, now: Micros, count: usize) {
+        if count == 0 {
+            return;
+        }
+        let dropped: Vec<Crash> = self.crashes.drain(..count).collect();
+        for fp in dropped.into_iter().flat_map(|crash| crash.members) {
             if let Some(last) = self.confirmed_at(now, fp) {
                 self.keep_verdict(fp, last);
             }
@@ -278,7 +286,10 @@
 
     fn expire(&mut self, now: Micros) {
         let lifetime = self.cfg.lifetime;
-        self.crashes.retain(|crash| crash.at + lifetime > now);
+        self.drop_oldest_crashes(
+            now,
+            self.crashes.partition_point(|crash| crash.at + lifetime <= now),
+        );
         self.answered.retain(|_, at| *at + lifetime > now);
         self.verdicts.retain(|_, last| *last + lifetime > now);
     }
--- a/crates/galenapath-filings/tests/suspects.rs
+++ b/crates/galenapath-filings/tests/suspects.rs
@@ -179,6 +179,19 @@
     assert!(is_rejected(s.check(until + Micros::from_millis(3), CRASHING)));
 }
 
+#[test]
+fn check_rejected_until_ten_minutes_after_the_last_crash() {
+    let mut s = suspects();
+    let lifetime = SuspectConfig::default().lifetime;
+    let last = T0 + lifetime - APART;
+    s.record_crash(T0, 1, &[CRASHING]);
+    s.record_crash(last, 2, &[CRASHING]);
+    let now = T0 + lifetime + APART;
+    s.record_crash(now, 3, &[fp(1)]);
+    assert!(is_rejected(s.check(now, CRASHING)));
+    assert_eq!(s.check(last + lifetime, CRASHING), SuspectVerdict::Clear);
+}
+
 #[test]
 fn merge_crash_new_only_once() {
     let mut s = suspects();
