--- a/crates/galenapath-gateway/src/sharing.rs
+++ b/crates/galenapath-gateway/src/sharing.rs
@@ -13,6 +13,7 @@
 use crate::usage::Flow;
 use galenapath_filings::Fingerprint;
 use galenapath_membership::Peer;
+use galenapath_policy::RepeatedNotices;
 use galenapath_policy::place::LoadObservation;
 use galenapath_protocol::{BackendId, DomainId, FastMap, Micros};
 use std::future::poll_fn;
@@ -56,7 +57,7 @@
     /// own paths.
     unanswered: FastMap<BackendId, Unanswered>,
     last_sent: FastMap<BackendId, LoadObservation>,
-    crashes: Vec<CrashNote>,
+    crashes: RepeatedNotices<CrashNote>,
     /// Servers that have turned cold, and until when they stay cold.
     turned_cold: FastMap<BackendId, Micros>,
     /// The task that waits for the first update.
@@ -118,8 +119,10 @@
         self.wake();
     }
 
-    fn add_crash(&mut self, server: u64, running: &[Fingerprint]) {
-        self.crashes.extend(running.iter().map(|request| CrashNote { server, request: *request }));
+    fn add_crash(&mut self, now: Micros, server: u64, running: &[Fingerprint]) {
+        for request in running {
+            self.crashes.add(now, CrashNote { server, request: *request });
+        }
         self.wake();
     }
 }
@@ -180,7 +183,7 @@
 
     /// Queues the crash of a server, given by its hash, for the other instances.
     pub(crate) fn share_crash(&self, server: u64, running: &[Fingerprint]) {
-        self.outbox.borrow_mut().add_crash(server, running);
+        self.outbox.borrow_mut().add_crash(self.now(), server, running);
     }
 
     /// Frees memory held for servers that are gone.
@@ -252,7 +255,7 @@
             }
             (
                 std::mem::take(&mut outbox.by_domain),
-                std::mem::take(&mut outbox.crashes),
+                outbox.crashes.take_due(now),
                 std::mem::take(&mut outbox.turned_cold),
             )
         };
--- a/crates/galenapath-policy/src/lib.rs
+++ b/crates/galenapath-policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`place`]: placement and queueing for servers whose speed changes within a request.
 //! - [`quota`]: which requests are within the quota of their workspace.
 //! - [`reach`]: which servers an instance reaches, compared with other instances.
+//! - [`RepeatedNotices`]: when a notice that may be lost is sent again.
 //! - [`retry`]: when a request may be retried, and when it may be hedged.
 //! - [`stop`]: which requests an instance that stops still takes, and when it ends.
 
@@ -24,6 +25,7 @@
 mod quantile;
 pub mod quota;
 pub mod reach;
+mod repeated_notices;
 pub mod retry;
 pub mod stop;
 
@@ -36,6 +38,7 @@
 };
 pub use log_lines::{LogLineBudget, LogLineKind};
 pub use outcome::Outcome;
+pub use repeated_notices::RepeatedNotices;
 pub use retry::{
     AttemptCount, CallerAttempt, FailedRequests, HedgeConfig, HedgePolicy, MAX_ATTEMPTS,
     RequestKind, RetryBudget, RetryConfig, SharedRetryBudget, may_retry,
