Class-based program: the thread that serves callers receives the stop signal itself

Cause: the kernel hands the signal to the first thread; the one that reads from callers may see the end of input before the first thread has run. Class: two things that happen in one order are learned of on two ways. Change: the signals are blocked on all threads but the one that serves callers. A signal is handled there before anything is read that came after it.

--- a/crates/galenapath-entry/src/run.rs
+++ b/crates/galenapath-entry/src/run.rs
@@ -77,6 +77,7 @@
 ) -> Result<(), Report<EntryError>> {
     let run = move || {
         let result = block_on(async {
+            StopSignals::receive_here()?;
             let listener = to_monoio(listener)?;
             data::serve(DataPlane::new(shared, events), listener, commands).await;
             Ok(())
--- a/tests/entry_stops/moments.rs
+++ b/tests/entry_stops/moments.rs
@@ -191,3 +191,28 @@
     let told: Vec<_> = answers.iter().map(|answer| (answer.status, answer.is_whole)).collect();
     assert!(told.iter().all(|told| *told == (200, true)), "{told:?}");
 }
+
+/// The process gets the signal and the ends of input at the same moment, in any order.
+#[test]
+fn caller_that_sends_no_more_while_the_process_does_not_run_answered() {
+    for _ in 0..4 {
+        let world = World::new();
+        let mut instance = world.start("e1", LIMITS);
+        let mut clients: Vec<Client> = (0..12).map(|_| Client::connect(instance.callers)).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.get(&format!("/look/{n}?work_ms=800"), "Galenapath-Deadline-Ms: 2500\r\n");
+        }
+        let is_run = |n: usize| world.run_count(&format!("/look/{n}?work_ms=800")) > 0;
+        crate::support::wait_until("the requests run", || (0..12).all(is_run));
+        instance.signal(Signal::STOP);
+        instance.signal(Signal::TERM);
+        for client in &clients {
+            client.io.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        instance.signal(Signal::CONT);
+        let answers: Vec<_> = clients.iter_mut().map(Client::answer).collect();
+        assert_eq!(instance.wait_end().code(), Some(0));
+        let told: Vec<_> = answers.iter().map(|answer| (answer.status, answer.is_whole)).collect();
+        assert!(told.iter().all(|told| *told == (200, true)), "{told:?}");
+    }
+}
