Tests under load: large answers have ample time, a hedge is no other request, bounds by the program's own clock or by shares

Traced: - requests_in_flight_answered_* (20): a download got 504 after its 9 s; its servers took 8.6 s for the large answer. Downloads have 19 s, and their answers are read first, as before the ten seconds after which an answer that nobody reads is given up. - requests_behind_answer_that_closes_not_run (2): the first lookup had a hedge and ran twice. No other one ran. - evacuation_of_all_servers_refused_at_once (1): 100.7 ms where 100 may be, by the test's clock; now 50 ms by the instance's. - rate_limit_kept_by_all_instances_together (1): 19 requests in a second where more than 20 had to be, since few got through; now more than a third of all, which is as many wherever the two servers get 60.

--- a/tests/gateway/changes.rs
+++ b/tests/gateway/changes.rs
@@ -25,18 +25,24 @@
 /// Connections that are idle; few enough for no request on them to wait.
 const IDLE: usize = 8;
 
+/// Time of a request in milliseconds.
+const AMPLE_MS: u64 = 9_000;
+
+/// The same of a download. On a busy machine, a server takes seconds to make its large answer.
+const AMPLE_FOR_LARGE_MS: u64 = 19_000;
+
 /// A configuration under which the requests of a test have ample time.
 fn ample(version: u64) -> Value {
-    let all = ["look", "file", "load"];
-    let timeouts = all.map(|route| (route, "timeout_ms", json!(9_000)));
-    let targets = all.map(|route| (route, "target_latency_ms", json!(8_000)));
+    let times = [("look", AMPLE_MS), ("file", AMPLE_MS), ("load", AMPLE_FOR_LARGE_MS)];
+    let timeouts = times.map(|(route, ms)| (route, "timeout_ms", json!(ms)));
+    let targets = times.map(|(route, ms)| (route, "target_latency_ms", json!(ms - 1_000)));
     config(version, &[timeouts, targets].concat())
 }
 
 fn head(method: &str, path: &str, id: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\n\
-         X-Request-Deadline-Ms: 9000\r\n"
+         X-Request-Deadline-Ms: {AMPLE_FOR_LARGE_MS}\r\n"
     )
 }
 
@@ -81,7 +87,8 @@
         let lookups = (0..LOOKUPS).map(|n| ("GET", "/look/1", format!("l{n}")));
         let filings = (0..FILINGS).map(|n| ("PUT", "/file/1", format!("f{n}")));
         let downloads = (0..2).map(|n| ("GET", "/load/1", format!("d{n}")));
-        let all = lookups.chain(filings).chain(downloads);
+        // Their answers are read first, since they wait in the sockets.
+        let all = downloads.chain(lookups).chain(filings);
         let sent = all.map(|(method, path, id)| {
             let io = open(gateway, &format!("{}\r\n", head(method, path, &id)));
             (id, io)
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -75,13 +75,13 @@
     let gateway = start_and_wait_for_probe(&world);
     world.evacuate("d1");
     gateway.wait_for_evacuated(1);
-    let began = Instant::now();
     let answer = gateway.send_filing("all");
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
-    assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
     assert_eq!(world.run_count("file"), 0);
-    assert_eq!(gateway.log_of("all")["steps"], "withdrawn");
+    let line = gateway.log_of("all");
+    assert!(line["took_ms"].as_u64().is_some_and(|ms| ms < 50), "{line}");
+    assert_eq!(line["steps"], "withdrawn");
     world.restore("d1");
     gateway.wait_for_evacuated(0);
     assert_eq!(gateway.send_filing("again").status, 200);
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -25,13 +25,11 @@
     // Without a limit it gets as many requests as any other server.
     limited.set_limit(None);
     send_lookups(&gateways, Duration::from_secs(2));
-    let before = limited.executed_requests().len();
+    let counts = || (limited.executed_requests().len(), world.run_count("look"));
+    let before = counts();
     send_lookups(&gateways, Duration::from_secs(1));
-    assert!(
-        limited.executed_requests().len() > before + 20,
-        "{}",
-        limited.executed_requests().len() - before
-    );
+    let (own, all) = (counts().0 - before.0, counts().1 - before.1);
+    assert!(own * 3 > all && all > 0, "{own} of {all}");
 }
 
 #[test]
--- a/tests/gateway/pipelining.rs
+++ b/tests/gateway/pipelining.rs
@@ -118,7 +118,10 @@
     let closing = lookup("a").replace("Host:", "Connection: close\r\nHost:");
     let mut io = open(&gateway, &(closing + &lookup("b") + &filing("f")));
     assert_eq!(read_answers(&mut io, 3), [("a".to_owned(), 200)]);
-    assert_eq!((run_ids(&world, "look"), run_ids(&world, "file")), (vec!["a".into()], vec![]));
+    // The first one may have had a hedge.
+    let mut lookups = run_ids(&world, "look");
+    lookups.dedup();
+    assert_eq!((lookups, run_ids(&world, "file")), (vec!["a".into()], vec![]));
 }
 
 #[test]
