Checks around stops are as strict again: early requests by the machine's lateness, requests in flight all run, idle connections answered

- paths_in_flight: lookups on the connections that are used later get 200, none 503, since they run before the work grows; all 18 requests have to be in flight when the paths are lost, where three of each service sufficed.
If one is rejected, all are sent again: the preparation alone is repeated.

--- a/tests/entry_stops.rs
+++ b/tests/entry_stops.rs
@@ -8,6 +8,8 @@
 mod filings;
 #[path = "entry_stops/kept.rs"]
 mod kept;
+#[path = "entry_stops/lateness.rs"]
+mod lateness;
 #[path = "entry_stops/moments.rs"]
 mod moments;
 #[path = "entry_stops/signals.rs"]
--- a/tests/entry_stops/filings.rs
+++ b/tests/entry_stops/filings.rs
@@ -1,5 +1,6 @@
 //! Filings at an instance that stops: each runs at most once, and its outcome is known elsewhere.
 
+use crate::lateness::Lateness;
 use crate::support::{Answer, Client, Instance};
 use crate::world::{Sent, World, exchange, key_prefix, no_answer, sleep_until};
 use rustix::process::Signal;
@@ -113,6 +114,7 @@
     let (owner, receiver) = if is_owner_stopping { (&first, &second) } else { (&second, &first) };
     let prefix = key_prefix(owner);
     let callers = receiver.callers;
+    let lateness = Lateness::watch();
     let stopping = stop_in_thread(first);
     let signal = Instant::now();
     let threads: Vec<_> = (0..100)
@@ -129,12 +131,13 @@
         .collect();
     let sent: Vec<_> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
     let _stopped = stopping.join().unwrap();
+    let early_until = lateness.early_until(Duration::from_millis(1_500), Duration::from_secs(1));
     for (_, sent) in &sent {
         let runs = world.run_count(&sent.path);
         assert!(runs <= 1, "{sent} ran {runs} times");
         assert_eq!(runs == 1, sent.is_answered(), "{}", world.describe(sent));
         assert!(sent.answer.is_whole || !is_owner_stopping && sent.is_unanswered(), "{sent}");
-        if sent.at < Duration::from_secs(1) {
+        if sent.at < early_until {
             assert!(sent.is_answered(), "{sent}");
         }
     }
--- a/tests/entry_stops/kept.rs
+++ b/tests/entry_stops/kept.rs
@@ -1,5 +1,6 @@
 //! Kept connections: idle ones that wake at any moment of the stop, and how they are closed.
 
+use crate::lateness::Lateness;
 use crate::support::{Client, Instance};
 use crate::world::{Sent, World, exchange, sleep_until};
 use rustix::process::Signal;
@@ -48,10 +49,12 @@
     let world = World::new();
     let mut instance = world.start("e1", LIMITS);
     let times = (Duration::from_millis(20), Duration::from_secs(5));
+    let lateness = Lateness::watch();
     let (sent, took) = wake(&mut instance, 80, times, ("work_ms=400", 1_500));
     world.assert_none_lost(&sent);
     assert!(took < Duration::from_secs(5), "{took:?}");
-    let early = sent.iter().filter(|sent| sent.at < Duration::from_millis(1_500));
+    let early_until = lateness.early_until(Duration::from_secs(2), Duration::from_millis(1_500));
+    let early = sent.iter().filter(|sent| sent.at < early_until);
     assert!(early.clone().count() >= 20);
     for sent in early {
         assert!(sent.is_answered(), "{sent}");
--- a/tests/entry_stops/moments.rs
+++ b/tests/entry_stops/moments.rs
@@ -1,5 +1,6 @@
 //! Requests on new connections at any moment of the stop, and bodies that arrive slowly.
 
+use crate::lateness::Lateness;
 use crate::support::{Client, Instance};
 use crate::world::{Sent, World, exchange, key_prefix, no_answer, sleep_until};
 use rustix::process::Signal;
@@ -36,12 +37,14 @@
     threads
 }
 
+/// Sends requests during a stop. Returns them, and until when they are early enough to be answered.
 fn stop_under_requests(
     world: &World,
     request: impl Fn(&str, u32) -> (&'static str, String, String),
-) -> Vec<Sent> {
+) -> (Vec<Sent>, Duration) {
     let mut instance = world.start("e1", LIMITS);
     let prefix = key_prefix(&instance);
+    let lateness = Lateness::watch();
     instance.signal(Signal::TERM);
     let signal = Instant::now();
     let threads = send_until_refused(&instance, signal, |n| request(&prefix, n));
@@ -52,11 +55,12 @@
     let sent: Vec<Sent> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
     world.assert_none_lost(&sent);
     assert!(took < Duration::from_secs(5), "{took:?}");
-    sent
+    let early_until = lateness.early_until(Duration::from_millis(1_500), Duration::from_secs(1));
+    (sent, early_until)
 }
 
-fn assert_early_answered(sent: &[Sent]) {
-    for sent in sent.iter().filter(|sent| sent.at < Duration::from_secs(1)) {
+fn assert_early_answered((sent, early_until): &(Vec<Sent>, Duration)) {
+    for sent in sent.iter().filter(|sent| sent.at < *early_until) {
         assert!(sent.is_answered(), "{sent}");
     }
 }
@@ -73,7 +77,7 @@
 #[test]
 fn lookups_long_deadlines_none_lost() {
     let world = World::new();
-    let sent = stop_under_requests(&world, |_, n| {
+    let (sent, _) = stop_under_requests(&world, |_, n| {
         ("GET", format!("/look/{n}?work_ms={}", 200 + n % 10 * 20), String::new())
     });
     // The bound on the work allows these, though their deadlines are after the end.
--- a/tests/gateway/paths_in_flight.rs
+++ b/tests/gateway/paths_in_flight.rs
@@ -9,6 +9,9 @@
 
 const SERVICES: [&str; 3] = ["look", "file", "load"];
 
+/// Work of requests before those in flight.
+const SHORT_WORK: Duration = Duration::from_millis(20);
+
 const WORK: Duration = Duration::from_millis(600);
 
 /// Time for which the paths are gone; requests in flight end later.
@@ -45,43 +48,38 @@
     all.collect()
 }
 
+/// Opens connections on each of which a lookup has been answered.
 fn open_idle(gateway: &Gateway, count: usize) -> Vec<PersistentConnection> {
     let all = (0..count).map(|n| {
         let mut connection = PersistentConnection::open(gateway.callers()).unwrap();
-        let text = format!("{}\r\n", head("GET", "/look/1", &format!("i{n}")));
-        connection.send(text.as_bytes()).unwrap();
+        let answer = connection.send_request(&head("GET", "/look/1", &format!("i{n}")), b"");
+        assert_eq!(answer.unwrap().status, 200);
         connection
     });
-    let mut all: Vec<_> = all.collect();
-    for connection in &mut all {
-        assert!([200, 503].contains(&connection.read_answer().unwrap().status));
-    }
-    all
+    all.collect()
 }
 
-/// Sends requests until some of each service run; all others wait or were rejected. All of a service
-/// may be rejected while its servers are late.
+/// Sends requests that all run, and reads no answer. Some may be rejected while servers are late.
 fn start_requests(world: &World, gateway: &Gateway) -> Vec<PersistentConnection> {
     let mut started = None;
     let mut attempt = 0;
     wait_until("the requests to run", || {
         attempt += 1;
         let prefix = format!("{}-{attempt}-", gateway.pid());
+        world.servers.iter().for_each(|(_, server)| server.set_work(SHORT_WORK));
         let idle = open_idle(gateway, REQUESTS);
+        world.servers.iter().for_each(|(_, server)| server.set_work(WORK));
         let before = SERVICES.map(|service| world.run_count(service));
         let sent = send_all(idle, &prefix);
-        let has_ended = |line: &Value, service: &str| {
-            line["service"] == service
-                && line["request"].as_str().is_some_and(|id| id.starts_with(&prefix))
+        let is_running = |(service, before): (&&str, usize)| {
+            world.run_count(service) >= before + REQUESTS / SERVICES.len()
         };
-        let is_running = |(service, before): (&&str, usize)| world.run_count(service) >= before + 3;
         let are_running = || SERVICES.iter().zip(before).all(is_running);
-        let may_run = |service: &&str| {
-            let ended = gateway.log().iter().filter(|line| has_ended(line, service)).count();
-            ended < REQUESTS / SERVICES.len()
-        };
-        wait_until("the requests to run or end", || are_running() || !SERVICES.iter().all(may_run));
-        started = are_running().then_some(sent);
+        let is_one =
+            |line: &Value| line["request"].as_str().is_some_and(|id| id.starts_with(&prefix));
+        let has_one_ended = || gateway.log().iter().any(is_one);
+        wait_until("the requests to run or end", || are_running() || has_one_ended());
+        started = (are_running() && !has_one_ended()).then_some(sent);
         started.is_some()
     });
     started.unwrap()
@@ -92,8 +90,6 @@
     let timeouts = SERVICES.map(|route| (route, "timeout_ms", json!(4_000)));
     world.store.put("op/config", &config(2, &timeouts));
     let mut gateways = fleet(&world);
-    // The instance learns how long work takes.
-    world.servers.iter().for_each(|(_, server)| server.set_work(WORK));
     let mut unused = open_idle(&gateways[0], 3);
     let mut sent = start_requests(&world, &gateways[0]);
     world.set_paths(&gateways[0], fault);
