--- a/tests/gateway/peer_ends.rs
+++ b/tests/gateway/peer_ends.rs
@@ -89,9 +89,11 @@
     let statuses = statuses_while(cut, ("GET", "/look/1"), || kill_in_turn(others));
     let (all, lost) = (statuses.len(), count(&statuses, |status| status == 0));
     assert_eq!(lost, 0, "{all} requests");
-    // Those that were in flight at a kill, and one more each before it was known.
-    let failed = count(&statuses, |status| status != 200);
-    assert!(failed <= 2 * 2 * CALLERS, "{failed} of {all}: {statuses:?}");
+    // Those that were in flight at one of the two kills; each caller has one at most.
+    let failed = statuses.iter().filter(|(_, status)| *status != 200);
+    let failed: Vec<_> = failed.map(|(id, _)| cut.log_of(id)).collect();
+    assert!(failed.len() <= 2 * CALLERS, "{} of {all}: {failed:#?}", failed.len());
+    assert!(failed.iter().all(|line| line["outcome"] == "peer_lost"), "{failed:#?}");
 }
 
 #[test]
