--- a/crates/galenapath-gateway/src/reach/questions.rs
+++ b/crates/galenapath-gateway/src/reach/questions.rs
@@ -9,7 +9,7 @@
 use crate::usage::Flow;
 use galenapath_membership::Peer;
 use galenapath_policy::reach::{FailedTry, NoAnswer, Trial, Trials, is_shown_by_other_services};
-use galenapath_protocol::{BackendId, Incarnation, Micros};
+use galenapath_protocol::{BackendId, FastSet, Incarnation, Micros};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -93,8 +93,10 @@
         let (mut to_few, mut to_many) = (Vec::new(), Vec::new());
         let mut services: Vec<_> = self.services.borrow().values().cloned().collect();
         services.shuffle(&mut rand::rng());
+        let askable = self.askable();
         for service in services {
             let mut contacts = service.contacts.borrow_mut();
+            contacts.set_askable(now, &askable);
             let limit = MAX_SERVERS.min(self.reach.questions_left(now));
             let due = contacts.begin_questions(now, limit);
             due.iter().for_each(|_| self.reach.count_question(now));
@@ -105,6 +107,13 @@
         self.send_questions(&to_many, MANY);
     }
 
+    /// The instances that can be asked.
+    fn askable(&self) -> FastSet<Incarnation> {
+        let membership = self.membership.borrow();
+        let usable = membership.peers().filter(|peer| peer.is_usable());
+        usable.map(|peer| peer.member.incarnation).collect()
+    }
+
     /// Sends the questions; returns the number of instances asked.
     fn send_questions(&self, servers: &[u32], asked: Asked) -> usize {
         if servers.is_empty() {
--- a/crates/galenapath-policy/src/reach/config.rs
+++ b/crates/galenapath-policy/src/reach/config.rs
@@ -19,6 +19,9 @@
     pub retention: Micros,
     /// Time for which it counts that another instance reached a server. Spans several questions.
     pub evidence_ttl: Micros,
+    /// Number of instances known to reach servers that this one does not, from which on the next question
+    /// has time: one of them may stop.
+    pub enough_helpers: usize,
     /// Requests in a row that another instance rejects after which no more are forwarded to it until
     /// it has reached a server again: it may have lost its own paths, or is at its limit.
     pub max_rejections: u32,
@@ -39,6 +42,7 @@
             stall_verdict: Micros::from_millis(120),
             retention: Micros::from_secs(10),
             evidence_ttl: Micros::from_secs(5),
+            enough_helpers: 2,
             max_rejections: 3,
             check_delays: [
                 Micros::ZERO,
--- a/crates/galenapath-policy/src/reach/contacts.rs
+++ b/crates/galenapath-policy/src/reach/contacts.rs
@@ -4,7 +4,7 @@
 use super::contact::{Contact, Exchange, PathState};
 use super::proof::{FailedTry, NoAnswer};
 use super::summary::PathSummary;
-use galenapath_protocol::{BackendId, FastMap, Incarnation, Micros};
+use galenapath_protocol::{BackendId, FastMap, FastSet, Incarnation, Micros};
 
 /// Another instance that has reached servers which this one does not reach.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,6 +36,8 @@
     helpers: FastMap<Incarnation, Helper>,
     /// Rounds of questions in a row at the time of which no helper was known.
     unhelped_rounds: u32,
+    /// Instances that could be asked when questions were last begun.
+    askable: FastSet<Incarnation>,
 }
 
 impl Contacts {
@@ -264,6 +266,19 @@
         }
     }
 
+    /// Applies which other instances can be asked. Once one has come or gone while few of them are known
+    /// to reach the servers, the question is due at once: the last of these may be about to stop.
+    pub fn set_askable(&mut self, now: Micros, askable: &FastSet<Incarnation>) {
+        if self.askable == *askable {
+            return;
+        }
+        self.askable.clone_from(askable);
+        let known = self.helpers(now).filter(|(id, _)| askable.contains(id)).count();
+        if known < self.cfg.enough_helpers {
+            self.contacts.values_mut().for_each(|contact| contact.questions = 0);
+        }
+    }
+
     /// Up to `limit` servers that do not answer and about which the other instances are to be asked
     /// now.
     pub fn begin_questions(&mut self, now: Micros, limit: usize) -> Vec<BackendId> {
--- a/crates/galenapath-policy/tests/reach/contacts.rs
+++ b/crates/galenapath-policy/tests/reach/contacts.rs
@@ -1,5 +1,5 @@
 use galenapath_policy::reach::{Contacts, Exchange, FailedTry, NoAnswer, PathState};
-use galenapath_protocol::{BackendId, Incarnation, Micros};
+use galenapath_protocol::{BackendId, FastSet, Incarnation, Micros};
 
 const OTHER: Incarnation = Incarnation(7);
 
@@ -304,3 +304,26 @@
     let paths = contacts.summary(ms(32));
     assert_eq!((paths.cut_off, paths.silent), (3, 1));
 }
+
+fn askable(ids: &[u64]) -> FastSet<Incarnation> {
+    ids.iter().map(|id| Incarnation(*id)).collect()
+}
+
+#[test]
+fn set_askable_instance_that_has_come_asked_at_once_while_few_help() {
+    let mut contacts = silent();
+    contacts.set_askable(ms(30), &askable(&[OTHER.0]));
+    assert_eq!(contacts.begin_questions(ms(30), 8).len(), 1);
+    contacts.record_reached_by(OTHER, &id(0), ms(35));
+    contacts.set_askable(ms(40), &askable(&[OTHER.0]));
+    assert!(contacts.begin_questions(ms(40), 8).is_empty());
+    contacts.set_askable(ms(50), &askable(&[OTHER.0, 8]));
+    assert_eq!(contacts.begin_questions(ms(50), 8).len(), 1);
+    // Two know a way.
+    contacts.record_reached_by(Incarnation(8), &id(0), ms(55));
+    contacts.set_askable(ms(60), &askable(&[OTHER.0, 8, 9]));
+    assert!(contacts.begin_questions(ms(60), 8).is_empty());
+    // One of them has ended.
+    contacts.set_askable(ms(70), &askable(&[OTHER.0, 9]));
+    assert_eq!(contacts.begin_questions(ms(70), 8).len(), 1);
+}
--- a/tests/gateway/peer_ends.rs
+++ b/tests/gateway/peer_ends.rs
@@ -5,7 +5,7 @@
 use crate::support::{Gateway, World, send_request, wait_until};
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Connections of callers to the instance that forwards.
 const CALLERS: usize = 6;
@@ -196,3 +196,44 @@
     let names = gateways[1..].iter().map(|gateway| format!("g{}", gateway.peers().ip()));
     assert!(names.into_iter().any(|name| line["server"] == name), "{line}");
 }
+
+fn count_joined(gateway: &Gateway) -> usize {
+    gateway.log().iter().filter(|line| line["event"] == "instance joined").count()
+}
+
+/// One instance after the other stops as soon as the one before it is back.
+#[test]
+fn request_forwarded_to_an_instance_that_has_just_started() {
+    /// Less than the planned stop of an instance takes.
+    const SPAN: Duration = Duration::from_secs(1);
+    /// After which rejected callers come back.
+    const RETRY_AFTER: Duration = Duration::from_millis(250);
+    let world = World::start_linked();
+    let mut gateways = cut_fleet(&world);
+    let (cut, others) = gateways.split_first_mut().unwrap();
+    for round in 0..4 {
+        let [started, stopping] = if round % 2 == 0 { [0, 1] } else { [1, 0] };
+        let joined = count_joined(cut);
+        others[started].kill_and_start();
+        wait_until("readiness", || others[started].is_ready());
+        wait_until("the instance to be known", || count_joined(cut) > joined);
+        others[stopping].signal("-TERM");
+        let began = Instant::now();
+        let mut rejected_at = Vec::new();
+        while began.elapsed() < SPAN {
+            if cut.send_lookup("js").status != 200 {
+                rejected_at.push(began.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let first = rejected_at.first().copied().unwrap_or_default();
+        assert!(
+            rejected_at.iter().all(|at| *at - first < RETRY_AFTER),
+            "round {round}, from {first:?} to {:?}",
+            rejected_at.last()
+        );
+        others[stopping].wait_and_start();
+        wait_until("readiness", || others[stopping].is_ready());
+        std::thread::sleep(SPAN);
+    }
+}
