Reachability: an instance that has just started answers questions about all servers

Cause: the budget of checks on behalf of others held one token at the start of the process; beyond it there is no answer, and the question comes again after 0.3 s. Change: it starts with a quarter of a second's checks.

--- a/crates/galenapath-gateway/src/reach/mod.rs
+++ b/crates/galenapath-gateway/src/reach/mod.rs
@@ -35,6 +35,10 @@
 /// Checks a second on behalf of other instances.
 const CHECKS_FOR_OTHERS_PER_SECOND: f64 = 60.0;
 
+/// Time for which these have added up when the instance starts: one without paths asks it at once about
+/// some servers of each service.
+const CHECKS_FOR_OTHERS_AT_START_SECS: f32 = 0.25;
+
 /// Servers a second about which other instances are asked, and the time for which unused ones add up.
 const QUESTIONS_PER_SECOND: f64 = 40.0;
 const QUESTION_BURST_SECS: f32 = 0.25;
@@ -62,7 +66,10 @@
             withdrawal: Cell::default(),
             is_nothing_reached: Cell::new(false),
             checks: Cell::new(TokenBucket::new(now, CHECKS_PER_SECOND)),
-            checks_for_others: Cell::new(TokenBucket::new(now, CHECKS_FOR_OTHERS_PER_SECOND)),
+            checks_for_others: Cell::new(
+                TokenBucket::new(now, CHECKS_FOR_OTHERS_PER_SECOND)
+                    .filled(CHECKS_FOR_OTHERS_AT_START_SECS),
+            ),
             trials: RefCell::default(),
             questions: Cell::new(TokenBucket::with_burst(
                 now,
--- a/crates/galenapath-policy/src/measure/token_bucket.rs
+++ b/crates/galenapath-policy/src/measure/token_bucket.rs
@@ -40,6 +40,12 @@
         Self { tokens: 0.0, ..Self::with_burst(now, rate, burst_secs) }
     }
 
+    /// Fills it with the tokens of `seconds`, as far as they fit.
+    #[must_use]
+    pub fn filled(self, seconds: f32) -> Self {
+        Self { tokens: (self.rate * seconds).min(self.capacity()), ..self }
+    }
+
     /// Changes the rate.
     pub fn set_rate(&mut self, now: Micros, rate: f64) {
         self.refill(now);
--- a/crates/galenapath-policy/tests/measure/token_bucket.rs
+++ b/crates/galenapath-policy/tests/measure/token_bucket.rs
@@ -31,3 +31,11 @@
     let count = taken(&mut budget, START, 10);
     assert!((9..=11).contains(&count), "{count}");
 }
+
+#[test]
+fn filled_holds_what_fits() {
+    let bucket = TokenBucket::new(START, 60.0);
+    assert_eq!(bucket.tokens(START), 1);
+    assert_eq!(bucket.filled(0.25).tokens(START), 15);
+    assert_eq!(bucket.filled(5.0).tokens(START), 60);
+}
