--- a/crates/galenapath-policy/src/reach/mod.rs
+++ b/crates/galenapath-policy/src/reach/mod.rs
@@ -16,6 +16,7 @@
 mod config;
 mod contact;
 mod contacts;
+mod helpers;
 mod proof;
 mod summary;
 mod trials;
