--- a/crates/galenapath-membership/src/gossip_membership.rs
+++ b/crates/galenapath-membership/src/gossip_membership/mod.rs
@@ -12,9 +12,13 @@
 //! Members that are gone are still probed occasionally. Otherwise regions that were cut off from
 //! each other would not recover: each side considers the other gone, and no member would refute it.
 
+mod entry;
+mod round;
+
 use crate::gossip_queue::GossipQueue;
 use crate::{GossipConfig, Member, MemberStatus};
-use galenapath_protocol::{FastMap, Incarnation, Micros, hash64};
+use entry::Entry;
+use galenapath_protocol::{FastMap, Incarnation, Micros};
 use std::net::SocketAddr;
 
 /// A probe to send to a peer.
@@ -26,45 +30,9 @@
     pub incarnation: Incarnation,
 }
 
-/// One probe in this many goes to a member that is gone, if there is one.
-const GONE_PROBE_EVERY: u64 = 8;
-
 /// How often an update from the platform's list is sent.
 const LISTED_SENDS: u32 = 1;
 
-#[derive(Clone, Debug)]
-struct Entry {
-    member: Member,
-    /// When the status last changed. For a gone member, when a peer last reported any other status.
-    since: Micros,
-    /// Whether a live member missed its last probe and is to be probed a second time.
-    has_missed_probe: bool,
-    /// When a leaving member first missed a probe since it last answered.
-    silent_since: Option<Micros>,
-}
-
-impl Entry {
-    const fn new(now: Micros, member: Member) -> Self {
-        Self { member, since: now, has_missed_probe: false, silent_since: None }
-    }
-
-    /// Extends the life of a tombstone when a peer still reports the member as present.
-    fn extend_tombstone(&mut self, now: Micros) {
-        if self.member.status == MemberStatus::Gone {
-            self.since = now;
-        }
-    }
-
-    /// Since when the member has been failing to answer.
-    fn unresponsive_since(&self) -> Option<Micros> {
-        match self.member.status {
-            MemberStatus::Suspect => Some(self.since),
-            MemberStatus::Leaving => self.silent_since,
-            MemberStatus::Live | MemberStatus::Gone => None,
-        }
-    }
-}
-
 /// All incarnations of entry instances that this instance knows.
 ///
 /// Invariants: the own incarnation is in the table and never `Gone` or `Suspect`; an entry is only
@@ -298,56 +266,4 @@
             entry.member.status != MemberStatus::Gone || now < entry.since + keep
         });
     }
-
-    fn next_to_probe(&mut self) -> Option<Incarnation> {
-        self.probes += 1;
-        while let Some(incarnation) = self.second_probes.pop() {
-            if self.entries.get(&incarnation).is_some_and(|entry| entry.has_missed_probe) {
-                return Some(incarnation);
-            }
-        }
-        let is_for_gone = self.probes.is_multiple_of(GONE_PROBE_EVERY);
-        let gone = if is_for_gone { self.pick_gone() } else { None };
-        gone.or_else(|| self.next_in_round())
-    }
-
-    fn pick_gone(&self) -> Option<Incarnation> {
-        let seed = self.own.0 ^ self.probes;
-        let gone = self.entries.values().filter(|e| e.member.status == MemberStatus::Gone);
-        gone.map(|e| e.member.incarnation).min_by_key(|i| hash64(seed, &i.0.to_le_bytes()))
-    }
-
-    fn next_in_round(&mut self) -> Option<Incarnation> {
-        loop {
-            if self.round.is_empty() {
-                self.start_round();
-            }
-            let incarnation = self.round.pop()?;
-            if self.find(incarnation).is_some_and(|member| member.status != MemberStatus::Gone) {
-                return Some(incarnation);
-            }
-        }
-    }
-
-    /// Inserts a new member at a random place of the round. At the end of a round of hundreds of
-    /// members it would not be probed for minutes.
-    fn add_to_round(&mut self, incarnation: Incarnation) {
-        if incarnation == self.own {
-            return;
-        }
-        let seed = self.own.0 ^ self.round_number;
-        let places = self.round.len() as u64 + 1;
-        let place = hash64(seed, &incarnation.0.to_le_bytes()) % places;
-        self.round.insert(usize::try_from(place).unwrap_or(0), incarnation);
-    }
-
-    /// Shuffles the peers by a hash that differs per instance and round.
-    fn start_round(&mut self) {
-        self.round_number += 1;
-        let seed = self.own.0 ^ self.round_number;
-        let own = self.own;
-        let not_gone = self.entries.values().filter(|e| e.member.status != MemberStatus::Gone);
-        self.round = not_gone.map(|e| e.member.incarnation).filter(|&i| i != own).collect();
-        self.round.sort_by_key(|incarnation| hash64(seed, &incarnation.0.to_le_bytes()));
-    }
 }
