--- a/crates/galenapath-filings/src/suspects/list.rs
+++ b/crates/galenapath-filings/src/suspects/list.rs
@@ -120,9 +120,16 @@
 
     /// The requests known to crash backend servers, each with the time of its last known crash.
     pub fn confirmed(&self, now: Micros) -> impl Iterator<Item = (Fingerprint, Micros)> {
-        let known: BTreeSet<Fingerprint> =
-            self.assessments.keys().chain(self.verdicts.keys()).copied().collect();
-        known.into_iter().filter_map(move |fp| Some((fp, self.confirmed_at(now, fp)?)))
+        self.known().into_iter().filter_map(move |fp| Some((fp, self.confirmed_at(now, fp)?)))
+    }
+
+    /// Number of requests that are rejected.
+    pub fn rejected_count(&self, now: Micros) -> usize {
+        self.known().into_iter().filter(|fp| self.is_rejected(now, *fp)).count()
+    }
+
+    fn known(&self) -> BTreeSet<Fingerprint> {
+        self.assessments.keys().chain(self.verdicts.keys()).copied().collect()
     }
 
     /// Records that a peer knows the request to crash backend servers, the last one at `last`.
--- a/crates/galenapath-filings/src/suspects/server_runs.rs
+++ b/crates/galenapath-filings/src/suspects/server_runs.rs
@@ -104,6 +104,11 @@
         self.runs.iter().any(|run| run.is_abandoned)
     }
 
+    /// Number of abandoned requests that the server may be running.
+    pub fn abandoned_count(&self, now: Micros) -> usize {
+        self.runs.iter().filter(|run| run.is_abandoned && now < run.until).count()
+    }
+
     /// The requests that the server may be running.
     pub fn possible(&self, now: Micros) -> Vec<Fingerprint> {
         self.clone().take(now)
--- a/crates/galenapath-gateway/src/crash/running.rs
+++ b/crates/galenapath-gateway/src/crash/running.rs
@@ -87,6 +87,12 @@
         taken.unwrap_or_default()
     }
 
+    /// Number of requests that servers may be running and nobody waits for.
+    pub(crate) fn abandoned_count(&self, now: Micros) -> usize {
+        let servers = self.servers.borrow();
+        servers.values().map(|watched| watched.runs.abandoned_count(now)).sum()
+    }
+
     /// Takes out the servers that have to be looked at now.
     fn take_looks(&self, now: Micros) -> Vec<(Rc<Service>, BackendId)> {
         let mut servers = self.servers.borrow_mut();
--- a/crates/galenapath-gateway/src/gauges.rs
+++ b/crates/galenapath-gateway/src/gauges.rs
@@ -16,8 +16,10 @@
         let contended = self.quotas.borrow().contended_count();
         self.metrics.contended_quotas.set(i64::try_from(contended).unwrap_or(i64::MAX));
         self.metrics.peer_silence.set(seconds(self.membership.borrow().longest_silence(now)));
-        let rejected = self.suspects.borrow().confirmed(now).count();
+        let rejected = self.suspects.borrow().rejected_count(now);
         self.metrics.rejected_requests.set(i64::try_from(rejected).unwrap_or(i64::MAX));
+        let abandoned = self.running.abandoned_count(now);
+        self.metrics.abandoned_requests.set(i64::try_from(abandoned).unwrap_or(i64::MAX));
         let services = self.services.borrow();
         let count = |of: fn(&Placement, Micros) -> usize| {
             let counts = services.values().map(|service| of(&service.placement.borrow(), now));
--- a/crates/galenapath-gateway/src/metrics.rs
+++ b/crates/galenapath-gateway/src/metrics.rs
@@ -38,8 +38,10 @@
     pub hedges: IntCounter,
     /// Requests whose connection broke, by whether the server was alive afterwards.
     pub lost_requests: IntCounterVec,
-    /// Requests known to crash backend servers.
+    /// Requests known to crash backend servers, or not told apart from one that does.
     pub rejected_requests: IntGauge,
+    /// Requests that backend servers may be running and nobody waits for.
+    pub abandoned_requests: IntGauge,
     /// Connections opened to backend servers, by purpose.
     pub connects: IntCounterVec,
     /// Bytes sent and received, by flow and by whether the other end is in this instance's failure
@@ -128,6 +130,11 @@
                 "rejected_requests",
                 "Requests known to crash backend servers",
             )?,
+            abandoned_requests: gauge(
+                &r,
+                "abandoned_requests",
+                "Requests that servers may be running and nobody waits for",
+            )?,
             connects: counters(&r, "connects_total", "Connections to backend servers", &["for"])?,
             bytes: counters(&r, "bytes_total", "Bytes by flow", &["flow", "domain"])?,
             probes: counters(&r, "probes_total", "Load probes", &["result"])?,
--- a/tests/gateway/crashes_abandoned.rs
+++ b/tests/gateway/crashes_abandoned.rs
@@ -44,6 +44,7 @@
         caller.send(&get("/look/poison", &format!("al{n}"), 1_500));
         std::thread::sleep(WORK / 2);
     });
+    assert_eq!(gateway.metric("galenapath_rejected_requests"), 1);
     let last = gateway.request("GET", "/look/poison", "al9", 1_500, b"");
     assert_eq!(last.status, 503);
     assert_eq!(gateway.log_of("al9")["outcome"], "crashes_servers");
@@ -73,7 +74,9 @@
         servers.iter().for_each(|server| server.set_accept_delay(Duration::from_secs(60)));
         assert_eq!(request.join().unwrap().status, 504);
     });
+    assert!(gateway.metric("galenapath_abandoned_requests") > 0);
     // Longer than a server counts as possibly at work on it.
     std::thread::sleep(Duration::from_millis(1_500));
     assert!(!gateway.log().iter().any(|line| line["event"] == CRASHED));
+    assert_eq!(gateway.metric("galenapath_abandoned_requests"), 0);
 }
