--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -44,6 +44,8 @@
 mod classes;
 #[path = "planned_stops/connection.rs"]
 mod connection;
+#[path = "gateway_soak/crashes.rs"]
+mod crashes;
 #[path = "gateway_soak/deployment.rs"]
 mod deployment;
 #[path = "planned_stops/directory.rs"]
@@ -69,10 +71,11 @@
 use caller::Caller;
 use callers::Callers;
 use checks::{
-    assert_answers_match_runs, assert_crashing_request_ends, assert_evacuation_holds,
-    assert_limit_and_leaving_hold, assert_none_cut, assert_served_without_paths, wait_for_answer,
+    assert_answers_match_runs, assert_evacuation_holds, assert_limit_and_leaving_hold,
+    assert_none_cut, assert_served_without_paths, wait_for_answer,
 };
 use classes::CLASSES;
+use crashes::{CrashingCaller, assert_crashing_request_ends};
 use deployment::Deployment;
 use faults::{inject_fault, lose_paths, stop_and_start};
 use keyed_callers::{KeyedCall, habits, send_keyed};
@@ -206,7 +209,7 @@
     }
     assert_removal_holds(deployment, &trace);
     assert_served_without_paths(deployment, &trace);
-    assert_crashing_request_ends(deployment, &trace);
+    assert_crashing_request_ends(deployment, CrashingCaller::of(run.seed), &trace);
     assert_evacuation_holds(deployment, &trace);
     assert_limit_and_leaving_hold(deployment, &trace);
     let calls = callers.end();
--- a/tests/gateway_soak/checks.rs
+++ b/tests/gateway_soak/checks.rs
@@ -4,9 +4,9 @@
 use super::deployment::Deployment;
 use crate::attempt::Attempt;
 use crate::judge::Finding;
-use crate::support::{Gateway, WAIT_TIMEOUT, send_request, wait_until};
+use crate::support::{Gateway, WAIT_TIMEOUT, wait_until};
 use galenapath_dev::link::LinkFault;
-use galenapath_dev::users_platform::{DOWNTIME, ExecutedRequest, ServerFault, ServerStandIn};
+use galenapath_dev::users_platform::{ExecutedRequest, ServerStandIn};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -150,60 +150,6 @@
     });
 }
 
-/// Checks that, whatever faults preceded it, a request that crashes servers is no longer sent once
-/// all instances have had time to learn of it, also by one that has restarted.
-pub fn assert_crashing_request_ends(deployment: &Deployment, trace: &[String]) {
-    /// Time after the crashes from which requests count.
-    const SETTLE: Duration = Duration::from_secs(3);
-    /// Sends allowed after that time.
-    const MAX_SENDS: usize = 3;
-    let servers = deployment.world.servers_of("look");
-    let runs = || {
-        let ran = servers.iter().flat_map(|server| server.executed_requests());
-        ran.filter(|ran| ran.line.contains("poison")).count()
-    };
-    let send_everywhere = || {
-        for n in 0..deployment.gateways.len() {
-            let address = deployment.gateway(n).callers();
-            let head = "GET /look/poison HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: poison\r\n\
-                        X-Request-Deadline-Ms: 500\r\n";
-            send_request(address, head, b"");
-        }
-    };
-    // A relay takes connections while its server is down, unlike the address of a crashed server.
-    for at in 0..deployment.world.servers.len() {
-        deployment.list_without_link(at);
-    }
-    let revision = deployment.world.store.revision();
-    for n in 0..deployment.gateways.len() {
-        wait_until(&format!("the servers' own addresses after {trace:?}"), || {
-            deployment.gateway(n).metric("galenapath_list_position") >= revision
-        });
-    }
-    servers.iter().for_each(|server| server.set_fault(ServerFault::CrashesOnPoison));
-    wait_until(&format!("two crashes after {trace:?}"), || {
-        send_everywhere();
-        std::thread::sleep(Duration::from_millis(300));
-        runs() >= 2
-    });
-    deployment.restart(0, false, Gateway::kill_and_start);
-    let end = Instant::now() + SETTLE;
-    while Instant::now() < end {
-        send_everywhere();
-        std::thread::sleep(Duration::from_millis(300));
-    }
-    let before = runs();
-    send_everywhere();
-    std::thread::sleep(DOWNTIME);
-    send_everywhere();
-    let sends = runs() - before;
-    assert!(sends <= MAX_SENDS, "{sends} sends of a crashing request, {before} before: {trace:?}");
-    servers.iter().for_each(|server| server.set_fault(ServerFault::None));
-    for n in 0..deployment.gateways.len() {
-        wait_for_answer(&deployment.gateway(n), "after-crashes", trace);
-    }
-}
-
 /// Checks that, whatever faults preceded it, an evacuation that all instances know of keeps
 /// requests from the servers of its failure domain.
 pub fn assert_evacuation_holds(deployment: &Deployment, trace: &[String]) {
