--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -128,16 +129,33 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Option of `prctl`: the signal that a process gets when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let out = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new("target/release/galenapath")
+    let mut command = Command::new("target/release/galenapath");
+    command
         .args(["gateway", "--settings"])
         .arg(settings)
         .env("GALENAPATH_BOOT", settings)
         .stdin(Stdio::null())
         .stdout(out.try_clone()?)
-        .stderr(out)
-        .spawn()
+        .stderr(out);
+    // No instance outlives the script, however that ends.
+    // SAFETY: `prctl` may be called between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command.spawn()
 }
 
 /// Waits until `condition` holds, for at most `limit`; returns whether it does.
