--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -21,6 +21,7 @@
 /// A running instance. Ended when dropped.
 pub struct Gateway {
     pub name: String,
+    pub zone: String,
     ip: String,
     ports: Ports,
     settings: PathBuf,
@@ -82,8 +83,8 @@
         fs::write(&settings, text)?;
         let log = dir.join(format!("{name}.log"));
         let child = spawn(&settings, &log)?;
-        let (name, ip) = (name.to_owned(), ip.to_owned());
-        Ok(Self { name, ip, ports, settings, log, child })
+        let (name, zone, ip) = (name.to_owned(), zone.to_owned(), ip.to_owned());
+        Ok(Self { name, zone, ip, ports, settings, log, child })
     }
 
     /// Address for consumers.
@@ -111,11 +112,14 @@
         let _ = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
     }
 
-    /// Kills the process and starts it again after `pause`.
-    pub fn kill_and_restart(&mut self, pause: Duration) -> io::Result<()> {
+    /// Kills the process.
+    pub fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
-        let _ = self.child.wait();
-        std::thread::sleep(pause);
+        self.child.wait().map(drop)
+    }
+
+    /// Starts the process again after it was killed.
+    pub fn start_again(&mut self) -> io::Result<()> {
         self.child = spawn(&self.settings, &self.log)?;
         Ok(())
     }
--- a/review/standins-2/src/stale_list.rs
+++ b/review/standins-2/src/stale_list.rs
@@ -1,9 +1,9 @@
-//! Instances are killed and start again while the store is slow, shortly after a backend server has
-//! left. The list that each reads first may be seconds old.
+//! The instances of a zone are killed and start again while the store is slow, shortly after backend
+//! servers have left. The list that each reads first may be seconds old.
 
 use crate::backend::Backend;
 use crate::client;
-use crate::gateway::wait_until;
+use crate::gateway::{Gateway, wait_until};
 use crate::store::ANSWER_TIME;
 use crate::world::{HOST, STABLE_WINDOW, World, ZONES, route};
 use std::io;
@@ -22,32 +22,36 @@
 const LAG: Duration = Duration::from_millis(3_000);
 
 /// How long the store is slow, and how long an answer takes then.
-const SLOW_FOR: Duration = Duration::from_millis(4_500);
+const SLOW_FOR: Duration = Duration::from_millis(1_500);
 const SLOW_ANSWER: Duration = ANSWER_TIME.saturating_mul(60);
 
 /// Time after the acknowledgement from which on a server that has left gets no requests.
 const DRAIN: Duration = Duration::from_millis(2_000);
 
 /// Time for which the server goes on serving after its entry was removed.
-const SERVES_ON: Duration = Duration::from_millis(15_000);
+const SERVES_ON: Duration = Duration::from_millis(10_000);
 
 /// Time after which a process that was killed starts again.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
-/// Rounds: in each, one more server leaves.
-const ROUNDS: usize = 5;
+/// Rounds: in each, one more server of each zone leaves.
+const ROUNDS: usize = 8;
+
+/// Servers and instances of a zone.
+const SERVERS: usize = 9;
+const INSTANCES: usize = 3;
 
 /// Pause between two requests of a zone's consumers.
 const GAP: Duration = Duration::from_millis(30);
 
 /// Returns whether the rule was broken.
 pub fn run(out: &Path, has_trouble: bool) -> io::Result<bool> {
-    let mut world = World::start(&[SERVICE], 7, Duration::from_millis(60), out)?;
+    let mut world = World::start(&[SERVICE], SERVERS, Duration::from_millis(60), out)?;
     world.put_config(5, &[route("r-file", "/file/", "non_idempotent", SERVICE)], &[SERVICE]);
     world.store.set_lag(LAG);
     // Older than the lag, so that the first reads find it.
     sleep(LAG + Duration::from_millis(200));
-    world.start_gateways(3)?;
+    world.start_gateways(INSTANCES)?;
     sleep(STABLE_WINDOW);
     let mut late = 0;
     for round in 0..ROUNDS {
@@ -61,8 +65,7 @@
     send_for(world, Duration::from_millis(1_000));
     // One server of each zone; the first zone's servers come first.
     let leaving: Vec<Backend> =
-        (0..ZONES.len()).map(|n| world.backends[7 * n + round].clone()).collect();
-    let serving: Vec<usize> = ZONES.iter().filter_map(|zone| world.serving(zone)).collect();
+        (0..ZONES.len()).map(|n| world.backends[SERVERS * n + round].clone()).collect();
     for server in &leaving {
         let revision = world.store.remove(&format!("servers/{}", server.id));
         world.record.line(&format!("{} has left: its entry is removed at {revision}", server.id));
@@ -74,11 +77,15 @@
         world.store.set_delay(SLOW_ANSWER);
         let slow_since = Instant::now();
         sleep(Duration::from_millis(200));
-        for at in &serving {
-            world.record.line(&format!("{} is killed", world.gateways[*at].name));
+        let zone = ZONES[round % ZONES.len()];
+        world.record.line(&format!("the instances of {zone} are killed"));
+        let in_zone = |gateway: &&mut Gateway| gateway.zone == zone;
+        for gateway in world.gateways.iter_mut().filter(in_zone) {
+            gateway.kill()?;
         }
-        for at in serving {
-            world.gateways[at].kill_and_restart(RESTART_PAUSE)?;
+        sleep(RESTART_PAUSE);
+        for gateway in world.gateways.iter_mut().filter(in_zone) {
+            gateway.start_again()?;
         }
         sleep(SLOW_FOR.saturating_sub(slow_since.elapsed()));
         world.store.set_delay(ANSWER_TIME);
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -90,12 +90,6 @@
         Err(io::Error::other("no node names an address"))
     }
 
-    /// The instance that consumers in `zone` are told to use.
-    pub fn serving(&self, zone: &str) -> Option<usize> {
-        let address = self.resolve(zone).ok()?;
-        self.gateways.iter().position(|gateway| gateway.front() == address)
-    }
-
     /// Name of the instance with this address.
     pub fn name_of(&self, address: SocketAddr) -> &str {
         let found = self.gateways.iter().find(|gateway| gateway.front() == address);
