List of servers: an entry that the position says is gone is not listed again

Cause: an instance that starts asks the store, with a read that may be stale, and a peer sends its list before that is answered. The read is applied on top. Older entries are kept out by the removals that are known, and an instance that began with a whole list knows none from before it. Nothing removes the entry again: the peers are at the same position.

Change: the list is complete up to its position. An entry of a revision up to there that is not listed is gone, whether or not the removal is known. It holds for reads, whole lists and deltas of peers and watches alike. A read that a peer has overtaken no longer counts as the stale list that a watch cannot start from. Events and lists of an epoch that is over are ignored whole.

Conclusion: the rule stands where the list is kept, so no caller has to check ages.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -19,6 +19,9 @@
 /// Largest request body, in bytes.
 const BODY_LIMIT: usize = 2 << 20;
 
+/// Time after which a stale read is answered.
+const STALE_READ_DELAY: Duration = Duration::from_millis(400);
+
 /// Fault of the service at one of its addresses.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum KvFault {
@@ -38,6 +41,8 @@
     Deaf,
     /// Watches are not answered; other calls are.
     Mute,
+    /// Reads of a prefix that may be stale are answered from the copy of the state, and late.
+    StaleReads,
 }
 
 #[derive(Debug, Default)]
@@ -192,11 +197,18 @@
     lock(inner).calls.push(format!("{} {path}", head.method));
     let fault = fault_at(inner, port);
     let (status, answer) = match fault {
-        KvFault::None | KvFault::Deaf if path == "/-/kv-watch" => {
+        KvFault::None | KvFault::Deaf | KvFault::StaleReads if path == "/-/kv-watch" => {
             watch(inner, port, &query).await?
         }
         KvFault::Mute if path == "/-/kv-watch" => wait_forever().await,
-        KvFault::None | KvFault::Deaf | KvFault::Mute => call(inner, &path, &query, &body),
+        KvFault::StaleReads if path == "/-/kv-range" && query.may_be_stale => {
+            monoio::time::sleep(STALE_READ_DELAY).await;
+            let inner = lock(inner);
+            (StatusCode::OK, inner.backup.range(&query.prefix, &query.after, inner.page))
+        }
+        KvFault::None | KvFault::Deaf | KvFault::Mute | KvFault::StaleReads => {
+            call(inner, &path, &query, &body)
+        }
         KvFault::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         KvFault::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
         KvFault::Reset => return Err(WireError::Closed),
@@ -274,7 +286,11 @@
         match fault_at(inner, port) {
             KvFault::Silent | KvFault::Mute => wait_forever().await,
             KvFault::Reset => return Err(WireError::Closed),
-            KvFault::None | KvFault::Deaf | KvFault::Busy | KvFault::Limited => {}
+            KvFault::None
+            | KvFault::Deaf
+            | KvFault::Busy
+            | KvFault::Limited
+            | KvFault::StaleReads => {}
         }
     }
 }
@@ -285,6 +301,7 @@
     prefix: String,
     after: String,
     wait_ms: u64,
+    may_be_stale: bool,
 }
 
 impl Query {
@@ -297,6 +314,7 @@
                 "key" => query.key = value,
                 "prefix" => query.prefix = value,
                 "after" => query.after = value,
+                "serializable" => query.may_be_stale = value == "1",
                 "wait_ms" => query.wait_ms = value.parse().unwrap_or(0),
                 _ => {}
             }
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -131,9 +131,14 @@
 }
 
 impl Instance {
-    /// Applies the changes of a watch on the store, up to `position`. They have to be of the epoch
-    /// that is known.
+    /// Applies the changes of a watch on the store, up to `position`. A peer may have brought a later
+    /// epoch since the watch began; the changes are ignored then.
     pub(crate) fn apply_events(&self, events: &[KeyEvent], position: StorePosition) {
+        let known = self.state.borrow().position();
+        if position.epoch != known.epoch {
+            log::info!(position:?, known:?; "a watch was answered in another epoch; ignored");
+            return;
+        }
         for event in events {
             self.apply_event(event);
         }
@@ -188,8 +193,12 @@
         }
     }
 
-    /// Applies the whole list as read from the store: the entries under the servers' key prefix.
+    /// Applies the whole list as read from the store: the entries under the servers' key prefix. A
+    /// list of an epoch that is over is ignored.
     pub(crate) fn apply_list(&self, position: StorePosition, items: &[Item]) {
+        if position.epoch < self.state.borrow().directory.position().epoch {
+            return;
+        }
         let mut list = Vec::with_capacity(items.len());
         let mut unreadable = Vec::new();
         for Item { key, value, revision } in items {
--- a/crates/galenapath-gateway/src/watch/reads.rs
+++ b/crates/galenapath-gateway/src/watch/reads.rs
@@ -41,8 +41,11 @@
             log::warn!(position:?, known:?; "the store is at an earlier position than what is known");
         }
         self.instance.apply_list(position, &items);
+        let read = position.min(operator_position);
+        let known = self.instance.state.borrow().position();
         let is_stale = freshness == Freshness::MayBeStale;
-        self.stale_position = is_stale.then(|| self.instance.state.borrow().position());
+        // Where it is ahead of the read, it knows the current state from a peer.
+        self.stale_position = (is_stale && known == read).then_some(known);
         fleet::broadcast_heartbeat(&self.instance);
     }
 
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -41,7 +41,8 @@
 ///
 /// All revisions are of the epoch of `position`.
 ///
-/// Invariants: the position never goes back; of each identity only the latest known run counts,
+/// Invariants: the position never goes back; every entry of a revision up to the position that is not
+/// listed is gone, and is not listed again by a list or a delta of an earlier position; of each identity only the latest known run counts,
 /// whatever the revisions of earlier runs are; within a run and an epoch the revision of an entry
 /// never decreases; an entry that was removed at revision `r` is restored only with a revision
 /// above `r`; an entry that was removed in an earlier epoch is restored only once it has been
@@ -236,7 +237,7 @@
     }
 
     fn put(&mut self, revision: u64, record: ServerRecord, expires_at: Option<Micros>) -> bool {
-        if self.is_of_former_run(&record) {
+        if self.is_of_former_run(&record) || self.is_gone(&record.id, revision) {
             return false;
         }
         if self.removals.contains(&record, revision) {
@@ -287,6 +288,13 @@
         name
     }
 
+    /// Whether an entry of `revision` is known to be gone: the list is complete up to its position
+    /// and lacks it, whether or not the removal itself is known.
+    fn is_gone(&self, id: &BackendId, revision: u64) -> bool {
+        let has_list = self.position.revision > 0;
+        has_list && revision <= self.position.revision && !self.servers.contains_key(id)
+    }
+
     /// Whether the run is known to be removed.
     fn is_removed(&self, record: &ServerRecord) -> bool {
         let is_ended = self.removals.latest_run(&record.id) >= Some(record.started);
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -320,3 +320,30 @@
         value("galenapath_store_age_seconds").is_some_and(|age| age > 1.0)
     });
 }
+
+/// Guards against an instance that starts, takes the list from another one, and then lists servers
+/// again that have left, because its own first read is older and is answered later.
+#[test]
+fn stale_first_read_after_list_of_peer_restores_no_server() {
+    let world = World::start();
+    let first = Gateway::start_ready(&world, &[]);
+    world.store.back_up();
+    let (key, _) = world.servers_of("look")[0].entry("look", "ready");
+    world.store.delete(&key);
+    wait_until("the shorter list", || first.metrics().contains("galenapath_servers 5"));
+    let address = world.store.listen().unwrap();
+    world.store.set_fault(address, KvFault::StaleReads);
+    // The instance asks the store before it learns of the other one.
+    first.signal("-STOP");
+    let before = world.store.calls().len();
+    let started = Gateway::start_at(address, &[&first]);
+    wait_until("its first call", || world.store.calls().len() > before);
+    first.signal("-CONT");
+    let answered = "galenapath_store_calls_total{call=\"range\",result=\"answered\"} 2";
+    wait_until("its own first read", || started.metrics().contains(answered));
+    let listed: Vec<_> =
+        started.log().into_iter().filter(|line| line["event"] == "server listed").collect();
+    assert!(listed.iter().all(|line| line["source"] == "peer"), "{listed:?}");
+    assert_eq!(listed.len(), 5, "{listed:?}");
+    assert!(started.metrics().contains("galenapath_servers 5"));
+}
