Class-based program: an answer of the platform older than a peer's list is ignored

A server that has left is used again until the next exchange with a peer.

Cause: a watch of the list of servers takes up to its wait. A peer may send a later list meanwhile. An answer at an earlier position was taken for that of a store that was reset, and replaced the later list.

Change: the position at which the call was sent tells the two apart: only an answer that is older than that means a reset store.

Evidence: apply_answer_overtaken_by_peer_ignored fails without the check; the model's reads now take time as its pulls do, apply_any_order_is_the_list_at_the_position. Reset stores are followed as before, apply_answer_after_store_reset.

--- a/crates/galenapath-entry/src/control/lists.rs
+++ b/crates/galenapath-entry/src/control/lists.rs
@@ -90,7 +90,7 @@
 
 /// Follows the list of entry instances.
 pub(super) async fn follow_entries(plane: Rc<ControlPlane>) {
-    follow(plane, ENTRY_LIST, |plane, listing| {
+    follow(plane, ENTRY_LIST, |plane, listing, _| {
         let members: Vec<Member> = listing.instances.iter().filter_map(to_member).collect();
         plane.members.borrow_mut().learn(plane.now(), &members);
         plane.publish_members();
@@ -100,10 +100,10 @@
 
 /// Follows the list of backend servers.
 pub(super) async fn follow_backends(plane: Rc<ControlPlane>) {
-    follow(plane, BACKEND_LIST, |plane, listing| {
+    follow(plane, BACKEND_LIST, |plane, listing, asked_at| {
         let position = listing.position.0;
         let list = listing.instances.into_iter().map(|b| (b.id.clone(), b)).collect();
-        plane.backends.borrow_mut().apply_list(position, list);
+        plane.backends.borrow_mut().apply_answer(asked_at, position, list);
         plane.publish_fleet();
     })
     .await;
@@ -112,7 +112,9 @@
 /// Follows a list: reads it at the start, then watches it if this instance is a watcher. Other
 /// instances learn changes from their peers. They also read the list themselves at increasing
 /// intervals, in case all watchers are cut off.
-async fn follow(plane: Rc<ControlPlane>, name: &str, apply: impl Fn(&ControlPlane, Listing)) {
+///
+/// `apply` also gets the position that the list of backend servers had when the call was sent.
+async fn follow(plane: Rc<ControlPlane>, name: &str, apply: impl Fn(&ControlPlane, Listing, u64)) {
     let mut after: Option<StoreIndex> = None;
     let mut next_read = Micros::ZERO;
     let mut period = INITIAL_READ_PERIOD;
@@ -124,6 +126,7 @@
             }
             after = None;
         }
+        let asked_at = plane.backends.borrow().position();
         let result = plane.platform.list(name, after, WATCH_TIMEOUT).await;
         plane.count_call("list", &result);
         let Ok(listing) = result else {
@@ -138,7 +141,7 @@
                 plane.shared.metrics.count_fault("unreadable_entry");
                 log::warn!(list = name, entries = listing.skipped; "entries of the list skipped");
             }
-            apply(&plane, listing);
+            apply(&plane, listing, asked_at);
         }
         after = Some(position);
         monoio::time::sleep(MIN_READ_INTERVAL).await;
--- a/crates/galenapath-membership/src/tracked_list.rs
+++ b/crates/galenapath-membership/src/tracked_list.rs
@@ -94,6 +94,21 @@
         has_changed
     }
 
+    /// Applies the whole list as the platform returned it to a call that was sent when this list was
+    /// at `asked_at`. Returns whether anything changed.
+    ///
+    /// A peer may have sent a later list since; an answer that is older than that is ignored. One
+    /// that is older than `asked_at` means that the store was reset.
+    pub fn apply_answer(
+        &mut self,
+        asked_at: u64,
+        position: u64,
+        list: BTreeMap<String, T>,
+    ) -> bool {
+        let is_overtaken = (asked_at..self.position).contains(&position);
+        !is_overtaken && self.apply_list(position, list)
+    }
+
     /// The changes that a peer at position `after` lacks; `None` if it lacks none.
     pub fn delta_after(&self, after: u64) -> Option<ListDelta<T>> {
         if after >= self.position {
--- a/crates/galenapath-membership/tests/listing.rs
+++ b/crates/galenapath-membership/tests/listing.rs
@@ -1,6 +1,6 @@
 //! Tests of the tracked list.
 
-use galenapath_membership::TrackedList;
+use galenapath_membership::{ListDelta, TrackedList};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -63,6 +63,31 @@
     assert_eq!((tracked.position(), entries(&tracked)), (2, vec![2]));
 }
 
+/// Guards against a server that has left and is used again: a watch of the list is answered after a
+/// peer has sent a later list.
+#[test]
+fn apply_answer_overtaken_by_peer_ignored() {
+    let mut ahead = TrackedList::default();
+    ahead.apply_list(5, list(&[("a", 1), ("b", 1)]));
+    ahead.apply_list(9, list(&[("b", 1)]));
+    let mut behind = TrackedList::default();
+    behind.apply_list(5, list(&[("a", 1), ("b", 1)]));
+    let asked_at = behind.position();
+    behind.apply(ahead.delta_after(asked_at).unwrap());
+    assert!(!behind.apply_answer(asked_at, 7, list(&[("a", 1), ("b", 1)])));
+    assert_eq!((behind.position(), entries(&behind)), (9, vec![1]));
+    assert!(behind.apply_answer(asked_at, 10, list(&[("b", 2)])));
+    assert_eq!((behind.position(), entries(&behind)), (10, vec![2]));
+}
+
+#[test]
+fn apply_answer_after_store_reset() {
+    let mut tracked = TrackedList::default();
+    tracked.apply_list(50, list(&[("a", 1)]));
+    assert!(tracked.apply_answer(50, 2, list(&[("b", 2)])));
+    assert_eq!((tracked.position(), entries(&tracked)), (2, vec![2]));
+}
+
 #[test]
 fn delta_after_bounded_memory_falls_back_to_all() {
     let mut tracked = TrackedList::default();
@@ -75,7 +100,8 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    /// A node reads the platform's list at some position.
+    /// A node asks for the platform's list, which is at some position; the answer may be delivered
+    /// later.
     Read { node: usize, position: usize },
     /// A node pulls from another; the answer may be delivered later.
     Pull { node: usize, from: usize },
@@ -85,6 +111,13 @@
     DeliverNewest,
 }
 
+/// A message in transit to a node.
+#[derive(Clone, Debug)]
+enum Message {
+    Delta(ListDelta<u32>),
+    Answer { asked_at: u64, position: usize },
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         (0..3_usize, 0..12_usize).prop_map(|(node, position)| Step::Read { node, position }),
@@ -95,6 +128,17 @@
     ]
 }
 
+fn deliver(node: &mut TrackedList<u32>, message: Message, lists: &[List]) {
+    match message {
+        Message::Delta(delta) => {
+            node.apply(delta);
+        }
+        Message::Answer { asked_at, position } => {
+            node.apply_answer(asked_at, position as u64 + 1, lists[position].clone());
+        }
+    }
+}
+
 proptest! {
     /// Whatever the order of reads, pulls and late deliveries, the list of a node equals the
     /// platform's list at the position of the node.
@@ -108,22 +152,23 @@
         for step in steps {
             match step {
                 Step::Read { node, position } => {
-                    // The reads of one node never go back, like those of a watch.
-                    if position as u64 + 1 >= nodes[node].position() {
-                        nodes[node].apply_list(position as u64 + 1, lists[position].clone());
+                    // The platform is at no earlier position than the node, unless it is reset.
+                    let asked_at = nodes[node].position();
+                    if position as u64 + 1 >= asked_at {
+                        in_transit.push((node, Message::Answer { asked_at, position }));
                     }
                 }
                 Step::Pull { node, from } => {
                     let delta = nodes[from].delta_after(nodes[node].position());
-                    in_transit.extend(delta.map(|delta| (node, delta)));
+                    in_transit.extend(delta.map(|delta| (node, Message::Delta(delta))));
                 }
                 Step::Deliver if !in_transit.is_empty() => {
-                    let (node, delta) = in_transit.remove(0);
-                    nodes[node].apply(delta);
+                    let (node, message) = in_transit.remove(0);
+                    deliver(&mut nodes[node], message, &lists);
                 }
                 Step::DeliverNewest => {
-                    if let Some((node, delta)) = in_transit.pop() {
-                        nodes[node].apply(delta);
+                    if let Some((node, message)) = in_transit.pop() {
+                        deliver(&mut nodes[node], message, &lists);
                     }
                 }
                 Step::Deliver => {}
