Answers: status codes above 599 and a switch of protocols are no answers

What callers saw: nothing reported here; another system passed on an answer with status 000. Here 000, 001 to 099, one, two and four digits and none were refused before. 600 to 999 were passed on; after 101 the caller waited until its timeout. A write to the store that was answered with 1xx or 3xx counted as done, and the final answer after an interim one could be taken for the answer to the next call.

Cause: the library reads any three digits from 100 on, and nothing asked for a class of HTTP. The client of the store took everything below 400 for success.

Change: the reader of answers refuses such codes, for requests, resends, load queries, forwarded requests and the class-based program. Only a success of the store counts, and a connection ends after an interim answer.

Evidence: before, read_final_response_invalid_status_refused returned 600, filing_answered_with_no_status_fails_and_may_have_run got 504 in place of 502 for 101, and exchange_without_success_is_an_error and exchange_interim_answer_is_an_error_and_ends_the_connection failed.

--- a/crates/galenapath-ctl/src/client.rs
+++ b/crates/galenapath-ctl/src/client.rs
@@ -95,7 +95,7 @@
         connection.write_body(framing, body).await?;
         connection.finish_body(framing).await?;
         let times = HeadTimeouts { idle: self.timeout, head: self.timeout };
-        let head = connection.read_response(times).await?;
+        let head = connection.read_final_response(times).await?;
         let framing = response_framing(method, head.status, &head.headers)?;
         let mut state = BodyState::new(framing);
         let mut answer = Vec::new();
--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -203,6 +203,7 @@
             Err(WireError::Closed)
         }
         ServerFault::Endless(part) => endless::send(inner, conn, part, id).await,
+        ServerFault::StatusText(text) => conn.write(success.replacen("200", text, 1)).await,
         ServerFault::Extra => conn.write(success.clone() + &success).await,
         ServerFault::Foreign => {
             conn.write(signed_answer(inner, StatusCode::OK, "another", "not yours") + &success)
--- a/crates/galenapath-dev/src/users_platform/server.rs
+++ b/crates/galenapath-dev/src/users_platform/server.rs
@@ -40,6 +40,8 @@
     BreaksOff,
     /// Closes the connection after this number of bytes of the answer.
     BreaksOffAfter(usize),
+    /// Runs the request and writes this in place of the status code.
+    StatusText(&'static str),
     /// Sends a second answer after the first.
     Extra,
     /// Sends the answer to another request before the right one.
--- a/crates/galenapath-gateway/src/forwarding/client.rs
+++ b/crates/galenapath-gateway/src/forwarding/client.rs
@@ -139,7 +139,7 @@
 
 async fn send_and_read_head(connection: &mut Connection) -> Result<ResponseHead, HttpError> {
     connection.flush().await?;
-    connection.read_response(HEAD_TIMEOUTS).await
+    connection.read_final_response(HEAD_TIMEOUTS).await
 }
 
 async fn read_reply(
--- a/crates/galenapath-http/src/connection/mod.rs
+++ b/crates/galenapath-http/src/connection/mod.rs
@@ -7,7 +7,7 @@
 pub use closing::CloseEnd;
 
 use crate::body::TakeResult;
-use crate::head::{find_head_end, reject_bare_line_feed};
+use crate::head::{check_status, find_head_end, reject_bare_line_feed};
 use crate::{BodyState, HttpError, RequestHead, ResponseHead, check_head};
 use bytes::{Buf, Bytes, BytesMut};
 use monoio::buf::{IoBufMut, SliceMut};
@@ -120,13 +120,16 @@
     ///
     /// # Errors
     ///
-    /// `Closed` if the peer closed the connection before the first byte. After any error the
-    /// connection cannot be used again.
+    /// `Closed` if the peer closed the connection before the first byte, `BadHead` if the status
+    /// code is none of HTTP. After any error the connection cannot be used again.
     pub async fn read_response(
         &mut self,
         timeouts: HeadTimeouts,
     ) -> Result<ResponseHead, HttpError> {
-        self.read_head(timeouts, |input| ResponseHeadDecoder.decode(input).ok()).await
+        let decode = |input: &mut BytesMut| ResponseHeadDecoder.decode(input).ok();
+        let head: ResponseHead = self.read_head(timeouts, decode).await?;
+        check_status(head.status)?;
+        Ok(head)
     }
 
     /// Reads the head of the next final answer; a limited number of interim answers (1xx) before it
--- a/crates/galenapath-http/src/head.rs
+++ b/crates/galenapath-http/src/head.rs
@@ -8,6 +8,9 @@
 /// Maximum number of header fields in a head; a limit of `monoio-http`'s parser.
 pub const MAX_HEADERS: usize = 96;
 
+/// The highest status code of HTTP.
+const MAX_STATUS: u16 = 599;
+
 /// Maximum length of a header name, in bytes; a limit of `monoio-http`'s parser.
 const MAX_NAME: usize = 256;
 
@@ -53,6 +56,22 @@
     Ok(())
 }
 
+/// Rejects status codes that an answer to one of our requests cannot have.
+///
+/// # Errors
+///
+/// `BadHead` for a code outside the classes of HTTP, and for a switch of protocols, which is never
+/// requested: what follows it is not HTTP.
+pub(crate) fn check_status(status: StatusCode) -> Result<(), HttpError> {
+    if status.as_u16() > MAX_STATUS {
+        return Err(HttpError::BadHead("not a status code of HTTP"));
+    }
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(HttpError::BadHead("a switch of protocols that was not requested"));
+    }
+    Ok(())
+}
+
 /// A header field that is written in addition to those of a header map.
 ///
 /// Neither name nor value may contain a carriage return, a line feed or a NUL byte.
--- a/crates/galenapath-http/tests/support/mod.rs
+++ b/crates/galenapath-http/tests/support/mod.rs
@@ -50,6 +50,7 @@
 }
 
 /// Reads a whole body with `framing` from the connection.
+#[allow(dead_code)]
 pub async fn read_whole(
     connection: &mut Connection,
     framing: Framing,
--- a/crates/galenapath-platform/src/http_client.rs
+++ b/crates/galenapath-platform/src/http_client.rs
@@ -104,7 +104,7 @@
         Self { address, timeout, idle: RefCell::default() }
     }
 
-    /// Makes the call. A status of 400 or above is an error, except 404, which callers treat as an
+    /// Makes the call. Any status but a success is an error, except 404, which callers treat as an
     /// absent entry.
     ///
     /// # Errors
@@ -162,7 +162,12 @@
 }
 
 impl Answer {
+    /// Whether the connection cannot be used for another call. After an interim answer, the final
+    /// one would be taken for the answer to the next call.
     fn closes_connection(&self) -> bool {
+        if self.status.is_informational() {
+            return true;
+        }
         let value = self.headers.get(header::CONNECTION);
         value.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
     }
@@ -223,11 +228,11 @@
     Ok(buf.freeze())
 }
 
-/// Returns the error for an answer with an error status. With a status below 500 the call was
-/// rejected before it took effect; with any other error status it may have taken effect.
+/// Returns the error for an answer without success. With a client error (4xx) the call was rejected
+/// before it took effect; with any other status it may have taken effect.
 fn status_error(answer: &Answer) -> Option<(Cause, Verdict)> {
     let status = answer.status;
-    if status.as_u16() < 400 || status == StatusCode::NOT_FOUND {
+    if status.is_success() || status == StatusCode::NOT_FOUND {
         return None;
     }
     if status == StatusCode::TOO_MANY_REQUESTS {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -50,6 +50,8 @@
 mod servers;
 #[path = "gateway/slow_callers.rs"]
 mod slow_callers;
+#[path = "gateway/statuses.rs"]
+mod statuses;
 #[path = "gateway/stop_lines.rs"]
 mod stop_lines;
 #[path = "gateway/stops.rs"]
