Answers: the buffered parts of all of them together have a bound

What callers saw: nothing reported here; another system ran out of memory by a server that sent bytes without end. Each answer was bounded here, tests/gateway/endless.rs, but not their sum: 120 answers of 3 MB whose callers read nothing took 70 MB.

Cause: each held 256 KB, a copy of them to be written, and 64 KB of output.

Change: answers together take an eighth of the memory, beside the eighth of the requests' bodies. Without room an answer is streamed after 16 KB. The buffered part is written in pieces and released; output is written from 16 KB on.

--- a/crates/galenapath-gateway/src/body.rs
+++ b/crates/galenapath-gateway/src/body.rs
@@ -1,8 +1,10 @@
-//! Reads the bodies of callers' requests, within a bound on the memory that they take together.
+//! Reads the bodies of callers' requests, and bounds the memory that bodies take together.
 //!
-//! Load pattern: large uploads from many slow callers at once. Each would take its size for as long
-//! as its caller sends, and instances have 112 MB. A request that does not fit is rejected before
-//! its body is read.
+//! Load pattern: large uploads from many slow callers at once, and many large answers, or answers
+//! without end, at once. Each would take its size for as long as its caller sends or reads, and
+//! instances have 112 MB. A request that does not fit is rejected before its body is read; of an
+//! answer that does not fit, less is held. Requests and answers have a part of the memory each, so
+//! that faulty servers leave room for uploads.
 
 use crate::answer::LocalAnswer;
 use crate::caller::Caller;
@@ -14,6 +16,7 @@
 use galenapath_protocol::Micros;
 use galenapath_routes::CallerLimits;
 use http::StatusCode;
+use std::cell::Cell;
 use std::ops::Deref;
 use std::pin::pin;
 use std::rc::Rc;
@@ -21,19 +24,41 @@
 /// `Retry-After` if the bodies in memory leave no room for another one.
 const NO_ROOM_RETRY_AFTER: Micros = Micros::from_millis(250);
 
-/// Part of the instance's memory for the bodies of requests.
+/// Part of the instance's memory for the bodies of requests, and for those of answers.
 const MEMORY_PART: f64 = 0.125;
 
+/// Bytes of bodies in memory.
+#[derive(Default)]
+pub(crate) struct BodyBytes {
+    requests: Cell<usize>,
+    answers: Cell<usize>,
+}
+
+/// What a body belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyOf {
+    Request,
+    Answer,
+}
+
 /// Bytes of bodies in memory; dropping it returns them.
 pub(crate) struct BodyRoom {
     instance: Rc<Instance>,
+    of: BodyOf,
     len: usize,
 }
 
 impl BodyRoom {
     /// Room for nothing yet.
-    pub(crate) fn empty(instance: &Rc<Instance>) -> Self {
-        Self { instance: Rc::clone(instance), len: 0 }
+    pub(crate) fn empty(instance: &Rc<Instance>, of: BodyOf) -> Self {
+        Self { instance: Rc::clone(instance), of, len: 0 }
+    }
+
+    fn in_use(&self) -> &Cell<usize> {
+        match self.of {
+            BodyOf::Request => &self.instance.body_bytes.requests,
+            BodyOf::Answer => &self.instance.body_bytes.answers,
+        }
     }
 
     /// Enlarges it to `len` bytes; false if there is no room.
@@ -42,13 +67,13 @@
         if more == 0 {
             return true;
         }
-        let in_use = self.instance.body_bytes.get() + more;
+        let in_use = self.in_use().get() + more;
         let limit = self.instance.settings().memory_mb * 1024.0 * 1024.0 * MEMORY_PART;
         // One body is always accepted, or none could be on a very small instance.
         if in_use as f64 > limit && in_use > more {
             return false;
         }
-        self.instance.body_bytes.set(in_use);
+        self.in_use().set(in_use);
         self.len += more;
         true
     }
@@ -56,8 +81,8 @@
 
 impl Drop for BodyRoom {
     fn drop(&mut self) {
-        let in_use = self.instance.body_bytes.get();
-        self.instance.body_bytes.set(in_use.saturating_sub(self.len));
+        let in_use = self.in_use();
+        in_use.set(in_use.get().saturating_sub(self.len));
     }
 }
 
@@ -123,7 +148,7 @@
         Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
         Framing::None | Framing::Chunked | Framing::UntilClose => 0,
     };
-    let mut room = BodyRoom::empty(instance);
+    let mut room = BodyRoom::empty(instance, BodyOf::Request);
     if !room.grow_to(known_len) {
         return Ok(Err(no_room));
     }
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of an instance.
 
+use crate::body::BodyBytes;
 use crate::clock::Clock;
 use crate::crash::RunningRequests;
 use crate::dialect::{Dialect, HeaderNames};
@@ -84,8 +85,8 @@
     pub(crate) store_follow: Cell<StoreFollow>,
     /// Requests that are open.
     pub(crate) open: OpenRequests,
-    /// Bytes of request bodies in memory.
-    pub(crate) body_bytes: Cell<usize>,
+    /// Bytes of bodies in memory.
+    pub(crate) body_bytes: BodyBytes,
     line_budget: Cell<LogLineBudget>,
     /// Durations of load queries to servers.
     query_times: Cell<QueryTimes>,
@@ -147,7 +148,7 @@
             is_watching: Cell::new(false),
             store_follow: Cell::new(StoreFollow::new(clock.now())),
             open: OpenRequests::default(),
-            body_bytes: Cell::new(0),
+            body_bytes: BodyBytes::default(),
             line_budget: Cell::new(LogLineBudget::new(settings.log_lines)),
             query_times: Cell::default(),
             last_serving_at: Cell::new(Micros::ZERO),
--- a/crates/galenapath-gateway/src/relay.rs
+++ b/crates/galenapath-gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards a backend server's answer to the caller.
 
 use crate::answer::{LocalAnswer, RequestEnd, record_end, send_whole};
+use crate::body::Body;
 use crate::call::Call;
 use crate::caller::{Caller, answered_end};
 use crate::crash;
@@ -24,6 +25,9 @@
 /// reads 100 KB a second would seem to have stalled.
 const SEND_BUFFER: usize = 512 * 1024;
 
+/// Bytes of the buffered part of an answer that are copied at a time to be written.
+const START_PIECE: usize = 16 * 1024;
+
 /// Bytes after which a stream pauses. The runtime neither interrupts a task whose reads and writes
 /// never have to wait nor lets timers expire while one can run.
 const PAUSE_EVERY_BYTES: usize = 256 * 1024;
@@ -65,7 +69,7 @@
         Framing::Length(_) | Framing::None => Duration::MAX,
         Framing::Chunked | Framing::UntilClose => call.time_left_for_caller().into(),
     };
-    let streaming = stream(call, caller, framing, &start, &mut rest);
+    let streaming = stream(call, caller, framing, start, &mut rest);
     let sent = monoio::time::timeout(time_limit, streaming).await;
     let sent = sent.unwrap_or_else(|_| Err(HttpError::Io(ErrorKind::TimedOut.into())));
     call.instance.usage.count(Flow::Request, rest.is_local, rest.connection.take_byte_count());
@@ -105,11 +109,13 @@
     call: &Call,
     caller: &mut Caller,
     framing: Framing,
-    start: &[u8],
+    start: Body,
     rest: &mut RemainingBody,
 ) -> Result<(), HttpError> {
-    let writing = caller.connection.write_body(framing, start);
-    with_timeout(STALL_TIMEOUT, writing).await?;
+    for piece in start.chunks(START_PIECE) {
+        with_timeout(STALL_TIMEOUT, caller.connection.write_body(framing, piece)).await?;
+    }
+    drop(start);
     let mut since_pause = 0;
     while let Some(piece) = next_piece(call, caller, rest).await? {
         with_timeout(STALL_TIMEOUT, caller.connection.write_body(framing, &piece)).await?;
--- a/crates/galenapath-gateway/src/reply.rs
+++ b/crates/galenapath-gateway/src/reply.rs
@@ -1,6 +1,6 @@
 //! Reads and checks backend servers' answers.
 
-use crate::body::{Body, BodyRoom};
+use crate::body::{Body, BodyOf, BodyRoom};
 use crate::call::Call;
 use crate::crash::Running;
 use crate::dialect::HeaderNames;
@@ -15,6 +15,9 @@
 use http::{Method, StatusCode};
 use std::time::Duration;
 
+/// Bytes of an answer that are read in any case, and the step in which its room grows.
+const MIN_BUFFERED: usize = 16 * 1024;
+
 /// Answers of up to this many bytes are read completely before their head is forwarded, so that the
 /// request can be retried if the answer is aborted. The rest of a larger answer is streamed.
 const BUFFER_LIMIT: usize = 256 * 1024;
@@ -150,14 +153,13 @@
     has_connection_option(headers, "close")
 }
 
-/// Reads the whole body, or its beginning if it exceeds the limit. Only what it has beyond
-/// [`BUFFER_LIMIT`] takes room among the bodies in memory.
+/// Reads the whole body, or its beginning if it exceeds the limit or the room for answers.
 pub(crate) async fn read_start(
     call: &Call,
     connection: &mut Connection,
     body: &mut BodyState,
 ) -> Result<Body, HttpError> {
-    let mut room = BodyRoom::empty(&call.instance);
+    let mut room = BodyRoom::empty(&call.instance, BodyOf::Answer);
     let Some(first) = connection.read_body(body).await? else { return Ok(Body::none()) };
     if body.is_complete() {
         return Ok(Body::new(first, room));
@@ -165,10 +167,11 @@
     // Allocates once if the length is known: a growing buffer is copied several times and ends up
     // to twice as large.
     let known = first.len().saturating_add(body.known_remaining()).min(BUFFER_LIMIT);
-    let mut start = BytesMut::with_capacity(known);
+    let has_room = room.grow_to(known);
+    let mut start = BytesMut::with_capacity(if has_room { known } else { first.len() });
     start.extend_from_slice(&first);
     drop(first);
-    while start.len() < BUFFER_LIMIT || may_read_on(call, &mut room, start.len()) {
+    while may_read_on(call, &mut room, start.len()) {
         match connection.read_body(body).await? {
             Some(piece) => start.extend_from_slice(&piece),
             None => break,
@@ -180,11 +183,13 @@
     Ok(Body::new(start.freeze(), room))
 }
 
-/// Whether an answer of which `len` bytes were read is read on because requests are behind it.
+/// Whether more is read of an answer of which `len` bytes were read.
 fn may_read_on(call: &Call, room: &mut BodyRoom, len: usize) -> bool {
-    call.has_requests_behind.get()
-        && len < BUFFER_LIMIT_WITH_REQUESTS_BEHIND
-        && room.grow_to(len - BUFFER_LIMIT)
+    let limit = match call.has_requests_behind.get() {
+        true => BUFFER_LIMIT_WITH_REQUESTS_BEHIND,
+        false => BUFFER_LIMIT,
+    };
+    len < MIN_BUFFERED || (len < limit && room.grow_to((len + MIN_BUFFERED).min(limit)))
 }
 
 /// Removes the headers that are not forwarded to the caller.
--- a/crates/galenapath-http/src/connection/writing.rs
+++ b/crates/galenapath-http/src/connection/writing.rs
@@ -9,7 +9,7 @@
 use std::os::fd::AsRawFd;
 
 /// The output buffer is written to the socket once it holds this many bytes.
-const FLUSH_THRESHOLD: usize = 64 * 1024;
+const FLUSH_THRESHOLD: usize = 16 * 1024;
 
 /// A body smaller than this many bytes is copied and sent in one packet with its head.
 const MAX_COPIED_BODY: usize = 4 * 1024;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -28,6 +28,8 @@
 mod limits;
 #[path = "gateway/lost_fleet.rs"]
 mod lost_fleet;
+#[path = "gateway/many_answers.rs"]
+mod many_answers;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
 #[path = "gateway/paths.rs"]
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -32,13 +32,6 @@
 /// Number of callers that send requests at the same time.
 const CALLERS: usize = 8;
 
-/// Resident memory of a process in kilobytes.
-fn memory_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 fn endless(world: &World) -> usize {
     world.servers.iter().map(|(_, server)| server.endless()).sum()
 }
@@ -134,7 +127,7 @@
     let world = World::start();
     let gateway = Gateway::start_ready(&world, &[]);
     (0..10).for_each(|n| warm_up(&gateway, n));
-    let before = memory_kb(gateway.pid());
+    let before = gateway.memory_kb();
     let healthy = world.servers_of("look")[1];
     for service in ["look", "file", "load"] {
         world.servers_of(service)[0].set_fault(ServerFault::Endless(part));
@@ -153,7 +146,7 @@
             })
             .collect();
         while callers.iter().any(|caller| !caller.is_finished()) {
-            peak = peak.max(memory_kb(gateway.pid()));
+            peak = peak.max(gateway.memory_kb());
             std::thread::sleep(Duration::from_millis(5));
         }
     });
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -18,6 +18,8 @@
 pub mod kept;
 #[path = "load.rs"]
 mod load;
+#[path = "memory.rs"]
+mod memory;
 #[path = "processor.rs"]
 mod processor;
 #[path = "world.rs"]
