Tests: filings sent late in the grace period of a stop

Another system reported requests that came late in the grace, were passed on and cut at its end, some of which may not be repeated. Here an instance that stops passes on only what ends by its deadline before the last answers are due, or, in the first half, by twice the longest work of the last minute. Covered before for lookups: request_on_idle_connection_late_in_a_stop_cut_by_the_exit, long_work_cut_by_the_exit, request_that_cannot_end_in_time_passed_on, requests_in_a_short_grace_period_cut and stops_forwarding.rs.

No fault was found and nothing is changed.

--- a/tests/gateway/kept.rs
+++ b/tests/gateway/kept.rs
@@ -69,8 +69,21 @@
 
     /// Sends a lookup and waits for its end. The timeouts are those of the caller and of the route.
     pub fn look(&mut self, id: String, sent: Duration, timeouts_ms: [u64; 2]) -> Ended {
+        let text = get("/look/1", &id, timeouts_ms[0]);
+        self.ask(&text, id, sent, timeouts_ms)
+    }
+
+    /// The same with a filing.
+    pub fn file(&mut self, id: String, sent: Duration, timeouts_ms: [u64; 2]) -> Ended {
+        let body = "filing";
+        let text = filing_head(&id, timeouts_ms[0], body.len()) + body;
+        self.ask(&text, id, sent, timeouts_ms)
+    }
+
+    /// Sends the request `text` and waits for its end.
+    fn ask(&mut self, text: &str, id: String, sent: Duration, timeouts_ms: [u64; 2]) -> Ended {
         let [caller_ms, route_ms] = timeouts_ms;
-        self.send(&get("/look/1", &id, caller_ms));
+        self.send(text);
         let (began, end) = (Instant::now(), self.read());
         let limit = Duration::from_millis(caller_ms.min(route_ms));
         Ended { id, sent, took: began.elapsed(), limit, end }
--- a/tests/gateway/stops_grace.rs
+++ b/tests/gateway/stops_grace.rs
@@ -73,3 +73,35 @@
         assert!(served(&ended) > 0, "{grace}: {ended:#?}");
     }
 }
+
+/// Guards against filings that are taken late in the grace period and cut at its end: they have run
+/// and may not be repeated.
+#[test]
+fn filings_late_in_the_grace_period_not_cut() {
+    const COUNT: u64 = 90;
+    const ROUTE_MS: u64 = 2_000;
+    let world = World::start();
+    let mut gateway = Gateway::start_ready(&world, &[]);
+    let idle = |n| Kept::idle(gateway.callers(), &format!("warm{n}"));
+    let kept: Vec<Kept> = (0..COUNT).map(idle).collect();
+    assert_eq!(gateway.send_filing("first").status, 200);
+    let began = Instant::now();
+    gateway.signal("-TERM");
+    let file = |(mut kept, n): (Kept, u64)| {
+        let moment = ms(2_500 + 3_500 * n / COUNT);
+        let timeout = [400, 1_200, 5_000][(n % 3) as usize];
+        std::thread::spawn(move || {
+            wait_for_moment(began, moment);
+            kept.file(format!("late{n}"), moment, [timeout, ROUTE_MS])
+        })
+    };
+    let callers: Vec<_> = kept.into_iter().zip(0..).map(file).collect();
+    for work in [100, 300, 700, 100] {
+        set_work(&world, ms(work));
+        std::thread::sleep(ms(900));
+    }
+    let ended: Vec<Ended> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+    assert!(gateway.wait().success());
+    assert_nothing_lost(&world, &ended);
+    assert!(served(&ended) > 0, "{ended:#?}");
+}
