Splits: the state of a split goes with the route of its version

Cause: the dividers of a split and the callers' longest timeouts were kept by the name of the route and cleared at a change.

Evidence: split_with_a_further_service_in_force_though_a_body_was_arriving had 90, 10 and 0 where 10, 10 and 80 are right, and split_in_another_unit_in_force_though_a_body_was_arriving 100 and 0 where 10 and 90 are.

Change: RouteState belongs to the route of one version, is made when a request is admitted and goes with it. WeightedRoundRobin holds the weights that its dividers are of, so that it cannot be used with others.

--- a/crates/galenapath-gateway/src/caller/mod.rs
+++ b/crates/galenapath-gateway/src/caller/mod.rs
@@ -219,7 +219,7 @@
     head: RequestHead,
     body: Body,
 ) {
-    let service_name = admitted.pick_service(instance);
+    let service_name = admitted.pick_service();
     let req = intake::request(instance, admitted, head, body);
     match instance.service(&service_name) {
         Some(service) => started.run(Rc::new(Call::new(instance, service, req))),
--- a/crates/galenapath-gateway/src/configuration.rs
+++ b/crates/galenapath-gateway/src/configuration.rs
@@ -55,7 +55,6 @@
         self.state.borrow_mut().set_config(Rc::new(table), compressed());
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         log::info!(version, before, routes, source; "configuration in force");
-        self.reset_route_state();
         self.refresh_services();
     }
 
--- a/crates/galenapath-gateway/src/instance.rs
+++ b/crates/galenapath-gateway/src/instance.rs
@@ -24,11 +24,9 @@
 };
 use galenapath_policy::dispatch::PeakLoad;
 use galenapath_policy::measure::{CrossDomainSends, QueryTimes};
-use galenapath_policy::place::time_spent;
 use galenapath_policy::quota::QuotaLedger;
 use galenapath_policy::{FailedRequests, LogLineBudget, LogLineKind};
 use galenapath_protocol::{DomainId, FastMap, Incarnation, Micros};
-use galenapath_routes::{Route, WeightedRoundRobin};
 use galenapath_settings::GatewaySettings;
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
@@ -53,9 +51,6 @@
     pub(crate) membership: RefCell<HeartbeatMembership>,
     /// Services by name, from the configuration.
     pub(crate) services: RefCell<Services>,
-    splits: RefCell<FastMap<String, WeightedRoundRobin>>,
-    /// Longest timeout stated by callers, by route.
-    longest_timeouts: RefCell<FastMap<String, Micros>>,
     /// Requests suspected of crashing backend servers.
     pub(crate) suspects: RefCell<Suspects>,
     /// Requests that backend servers may be running.
@@ -130,8 +125,6 @@
                 clock.now(),
             )),
             services: RefCell::default(),
-            splits: RefCell::default(),
-            longest_timeouts: RefCell::default(),
             running: RunningRequests::default(),
             recent_answers: RefCell::default(),
             suspects: RefCell::new(Suspects::new(SuspectConfig::default())),
@@ -272,49 +265,6 @@
         now - self.first_address_request_at.get()
     }
 
-    /// Selects the service for the next request of `route`.
-    pub(crate) fn pick_service<'a>(&self, route: &'a Route) -> &'a str {
-        if let [only] = route.services.as_slice() {
-            return &only.service;
-        }
-        let mut splits = self.splits.borrow_mut();
-        let turn = splits
-            .entry(route.name.clone())
-            .or_insert_with(|| WeightedRoundRobin::new(&route.services, self.incarnation.0));
-        &route.services[turn.next(&route.services)].service
-    }
-
-    /// Returns the time by which the answer to a request should arrive. The request arrived at
-    /// `arrived`, and the first attempt of its caller is known to have arrived at `first_at`.
-    ///
-    /// If the caller's remaining timeout is much shorter than is usual for its route, the
-    /// difference is taken as time spent on earlier attempts at other instances.
-    pub(crate) fn target_at(
-        &self,
-        route: &Route,
-        arrived: Micros,
-        first_at: Micros,
-        caller_timeout: Micros,
-    ) -> Micros {
-        let target = Micros::from(route.target);
-        if first_at < arrived {
-            return first_at + target;
-        }
-        let mut longest_timeouts = self.longest_timeouts.borrow_mut();
-        let longest = match longest_timeouts.get_mut(&route.name) {
-            Some(longest) => longest,
-            None => longest_timeouts.entry(route.name.clone()).or_insert(caller_timeout),
-        };
-        *longest = caller_timeout.max(*longest);
-        (arrived + target) - time_spent(*longest, caller_timeout)
-    }
-
-    /// Resets the traffic splits and caller timeouts of all routes after a configuration change.
-    pub(crate) fn reset_route_state(&self) {
-        self.splits.borrow_mut().clear();
-        self.longest_timeouts.borrow_mut().clear();
-    }
-
     /// Counts a connection opened to a backend server, by purpose.
     pub(crate) fn count_connect(&self, purpose: &str) {
         self.metrics.connects.with_label_values(&[purpose]).inc();
--- a/crates/galenapath-gateway/src/intake.rs
+++ b/crates/galenapath-gateway/src/intake.rs
@@ -7,6 +7,7 @@
 use crate::instance::Instance;
 use crate::quota::{self, QuotaCharge};
 use crate::request::{self, Origin, Request};
+use crate::route_state::RouteState;
 use galenapath_filings::Fingerprint;
 use galenapath_http::{BadRequest, RequestHead, request_host};
 use galenapath_policy::CallerAttempt;
@@ -50,8 +51,15 @@
     caller_timeout: Micros,
     /// Time by which the request has to be answered.
     pub(crate) deadline: Micros,
-    /// What another instance has established, if that forwards the request.
-    forwarded: Option<Forwarded>,
+    from: AdmittedFrom,
+}
+
+/// Where an admitted request comes from.
+enum AdmittedFrom {
+    /// A caller. Holds the state of the route, of the version under which it was admitted.
+    Caller(Rc<RouteState>),
+    /// Another instance, which has established the rest.
+    Peer(Forwarded),
 }
 
 impl Admitted {
@@ -64,7 +72,8 @@
         forwarded: Forwarded,
     ) -> Self {
         let (charge, caller_timeout) = (None, left);
-        Self { target, charge, arrived, caller_timeout, deadline, forwarded: Some(forwarded) }
+        let from = AdmittedFrom::Peer(forwarded);
+        Self { target, charge, arrived, caller_timeout, deadline, from }
     }
 
     /// The route of the request.
@@ -73,10 +82,10 @@
     }
 
     /// Selects the service for the request.
-    pub(crate) fn pick_service(&self, instance: &Instance) -> String {
-        match &self.forwarded {
-            Some(forwarded) => forwarded.service.clone(),
-            None => instance.pick_service(&self.target.route).to_owned(),
+    pub(crate) fn pick_service(&self) -> String {
+        match &self.from {
+            AdmittedFrom::Caller(state) => state.pick_service().to_owned(),
+            AdmittedFrom::Peer(forwarded) => forwarded.service.clone(),
         }
     }
 }
@@ -115,7 +124,7 @@
 }
 
 /// Admits a request whose head arrived at `arrived`, if it can end in time: charges it to its
-/// workspace's quota.
+/// workspace's quota. The route of `target` has to be in force still.
 pub(crate) fn admit(
     instance: &Rc<Instance>,
     target: Target,
@@ -128,7 +137,9 @@
         Some(workspace) => quota::charge(instance, workspace)?,
         None => None,
     };
-    Ok(Admitted { target, charge, arrived, caller_timeout, deadline, forwarded: None })
+    let state = instance.state.borrow().route_state(&target.route, instance.incarnation.0);
+    let from = AdmittedFrom::Caller(state);
+    Ok(Admitted { target, charge, arrived, caller_timeout, deadline, from })
 }
 
 /// Builds the request of an admitted head and its body.
@@ -147,9 +158,9 @@
         None => fingerprint,
     };
     let History { first_at, attempt, target_at } = history(instance, &admitted, fingerprint);
-    let origin = match &admitted.forwarded {
-        Some(forwarded) => Origin::Peer { sends: forwarded.sends },
-        None => Origin::Caller,
+    let origin = match &admitted.from {
+        AdmittedFrom::Caller(_) => Origin::Caller,
+        AdmittedFrom::Peer(forwarded) => Origin::Peer { sends: forwarded.sends },
     };
     let rank = target.rank();
     let requires_key = instance.state.borrow().table().requires_key();
@@ -193,15 +204,17 @@
 
 fn history(instance: &Instance, admitted: &Admitted, fingerprint: Fingerprint) -> History {
     let arrived = admitted.arrived;
-    if let Some(forwarded) = &admitted.forwarded {
-        let target_at = arrived + forwarded.target;
-        return History { first_at: arrived, attempt: forwarded.attempt, target_at };
-    }
+    let state = match &admitted.from {
+        AdmittedFrom::Caller(state) => state,
+        AdmittedFrom::Peer(forwarded) => {
+            let target_at = arrived + forwarded.target;
+            return History { first_at: arrived, attempt: forwarded.attempt, target_at };
+        }
+    };
     let failed_first = instance.failed_requests.borrow_mut().take(arrived, fingerprint.0);
     let first_at = failed_first.unwrap_or(arrived);
     let attempt =
         if failed_first.is_some() { CallerAttempt::Repeated } else { CallerAttempt::First };
-    let route = &admitted.target.route;
-    let target_at = instance.target_at(route, arrived, first_at, admitted.caller_timeout);
+    let target_at = state.target_at(arrived, first_at, admitted.caller_timeout);
     History { first_at, attempt, target_at }
 }
--- a/crates/galenapath-gateway/src/lib.rs
+++ b/crates/galenapath-gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod request;
 mod request_failure;
 mod retry_share;
+mod route_state;
 mod run;
 mod server_answer;
 mod service;
--- a/crates/galenapath-gateway/src/state.rs
+++ b/crates/galenapath-gateway/src/state.rs
@@ -3,14 +3,16 @@
 use crate::compression::CompressedConfig;
 use crate::instance::Instance;
 use crate::leaving::LeavingServers;
+use crate::route_state::{RouteState, RouteStates};
 use galenapath_platform::{Item, KeyEvent};
 use galenapath_policy::LogLineKind;
 use galenapath_protocol::{BackendId, Micros, StorePosition};
 use galenapath_routes::{
-    Change, Directory, Evacuations, ListedServer, Removal, RouteTable, ServerChanges, ServerState,
-    VisibleChange,
+    Change, Directory, Evacuations, ListedServer, Removal, Route, RouteTable, ServerChanges,
+    ServerState, VisibleChange,
 };
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Time after an outage of the store during which entries that expired meanwhile, or that a store
 /// which came back from a backup has lost, may reappear. The platform promises that they do within
@@ -27,6 +29,8 @@
     /// Text of the configuration in force, compressed as it is sent to other instances. The plain
     /// text, a quarter of a megabyte for a thousand routes, is not kept.
     config: Option<CompressedConfig>,
+    /// States of the routes of `table`.
+    route_states: RouteStates,
     directory: Directory,
     /// Evacuated failure domains, whose servers get no requests. They are always applied before a
     /// server list, so that no instance serves without knowing them.
@@ -49,6 +53,11 @@
         &self.table
     }
 
+    /// The state of `route`, which is one of [`Self::table`]. Instances differ in `seed`.
+    pub(crate) fn route_state(&self, route: &Arc<Route>, seed: u64) -> Rc<RouteState> {
+        self.route_states.of(route, seed)
+    }
+
     /// The configuration in force as sent to other instances; `None` before the first one.
     pub(crate) fn config(&self) -> Option<&CompressedConfig> {
         self.config.as_ref()
@@ -58,6 +67,7 @@
     pub(crate) fn set_config(&mut self, table: Rc<RouteTable>, config: CompressedConfig) {
         self.table = table;
         self.config = Some(config);
+        self.route_states = RouteStates::default();
     }
 
     /// The list of backend servers.
--- a/crates/galenapath-routes/src/weighted_round_robin.rs
+++ b/crates/galenapath-routes/src/weighted_round_robin.rs
@@ -19,38 +19,41 @@
 #[derive(Clone, Debug)]
 pub struct WeightedRoundRobin {
     /// One divider for each service.
-    ///
-    /// Invariant: each is less than the sum of the weights from its service on, or zero.
-    dividers: Vec<u64>,
+    dividers: Vec<Divider>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Divider {
+    weight: u64,
+    /// Sum of the weights from this service on.
+    rest: u64,
+    /// Invariant: less than `rest`, or zero.
+    value: u64,
 }
 
 impl WeightedRoundRobin {
     /// Starts at an offset derived from `seed`: each divider anywhere in its range.
     pub fn new(services: &[WeightedService], seed: u64) -> Self {
-        let mut rest = total(services);
+        let mut rest: u64 = services.iter().map(|service| u64::from(service.weight)).sum();
         let mut dividers = Vec::with_capacity(services.len());
         for (index, service) in services.iter().enumerate() {
-            dividers.push(hash64(seed, &index.to_le_bytes()) % rest.max(1));
-            rest -= u64::from(service.weight);
+            let weight = u64::from(service.weight);
+            let value = hash64(seed, &index.to_le_bytes()) % rest.max(1);
+            dividers.push(Divider { weight, rest, value });
+            rest -= weight;
         }
         Self { dividers }
     }
 
     /// Index of the service that gets the next request.
-    pub fn next(&mut self, services: &[WeightedService]) -> usize {
-        let mut rest = total(services);
-        for (index, (service, divider)) in services.iter().zip(&mut self.dividers).enumerate() {
-            *divider += u64::from(service.weight);
-            if *divider >= rest {
-                *divider -= rest;
+    pub fn next_index(&mut self) -> usize {
+        for (index, divider) in self.dividers.iter_mut().enumerate() {
+            divider.value += divider.weight;
+            if divider.value >= divider.rest {
+                divider.value -= divider.rest;
                 return index;
             }
-            rest -= u64::from(service.weight);
         }
         0
     }
 }
-
-fn total(services: &[WeightedService]) -> u64 {
-    services.iter().map(|service| u64::from(service.weight)).sum()
-}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -52,6 +52,8 @@
 mod servers;
 #[path = "gateway/slow_callers.rs"]
 mod slow_callers;
+#[path = "gateway/splits.rs"]
+mod splits;
 #[path = "gateway/statuses.rs"]
 mod statuses;
 #[path = "gateway/stop_lines.rs"]
