Store: each instance asks it again in time while nobody follows it

Cause: two instances retry, in an order that knows nothing of who is cut off; all others wait for 5 s after their last failed call, longer than the 2 s within which a change takes effect.

Evidence: no call from the instances that are answered again. store_back_for_one_instance_followed_in_time took 4.4 s before.

Change: while no answer to anybody is known for half of that time, each instance whose call failed asks again after a quarter of it, without notifying the others before it is answered. The times on the path are parts of the setting, in FollowTimes; a watch waits 1.4 s at most as before, and the default timeout of a call is 0.6 s or less.

Calls while nobody is answered, worked out: 32, 214, 480 and 1,310 a second at 16, 134, 300 and 983 instances, at a tenth of a read each.

--- a/crates/galenapath-gateway/src/watch/mod.rs
+++ b/crates/galenapath-gateway/src/watch/mod.rs
@@ -8,18 +8,15 @@
 use crate::instance::{Instance, sleep, sleep_to_next};
 use bytes::Bytes;
 use futures::future::{Either, select};
-use galenapath_membership::{StoreHealth, WatchRole, reads_store_at_start, watch_role};
+use galenapath_membership::{
+    FollowTimes, StoreHealth, WatchRole, reads_store_at_start, watch_role,
+};
 use galenapath_platform::{Freshness, KeyEvent, KeyStore, PlatformError, WatchOutcome};
 use galenapath_protocol::{Micros, StorePosition};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Maximum duration of one watch call. A connection may stop delivering, and a watch may receive no
-/// events while changes are made and learn only at its end that the history is gone. Such a change
-/// takes effect after this time, a little more for a watch that is not answered at all, and one read.
-const WATCH_WAIT: Duration = Duration::from_millis(1_400);
-
 /// Time after the end of its wait for a watch to be answered: some round trips.
 const WATCH_OVERDUE: Duration = Duration::from_millis(150);
 
@@ -27,9 +24,6 @@
 /// store still answers this instance.
 const PING_PERIOD: Micros = Micros::from_millis(400);
 
-/// Interval at which an instance that does not watch checks its role.
-const ROLE_CHECK_PERIOD: Micros = Micros::from_millis(200);
-
 /// Delay between two attempts while the store answers no instance.
 const RETRY_DELAY: Micros = Micros::from_millis(400);
 
@@ -48,7 +42,8 @@
 /// within a third of a second.
 const STARTUP_LISTEN_TIME: Micros = Micros::from_millis(450);
 
-/// Time after a failed call after which an instance may be selected as watcher again.
+/// Time after a failed call after which an instance may be selected as watcher again, while others
+/// follow the store.
 const FAILURE_EXPIRY: Micros = Micros::from_secs(5);
 
 /// Delay between two watches, so that changes in quick succession arrive in one call: a tenth of
@@ -139,15 +134,33 @@
     }
 
     async fn stand_by(&mut self) {
-        let instance = &self.instance;
-        if instance.is_watching.replace(false) {
+        if self.instance.is_watching.replace(false) {
             log::info!("no longer watching the store");
         }
-        let since_failure = instance.now() - self.failed_at;
-        if instance.store.get() == StoreHealth::Failing && since_failure > FAILURE_EXPIRY {
-            instance.store.set(StoreHealth::Untried);
+        if self.instance.store.get() == StoreHealth::Failing {
+            let since_failure = self.instance.now() - self.failed_at;
+            if self.is_followed_by_nobody() {
+                // Its health changes only with an answer: all others would be notified otherwise.
+                if since_failure >= self.times().retry_pause && self.is_answered().await {
+                    return;
+                }
+            } else if since_failure > FAILURE_EXPIRY {
+                self.instance.store.set(StoreHealth::Untried);
+            }
         }
-        sleep_to_next(instance, ROLE_CHECK_PERIOD).await;
+        sleep_to_next(&self.instance, self.times().role_check).await;
+    }
+
+    /// Times of following the store, by the settings in force.
+    fn times(&self) -> FollowTimes {
+        FollowTimes::within(self.instance.settings().apply_within.into())
+    }
+
+    /// Whether no instance is known that the store has answered lately. Those that are selected to
+    /// watch or to retry may be ones that it does not answer.
+    fn is_followed_by_nobody(&self) -> bool {
+        let instance = &self.instance;
+        instance.store_follow.get().silence(instance.now()) > self.times().max_silence
     }
 
     /// Checks whether the store answers again.
@@ -207,10 +220,15 @@
     }
 
     /// Waits for changes after `position` and pings the store meanwhile.
+    ///
+    /// A connection may stop delivering, and a watch may receive no events while changes are made and
+    /// learn only at its end that the history is gone. Such a change takes effect after the wait, a
+    /// little more for a watch that is not answered at all, and one read.
     async fn watch_from(&mut self, position: StorePosition) -> Watched {
+        let wait = Duration::from(self.times().watch_wait);
         let watched = {
-            let watching = self.store.watch_prefix("", position, WATCH_WAIT);
-            let watching = pin!(monoio::time::timeout(WATCH_WAIT + WATCH_OVERDUE, watching));
+            let watching = self.store.watch_prefix("", position, wait);
+            let watching = pin!(monoio::time::timeout(wait + WATCH_OVERDUE, watching));
             let pinging = pin!(self.ping_until_change(position.epoch));
             match select(watching, pinging).await {
                 Either::Left((watched, _)) => Ok(watched.ok().and_then(Result::ok)),
--- a/crates/galenapath-gateway/src/watch/takeover.rs
+++ b/crates/galenapath-gateway/src/watch/takeover.rs
@@ -4,16 +4,11 @@
 use galenapath_membership::StoreHealth;
 use galenapath_platform::KeyStore;
 use galenapath_protocol::Micros;
-use std::time::Duration;
 
 /// Time for which an instance follows the store after it has taken over. By then the others know
 /// which instances are lost, and the roles follow from that.
 const TAKEOVER_TIME: Micros = Micros::from_secs(3);
 
-/// Part of the time within which a change takes effect that may pass without an answer of the store
-/// to any instance. The rest is left for asking it and for passing the change on.
-const MAX_SILENT_PART: u32 = 2;
-
 impl<S: KeyStore> Watcher<S> {
     /// Whether this instance follows the store although that is not its role: no instance that does
     /// was answered lately.
@@ -27,7 +22,7 @@
             return true;
         }
         let follow = instance.store_follow.get();
-        let limit = max_silence(instance.settings().apply_within);
+        let limit = self.times().max_silence;
         let (fleet, is_store_failing) = self.count_fleet();
         if !follow.asks_store(now, limit, fleet, is_store_failing, rand::random()) {
             return false;
@@ -48,7 +43,3 @@
         (membership.peers().count() + 1, is_failing)
     }
 }
-
-fn max_silence(apply_within: Duration) -> Micros {
-    (apply_within / MAX_SILENT_PART).into()
-}
--- a/crates/galenapath-membership/src/lib.rs
+++ b/crates/galenapath-membership/src/lib.rs
@@ -7,6 +7,7 @@
 //! Everything here is a pure state machine: callers pass in the time, probe results and received
 //! messages, and send the probes and updates that come out.
 
+mod follow_times;
 mod gossip_config;
 mod gossip_membership;
 mod gossip_queue;
@@ -21,6 +22,7 @@
 mod tracked_list;
 mod watchers;
 
+pub use follow_times::FollowTimes;
 pub use gossip_config::GossipConfig;
 pub use gossip_membership::{GossipMembership, Probe};
 pub use heartbeat_config::HeartbeatConfig;
--- a/crates/galenapath-settings/src/gateway.rs
+++ b/crates/galenapath-settings/src/gateway.rs
@@ -133,6 +133,8 @@
     let log = wire.log.unwrap_or_default();
     let timeout = wire.platform.timeout.as_deref();
     let apply = wire.platform.apply_within.as_deref();
+    let apply_within = source.duration("platform.apply_within", apply, DEFAULT_APPLY_WITHIN)?;
+    let default_timeout = DEFAULT_PLATFORM_TIMEOUT.min(apply_within * 3 / 10);
     let keep = callers.keep_addresses.as_deref();
     let grace = wire.stop.and_then(|stop| stop.grace);
     Ok(GatewaySettings {
@@ -151,8 +153,8 @@
         )?,
         listen: listen(&source, &wire.listen)?,
         platform: source.address("platform.address", &wire.platform.address)?,
-        platform_timeout: source.duration("platform.timeout", timeout, DEFAULT_PLATFORM_TIMEOUT)?,
-        apply_within: source.duration("platform.apply_within", apply, DEFAULT_APPLY_WITHIN)?,
+        platform_timeout: source.duration("platform.timeout", timeout, default_timeout)?,
+        apply_within,
         retries: retries(&source, &wire.retries.unwrap_or_default())?,
         probes_per_second: source.non_negative(
             "probes.per_second",
--- a/tests/gateway/store_takeover.rs
+++ b/tests/gateway/store_takeover.rs
@@ -1,8 +1,9 @@
 //! Instances that take over the watch of the store from lost ones.
 
-use crate::support::{Gateway, World, wait_until};
+use crate::support::{Gateway, World, config, wait_until};
 use galenapath_dev::users_platform::KvFault;
 use serde_json::Value;
+use std::time::{Duration, Instant};
 
 /// Instances besides the first one.
 const OTHERS: usize = 5;
@@ -11,6 +12,9 @@
 /// come back, less what a busy machine needs to notice the store's return.
 const MIN_HOLD_MS: f64 = 1_000.0;
 
+/// Time within which a change has to take effect.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
 struct Fleet {
     instances: Vec<Gateway>,
 }
@@ -94,3 +98,34 @@
     let hold_ms = fleet.removal_from_store()["hold_ms"].as_f64();
     assert!(hold_ms > Some(MIN_HOLD_MS), "{hold_ms:?}");
 }
+
+/// Guards against changes that reach nobody for seconds: the store answered no instance for a moment,
+/// and those that it answers again leave it to others.
+#[test]
+fn store_back_for_one_instance_followed_in_time() {
+    let world = World::start();
+    let fleet = Fleet::start(&world);
+    let all = &fleet.instances;
+    let set_fault = |fault| all.iter().for_each(|g| world.store.set_fault(g.store, fault));
+    let failures = |gateway: &Gateway| {
+        let is_failure = |line: &&Value| line["event"] == "the store did not answer";
+        gateway.log().iter().filter(is_failure).count()
+    };
+    for (version, back) in (2..).zip(all) {
+        let before: Vec<usize> = all.iter().map(failures).collect();
+        set_fault(KvFault::Busy);
+        wait_until(&format!("a failed call of each before version {version}"), || {
+            all.iter().zip(&before).all(|(gateway, before)| failures(gateway) > *before)
+        });
+        // The store has been silent for long enough.
+        std::thread::sleep(IN_FORCE / 2);
+        world.store.set_fault(back.store, KvFault::None);
+        let began = Instant::now();
+        world.store.put("op/config", &config(version, &[]));
+        let line = format!("galenapath_config_version {version}\n");
+        wait_until(&line, || all.iter().all(|gateway| gateway.metrics().contains(&line)));
+        let took = began.elapsed();
+        assert!(took < IN_FORCE, "{took:?}, version {version}");
+        set_fault(KvFault::None);
+    }
+}
