Store: calls while it answers nobody are bounded for any fleet

The model of losses allows a fleet of any size a hundred while the store answers none.

Change: the pause grows with the fleet above 32 instances, and is drawn, so that instances that failed together do not go on in step: 43 calls a second at 16 instances, 85 at 134, 300 and 983, worked out (retry_pause_of_bounds_the_calls_of_any_fleet).

--- a/crates/galenapath-gateway/src/watch/health.rs
+++ b/crates/galenapath-gateway/src/watch/health.rs
@@ -41,6 +41,7 @@
             }
             Err(e) => {
                 self.failed_at = instance.now();
+                self.retry_pause = self.drawn_retry_pause();
                 instance.record_store_failure();
                 instance.store.set(StoreHealth::Failing);
                 instance.is_watching.set(false);
--- a/crates/galenapath-gateway/src/watch/mod.rs
+++ b/crates/galenapath-gateway/src/watch/mod.rs
@@ -63,6 +63,7 @@
         instance,
         store,
         failed_at: Micros::ZERO,
+        retry_pause: Micros::ZERO,
         registered_in: None,
         stale_position: None,
         takeover_until: Micros::ZERO,
@@ -99,6 +100,8 @@
     instance: Rc<Instance>,
     store: S,
     failed_at: Micros,
+    /// Time from then to its next call while nobody follows the store.
+    retry_pause: Micros,
     /// Epoch of the store in which this instance's address is registered. A store that comes back
     /// from a backup may have lost it.
     registered_in: Option<u64>,
@@ -141,7 +144,7 @@
             let since_failure = self.instance.now() - self.failed_at;
             if self.is_followed_by_nobody() {
                 // Its health changes only with an answer: all others would be notified otherwise.
-                if since_failure >= self.times().retry_pause && self.is_answered().await {
+                if since_failure >= self.retry_pause && self.is_answered().await {
                     return;
                 }
             } else if since_failure > FAILURE_EXPIRY {
--- a/crates/galenapath-gateway/src/watch/takeover.rs
+++ b/crates/galenapath-gateway/src/watch/takeover.rs
@@ -9,6 +9,9 @@
 /// which instances are lost, and the roles follow from that.
 const TAKEOVER_TIME: Micros = Micros::from_secs(3);
 
+/// Part of the pause before a further call that always passes.
+const MIN_PART_OF_PAUSE: f64 = 0.5;
+
 impl<S: KeyStore> Watcher<S> {
     /// Whether this instance follows the store although that is not its role: no instance that does
     /// was answered lately.
@@ -35,6 +38,14 @@
         true
     }
 
+    /// Time until this instance calls the store again after a failed call, while nobody follows it.
+    /// Instances that failed at the same moment do not go on in step.
+    pub(super) fn drawn_retry_pause(&self) -> Micros {
+        let up = self.instance.membership.borrow().peers().filter(|peer| peer.is_up()).count();
+        let longest = self.times().retry_pause_of(up + 1);
+        Micros((longest.0 as f64 * rand::random_range(MIN_PART_OF_PAUSE..=1.0)) as u64)
+    }
+
     /// Number of instances, this one included, and whether the store fails one that is up.
     fn count_fleet(&self) -> (usize, bool) {
         let membership = self.instance.membership.borrow();
--- a/crates/galenapath-membership/src/follow_times.rs
+++ b/crates/galenapath-membership/src/follow_times.rs
@@ -9,6 +9,12 @@
 /// Longest wait of a watch. Longer ones would save few calls.
 const MAX_WATCH_WAIT: Micros = Micros::from_millis(1_400);
 
+/// Calls of the store a second that all instances together make while it answers none of them. A fleet
+/// must not ask a store that fails as one.
+const MAX_RETRIES_PER_S: u64 = 64;
+
+const MICROS_PER_S: u64 = 1_000_000;
+
 /// Longest time between two checks of the role.
 const MAX_ROLE_CHECK: Micros = Micros::from_millis(200);
 
@@ -20,8 +26,8 @@
     pub max_silence: Micros,
     /// Time for an answer of the store to a call that does not wait for changes.
     pub call_timeout: Micros,
-    /// Time from a failed call of an instance to its next one, while nobody is taken to follow the
-    /// store.
+    /// Shortest time from a failed call of an instance to its next one, while nobody is taken to
+    /// follow the store.
     pub retry_pause: Micros,
     /// Time for which a watch waits for changes.
     pub watch_wait: Micros,
@@ -42,9 +48,16 @@
         }
     }
 
+    /// Time from a failed call of an instance to its next one at the most, while nobody is taken to
+    /// follow the store. In a large fleet it is longer: there, one of the instances that the store
+    /// answers again asks soon, although each single one does not.
+    pub fn retry_pause_of(&self, fleet: usize) -> Micros {
+        self.retry_pause.max(Micros(fleet as u64 * MICROS_PER_S / MAX_RETRIES_PER_S))
+    }
+
     /// Longest time from the moment in which the store can answer an instance again to that
-    /// instance's call, where nobody else follows the store. A call may still hang on the path as
-    /// it was, and the silence may just have begun.
+    /// instance's call, where nobody else follows the store and [`Self::retry_pause`] holds. A call
+    /// may still hang on the path as it was, and the silence may just have begun.
     pub fn until_asked(&self) -> Micros {
         self.max_silence.max(self.call_timeout + self.retry_pause) + self.role_check
     }
--- a/crates/galenapath-membership/tests/follow_times.rs
+++ b/crates/galenapath-membership/tests/follow_times.rs
@@ -33,15 +33,24 @@
     }
 }
 
-/// While the store answers nobody, every instance calls it, with reads that cost a tenth: together no
-/// more than a fiftieth of the reads that the store serves.
+/// Guards against a fleet that asks a failing store as one. A pause is three quarters of the longest
+/// on average.
 #[test]
-fn within_calls_while_nobody_is_answered() {
-    for (fleet, apply_ms, reads) in
-        [(16, 2_000, 2_000), (134, 2_500, 6_000), (300, 2_500, 6_000), (983, 3_000, 16_000)]
-    {
-        let pause = FollowTimes::within(ms(apply_ms)).retry_pause;
-        let calls = fleet * 1_000_000 / pause.0;
-        assert!(calls / 10 <= reads / 50, "{fleet}: {calls} calls a second");
+fn retry_pause_of_bounds_the_calls_of_any_fleet() {
+    for (fleet, apply_ms) in [(16, 2_000), (134, 2_500), (300, 2_500), (983, 3_000)] {
+        let pause = FollowTimes::within(ms(apply_ms)).retry_pause_of(fleet);
+        let calls = fleet as f64 / (0.75 * pause.0 as f64 / 1e6);
+        assert!(calls <= 100.0, "{fleet}: {calls} calls a second");
+    }
+}
+
+/// A third of a large fleet is answered again: one of them asks in time.
+#[test]
+fn retry_pause_of_some_of_many_ask_in_time() {
+    for (fleet, apply_ms) in [(134, 2_500), (300, 2_500), (983, 3_000)] {
+        let times = FollowTimes::within(ms(apply_ms));
+        // Drawn pauses spread the calls evenly, so that one of these comes in this time.
+        let between = Micros(times.retry_pause_of(fleet).0 / (fleet as u64 / 3));
+        assert!(between <= times.retry_pause, "{fleet}: {between:?}");
     }
 }
