Model of losses: instances ask a store again while nobody follows it, as the program does

outage_of_store_over_for_a_third_change_known_in_time is new: a store that answered nobody answers a third of 18, 60, 126 and 300 instances again. The model's instance has a file of its own.

--- a/crates/galenapath-membership/src/follow_times.rs
+++ b/crates/galenapath-membership/src/follow_times.rs
@@ -11,7 +11,7 @@
 
 /// Calls of the store a second that all instances together make while it answers none of them. A fleet
 /// must not ask a store that fails as one.
-const MAX_RETRIES_PER_S: u64 = 64;
+const MAX_RETRIES_PER_S: u64 = 48;
 
 const MICROS_PER_S: u64 = 1_000_000;
 
--- a/crates/galenapath-membership/tests/losses/mod.rs
+++ b/crates/galenapath-membership/tests/losses/mod.rs
@@ -1,10 +1,13 @@
 //! A fleet in simulated time whose instances are lost or cut off, beside a store that changes.
 
+mod node;
+
 use galenapath_membership::{
-    Heartbeat, HeartbeatConfig, HeartbeatMembership, HeartbeatOutcome, InstanceStatus,
-    LearnOutcome, Member, MemberStatus, Peer, StoreFollow, StoreHealth, WatchRole, watch_role,
+    Heartbeat, HeartbeatConfig, HeartbeatMembership, HeartbeatOutcome, LearnOutcome, Member,
+    MemberStatus, Peer, StoreHealth, WatchRole,
 };
 use galenapath_protocol::{DomainId, FastMap, Incarnation, InstanceId, Micros};
+pub use node::Node;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
@@ -14,8 +17,6 @@
 const ROLE_CHECK_PERIOD: Micros = Micros::from_millis(200);
 /// Time between two calls of an instance that follows the store, as in the program.
 const PING_PERIOD: Micros = Micros::from_millis(400);
-/// Time for which an instance follows the store after it has taken over, as in the program.
-const TAKEOVER_TIME: Micros = Micros::from_secs(3);
 /// Time since an answer for which it shows that an instance is not cut off, as in the program.
 const PATHS_EXPIRY: Micros = Micros::from_millis(500);
 /// Minimum time between two refutations, as in the program.
@@ -35,25 +36,6 @@
     CutOff,
 }
 
-pub struct Node {
-    pub membership: HeartbeatMembership,
-    pub member: Member,
-    pub is_running: bool,
-    pub side: Side,
-    /// Newest version of the store's content that it knows.
-    pub version: u64,
-    /// How often it has taken over.
-    pub takeovers: usize,
-    pub follow: StoreFollow,
-    takeover_until: Micros,
-    store: StoreHealth,
-    is_following: bool,
-    checked_at: Micros,
-    pinged_at: Micros,
-    refuted_at: Micros,
-    announcements: Vec<Micros>,
-}
-
 pub struct Fleet {
     pub now: Micros,
     pub nodes: Vec<Node>,
@@ -193,14 +175,22 @@
                 node.pinged_at = Micros::ZERO;
             }
         }
-        if !node.is_following || now - node.pinged_at < PING_PERIOD {
+        let is_due = match node.is_following {
+            true => now - node.pinged_at >= PING_PERIOD,
+            false => node.retries(now, apply_within),
+        };
+        if !is_due {
             return;
         }
         node.pinged_at = now;
         self.calls += 1;
         if node.side == Side::CutOff {
+            node.retry_pause = node.drawn_retry_pause(apply_within, draw);
+            let was_failing = node.store == StoreHealth::Failing;
             node.store = StoreHealth::Failing;
-            self.broadcast(n);
+            if !was_failing {
+                self.broadcast(n);
+            }
             return;
         }
         let is_change = node.store != StoreHealth::Answering || node.version != self.version;
@@ -286,57 +276,6 @@
     }
 }
 
-impl Node {
-    fn new(membership: HeartbeatMembership, member: Member, now: Micros) -> Self {
-        Self {
-            membership,
-            member,
-            is_running: true,
-            side: Side::Connected,
-            version: 1,
-            takeovers: 0,
-            follow: StoreFollow::new(now),
-            takeover_until: Micros::ZERO,
-            store: StoreHealth::Untried,
-            is_following: false,
-            checked_at: Micros::ZERO,
-            pinged_at: Micros::ZERO,
-            refuted_at: Micros::ZERO,
-            announcements: Vec::new(),
-        }
-    }
-
-    fn status(&self, serves_callers: bool) -> InstanceStatus {
-        InstanceStatus {
-            is_ready: true,
-            store: self.store,
-            serves_callers,
-            config_version: self.version,
-            ..InstanceStatus::default()
-        }
-    }
-
-    fn role(&mut self, now: Micros, apply_within: Micros, draw: f64) -> WatchRole {
-        let (own, domain, status) =
-            (self.member.incarnation, &self.member.domain, self.status(true));
-        let assigned = watch_role(own, domain, &status, self.membership.peers());
-        if assigned != WatchRole::Standby || self.store == StoreHealth::Failing {
-            return assigned;
-        }
-        let limit = Micros(apply_within.0 / 2);
-        let fleet = self.membership.peers().count() + 1;
-        let is_failing = |peer: &Peer| peer.is_up() && peer.status.store == StoreHealth::Failing;
-        let is_store_failing = self.membership.peers().any(is_failing);
-        if now >= self.takeover_until
-            && self.follow.asks_store(now, limit, fleet, is_store_failing, draw)
-        {
-            self.takeover_until = now + TAKEOVER_TIME;
-            self.takeovers += 1;
-        }
-        if now < self.takeover_until { WatchRole::Watch } else { assigned }
-    }
-}
-
 fn new_member(n: usize, incarnation: u64) -> Member {
     Member {
         id: InstanceId(format!("i{n}")),
--- a/crates/galenapath-membership/tests/mass_loss.rs
+++ b/crates/galenapath-membership/tests/mass_loss.rs
@@ -164,3 +164,18 @@
         assert!(calls < MAX_CALLS_IN_OUTAGE, "{calls} a second by {size}");
     }
 }
+
+/// Guards against a change that reaches nobody for seconds: after a moment in which the store answered
+/// no instance, those that it answers again leave it to others.
+#[test]
+fn outage_of_store_over_for_a_third_change_known_in_time() {
+    for size in [18, 60, 126, 300] {
+        for seed in 0..2 {
+            let mut fleet = settled_fleet(seed, size, true);
+            fleet.nodes.iter_mut().for_each(|node| node.side = Side::CutOff);
+            fleet.advance_time(Micros::from_secs(3));
+            fleet.nodes.iter_mut().step_by(3).for_each(|node| node.side = Side::Connected);
+            check_change_after_loss(&mut fleet, size, &format!("{size}, seed {seed}"));
+        }
+    }
+}
