--- a/crates/galenapath-membership/tests/fleet.rs
+++ b/crates/galenapath-membership/tests/fleet.rs
@@ -250,7 +250,8 @@
 
 #[test]
 fn restarts_in_turn_views_differ_without_digests() {
+    // Each run draws other losses, since the order of maps varies: twelve fleets vary less than three.
     let left: usize =
-        (1..=3).map(|seed| missing_links_after_restarts(seed, OnDifference::Ignore)).sum();
-    assert!(left > 20, "the views converge without digests: {left} missing links");
+        (1..=12).map(|seed| missing_links_after_restarts(seed, OnDifference::Ignore)).sum();
+    assert!(left > 80, "the views converge without digests: {left} missing links");
 }
