--- a/crates/galenapath-settings/src/generated_gateway.rs
+++ b/crates/galenapath-settings/src/generated_gateway.rs
@@ -131,7 +131,7 @@
     ///Time within which a change in the service takes effect on all instances; default `2s`.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub apply_within: ::std::option::Option<::std::string::String>,
-    ///Longest wait for one call; default `600ms`.
+    ///Longest wait for one call; default three tenths of `apply_within`, `600ms` at most.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub timeout: ::std::option::Option<::std::string::String>,
 }
