Splits: routes of one name have states of their own

Found when the diff was read: RouteState was kept by the name of the route and holds its route, so a second route of the same name would have sent its requests to the services of the first. Names need not be unique in what an operator writes.

Change: states are kept by the route itself. routes_of_one_name_have_splits_of_their_own plays two routes of one name; it was written with the change and not run before it.

--- a/crates/galenapath-gateway/src/intake.rs
+++ b/crates/galenapath-gateway/src/intake.rs
@@ -124,7 +124,7 @@
 }
 
 /// Admits a request whose head arrived at `arrived`, if it can end in time: charges it to its
-/// workspace's quota. The route of `target` has to be in force still.
+/// workspace's quota.
 pub(crate) fn admit(
     instance: &Rc<Instance>,
     target: Target,
--- a/crates/galenapath-gateway/src/route_state.rs
+++ b/crates/galenapath-gateway/src/route_state.rs
@@ -60,19 +60,21 @@
     }
 }
 
-/// States of the routes in force that have had requests, by the names of the routes.
+/// States of routes that have had requests.
 #[derive(Default)]
-pub(crate) struct RouteStates(RefCell<FastMap<String, Rc<RouteState>>>);
+pub(crate) struct RouteStates {
+    /// By the address of the route, since names need not be unique. Each state holds its route, so no
+    /// other one can have the same address.
+    by_route: RefCell<FastMap<*const Route, Rc<RouteState>>>,
+}
 
 impl RouteStates {
-    /// The state of `route`, which is in force.
+    /// The state of `route`.
     pub(crate) fn of(&self, route: &Arc<Route>, seed: u64) -> Rc<RouteState> {
-        let mut states = self.0.borrow_mut();
-        if let Some(state) = states.get(&route.name) {
-            return Rc::clone(state);
-        }
-        let state = Rc::new(RouteState::new(route, seed));
-        states.insert(route.name.clone(), Rc::clone(&state));
-        state
+        let mut states = self.by_route.borrow_mut();
+        let state = states
+            .entry(Arc::as_ptr(route))
+            .or_insert_with(|| Rc::new(RouteState::new(route, seed)));
+        Rc::clone(state)
     }
 }
--- a/tests/gateway/splits.rs
+++ b/tests/gateway/splits.rs
@@ -62,3 +62,30 @@
         shares_after_change(&[("file", 9_000), ("look", 1_000)], &[("file", 1), ("look", 9)]);
     assert_shares(&shares, &[10, 90]);
 }
+
+/// Guards against requests of one route that go to the services of another one of the same name.
+#[test]
+fn routes_of_one_name_have_splits_of_their_own() {
+    let world = World::start();
+    let half = |service: &str| json!({ "service": service, "weight": 50 });
+    let parts = json!([half("file"), half("load")]);
+    let mut twice = config(2, &[("file", "traffic_split", parts)]);
+    let resources = twice["resources"].as_array_mut().unwrap();
+    let mut other = resources.iter().find(|r| r["metadata"]["name"] == "look").unwrap().clone();
+    other["metadata"]["name"] = json!("file");
+    other["spec"]["prefix"] = json!("/other/");
+    other["spec"]["service"] = json!("look");
+    resources.push(other);
+    world.store.put("op/config", &twice);
+    let gateway = Gateway::start_ready(&world, &[]);
+    let version = "galenapath_config_version ";
+    wait_until("the configuration", || gateway.metric(version) == 2);
+    for n in 0..10 {
+        assert_eq!(gateway.send_filing(&format!("f{n}")).status, 200);
+        assert_eq!(gateway.request("GET", "/other/1", &format!("o{n}"), 2_000, b"").status, 200);
+    }
+    assert_eq!(
+        (world.run_count("file"), world.run_count("load"), world.run_count("look")),
+        (5, 5, 10)
+    );
+}
