--- a/crates/galenapath-dev/src/scenario/cluster.rs
+++ b/crates/galenapath-dev/src/scenario/cluster.rs
@@ -64,7 +64,7 @@
         Self {
             programs,
             dir,
-            net: Net::new(),
+            net: Net::on_random_ip(),
             preset: Preset::default(),
             store: None,
             users: Users::default(),
--- a/crates/galenapath-dev/src/scenario/instance.rs
+++ b/crates/galenapath-dev/src/scenario/instance.rs
@@ -103,7 +103,7 @@
         dir: &Path,
     ) -> Result<(Self, SocketAddr), ScenarioError> {
         let name = line.word(1).to_owned();
-        let peers = SocketAddr::new(Net::new().ip(), GATEWAY_PEER_PORT);
+        let peers = SocketAddr::new(Net::on_random_ip().ip(), GATEWAY_PEER_PORT);
         let (callers, readiness) = (net.address()?, net.address()?);
         let (addresses, metrics) = (net.address()?, net.address()?);
         let store_link = relay(line, "store_link", net, store)?;
--- a/crates/galenapath-dev/src/scenario/mod.rs
+++ b/crates/galenapath-dev/src/scenario/mod.rs
@@ -28,5 +28,6 @@
 pub use error::ScenarioError;
 pub use execution_check::{Executions, check};
 pub use line::{Line, ParseError, Word, parse};
+pub use net::Net;
 pub use programs::Programs;
 pub use run::run_file;
