Store: lost instances do not count among those who may ask it

Callers: after losses in series, a change of the store (a configuration, a server that leaves) took longer than apply_within to reach the survivors.

Cause: an instance that knows of no answer of the store for half of that time draws whether it asks; four of "the fleet" ask in the first step, doubled every 200 ms. The fleet was all instances known, and lost ones are known for 60 s. Where 11 of 90 are left, each leaves the store to 79 that are gone: all 11 draw no in the first three steps once in 40 times (worked out), and the fourth comes too late.

Ruled out: that survivors wait for a lost one to be found (they ask by the age of the answer), that they take each other for lost (none wrongly down), failed calls (none called).

Change: the number of instances that are considered up counts, which each knows from its own view (up_count). The doubling stays, for views that are late.

--- a/crates/galenapath-gateway/src/fleet/tasks.rs
+++ b/crates/galenapath-gateway/src/fleet/tasks.rs
@@ -45,8 +45,8 @@
         update_paths(&instance, now);
         let changes = instance.membership.borrow_mut().tick(now);
         changes.iter().for_each(|change| log_reachability_change(&instance, change));
-        let up = instance.membership.borrow().peers().filter(|peer| peer.is_up()).count();
-        instance.metrics.peers.set(i64::try_from(up).unwrap_or(i64::MAX));
+        let others = instance.membership.borrow().up_count() - 1;
+        instance.metrics.peers.set(i64::try_from(others).unwrap_or(i64::MAX));
         instance.expire_servers();
         if changes.iter().any(|change| change.is_detected_here) {
             announcements.begin(now);
--- a/crates/galenapath-gateway/src/watch/takeover.rs
+++ b/crates/galenapath-gateway/src/watch/takeover.rs
@@ -26,14 +26,14 @@
         }
         let follow = instance.store_follow.get();
         let limit = self.times().max_silence;
-        let (fleet, is_store_failing) = self.count_fleet();
-        if !follow.asks_store(now, limit, fleet, is_store_failing, rand::random()) {
+        let (up, is_store_failing) = self.view_of_fleet();
+        if !follow.asks_store(now, limit, up, is_store_failing, rand::random()) {
             return false;
         }
         self.takeover_until = now + TAKEOVER_TIME;
         instance.metrics.store_takeovers.inc();
         let silence_ms = follow.silence(now).0 / 1_000;
-        log::warn!(silence_ms, fleet, is_store_failing;
+        log::warn!(silence_ms, up, is_store_failing;
             "no instance follows the store; taking over");
         true
     }
@@ -41,16 +41,16 @@
     /// Time until this instance calls the store again after a failed call, while nobody follows it.
     /// Instances that failed at the same moment do not go on in step.
     pub(super) fn drawn_retry_pause(&self) -> Micros {
-        let up = self.instance.membership.borrow().peers().filter(|peer| peer.is_up()).count();
-        let longest = self.times().retry_pause_of(up + 1);
+        let up = self.instance.membership.borrow().up_count();
+        let longest = self.times().retry_pause_of(up);
         Micros((longest.0 as f64 * rand::random_range(MIN_PART_OF_PAUSE..=1.0)) as u64)
     }
 
-    /// Number of instances, this one included, and whether the store fails one that is up.
-    fn count_fleet(&self) -> (usize, bool) {
+    /// Number of instances that are up, this one included, and whether the store fails any of them.
+    fn view_of_fleet(&self) -> (usize, bool) {
         let membership = self.instance.membership.borrow();
         let mut up = membership.peers().filter(|peer| peer.is_up());
         let is_failing = up.any(|peer| peer.status.store == StoreHealth::Failing);
-        (membership.peers().count() + 1, is_failing)
+        (membership.up_count(), is_failing)
     }
 }
--- a/crates/galenapath-membership/src/heartbeat_membership/mod.rs
+++ b/crates/galenapath-membership/src/heartbeat_membership/mod.rs
@@ -107,6 +107,11 @@
         self.peers.values()
     }
 
+    /// Number of instances that are considered up, this one included.
+    pub fn up_count(&self) -> usize {
+        1 + self.peers.values().filter(|peer| peer.is_up).count()
+    }
+
     /// Whether no other instance is reachable.
     pub fn is_alone(&self) -> bool {
         !self.peers.values().any(Peer::is_up)
--- a/crates/galenapath-membership/src/store_follow.rs
+++ b/crates/galenapath-membership/src/store_follow.rs
@@ -16,7 +16,7 @@
 /// Time between two draws.
 const STEP: Micros = Micros::from_millis(200);
 
-/// Number of instances of the whole fleet that ask in the first step, on average.
+/// Number of instances that ask in the first step, on average.
 const FIRST_ASKERS: f64 = 4.0;
 
 /// Number of doublings after which every instance of any fleet asks.
@@ -92,13 +92,15 @@
 
     /// Whether this instance asks the store now, drawn anew in each step.
     ///
-    /// `limit` is the silence up to which others are taken to follow the store, `fleet` the number
-    /// of instances known, and `draw` a random number from 0 to 1.
+    /// `limit` is the silence up to which others are taken to follow the store, `up` the number of
+    /// instances that are considered up, this one included, and `draw` a random number from 0 to 1.
+    /// Lost instances would not ask: if they counted, each of a few survivors would leave it to
+    /// them.
     pub fn asks_store(
         &self,
         now: Micros,
         limit: Micros,
-        fleet: usize,
+        up: usize,
         is_store_failing: bool,
         draw: f64,
     ) -> bool {
@@ -109,6 +111,6 @@
         let steps = u32::try_from((silence - limit).0 / STEP.0).unwrap_or(u32::MAX);
         let doublings = if is_store_failing { 0 } else { steps.min(MAX_DOUBLINGS) };
         let askers = FIRST_ASKERS * f64::from(1_u32 << doublings);
-        draw * (fleet as f64) < askers
+        draw * (up as f64) < askers
     }
 }
--- a/crates/galenapath-membership/tests/losses/node.rs
+++ b/crates/galenapath-membership/tests/losses/node.rs
@@ -72,8 +72,8 @@
 
     /// Drawn as in the program.
     pub(super) fn drawn_retry_pause(&self, apply_within: Micros, draw: f64) -> Micros {
-        let up = self.membership.peers().filter(|peer| peer.is_up()).count();
-        let longest = FollowTimes::within(apply_within).retry_pause_of(up + 1);
+        let up = self.membership.up_count();
+        let longest = FollowTimes::within(apply_within).retry_pause_of(up);
         Micros((longest.0 as f64 * (0.5 + draw / 2.0)) as u64)
     }
 
@@ -85,11 +85,11 @@
             return assigned;
         }
         let limit = FollowTimes::within(apply_within).max_silence;
-        let fleet = self.membership.peers().count() + 1;
+        let up = self.membership.up_count();
         let is_failing = |peer: &Peer| peer.is_up() && peer.status.store == StoreHealth::Failing;
         let is_store_failing = self.membership.peers().any(is_failing);
         if now >= self.takeover_until
-            && self.follow.asks_store(now, limit, fleet, is_store_failing, draw)
+            && self.follow.asks_store(now, limit, up, is_store_failing, draw)
         {
             self.takeover_until = now + TAKEOVER_TIME;
             self.takeovers += 1;
--- a/crates/galenapath-membership/tests/mass_loss.rs
+++ b/crates/galenapath-membership/tests/mass_loss.rs
@@ -95,6 +95,20 @@
     }
 }
 
+/// Guards against survivors that each leave the store to others for too long, because the lost ones
+/// count as some who may ask it.
+#[test]
+fn followers_among_few_survivors_lost_change_of_store_known_in_time() {
+    for seed in 0..24 {
+        let mut fleet = settled_fleet(seed, 126, seed % 2 == 0);
+        fleet.lose(0.95);
+        fleet.advance_time(DETECTION_TIME);
+        fleet.lose_followers();
+        let case = format!("{} left, seed {seed}", fleet.running().len());
+        check_change_after_loss(&mut fleet, 126, &case);
+    }
+}
+
 #[test]
 fn loss_of_all_others_one_goes_on_alone() {
     for size in [18, 60, 126] {
