Tests: a watch answered in an epoch that is over changes nothing, with processes

The program ignores changes of a watch that began before another instance told it of a later epoch; until now only the model of late answers played that.

The stand-in states the era of the state that it answers from, which a watch may have changed since it began.

--- a/crates/galenapath-dev/src/users_platform/kv.rs
+++ b/crates/galenapath-dev/src/users_platform/kv.rs
@@ -43,6 +43,9 @@
     Mute,
     /// Reads of a prefix that may be stale are answered from the copy of the state, and late.
     StaleReads,
+    /// All calls are answered from the state before the service came back from a backup: a part of it
+    /// that has not come back yet.
+    Former,
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +57,8 @@
     page: usize,
     /// Copy that the service comes back from.
     backup: KvState,
+    /// The state before the service came back, if it has.
+    former: Option<KvState>,
     /// A change to apply just before the next read of a prefix.
     pending_change: Option<PendingChange>,
 }
@@ -65,6 +70,16 @@
     value: Option<Vec<u8>>,
 }
 
+impl Inner {
+    /// The state that an address with this fault answers from.
+    fn state_for(&mut self, fault: KvFault) -> &mut KvState {
+        match (fault, &mut self.former) {
+            (KvFault::Former, Some(former)) => former,
+            _ => &mut self.state,
+        }
+    }
+}
+
 /// A running key-value service.
 #[derive(Clone, Debug)]
 pub struct KvStandIn {
@@ -138,10 +153,18 @@
     /// out again.
     pub fn restore_backup(&self) {
         let mut inner = self.lock();
+        inner.former = Some(inner.state.clone());
         let backup = inner.backup.clone();
         inner.state.restore(backup);
     }
 
+    /// Writes a JSON value into the state before the service came back.
+    pub fn put_former(&self, key: &str, value: &Value) {
+        if let Some(former) = &mut self.lock().former {
+            former.change(key, Some(value.to_string().into_bytes()));
+        }
+    }
+
     /// Writes again what the operator and the servers stated last before the store came back,
     /// except for what they have stated since.
     pub fn write_again(&self) {
@@ -197,7 +220,9 @@
     lock(inner).calls.push(format!("{} {path}", head.method));
     let fault = fault_at(inner, port);
     let (status, answer) = match fault {
-        KvFault::None | KvFault::Deaf | KvFault::StaleReads if path == "/-/kv-watch" => {
+        KvFault::None | KvFault::Deaf | KvFault::StaleReads | KvFault::Former
+            if path == "/-/kv-watch" =>
+        {
             watch(inner, port, &query).await?
         }
         KvFault::Mute if path == "/-/kv-watch" => wait_forever().await,
@@ -206,8 +231,8 @@
             let inner = lock(inner);
             (StatusCode::OK, inner.backup.range(&query.prefix, &query.after, inner.page))
         }
-        KvFault::None | KvFault::Deaf | KvFault::Mute | KvFault::StaleReads => {
-            call(inner, &path, &query, &body)
+        KvFault::None | KvFault::Deaf | KvFault::Mute | KvFault::StaleReads | KvFault::Former => {
+            call(&mut lock(inner), fault, &path, &query, &body)
         }
         KvFault::Busy => (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         KvFault::Limited => (StatusCode::TOO_MANY_REQUESTS, json!({})),
@@ -216,7 +241,9 @@
     };
     let body = answer.to_string();
     let length = body.len().to_string();
-    let era = lock(inner).state.era.to_string();
+    // A watch may have been answered by another state than it began with.
+    let fault = fault_at(inner, port);
+    let era = lock(inner).state_for(fault).era.to_string();
     let headers = [
         ("content-type", "application/json"),
         ("content-length", length.as_str()),
@@ -231,10 +258,15 @@
     found.map(|(_, fault)| *fault).unwrap_or_default()
 }
 
-fn call(inner: &Mutex<Inner>, path: &str, query: &Query, body: &[u8]) -> (StatusCode, Value) {
-    let mut inner = lock(inner);
+fn call(
+    inner: &mut Inner,
+    fault: KvFault,
+    path: &str,
+    query: &Query,
+    body: &[u8],
+) -> (StatusCode, Value) {
     match path {
-        "/-/kv-key" => match inner.state.get(&query.key) {
+        "/-/kv-key" => match inner.state_for(fault).get(&query.key) {
             Some(item) => (StatusCode::OK, item),
             None => (StatusCode::NOT_FOUND, json!({})),
         },
@@ -245,16 +277,16 @@
                 inner.state.change(&key, value);
             }
             let page = inner.page;
-            (StatusCode::OK, inner.state.range(&query.prefix, &query.after, page))
+            (StatusCode::OK, inner.state_for(fault).range(&query.prefix, &query.after, page))
         }
         "/-/kv-txn" => {
             let txn: Value = serde_json::from_slice(body).unwrap_or_default();
             for put in txn["puts"].as_array().into_iter().flatten() {
                 let key = put["key"].as_str().unwrap_or_default();
                 let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
-                inner.state.change(key, Some(value.unwrap_or_default()));
+                inner.state_for(fault).change(key, Some(value.unwrap_or_default()));
             }
-            (StatusCode::OK, json!({ "revision": inner.state.revision }))
+            (StatusCode::OK, json!({ "revision": inner.state_for(fault).revision }))
         }
         _ => (StatusCode::NOT_FOUND, json!({})),
     }
@@ -268,17 +300,19 @@
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     let after = query.after.parse().unwrap_or(0);
     loop {
-        let is_watch_blocked = fault_at(inner, port) == KvFault::Deaf;
+        let fault = fault_at(inner, port);
+        let is_watch_blocked = fault == KvFault::Deaf;
         if is_watch_blocked && Instant::now() >= until {
             return Ok((StatusCode::GONE, json!({})));
         }
         if !is_watch_blocked {
-            let inner = lock(inner);
-            let Some(events) = inner.state.events(&query.prefix, after) else {
+            let mut inner = lock(inner);
+            let state = inner.state_for(fault);
+            let Some(events) = state.events(&query.prefix, after) else {
                 return Ok((StatusCode::GONE, json!({})));
             };
             if !events.is_empty() || Instant::now() >= until {
-                let answer = json!({ "events": events, "current_rev": inner.state.revision });
+                let answer = json!({ "events": events, "current_rev": state.revision });
                 return Ok((StatusCode::OK, answer));
             }
         }
@@ -290,7 +324,8 @@
             | KvFault::Deaf
             | KvFault::Busy
             | KvFault::Limited
-            | KvFault::StaleReads => {}
+            | KvFault::StaleReads
+            | KvFault::Former => {}
         }
     }
 }
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -135,6 +135,41 @@
     gateways.iter().for_each(|gateway| gateway.wait_for_evacuated(0));
 }
 
+/// Guards against a change of the state that the store has left: it is known to one instance from the
+/// watch that it began before, while another has already told it of the state that came back.
+#[test]
+fn watch_answered_in_former_epoch_changes_nothing() {
+    let world = World::start();
+    let first = Gateway::start_ready(&world, &[]);
+    let second = Gateway::start_ready(&world, &[&first]);
+    let gateways = [first, second];
+    let [first, second] = &gateways;
+    let added = ServerStandIn::start("i-former", Duration::from_millis(20)).unwrap();
+    let (key, entry) = added.entry("look", "ready");
+    // Their own entries would end the watch.
+    let registered = || world.store.keys("galenapath/instances/").len();
+    wait_until("the watching instances to register", || registered() == 2);
+    std::thread::sleep(Duration::from_millis(300));
+    world.store.back_up();
+    let version = change_config(&world, 1);
+    wait_for_version(&gateways, version);
+    // The next watch begins a moment after the last changes.
+    std::thread::sleep(Duration::from_millis(400));
+    world.store.set_fault(second.store, KvFault::Former);
+    world.store.restore_backup();
+    let is_back =
+        |line: &serde_json::Value| line["event"] == "the store has come back from a backup";
+    wait_until("the state that came back", || second.log().iter().any(is_back));
+    let listed = |gateway: &Gateway| {
+        let text = gateway.metrics();
+        text.lines().find(|line| line.starts_with("galenapath_servers ")).map(str::to_owned)
+    };
+    let before = listed(first);
+    world.store.put_former(&key, &entry);
+    std::thread::sleep(IN_FORCE);
+    assert_eq!((listed(first), listed(second)), (before.clone(), before));
+}
+
 #[test]
 fn instances_register_again_after_the_store_went_back() {
     let world = World::start();
