--- a/crates/galenapath-dev/src/users_platform/endless.rs
+++ b/crates/galenapath-dev/src/users_platform/endless.rs
@@ -1,6 +1,7 @@
 //! Answers without end.
 
-use super::server::{EndlessPart, Inner, lock};
+use super::server::{Inner, lock};
+use super::server_fault::EndlessPart;
 use crate::wire::{Conn, WireError};
 use std::sync::Mutex;
 
--- a/crates/galenapath-dev/src/users_platform/mod.rs
+++ b/crates/galenapath-dev/src/users_platform/mod.rs
@@ -4,12 +4,16 @@
 mod cold;
 mod endless;
 mod kv;
+mod kv_fault;
 mod kv_state;
 mod limit;
 mod pause;
 mod serve;
 mod server;
+mod server_fault;
 mod thread;
 
-pub use kv::{KvFault, KvStandIn};
-pub use server::{DOWNTIME, EndlessPart, ExecutedRequest, ServerFault, ServerStandIn};
+pub use kv::KvStandIn;
+pub use kv_fault::KvFault;
+pub use server::{DOWNTIME, ExecutedRequest, ServerStandIn};
+pub use server_fault::{EndlessPart, ServerFault};
--- a/crates/galenapath-dev/src/users_platform/serve.rs
+++ b/crates/galenapath-dev/src/users_platform/serve.rs
@@ -1,7 +1,8 @@
 //! Serves requests and load queries of a server of the users' platform.
 
 use super::endless;
-use super::server::{ExecutedRequest, Inner, ServerFault, lock};
+use super::server::{ExecutedRequest, Inner, lock};
+use super::server_fault::ServerFault;
 use super::thread::{DOWN_POLL, wait_forever};
 use crate::wire::{Conn, Framing, WireError, answer_head};
 use http::{HeaderMap, StatusCode, Uri};
--- a/crates/galenapath-membership/tests/heartbeats.rs
+++ b/crates/galenapath-membership/tests/heartbeats.rs
@@ -5,8 +5,7 @@
 mod support;
 
 use galenapath_membership::{
-    Heartbeat, HeartbeatConfig, HeartbeatMembership, HeartbeatOutcome, InstanceStatus,
-    LearnOutcome, Member, StoreHealth, reads_store_at_start,
+    Heartbeat, HeartbeatConfig, HeartbeatMembership, HeartbeatOutcome, LearnOutcome, Member,
 };
 use galenapath_protocol::{Incarnation, Micros};
 use std::net::SocketAddr;
@@ -287,25 +286,6 @@
     assert!(asked(12_250, 14_000, &mut membership).is_empty());
 }
 
-#[test]
-fn reads_store_at_start_left_to_larger_or_many() {
-    let answering = |n: u64, capacity: u32| {
-        let status =
-            InstanceStatus { store: StoreHealth::Answering, capacity, ..InstanceStatus::default() };
-        Heartbeat { status, ..heartbeat(n, &[]) }
-    };
-    let mut few = membership(0, 0..8);
-    assert!(reads_store_at_start(100, few.peers()), "the store answers no instance");
-    few.apply_heartbeat(START, &answering(3, 100));
-    assert!(reads_store_at_start(100, few.peers()), "equal capacity in a small fleet");
-    few.apply_heartbeat(START, &answering(4, 500));
-    assert!(!reads_store_at_start(100, few.peers()));
-    assert!(reads_store_at_start(500, few.peers()));
-    let mut many = membership(0, 0..60);
-    many.apply_heartbeat(START, &answering(3, 100));
-    assert!(!reads_store_at_start(100, many.peers()));
-}
-
 /// Each instance is expected to send heartbeats here exactly if it does.
 #[test]
 fn tick_accuses_exactly_instances_that_send_heartbeats_here() {
@@ -347,13 +327,13 @@
     assert!(membership.peers().any(|peer| peer.member.incarnation == Incarnation(77)));
 }
 
+/// Guards against decisions that leave something to lost instances.
 #[test]
-fn set_store_failing_own_report_goes_first() {
-    let mut membership = membership(0, 0..3);
-    membership.apply_heartbeat(START, &heartbeat(1, &[]));
-    for n in [1, 2] {
-        membership.set_store_failing(Incarnation(n));
-    }
-    let store = |n| peer(&membership, n).status.store;
-    assert_eq!((store(1), store(2)), (StoreHealth::Untried, StoreHealth::Failing));
+fn up_count_without_lost_instances() {
+    let mut membership = membership(0, 0..8);
+    assert_eq!(membership.up_count(), 8);
+    advance_time(&mut membership, START, 1_000, &[1, 2, 3]);
+    assert_eq!(membership.up_count(), 4);
+    membership.remove(Incarnation(3));
+    assert_eq!(membership.up_count(), 3);
 }
--- a/crates/galenapath-membership/tests/watchers.rs
+++ b/crates/galenapath-membership/tests/watchers.rs
@@ -1,12 +1,14 @@
-//! Which instances watch the store.
+//! Which instances watch the store, and which read it at their start.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod support;
 
-use galenapath_membership::{Heartbeat, InstanceStatus, StoreHealth, WatchRole, watch_role};
+use galenapath_membership::{
+    Heartbeat, InstanceStatus, StoreHealth, WatchRole, reads_store_at_start, watch_role,
+};
 use galenapath_protocol::Incarnation;
-use support::{START, domain, heartbeat, membership};
+use support::{START, domain, heartbeat, membership, peer};
 
 fn roles(fleet: &[(u64, StoreHealth)]) -> Vec<(u64, WatchRole)> {
     let role = |own: u64, health: StoreHealth| {
@@ -99,3 +101,33 @@
 fn watch_role_alone_watches() {
     assert_eq!(roles(&[(4, StoreHealth::Untried)]), [(4, WatchRole::Watch)]);
 }
+
+#[test]
+fn reads_store_at_start_left_to_larger_or_many() {
+    let answering = |n: u64, capacity: u32| {
+        let status =
+            InstanceStatus { store: StoreHealth::Answering, capacity, ..InstanceStatus::default() };
+        Heartbeat { status, ..heartbeat(n, &[]) }
+    };
+    let mut few = membership(0, 0..8);
+    assert!(reads_store_at_start(100, few.peers()), "the store answers no instance");
+    few.apply_heartbeat(START, &answering(3, 100));
+    assert!(reads_store_at_start(100, few.peers()), "equal capacity in a small fleet");
+    few.apply_heartbeat(START, &answering(4, 500));
+    assert!(!reads_store_at_start(100, few.peers()));
+    assert!(reads_store_at_start(500, few.peers()));
+    let mut many = membership(0, 0..60);
+    many.apply_heartbeat(START, &answering(3, 100));
+    assert!(!reads_store_at_start(100, many.peers()));
+}
+
+#[test]
+fn set_store_failing_own_report_goes_first() {
+    let mut membership = membership(0, 0..3);
+    membership.apply_heartbeat(START, &heartbeat(1, &[]));
+    for n in [1, 2] {
+        membership.set_store_failing(Incarnation(n));
+    }
+    let store = |n| peer(&membership, n).status.store;
+    assert_eq!((store(1), store(2)), (StoreHealth::Untried, StoreHealth::Failing));
+}
--- a/crates/galenapath-routes/src/directory.rs
+++ b/crates/galenapath-routes/src/directory.rs
@@ -11,42 +11,22 @@
 //! started since, and gives revisions out again. Without the epoch, what is written then would look
 //! older than what is known, and be ignored.
 
+use crate::listed::Listed;
 use crate::removals::{Removals, RemovedEntry};
 use crate::{Change, ListedServer, ServerChanges, ServerRecord, VisibleChange};
 use galenapath_protocol::{BackendId, FastMap, FastSet, Micros, StorePosition};
 use std::sync::Arc;
 
-#[derive(Clone, Debug)]
-struct Listed {
-    /// Revision in the current epoch; zero if only an earlier epoch had the entry.
-    revision: u64,
-    /// Shared with the readers of the list, which would otherwise each hold a copy.
-    record: Arc<ServerRecord>,
-    /// When the server is removed unless its entry is written again. Set for entries that vanished
-    /// during an outage of the store.
-    expires_at: Option<Micros>,
-}
-
-impl Listed {
-    fn listed(&self, now: Micros) -> ListedServer {
-        ListedServer {
-            revision: self.revision,
-            record: ServerRecord::clone(&self.record),
-            expires_in: self.expires_at.map(|at| at - now),
-        }
-    }
-}
-
 /// The list of backend servers.
 ///
 /// All revisions are of the epoch of `position`.
 ///
-/// Invariants: the position never goes back; every entry of a revision up to the position that is not
-/// listed is gone, and is not listed again by a list or a delta of an earlier position; of each identity only the latest known run counts,
-/// whatever the revisions of earlier runs are; within a run and an epoch the revision of an entry
-/// never decreases; an entry that was removed at revision `r` is restored only with a revision
-/// above `r`; an entry that was removed in an earlier epoch is restored only once it has been
-/// written in this one.
+/// Invariants: the position never goes back; every entry of a revision up to the position that is
+/// not listed is gone, and is not listed again by a list or a delta of an earlier position; of each
+/// identity only the latest known run counts, whatever the revisions of earlier runs are; within a
+/// run and an epoch the revision of an entry never decreases; an entry that was removed at revision
+/// `r` is restored only with a revision above `r`; an entry that was removed in an earlier epoch is
+/// restored only once it has been written in this one.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     position: StorePosition,
--- a/crates/galenapath-routes/src/lib.rs
+++ b/crates/galenapath-routes/src/lib.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod evacuations;
 mod limits;
+mod listed;
 mod removals;
 mod resource;
 mod route;
--- a/crates/galenapath-routes/tests/directory.rs
+++ b/crates/galenapath-routes/tests/directory.rs
@@ -1,32 +1,24 @@
 //! The list of backend servers, with changes from all sources.
 
-use galenapath_protocol::{BackendId, DomainId, Micros, StorePosition};
+mod support;
+
+use galenapath_protocol::{BackendId, Micros, StorePosition};
 use galenapath_routes::{
-    Change, Directory, ListedServer, ServerRecord, ServerState, StartedAt, VisibleChange,
+    Change, Directory, ListedServer, ServerRecord, ServerState, VisibleChange,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 const NOW: Micros = Micros::from_secs(100);
 
 fn record(n: u64, state: ServerState) -> ServerRecord {
-    ServerRecord {
-        id: BackendId(format!("s{n}").into()),
-        started: StartedAt(0),
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
-        domain: DomainId("d".into()),
-        slots: 6,
-        state,
-        cold_for: Duration::ZERO,
-    }
+    support::record(n, 0, state)
 }
 
 /// The record of the only server's run that started at `started`.
 fn run(started: u64, state: ServerState) -> ServerRecord {
-    ServerRecord { started: StartedAt(started), ..record(1, state) }
+    support::record(1, started, state)
 }
 
 fn listed(revision: u64, n: u64) -> ListedServer {
--- a/crates/galenapath-routes/tests/epochs.rs
+++ b/crates/galenapath-routes/tests/epochs.rs
@@ -6,124 +6,21 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "epochs/store.rs"]
+mod store;
+mod support;
+
 use galenapath_protocol::{BackendId, DomainId, FastSet, Micros, StorePosition};
-use galenapath_routes::{
-    Change, Directory, Evacuation, Evacuations, ListedServer, ServerRecord, ServerState, StartedAt,
-};
+use galenapath_routes::{Change, Directory, Evacuation, Evacuations, ListedServer, ServerState};
 use proptest::prelude::*;
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
-use std::time::Duration;
+use store::{Store, Write};
+use support::{DOMAIN, record};
 
 const INSTANCES: usize = 3;
-const DOMAIN: &str = "d1";
 /// Time for which lost entries are kept; time passes only at the end of a schedule.
 const KEPT_UNTIL: Micros = Micros::from_secs(2);
 const AFTER: Micros = Micros::from_secs(3);
 
-/// A write of a server or of the operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Write {
-    Put { server: u64, run: u64, state: ServerState },
-    Remove { server: u64 },
-    Evacuate,
-    Restore,
-}
-
-impl Write {
-    /// Whether the writer of `before` states something else by this.
-    fn replaces(self, before: Self) -> bool {
-        match (self, before) {
-            (
-                Self::Put { server, .. } | Self::Remove { server },
-                Self::Put { server: other, .. } | Self::Remove { server: other },
-            ) => server == other,
-            (Self::Evacuate | Self::Restore, Self::Evacuate | Self::Restore) => true,
-            _ => false,
-        }
-    }
-}
-
-/// State of the store that a backup contains.
-#[derive(Clone, Debug, Default)]
-struct Contents {
-    revision: u64,
-    servers: BTreeMap<u64, (u64, u64, ServerState)>,
-    evacuated_at: Option<u64>,
-    history: Vec<(u64, Write)>,
-}
-
-impl Contents {
-    fn write(&mut self, write: Write) {
-        self.revision += 1;
-        match write {
-            Write::Put { server, run, state } => {
-                self.servers.insert(server, (self.revision, run, state));
-            }
-            Write::Remove { server } => {
-                self.servers.remove(&server);
-            }
-            Write::Evacuate => self.evacuated_at = Some(self.revision),
-            Write::Restore => self.evacuated_at = None,
-        }
-        self.history.push((self.revision, write));
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Store {
-    epoch: u64,
-    now: Contents,
-    backup: Contents,
-    /// Writes that the store has lost and that are written again one by one.
-    lost: VecDeque<Write>,
-}
-
-impl Store {
-    fn position(&self) -> StorePosition {
-        StorePosition::new(self.epoch, self.now.revision)
-    }
-
-    fn come_back(&mut self) {
-        let kept = self.backup.history.len();
-        let lost: Vec<Write> = self.now.history[kept..].iter().map(|(_, write)| *write).collect();
-        // What is still to be written again comes after what was lost now.
-        let waiting = std::mem::take(&mut self.lost);
-        let all: Vec<Write> = lost.into_iter().chain(waiting).collect();
-        let is_last = |at: &usize| !all[at + 1..].iter().any(|later| later.replaces(all[*at]));
-        self.lost = (0..all.len()).filter(is_last).map(|at| all[at]).collect();
-        self.now = self.backup.clone();
-        self.epoch += 1;
-    }
-
-    fn write_again(&mut self) {
-        if let Some(write) = self.lost.pop_front() {
-            self.now.write(write);
-        }
-    }
-
-    /// A write that happens now comes after those that were lost.
-    fn write(&mut self, write: Write) {
-        while !self.lost.is_empty() {
-            self.write_again();
-        }
-        self.now.write(write);
-    }
-}
-
-fn record(server: u64, run: u64, state: ServerState) -> ServerRecord {
-    ServerRecord {
-        id: BackendId(format!("s{server}").into()),
-        started: StartedAt(run),
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
-        domain: DomainId(DOMAIN.into()),
-        slots: 6,
-        state,
-        cold_for: Duration::ZERO,
-    }
-}
-
 #[derive(Clone, Default)]
 struct Instance {
     directory: Directory,
--- a/crates/galenapath-routes/tests/late_answers.rs
+++ b/crates/galenapath-routes/tests/late_answers.rs
@@ -8,6 +8,7 @@
 
 #[path = "late_answers/store.rs"]
 mod store;
+mod support;
 #[path = "late_answers/world.rs"]
 mod world;
 
--- a/crates/galenapath-routes/tests/late_answers/store.rs
+++ b/crates/galenapath-routes/tests/late_answers/store.rs
@@ -1,12 +1,11 @@
 //! A store with a true history.
 
+use crate::support;
 use bytes::Bytes;
 use galenapath_platform::{Item, Page, StoreIndex};
-use galenapath_protocol::{BackendId, DomainId, StorePosition};
-use galenapath_routes::{ServerRecord, ServerState, StartedAt};
+use galenapath_protocol::{BackendId, StorePosition};
+use galenapath_routes::{ServerRecord, ServerState};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Number of entries on a page of a read.
 const PAGE_LEN: usize = 4;
@@ -96,16 +95,7 @@
 }
 
 pub fn record(server: u64, state: ServerState) -> ServerRecord {
-    ServerRecord {
-        id: id(server),
-        started: StartedAt(0),
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
-        domain: DomainId("d".into()),
-        slots: 6,
-        state,
-        cold_for: Duration::ZERO,
-    }
+    ServerRecord { id: id(server), ..support::record(server, 0, state) }
 }
 
 pub fn parse_server(item: &Item) -> ServerRecord {
