--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -286,6 +286,11 @@
     run_seed(Run { seed: 3116, seconds, instances, is_sparse: false });
 }
 
+#[test]
+fn soak_seed_8315_cold_server_not_overloaded() {
+    run_seed(Run { seed: 8315, seconds: 10, instances: DEFAULT_INSTANCES, is_sparse: false });
+}
+
 #[test]
 fn soak_of_many_instances_promises_held() {
     for seed in LARGE_RUN_SEEDS {
